--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that measure wisteriasill against its targets."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for back ends; not deployed."""
--- /dev/null
+++ b/wisteriasill/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet capacity and maintenance manager."""
--- /dev/null
+++ b/wisteriasill/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line, one module each."""
--- /dev/null
+++ b/wisteriasill/documents.py
@@ -0,0 +1,64 @@
+"""Conversion between typed values and the plain maps that are stored."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import enum
+import functools
+from typing import Any, TypeVar
+
+import pydantic
+from returns import result
+
+from wisteriasill import errors
+
+T = TypeVar("T")
+
+
+@functools.cache
+def _adapter(kind: type[Any]) -> pydantic.TypeAdapter[Any]:
+    return pydantic.TypeAdapter(kind)
+
+
+def encode(value: Any) -> Any:
+    """Turns named tuples, mappings and enumerations into plain data.
+
+    Args:
+        value: A value made of named tuples, mappings, sequences, enumerations
+            and scalars.
+
+    Returns:
+        The same as dicts, lists and scalars, fit for JSON or CBOR.
+    """
+    if isinstance(value, enum.Enum):
+        return value.value
+    if hasattr(value, "_asdict"):
+        return {key: encode(item) for key, item in value._asdict().items()}
+    if isinstance(value, Mapping):
+        return {key: encode(item) for key, item in value.items()}
+    if isinstance(value, list | tuple):
+        return [encode(item) for item in value]
+    return value
+
+
+def decode(kind: type[T], document: Any) -> result.Result[T, errors.Failure]:
+    """Checks plain data against a type and builds the value.
+
+    Args:
+        kind: A `NamedTuple` or `TypedDict` type.
+        document: Plain data, such as a table row's value.
+
+    Returns:
+        The value, or a failure that names the first wrong key.
+    """
+    try:
+        return result.Success(_adapter(kind).validate_python(document))
+    except pydantic.ValidationError as error:
+        first = error.errors(include_url=False, include_input=False)[0]
+        path = ".".join(str(part) for part in first["loc"])
+        return result.Failure(
+            errors.failure(
+                errors.ErrorKind.BAD_REQUEST,
+                f"{kind.__name__} {path}: {first['msg']}",
+            )
+        )
--- /dev/null
+++ b/wisteriasill/events.py
@@ -0,0 +1,94 @@
+"""Numbered log events and the set-up of logging."""
+
+from __future__ import annotations
+
+import enum
+import sys
+from typing import Any
+
+import loguru
+
+
+class Event(enum.IntEnum):
+    """Every event that is logged; docs/user-guide/events.md explains them.
+
+    1xx process, 2xx members and peers, 3xx requests and targets,
+    4xx configuration, 5xx control of pools and hosts, 6xx jobs,
+    7xx platform, 8xx operators.
+    """
+
+    STARTED = 100
+    STOPPING = 101
+    STOPPED = 102
+    TASK_FAILED = 103
+    PEER_CONNECTED = 200
+    PEER_LOST = 201
+    MEMBER_JOINED = 202
+    MEMBER_LEFT = 203
+    PEER_MESSAGE_INVALID = 204
+    REQUEST_FAILED = 300
+    TARGET_EJECTED = 301
+    TARGET_READMITTED = 302
+    ANSWER_DISCARDED = 303
+    CONFIGURATION_ADOPTED = 400
+    CONFIGURATION_STALE = 401
+    CONFIGURATION_INVALID = 402
+    CONFIGURATION_PUBLISHED = 403
+    SHARD_ACQUIRED = 500
+    SHARD_LOST = 501
+    HOST_REGISTERED = 502
+    HOST_STATE_CHANGED = 503
+    HOST_MOVED = 504
+    WAVE_STARTED = 505
+    WAVE_STOPPED = 506
+    WAVE_FINISHED = 507
+    ORDER_REJECTED = 508
+    JOB_STARTED = 600
+    JOB_CHECKPOINTED = 601
+    JOB_STOPPED = 602
+    JOB_WAITING = 603
+    JOB_FAILED = 604
+    STORE_FAILED = 700
+    STORE_RECOVERED = 701
+    HOST_LIST_FAILED = 702
+    OPERATOR_ORDER = 800
+    OPERATOR_REJECTED = 801
+
+
+_TEXT_FORMAT = (
+    "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level:<7} "
+    "{extra[event]:>3} {message} {extra[fields]}"
+)
+
+
+def configure(level: str = "INFO", as_json: bool = False) -> None:
+    """Sends log events to standard error.
+
+    Args:
+        level: Lowest level that is logged.
+        as_json: Whether each event is one JSON object.
+    """
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"event": 0, "fields": ""})
+    loguru.logger.add(
+        sys.stderr,
+        level=level,
+        serialize=as_json,
+        format=_TEXT_FORMAT,
+        enqueue=False,
+    )
+
+
+def log(event: Event, message: str, level: str = "INFO", **fields: Any) -> None:
+    """Logs one numbered event.
+
+    Args:
+        event: Number of the event.
+        message: The same short sentence for each occurrence of the event.
+        level: Level of the event.
+        **fields: What differs between occurrences.
+    """
+    text = " ".join(f"{key}={value}" for key, value in fields.items())
+    loguru.logger.bind(event=int(event), fields=text, **fields).log(
+        level, message
+    )
--- /dev/null
+++ b/wisteriasill/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links to callers, targets, peers, operators and the platform."""
--- /dev/null
+++ b/wisteriasill/machines/__init__.py
@@ -0,0 +1,1 @@
+"""Machines of the fleet: hosts, targets, members and entry hosts."""
--- /dev/null
+++ b/wisteriasill/metrics.py
@@ -0,0 +1,98 @@
+"""Metrics of one process."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+import threading
+
+import aioprometheus
+from aioprometheus import renderer
+
+LATENCY_BUCKETS_SECONDS = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+
+
+class Metrics:
+    """Counters, gauges and histograms with their registry.
+
+    aioprometheus collectors are made for one event loop thread, so a lock
+    guards each update and the rendering.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._registry = aioprometheus.Registry()
+        self._requests = aioprometheus.Counter(
+            "wisteriasill_requests_total",
+            "Callers' requests by service, class, outcome kind.",
+            registry=self._registry,
+        )
+        self._latency = aioprometheus.Histogram(
+            "wisteriasill_request_seconds",
+            "Time to the answer by service, class and caller.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self._counters = aioprometheus.Counter(
+            "wisteriasill_events_total",
+            "Numbered log events and internal counters by name.",
+            registry=self._registry,
+        )
+        self._gauges = aioprometheus.Gauge(
+            "wisteriasill_state",
+            "State of this entry host by name.",
+            registry=self._registry,
+        )
+
+    def observe_request(
+        self, labels: Mapping[str, str], kind: str, seconds: float
+    ) -> None:
+        """Records one finished request.
+
+        Args:
+            labels: `service`, `class` and `caller`.
+            kind: Error kind, or `answered`.
+            seconds: Time from its first byte to its answer.
+        """
+        with self._lock:
+            self._requests.inc(
+                {
+                    "service": labels["service"],
+                    "class": labels["class"],
+                    "kind": kind,
+                }
+            )
+            self._latency.observe(dict(labels), seconds)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Adds to a named counter."""
+        with self._lock:
+            self._counters.add({"name": name}, amount)
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Sets a named gauge."""
+        with self._lock:
+            self._gauges.set({"name": name}, value)
+
+    def render(self, accepts: Sequence[str]) -> tuple[bytes, dict[str, str]]:
+        """Renders all metrics.
+
+        Args:
+            accepts: Values of the Accept header.
+
+        Returns:
+            The body and its headers.
+        """
+        with self._lock:
+            return renderer.render(self._registry, accepts)
--- /dev/null
+++ b/wisteriasill/zones/__init__.py
@@ -0,0 +1,1 @@
+"""Regions, availability zones, racks and the hosts arranged in them."""
