--- /dev/null
+++ b/tests/zones/test_site.py
@@ -0,0 +1,59 @@
+"""Tests of what an entry host knows of its site."""
+
+from __future__ import annotations
+
+import pytest
+
+from wisteriasill import clock as clocks
+from wisteriasill.contracts import configuration as configurations
+from wisteriasill.machines import host as hosts
+from wisteriasill.zones import site as sites
+
+
+@pytest.fixture
+def site(manual_clock: clocks.ManualClock) -> sites.Site:
+    return sites.Site(manual_clock)
+
+
+def known_host(version: int, pool: str = "quoting") -> sites.KnownHost:
+    return sites.KnownHost(
+        hosts.Host(
+            host_id="h1",
+            pool=pool,
+            state=hosts.HostState.SERVING,
+            region="local",
+            availability_zone="z1",
+            rack="r1",
+            address="127.0.0.1:1",
+            cores=16,
+            memory_gib=64,
+            accelerators=0,
+            slots=8,
+            connections=64,
+        ),
+        version,
+    )
+
+
+def test_older_host_row_is_ignored(site: sites.Site) -> None:
+    """A stale read of the store must not bring a drained host back."""
+    site.update_hosts([known_host(3)])
+    site.mark_departing("h1", hosts.HostState.DRAINING, 4)
+    assert not site.update_hosts([known_host(3)])
+    host = site.snapshot.hosts_by_id["h1"].host
+    assert host.state is hosts.HostState.DRAINING
+
+
+def test_moved_host_is_in_one_pool(site: sites.Site) -> None:
+    """A moved host must leave its former pool in the same snapshot."""
+    site.update_hosts([known_host(1, "quoting")])
+    site.update_hosts([known_host(2, "billing")])
+    assert set(site.snapshot.hosts_by_pool) == {"billing"}
+
+
+def test_lower_generation_is_never_adopted(site: sites.Site) -> None:
+    """An accepted configuration must not revert after an old read."""
+    newer = configurations.NO_CONFIGURATION._replace(generation=5)
+    assert site.adopt_configuration(newer)
+    assert not site.adopt_configuration(newer._replace(generation=4))
+    assert site.snapshot.configuration.generation == 5
--- /dev/null
+++ b/wisteriasill/contracts/jobs.py
@@ -0,0 +1,66 @@
+"""Jobs and the leases of their tasks, as the table's rows describe them."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+TABLE = "jobs"
+
+
+class JobState(enum.StrEnum):
+    """Where a job stands."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    FINISHED = "finished"
+    QUARANTINED = "quarantined"
+    CANCELLED = "cancelled"
+
+
+class Job(NamedTuple):
+    """A row of the jobs table; its key is `pool/job_id`.
+
+    Attributes:
+        job_id: `service.job.copy`.
+        pool: Pool that it runs on.
+        team: Team whose quota it uses.
+        state: Where it stands.
+        cores: Processors, corrected by usage reports.
+        memory_gib: Memory, corrected by usage reports.
+        accelerators: Accelerators.
+        urgent: Whether it starts before others.
+        can_checkpoint: Whether it can be pre-empted without loss.
+        host_id: Host of its task; empty while it has none.
+        task_id: Its task; a new one at each start.
+        epoch: Grows with each start; fences orders to older tasks.
+        checkpoint: Last checkpoint; empty for none.
+        reason: Why it waits or is quarantined.
+        failed_hosts: Hosts on which it failed since its last success.
+        submitted_at: Seconds since the epoch.
+        token: Random value of the last writer.
+    """
+
+    job_id: str
+    pool: str
+    team: str
+    state: JobState
+    cores: float
+    memory_gib: float
+    accelerators: int = 0
+    urgent: bool = False
+    can_checkpoint: bool = False
+    host_id: str = ""
+    task_id: str = ""
+    epoch: int = 0
+    checkpoint: str = ""
+    reason: str = ""
+    failed_hosts: tuple[str, ...] = ()
+    submitted_at: float = 0.0
+    token: str = ""
+
+    @property
+    def key(self) -> str:
+        """Key of the row."""
+        return f"{self.pool}/{self.job_id}"
--- /dev/null
+++ b/wisteriasill/contracts/orders.py
@@ -0,0 +1,59 @@
+"""Orders of operators that the holder of a shard carries out."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+TABLE = "orders"
+SITE_SHARD = "site"
+
+
+class OrderKind(enum.StrEnum):
+    """What an operator may order."""
+
+    DRAIN = "drain"
+    RETURN = "return"
+    MOVE = "move"
+    PAUSE_WAVES = "pause-waves"
+    RESUME_WAVES = "resume-waves"
+    CANCEL_JOB = "cancel-job"
+
+
+class OrderState(enum.StrEnum):
+    """Whether an order has been carried out."""
+
+    PENDING = "pending"
+    DONE = "done"
+    REJECTED = "rejected"
+
+
+class Order(NamedTuple):
+    """A row of the orders table; its key is `shard/order_id`.
+
+    Attributes:
+        order_id: Random name; a repeated submission has the same one.
+        shard: Shard whose holder carries it out: the pool concerned.
+        kind: What is ordered.
+        subject: Host id, pool or job id, as the kind says.
+        pool: Pool to move to, for MOVE.
+        author: Operator who ordered it.
+        ordered_at: Seconds since the epoch, for people to read.
+        state: Whether it has been carried out.
+        detail: Why it was rejected.
+    """
+
+    order_id: str
+    shard: str
+    kind: OrderKind
+    subject: str
+    author: str
+    pool: str = ""
+    ordered_at: float = 0.0
+    state: OrderState = OrderState.PENDING
+    detail: str = ""
+
+    @property
+    def key(self) -> str:
+        """Key of the row."""
+        return f"{self.shard}/{self.order_id}"
--- /dev/null
+++ b/wisteriasill/contracts/pool_revision.py
@@ -0,0 +1,43 @@
+"""Revisions of pools: what readers poll instead of all host rows."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+TABLE = "pools"
+RECENT_CHANGES = 64  # A reader that missed more scans all host rows.
+
+
+class HostChange(NamedTuple):
+    """A change of one host row.
+
+    Attributes:
+        revision: Revision of the pool that the change made.
+        host_id: The host.
+    """
+
+    revision: int
+    host_id: str
+
+
+class PoolRevision(NamedTuple):
+    """A row of the pools table; its key is the pool.
+
+    Each transaction that writes a host row also writes this row of the
+    host's pool, and of its former pool when it moves.
+
+    Attributes:
+        pool: Name of the pool.
+        revision: Grows by one with each change.
+        recent: The last changes, oldest first.
+    """
+
+    pool: str
+    revision: int = 0
+    recent: tuple[HostChange, ...] = ()
+
+    def with_change(self, host_id: str) -> PoolRevision:
+        """Returns the next revision, in which one host row changed."""
+        change = HostChange(self.revision + 1, host_id)
+        recent = (*self.recent, change)[-RECENT_CHANGES:]
+        return PoolRevision(self.pool, self.revision + 1, recent)
--- /dev/null
+++ b/wisteriasill/links/peer_messages.py
@@ -0,0 +1,102 @@
+"""Messages between peers and the interface of the peers' mesh."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Literal, NotRequired, Protocol, TypedDict
+
+PROTOCOL_VERSION = 1
+MAX_MESSAGE_BYTES = 1024 * 1024
+
+
+class Hello(TypedDict):
+    """First message of each side of a link."""
+
+    type: Literal["hello"]
+    member_id: str
+    incarnation: str
+    availability_zone: str
+    protocol_version: int
+
+
+class Heartbeat(TypedDict):
+    """Proof of life, with the highest generation in force."""
+
+    type: Literal["heartbeat"]
+    sequence: int
+    generation: int
+
+
+class InFlight(TypedDict):
+    """Requests in flight at targets, by target id; changed ones only."""
+
+    type: Literal["in_flight"]
+    counts: dict[str, int]
+
+
+class Departure(TypedDict):
+    """A host that takes no new work; `state` is its `HostState`."""
+
+    type: Literal["departure"]
+    host_id: str
+    state: str
+    version: int
+
+
+class ConfigurationNews(TypedDict):
+    """A manifest, with documents by digest when a peer asked for them."""
+
+    type: Literal["configuration"]
+    manifest: dict[str, Any]
+    documents: NotRequired[dict[str, bytes]]
+    wanted: NotRequired[list[str]]
+
+
+class CreditMessage(TypedDict):
+    """A request for, grant of, or return of slots of one target."""
+
+    type: Literal["credit_request", "credit_grant", "credit_return"]
+    target_id: str
+    count: int
+    incarnation: str
+
+
+class Goodbye(TypedDict):
+    """Last message of a member that leaves."""
+
+    type: Literal["goodbye"]
+    member_id: str
+
+
+Message = (
+    Hello
+    | Heartbeat
+    | InFlight
+    | Departure
+    | ConfigurationNews
+    | CreditMessage
+    | Goodbye
+)
+Handler = Callable[[str, Any], None]
+
+
+class PeerMesh(Protocol):
+    """The links to all peers."""
+
+    def broadcast(self, message: Message) -> None:
+        """Queues a message for each connected peer; never blocks."""
+
+    def send(self, member_id: str, message: Message) -> bool:
+        """Queues a message for one peer; False if it is not connected."""
+
+    def on_message(self, message_type: str, handler: Handler) -> None:
+        """Registers a handler, called as `handler(member_id, message)`.
+
+        Handlers run on the task of the link and must not block.
+        """
+
+    def on_members_changed(self, handler: Callable[[], None]) -> None:
+        """Registers a handler for peers that connect or are lost."""
+
+    def connected_peers(self) -> frozenset[str]:
+        """Returns the member ids of peers that are heard."""
--- /dev/null
+++ b/wisteriasill/zones/site.py
@@ -0,0 +1,205 @@
+"""What one entry host knows of its site."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+import itertools
+import operator
+import threading
+import types
+from typing import NamedTuple
+
+from wisteriasill import clock as clocks
+from wisteriasill.contracts import configuration as configurations
+from wisteriasill.machines import host as hosts
+from wisteriasill.machines import member as members
+
+
+class KnownHost(NamedTuple):
+    """A host row and its version.
+
+    Attributes:
+        host: The row's value.
+        version: The row's version; a higher one replaces a lower one.
+    """
+
+    host: hosts.Host
+    version: int
+
+
+class SiteSnapshot(NamedTuple):
+    """An unchanging view of the site; readers take one and use it whole.
+
+    Attributes:
+        configuration: The configuration in force.
+        hosts_by_id: All known hosts.
+        hosts_by_pool: The same by pool, ordered by id.
+        members_by_id: Members that are believed to be live, this one too.
+    """
+
+    configuration: configurations.Configuration
+    hosts_by_id: Mapping[str, KnownHost]
+    hosts_by_pool: Mapping[str, tuple[hosts.Host, ...]]
+    members_by_id: Mapping[str, members.Member]
+
+
+EMPTY_SNAPSHOT = SiteSnapshot(
+    configurations.NO_CONFIGURATION,
+    types.MappingProxyType({}),
+    types.MappingProxyType({}),
+    types.MappingProxyType({}),
+)
+
+
+def _by_pool(
+    known: Iterable[KnownHost],
+) -> Mapping[str, tuple[hosts.Host, ...]]:
+    ordered = sorted(
+        (item.host for item in known),
+        key=operator.attrgetter("pool", "host_id"),
+    )
+    groups = itertools.groupby(ordered, key=operator.attrgetter("pool"))
+    return types.MappingProxyType(
+        {pool: tuple(group) for pool, group in groups}
+    )
+
+
+class Site:
+    """The site as its entry host knows it.
+
+    Tasks that learn something update it; each update makes a new snapshot
+    and calls the listeners. Versions and generations never go back.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._snapshot = EMPTY_SNAPSHOT
+        self._listeners: list[Callable[[SiteSnapshot], None]] = []
+        self._confirmed_at_by_topic: dict[str, float] = {}
+
+    @property
+    def snapshot(self) -> SiteSnapshot:
+        """The current view."""
+        return self._snapshot
+
+    def add_listener(self, listener: Callable[[SiteSnapshot], None]) -> None:
+        """Calls a function with the new view after each change.
+
+        Args:
+            listener: Must not block.
+        """
+        self._listeners.append(listener)
+
+    def confirm(self, topic: str) -> None:
+        """Notes that the platform's store confirmed a topic just now.
+
+        Args:
+            topic: `hosts`, `members` or `configuration`.
+        """
+        self._confirmed_at_by_topic[topic] = self._clock.monotonic()
+
+    def age_seconds(self, topic: str) -> float | None:
+        """Returns the time since a topic was confirmed; None if never."""
+        confirmed_at = self._confirmed_at_by_topic.get(topic)
+        if confirmed_at is None:
+            return None
+        return self._clock.monotonic() - confirmed_at
+
+    def update_hosts(self, known: Iterable[KnownHost]) -> bool:
+        """Takes over host rows that are newer than the known ones.
+
+        Args:
+            known: Rows and their versions.
+
+        Returns:
+            Whether anything changed.
+        """
+        with self._lock:
+            current = self._snapshot.hosts_by_id
+            newer = {
+                item.host.host_id: item
+                for item in known
+                if item.host.host_id not in current
+                or current[item.host.host_id].version < item.version
+            }
+            if not newer:
+                return False
+            self._replace_hosts({**current, **newer})
+        self._notify()
+        return True
+
+    def mark_departing(
+        self, host_id: str, state: hosts.HostState, version: int
+    ) -> bool:
+        """Stops new work to a host ahead of the table poll.
+
+        Args:
+            host_id: The host.
+            state: Its new state.
+            version: Version of its row in that state.
+
+        Returns:
+            Whether the host was known with a lower version.
+        """
+        known = self._snapshot.hosts_by_id.get(host_id)
+        if known is None:
+            return False
+        return self.update_hosts(
+            [KnownHost(known.host._replace(state=state), version)]
+        )
+
+    def remove_hosts(self, host_ids: Iterable[str]) -> None:
+        """Forgets hosts whose rows are gone."""
+        with self._lock:
+            gone = set(host_ids)
+            self._replace_hosts(
+                {
+                    host_id: item
+                    for host_id, item in self._snapshot.hosts_by_id.items()
+                    if host_id not in gone
+                }
+            )
+        self._notify()
+
+    def set_members(self, live: Iterable[members.Member]) -> None:
+        """Replaces the members that are believed to be live."""
+        with self._lock:
+            by_id = {item.member_id: item for item in live}
+            if by_id == self._snapshot.members_by_id:
+                return
+            self._snapshot = self._snapshot._replace(
+                members_by_id=types.MappingProxyType(by_id)
+            )
+        self._notify()
+
+    def adopt_configuration(
+        self, configuration: configurations.Configuration
+    ) -> bool:
+        """Puts a configuration in force if its generation is higher.
+
+        Args:
+            configuration: The candidate.
+
+        Returns:
+            Whether it is in force now for the first time.
+        """
+        with self._lock:
+            in_force = self._snapshot.configuration.generation
+            if configuration.generation <= in_force:
+                return False
+            self._snapshot = self._snapshot._replace(
+                configuration=configuration
+            )
+        self._notify()
+        return True
+
+    def _replace_hosts(self, by_id: dict[str, KnownHost]) -> None:
+        self._snapshot = self._snapshot._replace(
+            hosts_by_id=types.MappingProxyType(by_id),
+            hosts_by_pool=_by_pool(by_id.values()),
+        )
+
+    def _notify(self) -> None:
+        for listener in tuple(self._listeners):
+            listener(self._snapshot)
