Satisfy the type checker in documents and metrics

Cause: mypy strict rejects implicit re-exports and an unhashable type variable. Change: collectors are imported from their module; the cached adapter is called with a cast.

--- a/wisteriasill/documents.py
+++ b/wisteriasill/documents.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Hashable, Mapping
 import enum
 import functools
-from typing import Any, TypeVar
+from typing import Any, TypeVar, cast
 
 import pydantic
 from returns import result
@@ -16,8 +16,8 @@
 
 
 @functools.cache
-def _adapter(kind: type[Any]) -> pydantic.TypeAdapter[Any]:
-    return pydantic.TypeAdapter(kind)
+def _adapter(kind: Hashable) -> pydantic.TypeAdapter[Any]:
+    return pydantic.TypeAdapter(cast("type[Any]", kind))
 
 
 def encode(value: Any) -> Any:
@@ -52,7 +52,9 @@
         The value, or a failure that names the first wrong key.
     """
     try:
-        return result.Success(_adapter(kind).validate_python(document))
+        return result.Success(
+            _adapter(cast(Hashable, kind)).validate_python(document)
+        )
     except pydantic.ValidationError as error:
         first = error.errors(include_url=False, include_input=False)[0]
         path = ".".join(str(part) for part in first["loc"])
--- a/wisteriasill/metrics.py
+++ b/wisteriasill/metrics.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping, Sequence
 import threading
 
-import aioprometheus
+from aioprometheus import collectors
 from aioprometheus import renderer
 
 LATENCY_BUCKETS_SECONDS = (
@@ -32,24 +32,24 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._registry = aioprometheus.Registry()
-        self._requests = aioprometheus.Counter(
+        self._registry = collectors.Registry()
+        self._requests = collectors.Counter(
             "wisteriasill_requests_total",
             "Callers' requests by service, class, outcome kind.",
             registry=self._registry,
         )
-        self._latency = aioprometheus.Histogram(
+        self._latency = collectors.Histogram(
             "wisteriasill_request_seconds",
             "Time to the answer by service, class and caller.",
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self._registry,
         )
-        self._counters = aioprometheus.Counter(
+        self._counters = collectors.Counter(
             "wisteriasill_events_total",
             "Numbered log events and internal counters by name.",
             registry=self._registry,
         )
-        self._gauges = aioprometheus.Gauge(
+        self._gauges = collectors.Gauge(
             "wisteriasill_state",
             "State of this entry host by name.",
             registry=self._registry,
