Add the platform stand-in and its client

The components that follow need a platform to run against and one client for its HTTP/JSON interface.

PlatformLink opens a new connection for each write: curl repeats a request by itself on a reused connection that closes early, which turned a lost answer into a false conflict.

--- /dev/null
+++ b/standins/local_platform.py
@@ -0,0 +1,202 @@
+"""The platform without a wire, for tests and benches in one process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+import threading
+from typing import TypeVar
+
+from returns import result
+
+from standins import faults
+from standins import platform_state
+from wisteriasill import errors
+from wisteriasill.links import platform
+
+T = TypeVar("T")
+Hook = Callable[[Sequence[platform.Condition], Sequence[platform.Write]], None]
+Outcome = result.Result[T, errors.Failure]
+
+
+class _Wire:
+    """Applies the fault switches `down` and `lose_answers`."""
+
+    def __init__(self, state: platform_state.PlatformState, seed: int) -> None:
+        self._state = state
+        self._lottery = faults.AnswerLottery(seed)
+        self._lock = threading.Lock()
+
+    def read(self, take: Callable[[], Outcome[T]]) -> Outcome[T]:
+        """Runs a read."""
+        if self._state.faults.down:
+            return _down()
+        return take()
+
+    def write(self, apply: Callable[[], Outcome[T]]) -> Outcome[T]:
+        """Runs a write; its answer may get lost."""
+        if self._state.faults.down:
+            return _down()
+        outcome = apply()
+        with self._lock:
+            lost = self._lottery.loses(self._state.faults.lose_answers)
+        if lost:
+            return result.Failure(
+                errors.failure(
+                    errors.ErrorKind.STORE_OUTCOME_UNKNOWN,
+                    "the answer was lost",
+                )
+            )
+        return outcome
+
+
+def _down() -> result.Result[T, errors.Failure]:
+    return result.Failure(
+        errors.failure(
+            errors.ErrorKind.STORE_UNAVAILABLE, "the platform is down"
+        )
+    )
+
+
+class LocalPlatform:
+    """Implements `links.platform.Platform` over a platform state.
+
+    Attributes:
+        before_transaction: Called with each transaction before it is
+            applied; None for no call.
+    """
+
+    def __init__(
+        self, state: platform_state.PlatformState, seed: int = 1
+    ) -> None:
+        self._state = state
+        self._wire = _Wire(state, seed)
+        self.before_transaction: Hook | None = None
+
+    @property
+    def table(self) -> platform.Table:
+        """The transactional table service."""
+        return self
+
+    @property
+    def objects(self) -> platform.ObjectStore:
+        """The object store."""
+        return self
+
+    @property
+    def host_list(self) -> platform.HostList:
+        """The lagging list of hosts."""
+        return self
+
+    @property
+    def tasks(self) -> platform.TaskRunner:
+        """The workers' task interface."""
+        return self
+
+    @property
+    def host_control(self) -> platform.HostControl:
+        """Drain and reboot of hosts."""
+        return self
+
+    def read(self, table: str, key: str) -> Outcome[platform.Row | None]:
+        """Reads one row."""
+        return self._wire.read(
+            lambda: result.Success(self._state.read(table, key))
+        )
+
+    def scan(
+        self, table: str, prefix: str = ""
+    ) -> Outcome[tuple[platform.Row, ...]]:
+        """Reads rows by prefix."""
+        return self._wire.read(
+            lambda: result.Success(self._state.scan(table, prefix))
+        )
+
+    def transact(
+        self,
+        conditions: Sequence[platform.Condition],
+        writes: Sequence[platform.Write],
+    ) -> Outcome[tuple[int, ...]]:
+        """Writes rows if all conditions hold."""
+        if self.before_transaction is not None:
+            self.before_transaction(conditions, writes)
+        return self._wire.write(
+            lambda: self._state.transact(conditions, writes).alt(
+                lambda failed: errors.failure(
+                    errors.ErrorKind.CONFLICT,
+                    f"{failed.table}/{failed.key} has version {failed.version}",
+                )
+            )
+        )
+
+    def put(self, key: str, body: bytes) -> Outcome[None]:
+        """Stores an object."""
+
+        def apply() -> Outcome[None]:
+            if self._state.put(key, body):
+                return result.Success(None)
+            return result.Failure(
+                errors.failure(
+                    errors.ErrorKind.CONFLICT, f"object {key} differs"
+                )
+            )
+
+        return self._wire.write(apply)
+
+    def get(self, key: str) -> Outcome[bytes | None]:
+        """Reads an object."""
+        return self._wire.read(lambda: result.Success(self._state.get(key)))
+
+    def list_hosts(self) -> Outcome[tuple[platform.ListedHost, ...]]:
+        """Reads the lagging list."""
+        return self._wire.read(lambda: result.Success(self._state.list_hosts()))
+
+    def start_task(
+        self, host_id: str, order: platform.TaskOrder
+    ) -> Outcome[None]:
+        """Starts a task."""
+        return self._wire.write(lambda: self._state.start_task(host_id, order))
+
+    def renew_task(
+        self, task_id: str, epoch: int, lease_seconds: float
+    ) -> Outcome[None]:
+        """Extends a task's lease."""
+        return self._act(task_id, epoch, "renew", lease_seconds)
+
+    def checkpoint_task(self, task_id: str, epoch: int) -> Outcome[str]:
+        """Makes a checkpoint."""
+        return self._wire.write(
+            lambda: self._state.task_call(task_id, epoch, "checkpoint")
+        )
+
+    def throttle_task(
+        self, task_id: str, epoch: int, share: float
+    ) -> Outcome[None]:
+        """Limits a task to a share of its cores."""
+        return self._act(task_id, epoch, "throttle", share)
+
+    def stop_task(self, task_id: str, epoch: int) -> Outcome[None]:
+        """Stops a task."""
+        return self._act(task_id, epoch, "stop", 0.0)
+
+    def list_tasks(
+        self, host_id: str
+    ) -> Outcome[tuple[platform.TaskReport, ...]]:
+        """Reads the lagging usage reports."""
+        return self._wire.read(lambda: self._state.list_tasks(host_id))
+
+    def drain_host(self, host_id: str) -> Outcome[None]:
+        """Drains a worker."""
+        return self._wire.write(lambda: self._state.drain_host(host_id))
+
+    def reboot_host(self, host_id: str) -> Outcome[None]:
+        """Reboots a host."""
+        return self._wire.write(lambda: self._state.reboot_host(host_id))
+
+    def _act(
+        self, task_id: str, epoch: int, act: str, amount: float
+    ) -> Outcome[None]:
+        return self._wire.write(
+            lambda: self._state.task_call(task_id, epoch, act, amount).map(
+                lambda _: None
+            )
+        )
--- /dev/null
+++ b/standins/task_state.py
@@ -0,0 +1,299 @@
+"""Tasks on the workers of the platform stand-in."""
+
+from __future__ import annotations
+
+import math
+
+from returns import result
+
+from standins import faults
+from standins import task_types
+from wisteriasill import errors
+from wisteriasill.links import platform
+
+Outcome = result.Result[None, errors.Failure]
+
+
+DEFAULT_BEHAVIOUR = task_types.JobBehaviour()
+LISTED_SECONDS = 120.0  # Workers report ended tasks for this long.
+FAILING_HOST_SECONDS = 0.5  # A failing host's tasks end after this.
+
+
+class TaskTable:
+    """Tasks of all workers. The owner holds the lock and passes the time."""
+
+    def __init__(
+        self, size_by_host: dict[str, task_types.WorkerSize], lag_seconds: float
+    ) -> None:
+        self._size_by_host = size_by_host
+        self._tasks_by_id: dict[str, task_types.Task] = {}
+        self._running_by_host: dict[str, set[str]] = {}
+        self._listed_by_host: dict[str, list[str]] = {}
+        self._highest_epoch: dict[tuple[str, str], int] = {}
+        self._settled_at: dict[str, float] = {}
+        self._progress_by_checkpoint: dict[str, float] = {}
+        self._reports = faults.Lagging(lag_seconds, self._view)
+        self.behaviour_by_job: dict[str, task_types.JobBehaviour] = {}
+        self.overlaps = 0  # Starts while another task of the job ran.
+        self.starts = 0
+        self.memory_kills = 0
+
+    def settle(self, now: float) -> None:
+        """Ends tasks that lapsed, finished or failed up to now."""
+        for host_id in tuple(self._running_by_host):
+            self._settle_host(host_id, now)
+        self._forget_old(now)
+        self._reports.observe(now)
+
+    def start(
+        self,
+        host_id: str,
+        order: platform.TaskOrder,
+        now: float,
+        host_fails: bool,
+    ) -> Outcome:
+        """Starts a task, as `TaskRunner.start_task` says."""
+        seen = self._highest_epoch.get((host_id, order.job_id), 0)
+        if order.task_id in self._tasks_by_id or order.epoch <= seen:
+            return task_types.refuse(
+                errors.ErrorKind.CONFLICT, order.task_id, "exists"
+            )
+        if not self._fits(host_id, order):
+            return task_types.refuse(
+                errors.ErrorKind.PLATFORM_REFUSED, order.task_id, "doesn't fit"
+            )
+        self.starts += 1
+        self.overlaps += len(self.running_of(order.job_id)) > 0
+        self._highest_epoch[host_id, order.job_id] = order.epoch
+        self._settled_at.setdefault(host_id, now)
+        self._tasks_by_id[order.task_id] = self._new_task(
+            host_id, order, now, host_fails
+        )
+        self._running_by_host.setdefault(host_id, set()).add(order.task_id)
+        self._listed_by_host.setdefault(host_id, []).append(order.task_id)
+        self._kill_over_memory(host_id)
+        return result.Success(None)
+
+    def running(
+        self, task_id: str, epoch: int
+    ) -> result.Result[task_types.Task, errors.Failure]:
+        """Finds a running task and checks the epoch of an order to it."""
+        task = self._tasks_by_id.get(task_id)
+        if task is None or task.state is not platform.TaskState.RUNNING:
+            return task_types.refuse(
+                errors.ErrorKind.NOT_FOUND, task_id, "not running"
+            )
+        if epoch < task.order.epoch:
+            return task_types.refuse(
+                errors.ErrorKind.CONFLICT, task_id, "stale epoch"
+            )
+        return result.Success(task)
+
+    def renew(self, task: task_types.Task, lease_until: float) -> None:
+        """Extends a task's lease."""
+        self._replace(task._replace(lease_until=lease_until))
+
+    def throttle(self, task: task_types.Task, share: float) -> None:
+        """Limits a task to a share of its cores."""
+        self._replace(task._replace(throttle=min(1.0, max(0.0, share))))
+
+    def stop(self, task: task_types.Task) -> None:
+        """Stops a task."""
+        self._end(task, platform.TaskState.STOPPED)
+
+    def host_of(self, task_id: str) -> str | None:
+        """Returns the host of a task that is or was there."""
+        task = self._tasks_by_id.get(task_id)
+        return task.host_id if task else None
+
+    def checkpoint(
+        self, task: task_types.Task
+    ) -> result.Result[str, errors.Failure]:
+        """Makes a checkpoint of a running task."""
+        if not self._behaviour(task.order.job_id).checkpoint_works:
+            return task_types.refuse(
+                errors.ErrorKind.PLATFORM_REFUSED,
+                task.order.task_id,
+                "can't checkpoint",
+            )
+        name = f"{task.order.job_id}@{task.worked_seconds:.3f}"
+        self._progress_by_checkpoint[name] = task.worked_seconds
+        self._replace(task._replace(checkpoint=name))
+        return result.Success(name)
+
+    def reports(
+        self, host_id: str, now: float
+    ) -> tuple[platform.TaskReport, ...]:
+        """Returns the lagging usage reports of a host."""
+        age, view = self._reports.read(now)
+        return tuple(
+            report._replace(lag_seconds=age) for report in view.get(host_id, ())
+        )
+
+    def clear_host(self, host_id: str) -> None:
+        """Ends all tasks of a host that reboots; it forgets them."""
+        for task_id in self._listed_by_host.pop(host_id, []):
+            task = self._tasks_by_id.pop(task_id)
+            if task.state is platform.TaskState.RUNNING:
+                self._running_by_host[host_id].discard(task_id)
+
+    def running_of(self, job_id: str) -> list[task_types.Task]:
+        """Returns the running tasks of a job."""
+        return [
+            task for task in self.all_running() if task.order.job_id == job_id
+        ]
+
+    def all_running(self) -> list[task_types.Task]:
+        """Returns all running tasks."""
+        return [
+            self._tasks_by_id[task_id]
+            for running in self._running_by_host.values()
+            for task_id in running
+        ]
+
+    def _new_task(
+        self,
+        host_id: str,
+        order: platform.TaskOrder,
+        now: float,
+        host_fails: bool,
+    ) -> task_types.Task:
+        own_fault = self._behaviour(order.job_id).fails_after_seconds
+        fails_after = FAILING_HOST_SECONDS if host_fails else own_fault
+        return task_types.Task(
+            order,
+            host_id,
+            platform.TaskState.RUNNING,
+            started_at=now,
+            lease_until=now + order.lease_seconds,
+            fails_at=math.inf if fails_after is None else now + fails_after,
+            worked_seconds=self._progress_by_checkpoint.get(
+                order.checkpoint, 0.0
+            ),
+            checkpoint=order.checkpoint,
+        )
+
+    def _behaviour(self, job_id: str) -> task_types.JobBehaviour:
+        return self.behaviour_by_job.get(job_id, DEFAULT_BEHAVIOUR)
+
+    def cores_used(self, task: task_types.Task) -> float:
+        """Returns the processors that a task uses."""
+        cores = self._behaviour(task.order.job_id).cores
+        return task.throttle * (task.order.cores if cores is None else cores)
+
+    def memory_used_gib(self, task: task_types.Task) -> float:
+        """Returns the memory that a task uses."""
+        used = self._behaviour(task.order.job_id).memory_gib
+        return task.order.memory_gib if used is None else used
+
+    def _on(self, host_id: str) -> list[task_types.Task]:
+        return sorted(
+            (
+                self._tasks_by_id[task_id]
+                for task_id in self._running_by_host.get(host_id, ())
+            ),
+            key=lambda task: task.started_at,
+        )
+
+    def _fits(self, host_id: str, order: platform.TaskOrder) -> bool:
+        """Compares an order with what the measured use of others leaves."""
+        size = self._size_by_host[host_id]
+        tasks = self._on(host_id)
+        used_cores = sum(self.cores_used(task) for task in tasks)
+        used_gib = sum(self.memory_used_gib(task) for task in tasks)
+        used_accelerators = sum(task.order.accelerators for task in tasks)
+        slack = 1e-9
+        return (
+            used_cores + order.cores <= size.cores + slack
+            and used_gib + order.memory_gib <= size.memory_gib + slack
+            and used_accelerators + order.accelerators <= size.accelerators
+        )
+
+    def _kill_over_memory(self, host_id: str) -> None:
+        tasks = self._on(host_id)
+        free_gib = self._size_by_host[host_id].memory_gib
+        for task in tasks:
+            free_gib -= self.memory_used_gib(task)
+            if free_gib < -1e-9:
+                free_gib += self.memory_used_gib(task)
+                self.memory_kills += 1
+                self._end(task, platform.TaskState.FAILED)
+
+    def _settle_host(self, host_id: str, now: float) -> None:
+        at = self._settled_at.get(host_id, now)
+        while at < now:
+            tasks = self._on(host_id)
+            demand = sum(self.cores_used(task) for task in tasks)
+            speed = min(1.0, self._size_by_host[host_id].cores / (demand or 1))
+            due_by_id = {
+                task.order.task_id: self._due(task, speed, at) for task in tasks
+            }
+            until = max(at, min([now, *(due for due, _ in due_by_id.values())]))
+            for task in tasks:
+                moved = self._advance(task, speed * (until - at))
+                due, state = due_by_id[task.order.task_id]
+                if due <= until:
+                    self._end(moved, state)
+            at = until
+        self._settled_at[host_id] = now
+
+    def _due(
+        self, task: task_types.Task, speed: float, at: float
+    ) -> tuple[float, platform.TaskState]:
+        rate = speed * task.throttle
+        left = self._behaviour(task.order.job_id).run_seconds
+        left -= task.worked_seconds
+        finishes_at = at + left / rate if rate > 0 else math.inf
+        return min(
+            (task.lease_until, platform.TaskState.STOPPED),
+            (task.fails_at, platform.TaskState.FAILED),
+            (finishes_at, platform.TaskState.FINISHED),
+            key=lambda due: due[0],
+        )
+
+    def _advance(
+        self, task: task_types.Task, seconds: float
+    ) -> task_types.Task:
+        moved = task._replace(
+            worked_seconds=task.worked_seconds + seconds * task.throttle
+        )
+        self._replace(moved)
+        return moved
+
+    def _replace(self, task: task_types.Task) -> None:
+        self._tasks_by_id[task.order.task_id] = task
+
+    def _end(self, task: task_types.Task, state: platform.TaskState) -> None:
+        self._running_by_host[task.host_id].discard(task.order.task_id)
+        ended_at = self._settled_at[task.host_id]
+        self._replace(task._replace(state=state, ended_at=ended_at))
+
+    def _forget_old(self, now: float) -> None:
+        for listed in self._listed_by_host.values():
+            listed[:] = [
+                task_id
+                for task_id in listed
+                if now - self._tasks_by_id[task_id].ended_at < LISTED_SECONDS
+            ]
+
+    def _view(self) -> dict[str, tuple[platform.TaskReport, ...]]:
+        return {
+            host_id: tuple(
+                self._report(self._tasks_by_id[task_id]) for task_id in listed
+            )
+            for host_id, listed in self._listed_by_host.items()
+        }
+
+    def _report(self, task: task_types.Task) -> platform.TaskReport:
+        runs = task.state is platform.TaskState.RUNNING
+        return platform.TaskReport(
+            task.order.task_id,
+            task.order.job_id,
+            task.order.epoch,
+            task.state,
+            self.cores_used(task) if runs else 0.0,
+            self.memory_used_gib(task) if runs else 0.0,
+            task.checkpoint,
+            0.0,
+            task.throttle,
+        )
--- /dev/null
+++ b/tests/links/test_http_client.py
@@ -0,0 +1,177 @@
+"""Faults of an HTTP server as the client and the platform link see them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+import contextlib
+import socket
+import threading
+from typing import NamedTuple
+
+import pytest
+from returns import result
+
+from wisteriasill import errors
+from wisteriasill import settings as settings_types
+from wisteriasill.links import http_client
+from wisteriasill.links import platform
+from wisteriasill.links import platform_link
+
+Kind = http_client.HttpFaultKind
+Serve = Callable[[bytes], str]
+OK = b"HTTP/1.1 200 OK\r\n"
+
+
+class FaultCase(NamedTuple):
+    """What a server sends before it closes, and what the client says."""
+
+    name: str
+    answer: bytes
+    kind: Kind
+
+
+FAULTS = (
+    FaultCase("close", b"", Kind.NO_ANSWER),
+    FaultCase("short", OK + b"Content-Length: 9\r\n\r\nab", Kind.TRUNCATED),
+    FaultCase(
+        "half-chunk",
+        OK + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+        Kind.TRUNCATED,
+    ),
+    FaultCase(
+        "no-last-chunk",
+        OK + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+        Kind.TRUNCATED,
+    ),
+    FaultCase(
+        "bad-chunk",
+        OK + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
+        Kind.TRUNCATED,
+    ),
+    FaultCase("unframed", OK + b"\r\nab", Kind.TRUNCATED),
+    FaultCase("half-header", OK + b"Content-Le", Kind.TRUNCATED),
+    FaultCase("not-http", b"hello\r\n\r\n", Kind.NO_ANSWER),
+    FaultCase(
+        "large",
+        OK + b"Content-Length: 200\r\n\r\n" + b"a" * 200,
+        Kind.TOO_LARGE,
+    ),
+    FaultCase("silent", b"wait", Kind.TIMED_OUT),
+)
+CASES = pytest.mark.parametrize("case", FAULTS, ids=lambda case: case.name)
+
+
+@pytest.fixture
+def serve() -> Iterator[Serve]:
+    """Serves fixed bytes to each connection; `wait` means no answer."""
+    with contextlib.ExitStack() as stack:
+        done = threading.Event()
+        stack.callback(done.set)
+
+        def start(answer: bytes) -> str:
+            listener = socket.create_server(("127.0.0.1", 0))
+            listener.settimeout(5)
+            thread = threading.Thread(
+                target=_answer_once, args=(listener, answer, done)
+            )
+            thread.start()
+            stack.callback(thread.join, timeout=5)
+            stack.callback(done.set)
+            return f"http://127.0.0.1:{listener.getsockname()[1]}"
+
+        yield start
+
+
+def _answer_once(
+    listener: socket.socket, answer: bytes, done: threading.Event
+) -> None:
+    with listener, contextlib.suppress(OSError):
+        connection, _ = listener.accept()
+        with connection:
+            connection.settimeout(5)
+            connection.recv(65536)
+            if answer == b"wait":
+                done.wait(5)
+            else:
+                connection.sendall(answer)
+
+
+def link_to(url: str) -> platform_link.PlatformLink:
+    return platform_link.PlatformLink(
+        settings_types.EntrySettings(
+            "entry-1", "kochi-a", url, platform_timeout_seconds=0.3
+        )
+    )
+
+
+def call_to(url: str) -> http_client.HttpCall:
+    return http_client.HttpCall(
+        "POST", url, 0.3, body=b"{}", max_body_bytes=100
+    )
+
+
+@CASES
+def test_partial_answer_is_a_fault(serve: Serve, case: FaultCase) -> None:
+    """Guards against a cut answer that passes for a whole one."""
+    outcome = http_client.HttpClient().call(call_to(serve(case.answer)))
+    fault = outcome.failure()
+    assert (fault.kind, fault.sent) == (case.kind, True)
+
+
+@CASES
+def test_unanswered_platform_write_is_unknown(
+    serve: Serve, case: FaultCase
+) -> None:
+    """Guards against `nothing was written` for a write that was sent."""
+    link = link_to(serve(case.answer))
+    outcome = link.table.transact([], [platform.Write("jobs", "x", {})])
+    assert outcome.failure().kind is errors.ErrorKind.STORE_OUTCOME_UNKNOWN
+
+
+@CASES
+def test_unanswered_platform_read_is_unavailable(
+    serve: Serve, case: FaultCase
+) -> None:
+    """Guards against reads whose missing answer passes for a missing row."""
+    outcome = link_to(serve(case.answer)).table.read("jobs", "x")
+    assert outcome.failure().kind is errors.ErrorKind.STORE_UNAVAILABLE
+
+
+@pytest.mark.parametrize(
+    ("status", "kind"),
+    [
+        (b"503 Busy", errors.ErrorKind.STORE_UNAVAILABLE),
+        (b"500 Oops", errors.ErrorKind.STORE_OUTCOME_UNKNOWN),
+        (b"409 Conflict", errors.ErrorKind.CONFLICT),
+        (b"400 Bad", errors.ErrorKind.PLATFORM_REFUSED),
+        (b"200 OK", errors.ErrorKind.STORE_OUTCOME_UNKNOWN),
+    ],
+)
+def test_status_of_platform_write(
+    serve: Serve, status: bytes, kind: errors.ErrorKind
+) -> None:
+    """Only refusals that guarantee it say that nothing was written."""
+    answer = b"HTTP/1.1 " + status + b"\r\nContent-Length: 2\r\n\r\n[]"
+    outcome = link_to(serve(answer)).table.transact([], [])
+    assert outcome.failure().kind is kind
+
+
+def test_refused_connection_sends_nothing() -> None:
+    """A refused connection is the one fault that guarantees no effect."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    fault = http_client.HttpClient().call(call_to(url)).failure()
+    assert (fault.kind, fault.sent) == (Kind.NOT_CONNECTED, False)
+    outcome = link_to(url).table.transact([], [])
+    assert outcome.failure().kind is errors.ErrorKind.STORE_UNAVAILABLE
+
+
+def test_whole_answers(serve: Serve) -> None:
+    """Lengths, chunks and header fields of a whole answer are read."""
+    chunked = OK + b"X-A: b\r\nTransfer-Encoding: chunked\r\n\r\n"
+    url = serve(chunked + b"2\r\nab\r\n0\r\n\r\n")
+    outcome = http_client.HttpClient().call(call_to(url))
+    assert isinstance(outcome, result.Success)
+    answer = outcome.unwrap()
+    assert (answer.status, answer.body) == (200, b"ab")
+    assert answer.header("x-a") == "b"
--- /dev/null
+++ b/wisteriasill/links/http_client.py
@@ -0,0 +1,236 @@
+"""HTTP client on pycurl that returns whole answers or an error."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import enum
+import io
+import queue
+from typing import Any, NamedTuple
+
+import pycurl
+from returns import result
+
+Headers = tuple[tuple[str, str], ...]
+
+IDLE_HANDLES = 32  # Handles kept for reuse; more are made when needed.
+
+
+class HttpFaultKind(enum.StrEnum):
+    """Why there is no whole answer."""
+
+    NOT_CONNECTED = "not-connected"
+    NO_ANSWER = "no-answer"
+    TIMED_OUT = "timed-out"
+    TRUNCATED = "truncated"
+    TOO_LARGE = "too-large"
+
+
+class HttpFault(NamedTuple):
+    """A call without a whole answer.
+
+    Attributes:
+        kind: What went wrong.
+        sent: Whether any byte of the request may have reached the server.
+        detail: The client library's message.
+    """
+
+    kind: HttpFaultKind
+    sent: bool
+    detail: str
+
+
+class HttpCall(NamedTuple):
+    """A request.
+
+    Attributes:
+        method: HTTP method.
+        url: Absolute URL.
+        timeout_seconds: Longest time to the last byte of the answer.
+        headers: Header fields.
+        body: Body; None for no body.
+        fresh: Whether a new connection is required. curl sends a request
+            again by itself when a reused connection closes before the first
+            byte of an answer, so every request that must not be sent twice
+            needs a new connection.
+        max_body_bytes: Largest accepted body of the answer.
+        connect_timeout_seconds: Longest time to a connection.
+    """
+
+    method: str
+    url: str
+    timeout_seconds: float
+    headers: Headers = ()
+    body: bytes | None = None
+    fresh: bool = False
+    max_body_bytes: int = 64 * 1024 * 1024
+    connect_timeout_seconds: float = 1.0
+
+
+class HttpAnswer(NamedTuple):
+    """A whole answer; names of header fields are in lower case."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Returns the first field with a name in lower case."""
+        return next((value for key, value in self.headers if key == name), None)
+
+
+class _Collector:
+    """Collects header lines and the body of one answer."""
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._body = io.BytesIO()
+        self._headers: list[tuple[str, str]] = []
+        self.too_large = False
+
+    def on_header(self, line: bytes) -> None:
+        """Takes one header line; a status line starts the fields anew."""
+        text = line.decode("iso-8859-1").strip()
+        if text.startswith("HTTP/"):
+            self._headers.clear()
+        elif ":" in text:
+            name, _, value = text.partition(":")
+            self._headers.append((name.strip().lower(), value.strip()))
+
+    def on_body(self, chunk: bytes) -> int:
+        """Takes a part of the body; a short count makes curl abort."""
+        if self._body.tell() + len(chunk) > self._max_body_bytes:
+            self.too_large = True
+            return 0
+        return self._body.write(chunk)
+
+    def answer(self, status: int) -> HttpAnswer:
+        """Returns the collected answer."""
+        return HttpAnswer(status, tuple(self._headers), self._body.getvalue())
+
+
+class HttpClient:
+    """A bounded pool of curl handles, each with its own connections.
+
+    After a timeout all idle handles are dropped, because connections that
+    went silent together would each cost one more timeout.
+    """
+
+    def __init__(self, idle_seconds: float = 60.0) -> None:
+        self._idle_seconds = max(1, int(idle_seconds))
+        self._idle: queue.LifoQueue[pycurl.Curl] = queue.LifoQueue(IDLE_HANDLES)
+
+    def call(self, call: HttpCall) -> result.Result[HttpAnswer, HttpFault]:
+        """Sends a request and waits for the whole answer.
+
+        Args:
+            call: The request.
+
+        Returns:
+            The answer, whatever its status, or why there is none.
+        """
+        curl = self._take()
+        collector = _Collector(call.max_body_bytes)
+        _configure(curl, call, collector, self._idle_seconds)
+        try:
+            curl.perform()
+        except pycurl.error as error:
+            fault = _fault(curl, error, collector)
+            curl.close()
+            if fault.kind is HttpFaultKind.TIMED_OUT:
+                self.close()
+            return result.Failure(fault)
+        answer = collector.answer(curl.getinfo(pycurl.RESPONSE_CODE))
+        self._give_back(curl)
+        if not _is_framed(call.method, answer):
+            return result.Failure(
+                HttpFault(
+                    HttpFaultKind.TRUNCATED,
+                    True,
+                    "the answer has neither a length nor chunks",
+                )
+            )
+        return result.Success(answer)
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        while True:
+            try:
+                self._idle.get_nowait().close()
+            except queue.Empty:
+                return
+
+    def _take(self) -> pycurl.Curl:
+        try:
+            return self._idle.get_nowait()
+        except queue.Empty:
+            return pycurl.Curl()
+
+    def _give_back(self, curl: pycurl.Curl) -> None:
+        curl.reset()
+        try:
+            self._idle.put_nowait(curl)
+        except queue.Full:
+            curl.close()
+
+
+def _configure(
+    curl: Any, call: HttpCall, collector: _Collector, idle_seconds: int
+) -> None:
+    options: Mapping[int, Any] = {
+        pycurl.URL: call.url,
+        # Timeouts without NOSIGNAL use SIGALRM, which breaks threads.
+        pycurl.NOSIGNAL: 1,
+        pycurl.NOPROXY: "*",
+        pycurl.TIMEOUT_MS: max(1, int(call.timeout_seconds * 1000)),
+        pycurl.CONNECTTIMEOUT_MS: max(
+            1, int(call.connect_timeout_seconds * 1000)
+        ),
+        pycurl.HTTP_VERSION: pycurl.CURL_HTTP_VERSION_1_1,
+        pycurl.TCP_NODELAY: 1,
+        pycurl.MAXAGE_CONN: idle_seconds,
+        pycurl.FRESH_CONNECT: int(call.fresh),
+        pycurl.FORBID_REUSE: int(call.fresh),
+        # An empty Expect stops curl from waiting for 100 Continue.
+        pycurl.HTTPHEADER: [
+            *(f"{name}: {value}" for name, value in call.headers),
+            "Expect:",
+        ],
+        pycurl.HEADERFUNCTION: collector.on_header,
+        pycurl.WRITEFUNCTION: collector.on_body,
+    }
+    for option, value in options.items():
+        curl.setopt(option, value)
+    if call.body is not None:
+        curl.setopt(pycurl.POST, 1)
+        curl.setopt(pycurl.POSTFIELDSIZE, len(call.body))
+        curl.setopt(pycurl.POSTFIELDS, call.body)
+    if call.method == "HEAD":
+        curl.setopt(pycurl.NOBODY, 1)
+    else:
+        curl.setopt(pycurl.CUSTOMREQUEST, call.method)
+
+
+def _fault(curl: Any, error: pycurl.error, collector: _Collector) -> HttpFault:
+    code, message = error.args
+    sent = curl.getinfo(pycurl.REQUEST_SIZE) > 0
+    if collector.too_large:
+        return HttpFault(HttpFaultKind.TOO_LARGE, True, message)
+    if not sent:
+        return HttpFault(HttpFaultKind.NOT_CONNECTED, False, message)
+    if code == pycurl.E_OPERATION_TIMEDOUT:
+        return HttpFault(HttpFaultKind.TIMED_OUT, True, message)
+    if curl.getinfo(pycurl.RESPONSE_CODE) > 0:
+        return HttpFault(HttpFaultKind.TRUNCATED, True, message)
+    return HttpFault(HttpFaultKind.NO_ANSWER, True, message)
+
+
+def _is_framed(method: str, answer: HttpAnswer) -> bool:
+    """Tells an answer with a known end from one that ends by closing.
+
+    An early close of the latter can't be told from its end.
+    """
+    if method == "HEAD" or answer.status in (204, 304):
+        return True
+    chunked = "chunked" in (answer.header("transfer-encoding") or "").lower()
+    return chunked or answer.header("content-length") is not None
--- /dev/null
+++ b/wisteriasill/links/platform_calls.py
@@ -0,0 +1,144 @@
+"""Calls of the platform's HTTP/JSON interface and the meaning of answers."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import json
+from typing import Any, TypeVar
+from urllib import parse
+
+from returns import result
+
+from wisteriasill import documents
+from wisteriasill import errors
+from wisteriasill import settings as settings_types
+from wisteriasill.links import http_client
+
+T = TypeVar("T")
+
+_KIND_BY_STATUS = {
+    404: errors.ErrorKind.NOT_FOUND,
+    409: errors.ErrorKind.CONFLICT,
+    429: errors.ErrorKind.PLATFORM_REFUSED,
+    503: errors.ErrorKind.STORE_UNAVAILABLE,
+}
+
+
+def path_of(*parts: str) -> str:
+    """Returns the path of quoted parts; a slash within a part stays."""
+    return "/" + "/".join(parse.quote(part, safe="/") for part in parts)
+
+
+class Calls:
+    """Calls of the platform, with its faults turned into failures."""
+
+    def __init__(self, settings: settings_types.EntrySettings) -> None:
+        self._settings = settings
+        self._client = http_client.HttpClient(
+            idle_seconds=settings.idle_connection_seconds
+        )
+
+    def read(
+        self, path: str
+    ) -> result.Result[http_client.HttpAnswer, errors.Failure]:
+        """Gets a path; a missing answer is STORE_UNAVAILABLE."""
+        return self._call("GET", path, None)
+
+    def write(
+        self, path: str, body: Mapping[str, Any]
+    ) -> result.Result[http_client.HttpAnswer, errors.Failure]:
+        """Posts a map; a missing answer is STORE_OUTCOME_UNKNOWN."""
+        return self._call("POST", path, json.dumps(body).encode())
+
+    def put(
+        self, path: str, body: bytes
+    ) -> result.Result[http_client.HttpAnswer, errors.Failure]:
+        """Puts raw bytes; a missing answer is STORE_OUTCOME_UNKNOWN."""
+        return self._call("PUT", path, body)
+
+    def act(
+        self, path: str, body: Mapping[str, Any]
+    ) -> result.Result[None, errors.Failure]:
+        """Posts a map whose answer carries nothing."""
+        return self.write(path, body).bind(expect_success)
+
+    def _call(
+        self, method: str, path: str, body: bytes | None
+    ) -> result.Result[http_client.HttpAnswer, errors.Failure]:
+        timeout_seconds = self._settings.platform_timeout_seconds
+        outcome = self._client.call(
+            http_client.HttpCall(
+                method,
+                self._settings.platform_url.rstrip("/") + path,
+                timeout_seconds,
+                body=body,
+                fresh=body is not None,
+                connect_timeout_seconds=timeout_seconds / 2,
+            )
+        )
+        if isinstance(outcome, result.Failure):
+            fault = outcome.failure()
+            return result.Failure(
+                errors.failure(
+                    _no_answer_kind(body is not None and fault.sent),
+                    f"{method} {path}: {fault.kind}: {fault.detail}",
+                )
+            )
+        answer = outcome.unwrap()
+        if answer.status == 503:
+            return result.Failure(_refusal(answer))
+        if answer.status >= 500:
+            return result.Failure(
+                errors.failure(
+                    _no_answer_kind(body is not None),
+                    f"{method} {path}: status {answer.status}",
+                )
+            )
+        return result.Success(answer)
+
+
+def _no_answer_kind(written: bool) -> errors.ErrorKind:
+    if written:
+        return errors.ErrorKind.STORE_OUTCOME_UNKNOWN
+    return errors.ErrorKind.STORE_UNAVAILABLE
+
+
+def _refusal(answer: http_client.HttpAnswer) -> errors.Failure:
+    kind = _KIND_BY_STATUS.get(answer.status, errors.ErrorKind.PLATFORM_REFUSED)
+    text = answer.body.decode("utf-8", "replace")
+    return errors.failure(kind, f"status {answer.status}: {text}")
+
+
+def expect_success(
+    answer: http_client.HttpAnswer,
+) -> result.Result[None, errors.Failure]:
+    """Turns a status that isn't a success into a failure."""
+    if answer.status >= 300:
+        return result.Failure(_refusal(answer))
+    return result.Success(None)
+
+
+def decode(
+    kind: type[T], answer: http_client.HttpAnswer, written: bool = False
+) -> result.Result[T, errors.Failure]:
+    """Decodes the body of a successful answer.
+
+    Args:
+        kind: Type of the body.
+        answer: The answer.
+        written: Whether the request was a write, whose outcome is unknown
+            when the body can't be read.
+
+    Returns:
+        The body, or a failure.
+    """
+    refused = expect_success(answer)
+    if isinstance(refused, result.Failure):
+        return refused
+    try:
+        document = json.loads(answer.body)
+    except ValueError:
+        document = None
+    return documents.decode(kind, document).alt(
+        lambda refused: errors.failure(_no_answer_kind(written), refused.detail)
+    )
