Add placement of jobs and the keeper that carries it out

Jobs need placement by size, spread, quota and urgency, and a holder that may be replaced at any time must neither lose a task nor start it twice.

JobKeeper writes each start before it makes it, on condition of the epoch row, the job row and the team's quota row. A start whose outcome is not known is repeated on the same worker, which refuses a task it has or had; a lease on an unreachable host is waited out. Failures are attributed to a host or a job by comparing which jobs failed where.

Adds Job.measured and Job.after_stop, both with defaults.

--- a/standins/task_state.py
+++ b/standins/task_state.py
@@ -292,7 +292,7 @@
             task.order.epoch,
             task.state,
             self.cores_used(task) if runs else 0.0,
-            self.memory_used_gib(task) if runs else 0.0,
+            self.memory_used_gib(task),  # That of the end, if it has ended.
             task.checkpoint,
             0.0,
             task.throttle,
--- /dev/null
+++ b/tests/machines/test_job_keeper_faults.py
@@ -0,0 +1,111 @@
+"""Interruptions of a pool's keeper, and its former holders."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import pytest
+from returns import result
+
+from standins import faults
+from tests.machines import job_pool
+from wisteriasill import clock as clocks
+from wisteriasill import errors
+from wisteriasill.links import platform
+
+
+@pytest.fixture
+def pool(manual_clock: clocks.ManualClock) -> job_pool.Pool:
+    return job_pool.Pool(manual_clock)
+
+
+class Interruption(NamedTuple):
+    """What happens to the keeper while it starts a job."""
+
+    name: str
+    act: Callable[[job_pool.Pool], None]
+
+
+def _lose_answers(pool: job_pool.Pool) -> None:
+    pool.state.set_faults(faults.Faults(lose_answers=0.5))
+    pool.run(20)
+    pool.state.set_faults(faults.Faults())
+
+
+def _stop_between_row_and_task(pool: job_pool.Pool) -> None:
+    """The row says RUNNING, and the holder ends before it starts the task."""
+    pool.step()
+    for task in pool.state.tasks.all_running():
+        pool.state.tasks.clear_host(task.host_id)
+    pool.take_over()
+
+
+def _take_over_twice(pool: job_pool.Pool) -> None:
+    pool.step()
+    pool.take_over()
+    pool.run(3)
+    pool.take_over()
+
+
+def _stale_reads(pool: job_pool.Pool) -> None:
+    pool.run(5)
+    pool.state.set_faults(faults.Faults(old_reads_seconds=4.0))
+    pool.take_over()
+    pool.run(3)
+    pool.state.set_faults(faults.Faults())
+
+
+def _outage(pool: job_pool.Pool) -> None:
+    pool.run(5)
+    pool.state.set_faults(faults.Faults(down=True))
+    pool.run(200)
+    pool.state.set_faults(faults.Faults())
+
+
+INTERRUPTIONS = (
+    Interruption("lost answers", _lose_answers),
+    Interruption("stop before start", _stop_between_row_and_task),
+    Interruption("two takeovers", _take_over_twice),
+    Interruption("stale reads", _stale_reads),
+    Interruption("outage", _outage),
+)
+
+
+@pytest.mark.parametrize("case", INTERRUPTIONS, ids=lambda case: case.name)
+def test_interruptions(pool: job_pool.Pool, case: Interruption) -> None:
+    """Every job runs afterwards, and none ran twice at once."""
+    pool.contracts = (job_pool.contract("age", cores=8.0, copies=12),)
+    case.act(pool)
+    pool.run(60)
+    assert len(pool.running()) == 12
+    assert pool.state.tasks.overlaps == 0
+
+
+def test_late_start_of_former_holder_is_refused(pool: job_pool.Pool) -> None:
+    """A holder paused between row and start can't run a second task."""
+    pool.contracts = (job_pool.contract("age"),)
+    held: list[Callable[[], Any]] = []
+    start = pool.platform.start_task
+
+    def pause(host_id: str, order: platform.TaskOrder) -> Any:
+        held.append(lambda: start(host_id, order))
+        return result.Failure(
+            errors.failure(errors.ErrorKind.STORE_OUTCOME_UNKNOWN, "paused")
+        )
+
+    pool.platform.start_task = pause  # type: ignore[method-assign]
+    pool.step()
+    pool.platform.start_task = start  # type: ignore[method-assign]
+    former, former_row = pool.keeper, pool.epoch_row
+    pool.take_over()
+    pool.run(2)
+    pool.keeper.checkpoint_host(
+        pool.epoch_row, pool.jobs()["age.1"].host_id
+    ).unwrap()
+    pool.run(3)
+    assert pool.running() == {"age.1"}
+    assert held.pop()().failure().kind is errors.ErrorKind.CONFLICT
+    assert pool.state.tasks.overlaps == 0
+    late = former.cancel(former_row, f"{job_pool.POOL}.age.1")
+    assert late.failure().kind is errors.ErrorKind.CONFLICT
--- /dev/null
+++ b/wisteriasill/contracts/job_changes.py
@@ -0,0 +1,132 @@
+"""Changes of job rows; each function returns the next value of a row."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from wisteriasill.contracts import job_schedule
+from wisteriasill.contracts import jobs
+from wisteriasill.contracts import service as services
+
+UNDECLARED = "no longer declared"
+CANCELLED = "cancelled by an operator"
+
+
+def task_id_of(job: jobs.Job) -> str:
+    """Returns the name of a job's present task."""
+    return f"{job.job_id}@{job.epoch}"
+
+
+def started(start: job_schedule.Start) -> jobs.Job:
+    """The job holds room on a host and its task may run."""
+    job = start.job._replace(
+        state=jobs.JobState.RUNNING,
+        cores=start.size.cores,
+        memory_gib=start.size.memory_gib,
+        host_id=start.host_id,
+        epoch=start.job.epoch + 1,
+        reason="",
+    )
+    return job._replace(task_id=task_id_of(job))
+
+
+def stopping(
+    job: jobs.Job, after: jobs.JobState, reason: str, checkpoint: str = ""
+) -> jobs.Job:
+    """The task is to be stopped; the row still names its host."""
+    return job._replace(
+        state=jobs.JobState.STOPPING,
+        after_stop=after,
+        reason=reason,
+        checkpoint=checkpoint or job.checkpoint,
+    )
+
+
+def stopped(job: jobs.Job) -> jobs.Job:
+    """The task certainly runs no more."""
+    return job._replace(state=job.after_stop, host_id="", task_id="")
+
+
+def waiting(job: jobs.Job, reason: str) -> jobs.Job:
+    """The task certainly runs no more, and the job starts again."""
+    return job._replace(
+        state=jobs.JobState.WAITING, host_id="", task_id="", reason=reason
+    )
+
+
+def ended(job: jobs.Job, state: jobs.JobState, reason: str = "") -> jobs.Job:
+    """The task certainly runs no more, and the job won't start again."""
+    return job._replace(state=state, host_id="", task_id="", reason=reason)
+
+
+def cancelled(job: jobs.Job, reason: str) -> jobs.Job:
+    """Nobody wants the job; a task that may run is stopped first."""
+    if job_schedule.holds_room(job):
+        return stopping(job, jobs.JobState.CANCELLED, reason)
+    return ended(job, jobs.JobState.CANCELLED, reason)
+
+
+def declared(
+    service: services.Service, submitted_at: float
+) -> Iterator[jobs.Job]:
+    """Returns the rows of a service's jobs as they are first written."""
+    for contract in service.jobs:
+        for copy in range(1, contract.copies + 1):
+            yield jobs.Job(
+                job_id=f"{service.name}.{contract.name}.{copy}",
+                pool=service.name,
+                team=service.team,
+                state=jobs.JobState.WAITING,
+                cores=contract.cores,
+                memory_gib=contract.memory_gib,
+                accelerators=contract.accelerators,
+                urgent=contract.urgent,
+                can_checkpoint=contract.checkpoint_minutes > 0,
+                submitted_at=submitted_at,
+            )
+
+
+def redeclared(job: jobs.Job, declaration: jobs.Job) -> jobs.Job:
+    """Follows a declaration that is new, changed or back.
+
+    Args:
+        job: The row as it is.
+        declaration: The row as it would first be written.
+
+    Returns:
+        The row; the same if nothing changes. A running job keeps what it
+        started with; a measured one keeps its measured size.
+    """
+    if job.state is jobs.JobState.CANCELLED and job.reason == UNDECLARED:
+        return declaration._replace(epoch=job.epoch, token=job.token)
+    if job.state is not jobs.JobState.WAITING:
+        return job
+    size = job if job.measured else declaration
+    return job._replace(
+        team=declaration.team,
+        cores=size.cores,
+        memory_gib=size.memory_gib,
+        accelerators=declaration.accelerators,
+        urgent=declaration.urgent,
+        can_checkpoint=declaration.can_checkpoint,
+    )
+
+
+def undeclared(
+    pool_jobs: Iterable[jobs.Job], declared_ids: frozenset[str]
+) -> list[jobs.Job]:
+    """Returns the jobs that still wait, run or sit out without a declaration.
+
+    Args:
+        pool_jobs: All jobs of the pool.
+        declared_ids: Ids of the declared ones.
+    """
+    over = (jobs.JobState.CANCELLED, jobs.JobState.FINISHED)
+    return [
+        job
+        for job in pool_jobs
+        if job.job_id not in declared_ids
+        and job.state not in over
+        and (job.state, job.after_stop)
+        != (jobs.JobState.STOPPING, jobs.JobState.CANCELLED)
+    ]
--- /dev/null
+++ b/wisteriasill/contracts/job_health.py
@@ -0,0 +1,154 @@
+"""Tells workers that fail every task from jobs that fail everywhere.
+
+The evidence is which job failed on which host, and which hosts have run some
+task properly since. A host is ejected when several jobs that aren't known to
+be broken failed on it and none ran properly; a job is quarantined when it
+failed on hosts that run other jobs properly, or on many hosts.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Mapping
+import math
+from typing import NamedTuple
+
+PROOF_SECONDS = 20.0  # A task that ran this long proves its host.
+JOBS_TO_EJECT = 3
+HEALTHY_HOSTS_TO_QUARANTINE = 2
+HOSTS_TO_QUARANTINE = 4  # When it isn't known which of them are healthy.
+EJECTION_SECONDS = 60.0
+LONGEST_EJECTION_SECONDS = 960.0
+LARGEST_EJECTED_SHARE = 1 / 3  # More at once points to a common cause.
+
+
+class HostRecord(NamedTuple):
+    """What is known of a host.
+
+    Attributes:
+        failed_jobs: Jobs that failed there since the last proof.
+        proven_at: Monotonic time of the last proof.
+        ejected_until: End of the present ejection; a trial follows.
+        ejections: Ejections since the last proof.
+    """
+
+    failed_jobs: frozenset[str] = frozenset()
+    proven_at: float = -math.inf
+    ejected_until: float = -math.inf
+    ejections: int = 0
+
+
+NEW_RECORD = HostRecord()
+
+
+def is_broken(
+    job_id: str,
+    failed_hosts: Collection[str],
+    records_by_host: Mapping[str, HostRecord],
+    hosts_total: int,
+) -> bool:
+    """Tells whether a job, and not its hosts, causes its failures.
+
+    Args:
+        job_id: The job.
+        failed_hosts: Hosts on which it failed since it last ran properly.
+        records_by_host: What is known of the hosts.
+        hosts_total: Hosts of the pool.
+
+    Returns:
+        Whether the job is to be quarantined.
+    """
+    records = (
+        records_by_host.get(host_id, NEW_RECORD) for host_id in failed_hosts
+    )
+    healthy = sum(
+        record.proven_at > -math.inf and record.failed_jobs <= {job_id}
+        for record in records
+    )
+    if healthy >= HEALTHY_HOSTS_TO_QUARANTINE:
+        return True
+    return len(failed_hosts) >= max(2, min(HOSTS_TO_QUARANTINE, hosts_total))
+
+
+class JobHealth:
+    """Evidence on the hosts of one pool, in memory.
+
+    A new holder starts with the failed hosts that the job rows list.
+    """
+
+    def __init__(self) -> None:
+        self._records_by_host: dict[str, HostRecord] = {}
+
+    @property
+    def records_by_host(self) -> Mapping[str, HostRecord]:
+        """What is known of each host."""
+        return self._records_by_host
+
+    def note_failure(
+        self,
+        job_id: str,
+        host_id: str,
+        broken_jobs: Iterable[str],
+        hosts_total: int,
+        now: float,
+    ) -> bool:
+        """Records a failed task.
+
+        Args:
+            job_id: The job.
+            host_id: The host.
+            broken_jobs: Jobs whose failures say nothing about hosts.
+            hosts_total: Hosts of the pool.
+            now: Monotonic time.
+
+        Returns:
+            Whether the host was ejected just now.
+        """
+        record = self._records_by_host.get(host_id, NEW_RECORD)
+        record = record._replace(failed_jobs=record.failed_jobs | {job_id})
+        self._records_by_host[host_id] = record
+        if record.ejected_until > now:
+            return False
+        telling = record.failed_jobs - set(broken_jobs)
+        # A host on trial has been ejected before; one more failure suffices.
+        needed = 1 if record.ejections else JOBS_TO_EJECT
+        if len(telling) < needed or not self._may_eject(hosts_total, now):
+            return False
+        seconds = min(
+            EJECTION_SECONDS * 2**record.ejections, LONGEST_EJECTION_SECONDS
+        )
+        self._records_by_host[host_id] = record._replace(
+            ejected_until=now + seconds, ejections=record.ejections + 1
+        )
+        return True
+
+    def note_broken(self, job_id: str) -> None:
+        """Withdraws a quarantined job's failures from the hosts' records."""
+        for host_id, record in self._records_by_host.items():
+            if job_id not in record.failed_jobs:
+                continue
+            left = record.failed_jobs - {job_id}
+            cleared = record._replace(failed_jobs=left)
+            if len(left) < JOBS_TO_EJECT:
+                cleared = cleared._replace(ejected_until=-math.inf, ejections=0)
+            self._records_by_host[host_id] = cleared
+
+    def note_proof(self, host_id: str, now: float) -> None:
+        """Records that a task ran properly on a host."""
+        self._records_by_host[host_id] = HostRecord(proven_at=now)
+
+    def is_ejected(self, host_id: str, now: float) -> bool:
+        """Returns whether a host takes no task at all."""
+        record = self._records_by_host.get(host_id, NEW_RECORD)
+        return record.ejected_until > now
+
+    def is_on_trial(self, host_id: str, now: float) -> bool:
+        """Returns whether a host takes a single task at a time."""
+        record = self._records_by_host.get(host_id, NEW_RECORD)
+        return record.ejections > 0 and record.ejected_until <= now
+
+    def _may_eject(self, hosts_total: int, now: float) -> bool:
+        ejected = sum(
+            record.ejected_until > now
+            for record in self._records_by_host.values()
+        )
+        return ejected + 1 <= max(1, int(hosts_total * LARGEST_EJECTED_SHARE))
--- a/wisteriasill/contracts/jobs.py
+++ b/wisteriasill/contracts/jobs.py
@@ -39,6 +39,8 @@
         reason: Why it waits or is quarantined.
         failed_hosts: Hosts on which it failed since its last success.
         submitted_at: Seconds since the epoch.
+        measured: Whether cores and memory come from usage reports.
+        after_stop: State that follows STOPPING.
         token: Random value of the last writer.
     """
 
@@ -58,6 +60,8 @@
     reason: str = ""
     failed_hosts: tuple[str, ...] = ()
     submitted_at: float = 0.0
+    measured: bool = False
+    after_stop: JobState = JobState.CANCELLED
     token: str = ""
 
     @property
--- a/wisteriasill/links/http_client.py
+++ b/wisteriasill/links/http_client.py
@@ -201,6 +201,10 @@
     }
     for option, value in options.items():
         curl.setopt(option, value)
+    _configure_method(curl, call)
+
+
+def _configure_method(curl: Any, call: HttpCall) -> None:
     if call.body is not None:
         curl.setopt(pycurl.POST, 1)
         curl.setopt(pycurl.POSTFIELDSIZE, len(call.body))
--- a/wisteriasill/links/platform_calls.py
+++ b/wisteriasill/links/platform_calls.py
@@ -84,17 +84,19 @@
                     f"{method} {path}: {fault.kind}: {fault.detail}",
                 )
             )
-        answer = outcome.unwrap()
-        if answer.status == 503:
-            return result.Failure(_refusal(answer))
-        if answer.status >= 500:
-            return result.Failure(
-                errors.failure(
-                    _no_answer_kind(body is not None),
-                    f"{method} {path}: status {answer.status}",
-                )
-            )
-        return result.Success(answer)
+        return _check_status(outcome.unwrap(), body is not None)
+
+
+def _check_status(
+    answer: http_client.HttpAnswer, written: bool
+) -> result.Result[http_client.HttpAnswer, errors.Failure]:
+    if answer.status == 503:  # The platform guarantees that it did nothing.
+        return result.Failure(_refusal(answer))
+    if answer.status >= 500:
+        return result.Failure(
+            errors.failure(_no_answer_kind(written), f"status {answer.status}")
+        )
+    return result.Success(answer)
 
 
 def _no_answer_kind(written: bool) -> errors.ErrorKind:
--- /dev/null
+++ b/wisteriasill/machines/job_rows.py
@@ -0,0 +1,284 @@
+"""The job rows of one pool, as their only writer knows them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from typing import NamedTuple, TypeVar
+
+from returns import result
+
+from wisteriasill import documents
+from wisteriasill import errors
+from wisteriasill.contracts import job_schedule
+from wisteriasill.contracts import jobs
+from wisteriasill.contracts import quota
+from wisteriasill.contracts import service as services
+from wisteriasill.links import platform
+
+ROWS_PER_TRANSACTION = 40
+NO_PREDECESSOR = platform.Row("", "", 0, {})
+
+T = TypeVar("T")
+Outcome = result.Result[None, errors.Failure]
+
+
+class _Versioned(NamedTuple):
+    """A team's row as last seen, version 0 if there is none."""
+
+    use: quota.TeamUse
+    version: int
+
+
+def _chunks(items: Sequence[T]) -> Iterator[Sequence[T]]:
+    for first in range(0, len(items), ROWS_PER_TRANSACTION):
+        yield items[first : first + ROWS_PER_TRANSACTION]
+
+
+class JobRows:
+    """Cached rows with conditional writes.
+
+    While the epoch holds, nobody else writes the pool's jobs, so rows are
+    read only after a change of holder and after a write whose outcome isn't
+    known. What was read is then checked by a transaction with the versions
+    of all rows, because a read may be stale. A write that was thought lost
+    and takes effect later changes a version, which makes the next write of
+    that row fail and the rows be read again.
+    """
+
+    def __init__(
+        self, platform_: platform.Platform, token_source: Callable[[], str]
+    ) -> None:
+        self._table = platform_.table
+        self._token_source = token_source
+        self._epoch_row = NO_PREDECESSOR
+        self._is_current = False
+        self._versions: dict[str, int] = {}
+        self._teams: dict[str, _Versioned] = {}
+        self.jobs_by_id: dict[str, jobs.Job] = {}
+
+    @property
+    def pool(self) -> str:
+        """The pool whose rows these are."""
+        return self._epoch_row.key
+
+    def open(
+        self, epoch_row: platform.Row
+    ) -> result.Result[bool, errors.Failure]:
+        """Makes the rows current for an epoch.
+
+        Args:
+            epoch_row: The shard's epoch row under which writes are made.
+
+        Returns:
+            Whether another holder may have written since the last call.
+        """
+        taken_over = (epoch_row.key, epoch_row.version) != (
+            self._epoch_row.key,
+            self._epoch_row.version,
+        )
+        self._epoch_row = epoch_row
+        if self._is_current and not taken_over:
+            return result.Success(False)
+        self._is_current = False
+        outcome = self._table.scan(jobs.TABLE, f"{epoch_row.key}/").bind(
+            self._adopt
+        )
+        return outcome.map(lambda _: taken_over)
+
+    def reload(self) -> None:
+        """Makes the next `open` read all rows again."""
+        self._is_current = False
+
+    def running(self) -> list[jobs.Job]:
+        """Returns the jobs whose tasks run or are to run."""
+        return [
+            job
+            for job in self.jobs_by_id.values()
+            if job.state is jobs.JobState.RUNNING
+        ]
+
+    def held_by_team(
+        self, quota_by_team: Mapping[str, services.TeamQuota]
+    ) -> result.Result[dict[str, quota.Size], errors.Failure]:
+        """Returns what the teams with quotas hold in all pools.
+
+        Args:
+            quota_by_team: Quotas by team.
+        """
+        known = self._know_teams(quota_by_team)
+        if isinstance(known, result.Failure):
+            return known
+        here = self._held_here(self.jobs_by_id.values())
+        return result.Success(
+            {
+                team: quota.total(
+                    self._teams[team]
+                    .use.with_pool(self.pool, here.get(team, quota.NOTHING), "")
+                    .held_by_pool.values()
+                )
+                for team in quota_by_team
+            }
+        )
+
+    def refresh_teams(self) -> None:
+        """Makes the next use of a team's row read it again."""
+        self._teams.clear()
+
+    def commit(
+        self,
+        changes: Sequence[jobs.Job],
+        quota_by_team: Mapping[str, services.TeamQuota],
+    ) -> Outcome:
+        """Writes job rows, and the rows of the teams whose holdings change.
+
+        Args:
+            changes: New values; those that equal the cached one are skipped.
+            quota_by_team: Teams whose rows are kept; without changes, only
+                those rows are written that differ from the holdings.
+
+        Returns:
+            Nothing, or the failure of the first transaction that failed;
+            earlier ones took effect.
+        """
+        wanted = [
+            job for job in changes if self.jobs_by_id.get(job.job_id) != job
+        ]
+        team_rows_only = [()] if not wanted else []
+        for chunk in [*_chunks(wanted), *team_rows_only]:
+            outcome = self._commit_chunk(chunk, quota_by_team)
+            if isinstance(outcome, result.Failure):
+                return outcome
+        return result.Success(None)
+
+    def _commit_chunk(
+        self,
+        chunk: Sequence[jobs.Job],
+        quota_by_team: Mapping[str, services.TeamQuota],
+    ) -> Outcome:
+        token = self._token_source()
+        new_jobs = {job.job_id: job._replace(token=token) for job in chunk}
+        after = {**self.jobs_by_id, **new_jobs}
+        known = self._know_teams(quota_by_team)
+        if isinstance(known, result.Failure):
+            return known
+        here = self._held_here(after.values())
+        new_teams = {
+            team: use
+            for team in quota_by_team
+            if (
+                use := self._teams[team].use.with_pool(
+                    self.pool, here.get(team, quota.NOTHING), token
+                )
+            ).held_by_pool
+            != self._teams[team].use.held_by_pool
+        }
+        if not new_jobs and not new_teams:
+            return result.Success(None)
+        return self._transact(new_jobs, new_teams)
+
+    def _transact(
+        self,
+        new_jobs: Mapping[str, jobs.Job],
+        new_teams: Mapping[str, quota.TeamUse],
+    ) -> Outcome:
+        conditions = [
+            self._epoch_condition(),
+            *map(self._job_condition, new_jobs.values()),
+            *map(self._team_condition, new_teams),
+        ]
+        writes = [
+            platform.Write(table, key, documents.encode(value))
+            for table, key, value in (
+                *((jobs.TABLE, job.key, job) for job in new_jobs.values()),
+                *((quota.TABLE, team, use) for team, use in new_teams.items()),
+            )
+        ]
+        outcome = self._table.transact(conditions, writes)
+        if isinstance(outcome, result.Failure):
+            self._note_failed(outcome.failure())
+            return outcome
+        self.jobs_by_id = {**self.jobs_by_id, **new_jobs}
+        for write, version in zip(writes, outcome.unwrap(), strict=True):
+            if write.table == jobs.TABLE:
+                self._versions[write.key] = version
+            else:
+                self._teams[write.key] = _Versioned(
+                    new_teams[write.key], version
+                )
+        return result.Success(None)
+
+    def _note_failed(self, refused: errors.Failure) -> None:
+        if refused.kind is not errors.ErrorKind.STORE_UNAVAILABLE:
+            self._is_current = False
+            self._teams.clear()
+
+    def _adopt(self, rows: tuple[platform.Row, ...]) -> Outcome:
+        decoded: dict[str, jobs.Job] = {}
+        for row in rows:
+            outcome = documents.decode(jobs.Job, row.value)
+            if isinstance(outcome, result.Failure):
+                return outcome
+            decoded[outcome.unwrap().job_id] = outcome.unwrap()
+        for chunk in _chunks(rows):
+            checked = self._table.transact(
+                [
+                    self._epoch_condition(),
+                    *(
+                        platform.Condition(row.table, row.key, row.version)
+                        for row in chunk
+                    ),
+                ],
+                [],
+            )
+            if isinstance(checked, result.Failure):
+                return checked
+        self.jobs_by_id = decoded
+        self._versions = {row.key: row.version for row in rows}
+        self._teams.clear()
+        self._is_current = True
+        return result.Success(None)
+
+    def _know_teams(self, teams: Iterable[str]) -> Outcome:
+        for team in set(teams) - self._teams.keys():
+            outcome = self._read_team(team)
+            if isinstance(outcome, result.Failure):
+                return outcome
+        return result.Success(None)
+
+    def _read_team(self, team: str) -> Outcome:
+        outcome = self._table.read(quota.TABLE, team)
+        if isinstance(outcome, result.Failure):
+            return outcome
+        row = outcome.unwrap()
+        if row is None:
+            self._teams[team] = _Versioned(quota.TeamUse(team, {}), 0)
+            return result.Success(None)
+        decoded = documents.decode(quota.TeamUse, row.value)
+        if isinstance(decoded, result.Failure):
+            return decoded
+        self._teams[team] = _Versioned(decoded.unwrap(), row.version)
+        return result.Success(None)
+
+    def _held_here(
+        self, pool_jobs: Iterable[jobs.Job]
+    ) -> dict[str, quota.Size]:
+        held: dict[str, quota.Size] = {}
+        for job in pool_jobs:
+            if job_schedule.holds_room(job):
+                held[job.team] = held.get(job.team, quota.NOTHING).plus(
+                    job_schedule.size_of(job)
+                )
+        return held
+
+    def _epoch_condition(self) -> platform.Condition:
+        row = self._epoch_row
+        return platform.Condition(row.table, row.key, row.version)
+
+    def _team_condition(self, team: str) -> platform.Condition:
+        version = self._teams[team].version
+        return platform.Condition(quota.TABLE, team, version)
+
+    def _job_condition(self, job: jobs.Job) -> platform.Condition:
+        return platform.Condition(
+            jobs.TABLE, job.key, self._versions.get(job.key, 0)
+        )
