Pre-empt the smallest job that suffices, and test the decisions

The largest job left first, so an urgent job of 12 cores could stop one of 30 where one of 10 sufficed.

--- a/tests/machines/test_job_keeper_faults.py
+++ b/tests/machines/test_job_keeper_faults.py
@@ -82,7 +82,10 @@
     assert pool.state.tasks.overlaps == 0
 
 
-def test_late_start_of_former_holder_is_refused(pool: job_pool.Pool) -> None:
+@pytest.mark.parametrize("drained", [False, True])
+def test_late_start_of_former_holder_is_refused(
+    pool: job_pool.Pool, drained: bool
+) -> None:
     """A holder paused between row and start can't run a second task."""
     pool.contracts = (job_pool.contract("age"),)
     held: list[Callable[[], Any]] = []
@@ -97,15 +100,41 @@
     pool.platform.start_task = pause  # type: ignore[method-assign]
     pool.step()
     pool.platform.start_task = start  # type: ignore[method-assign]
-    former, former_row = pool.keeper, pool.epoch_row
     pool.take_over()
-    pool.run(2)
-    pool.keeper.checkpoint_host(
-        pool.epoch_row, pool.jobs()["age.1"].host_id
-    ).unwrap()
+    if drained:
+        host_id = pool.jobs()["age.1"].host_id
+        pool.keeper.checkpoint_host(pool.epoch_row, host_id).unwrap()
     pool.run(3)
     assert pool.running() == {"age.1"}
+    assert pool.jobs()["age.1"].epoch == (2 if drained else 1)
     assert held.pop()().failure().kind is errors.ErrorKind.CONFLICT
     assert pool.state.tasks.overlaps == 0
+
+
+def test_writes_of_former_holder_are_refused(pool: job_pool.Pool) -> None:
+    """Guards against late writes to rows that nobody has changed since."""
+    pool.contracts = (job_pool.contract("age"),)
+    pool.run(2)
+    former, former_row = pool.keeper, pool.epoch_row
+    pool.take_over()
     late = former.cancel(former_row, f"{job_pool.POOL}.age.1")
     assert late.failure().kind is errors.ErrorKind.CONFLICT
+    assert pool.jobs()["age.1"].state is job_pool.State.RUNNING
+
+
+def test_cancelled_job_on_lost_host_is_waited_out(
+    pool: job_pool.Pool,
+) -> None:
+    """Guards against a row that says CANCELLED while the task still runs."""
+    pool.contracts = (job_pool.contract("age"),)
+    pool.run(30)
+    host_id = pool.jobs()["age.1"].host_id
+    pool.state.fail_host(host_id, tasks_end=False)
+    name = f"{job_pool.POOL}.age.1"
+    pool.keeper.cancel(pool.epoch_row, name).unwrap()
+    for _ in range(90):
+        pool.step()
+        running = "age.1" in pool.running()
+        stopping = pool.jobs()["age.1"].state is job_pool.State.STOPPING
+        assert stopping or not running
+    assert pool.jobs()["age.1"].state is job_pool.State.CANCELLED
--- a/wisteriasill/contracts/preemption.py
+++ b/wisteriasill/contracts/preemption.py
@@ -57,8 +57,13 @@
 ) -> tuple[placement.PlacedJob, ...] | None:
     free = rooms.free_by_host[host_id]
     victims: list[placement.PlacedJob] = []
-    movable = filter(can_leave, rooms.placed_by_host[host_id])
-    for item in sorted(movable, key=_leaving_order):
+    movable = sorted(
+        filter(can_leave, rooms.placed_by_host[host_id]), key=_leaving_order
+    )
+    alone = [item for item in movable if size.within(free.plus(item.size))]
+    if alone and not size.within(free):
+        return (min(alone, key=lambda item: item.size),)
+    for item in movable:
         if size.within(free):
             break
         victims.append(item)
