Add the links to peers

Members need to hear each other within 2 s of silence and to spread departures and configuration faster than the table poll. The typed dictionaries come from typing_extensions because pydantic refuses those of typing before Python 3.12.

--- /dev/null
+++ b/tests/links/test_peer_topology.py
@@ -0,0 +1,66 @@
+"""Tests of which peers are linked."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+
+from tests.links import conftest
+from wisteriasill.links import peer_topology
+from wisteriasill.machines import member as members
+
+
+def fleet(regions: int, zones: int, per_zone: int) -> list[members.Member]:
+    return [
+        conftest.member_of(f"e{r}-{z}-{n}", zone=f"z{z}", region=f"r{r}")
+        for r, z, n in itertools.product(
+            range(regions), range(zones), range(per_zone)
+        )
+    ]
+
+
+@pytest.mark.parametrize(
+    ("regions", "zones", "per_zone", "most_links"),
+    [
+        (1, 1, 1, 0),
+        (1, 3, 4, 11),  # 12 members: full mesh.
+        (1, 1, 13, 12),
+        (1, 3, 10, 9 + 2),
+        (4, 3, 20, 19 + 2 + 3),
+    ],
+)
+def test_mesh_is_symmetric_connected_and_small(
+    regions: int, zones: int, per_zone: int, most_links: int
+) -> None:
+    """A one-sided choice leaves a pair that both wait for the other's dial."""
+    known = fleet(regions, zones, per_zone)
+    peers = {
+        item.member_id: peer_topology.peers_to_connect(item, known)
+        for item in known
+    }
+    assert all(
+        member_id in peers[peer]
+        for member_id, chosen in peers.items()
+        for peer in chosen
+    )
+    reached = {known[0].member_id}
+    for _ in known:
+        reached |= set().union(*(peers[item] for item in reached))
+    assert reached == set(peers)
+    assert max(len(chosen) for chosen in peers.values()) <= most_links
+
+
+def test_lost_relay_is_replaced() -> None:
+    """A zone whose relay is lost or leaving must not be cut off."""
+    known = fleet(1, 2, 10)
+    zone = known[:10]
+    relay = peer_topology.choose_relay(zone, "r0/z0")
+    assert relay is not None
+    leaving = [item._replace(leaving=item == relay) for item in zone]
+    successor = peer_topology.choose_relay(leaving, "r0/z0")
+    assert successor is not None
+    assert successor.member_id != relay.member_id
+    rest = [item for item in known if item != relay]
+    peers = peer_topology.peers_to_connect(successor, rest)
+    assert any(peer.startswith("e0-1-") for peer in peers)
--- /dev/null
+++ b/wisteriasill/links/peer_dial.py
@@ -0,0 +1,187 @@
+"""Dialling of peers: one task for each peer that this member dials."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent import futures
+import contextlib
+import logging
+import random
+import threading
+
+from websockets import exceptions
+from websockets.sync import client
+from websockets.sync import connection as connections
+
+from wisteriasill import clock as clocks
+from wisteriasill import metrics as metrics_module
+from wisteriasill import settings as settings_module
+from wisteriasill.links import peer_messages
+from wisteriasill.links import peer_topology
+from wisteriasill.machines import member as members
+from wisteriasill.zones import site as sites
+
+# A zone of the design size has fewer entry hosts than this.
+MAX_DIALLED_PEERS = 128
+CLOSE_SECONDS = 1.0
+_REDIAL_SECONDS = 0.1
+_REDIAL_MAX_SECONDS = 2.0
+# A lost peer is no longer a live member, but is dialled for this long: while
+# the store is down, the links are the only way to learn that it is back.
+_DIAL_LOST_SECONDS = 900.0
+# The library reports failed handshakes with tracebacks; the links log and
+# count their own events.
+LIBRARY_LOGGER = logging.getLogger("wisteriasill.peers")
+LIBRARY_LOGGER.addHandler(logging.NullHandler())
+LIBRARY_LOGGER.propagate = False
+
+
+class PeerDialer:
+    """Keeps one task for each peer with a higher id that is to be linked."""
+
+    def __init__(
+        self,
+        settings: settings_module.EntrySettings,
+        site: sites.Site,
+        incarnation: str,
+        metrics: metrics_module.Metrics,
+        clock: clocks.Clock,
+        executor: futures.Executor,
+        run_link: Callable[[connections.Connection, str], bool],
+    ) -> None:
+        """Builds the dialler.
+
+        Args:
+            settings: Settings of this entry host.
+            site: Knows the live members.
+            incarnation: Incarnation of this process.
+            metrics: Counts failed attempts.
+            clock: Times the attempts.
+            executor: Runs the tasks.
+            run_link: Runs a connection with the peer of an id until the link
+                ends; returns whether there was a link.
+        """
+        self._settings = settings
+        self._site = site
+        self._incarnation = incarnation
+        self._metrics = metrics
+        self._clock = clock
+        self._executor = executor
+        self._run_link = run_link
+        self._random = random.Random(f"{settings.member_id}/{incarnation}")
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._tasks_by_id: dict[str, futures.Future[None]] = {}
+        self._known_by_id: dict[str, members.Member] = {}
+        self._left_incarnations: dict[str, str] = {}
+        self._wanted: frozenset[str] = frozenset()
+
+    def start(self) -> None:
+        """Dials peers, now and when the members change."""
+        self._site.add_listener(self._follow)
+        self._follow(self._site.snapshot)
+
+    def stop(self) -> None:
+        """Starts no more attempts."""
+        self._stopping.set()
+
+    def join(self) -> None:
+        """Waits for the tasks; their links must have been ended."""
+        with self._lock:
+            tasks = tuple(self._tasks_by_id.values())
+        futures.wait(tasks)
+
+    def note_goodbye(self, peer_id: str, incarnation: str) -> None:
+        """Dials a peer that left only after its next start."""
+        with self._lock:
+            self._left_incarnations[peer_id] = incarnation
+
+    def keeps(self, peer_id: str) -> bool:
+        """Whether a dialled link stays open.
+
+        A heard link to a peer that is not a live member is kept; one to a
+        live member ends only if the topology has changed.
+        """
+        live = self._site.snapshot.members_by_id
+        return peer_id in self._wanted or peer_id not in live
+
+    def _follow(self, snapshot: sites.SiteSnapshot) -> None:
+        with self._lock:
+            if self._stopping.is_set():
+                return
+            self._known_by_id.update(snapshot.members_by_id)
+            self._wanted = self._peers_to_dial(snapshot)
+            running = {
+                peer_id: task
+                for peer_id, task in self._tasks_by_id.items()
+                if not task.done()
+            }
+            missing = sorted(self._wanted - running.keys())
+            self._tasks_by_id = running | {
+                peer_id: self._executor.submit(self._dial, peer_id)
+                for peer_id in missing[: MAX_DIALLED_PEERS - len(running)]
+            }
+
+    def _peers_to_dial(self, snapshot: sites.SiteSnapshot) -> frozenset[str]:
+        known = snapshot.members_by_id
+        own_id = self._settings.member_id
+        own = known.get(own_id) or members.Member(
+            own_id,
+            self._incarnation,
+            self._settings.region,
+            self._settings.availability_zone,
+            self._settings.advertised_address,
+            self._settings.caller_port,
+            self._settings.operator_port,
+            self._settings.peer_port,
+        )
+        peers = peer_topology.peers_to_connect(own, known.values())
+        return frozenset(item for item in peers if own_id < item)
+
+    def _dial(self, peer_id: str) -> None:
+        """Keeps a link to a peer until it is not wanted for long enough."""
+        delay_seconds = _REDIAL_SECONDS
+        wanted_at = self._clock.monotonic()
+        while not self._stopping.is_set():
+            now = self._clock.monotonic()
+            wanted_at = now if peer_id in self._wanted else wanted_at
+            if now - wanted_at > _DIAL_LOST_SECONDS or self._has_left(peer_id):
+                return
+            if self._attempt(peer_id):
+                delay_seconds = _REDIAL_SECONDS
+            jitter = self._random.uniform(0.5, 1.0)
+            self._clock.wait(self._stopping, delay_seconds * jitter)
+            delay_seconds = min(2 * delay_seconds, _REDIAL_MAX_SECONDS)
+
+    def _has_left(self, peer_id: str) -> bool:
+        with self._lock:
+            known = self._known_by_id[peer_id]
+            return self._left_incarnations.get(peer_id) == known.incarnation
+
+    def _attempt(self, peer_id: str) -> bool:
+        with self._lock:
+            member = self._known_by_id[peer_id]
+        try:
+            connection = self._connect(member)
+        except (OSError, EOFError, exceptions.WebSocketException):
+            self._metrics.count("peer_dial_failed")
+            return False
+        try:
+            return self._run_link(connection, peer_id)
+        finally:
+            with contextlib.suppress(exceptions.ConnectionClosed):
+                connection.close()
+
+    def _connect(self, member: members.Member) -> client.ClientConnection:
+        return client.connect(
+            f"ws://{member.address}:{member.peer_port}/",
+            legacy=True,
+            compression=None,
+            user_agent_header=None,
+            proxy=None,
+            open_timeout=self._settings.peer_silence_seconds,
+            ping_interval=None,
+            close_timeout=CLOSE_SECONDS,
+            max_size=peer_messages.MAX_MESSAGE_BYTES,
+            logger=LIBRARY_LOGGER,
+        )
--- a/wisteriasill/links/peer_messages.py
+++ b/wisteriasill/links/peer_messages.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Literal, NotRequired, Protocol, TypedDict
+from typing import Any, Literal, NotRequired, Protocol
+
+from typing_extensions import TypedDict
 
 PROTOCOL_VERSION = 1
 MAX_MESSAGE_BYTES = 1024 * 1024
--- /dev/null
+++ b/wisteriasill/links/peer_session.py
@@ -0,0 +1,204 @@
+"""One connection with a peer, from hello to goodbye."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent import futures
+import contextlib
+import socket
+import threading
+from typing import Any, NamedTuple
+
+from returns import result
+from websockets import exceptions
+from websockets.sync import connection as connections
+
+from wisteriasill import clock as clocks
+from wisteriasill import errors
+from wisteriasill import events
+from wisteriasill import metrics as metrics_module
+from wisteriasill import settings as settings_module
+from wisteriasill.links import peer_codec
+from wisteriasill.links import peer_messages
+from wisteriasill.links import peer_outbox
+
+# Newer versions only add messages and keys, which older members ignore.
+LOWEST_PROTOCOL_VERSION = 1
+# A peer that sends rubbish is counted for each message but logged only for
+# the first ones, so that it cannot fill the log.
+_LOGGED_INVALID_MESSAGES = 5
+
+
+class SessionContext(NamedTuple):
+    """What all sessions of one process share.
+
+    Attributes:
+        settings: Settings of this entry host.
+        hello: The first message to each peer.
+        generation: Returns the configuration generation in force.
+        deliver: Called with each checked message and its sender.
+        executor: Runs the tasks that write.
+    """
+
+    settings: settings_module.EntrySettings
+    hello: peer_messages.Hello
+    generation: Callable[[], int]
+    deliver: Callable[[peer_messages.Hello, peer_codec.Received], None]
+    metrics: metrics_module.Metrics
+    clock: clocks.Clock
+    executor: futures.Executor
+
+
+class PeerSession:
+    """A connection with one peer; its task reads, a second one writes."""
+
+    def __init__(
+        self, context: SessionContext, connection: connections.Connection
+    ) -> None:
+        self._context = context
+        self._connection = connection
+        self._invalid_messages = 0
+        self._peer: peer_messages.Hello | None = None
+        self.outbox = peer_outbox.Outbox()
+        self.ended = threading.Event()
+
+    def greet(self) -> peer_messages.Hello | None:
+        """Exchanges hello.
+
+        Returns:
+            The peer's hello; None if it sent no usable one in time.
+        """
+        silence_seconds = self._context.settings.peer_silence_seconds
+        try:
+            self._send(self._context.hello)
+            body = self._connection.recv(silence_seconds)
+        except (exceptions.ConnectionClosed, TimeoutError):
+            return None
+        decoded = peer_codec.decode(body)
+        if not isinstance(decoded, result.Success):
+            self._note_invalid(decoded.failure())
+            return None
+        received: peer_codec.Received = decoded.unwrap()
+        if received.message_type != "hello":
+            return None
+        hello: peer_messages.Hello = received.message
+        if hello["protocol_version"] < LOWEST_PROTOCOL_VERSION:
+            self._context.metrics.count("peer_version_refused")
+            return None
+        self._peer = hello
+        return hello
+
+    def run(self, wanted: Callable[[], bool]) -> str:
+        """Reads until the link ends.
+
+        Args:
+            wanted: Asked after each message; the link ends when it is False.
+
+        Returns:
+            Why the link ended.
+        """
+        writer = self._context.executor.submit(self._write)
+        try:
+            return self._read(wanted)
+        finally:
+            self.abort()
+            writer.result()
+
+    def abort(self) -> None:
+        """Ends the connection at once.
+
+        The closing handshake would wait for a peer that may be silent, and a
+        write that is stuck in a full socket holds the connection's lock; the
+        shutdown of the socket ends both.
+        """
+        self.outbox.close(discard=True)
+        with contextlib.suppress(OSError):
+            self._connection.socket.shutdown(socket.SHUT_RDWR)
+
+    def _read(self, wanted: Callable[[], bool]) -> str:
+        silence_seconds = self._context.settings.peer_silence_seconds
+        while True:
+            try:
+                body = self._connection.recv(silence_seconds)
+            except TimeoutError:
+                self._context.metrics.count("peer_silent")
+                return "silent"
+            except exceptions.ConnectionClosed as error:
+                if error.sent is not None and error.sent.code == 1009:
+                    self._context.metrics.count("peer_message_too_large")
+                    return "message too large"
+                return "closed"
+            if self._handle(body):
+                return "goodbye"
+            if not wanted():
+                return "not wanted"
+
+    def _handle(self, body: bytes | str) -> bool:
+        decoded = peer_codec.decode(body)
+        if not isinstance(decoded, result.Success):
+            self._note_invalid(decoded.failure())
+            return False
+        received: peer_codec.Received = decoded.unwrap()
+        if received.message is None:
+            self._context.metrics.count("peer_message_unknown")
+            return False
+        if self._peer is not None:
+            self._context.deliver(self._peer, received)
+        return received.message_type == "goodbye"
+
+    def _write(self) -> None:
+        period_seconds = self._context.settings.heartbeat_seconds
+        sequence = 0
+        beat_at = self._context.clock.monotonic()
+        with contextlib.suppress(exceptions.ConnectionClosed):
+            while not self.outbox.closed:
+                now = self._context.clock.monotonic()
+                if now >= beat_at:
+                    sequence += 1
+                    self._send(self._heartbeat(sequence))
+                    beat_at = now + period_seconds
+                body = self.outbox.take(max(0.0, beat_at - now))
+                if body is not None:
+                    self._connection.send(body)
+        with contextlib.suppress(OSError):
+            self._connection.socket.shutdown(socket.SHUT_WR)
+
+    def _heartbeat(self, sequence: int) -> peer_messages.Heartbeat:
+        return {
+            "type": "heartbeat",
+            "sequence": sequence,
+            "generation": self._context.generation(),
+        }
+
+    def _send(self, message: peer_messages.Message) -> None:
+        self._connection.send(peer_codec.encode(message).unwrap())
+
+    def _note_invalid(self, failure: errors.Failure) -> None:
+        self._invalid_messages += 1
+        self._context.metrics.count("peer_message_invalid")
+        if self._invalid_messages <= _LOGGED_INVALID_MESSAGES:
+            events.log(
+                events.Event.PEER_MESSAGE_INVALID,
+                "A peer sent an invalid message",
+                level="WARNING",
+                peer=self._peer["member_id"] if self._peer else "unknown",
+                detail=failure.detail,
+            )
+
+
+def log_task_failure(task: str, error: BaseException, **fields: Any) -> None:
+    """Logs an unexpected error of a task or handler.
+
+    Args:
+        task: What failed.
+        error: The error.
+        **fields: What else identifies the case.
+    """
+    events.log(
+        events.Event.TASK_FAILED,
+        "A task failed unexpectedly",
+        level="ERROR",
+        task=task,
+        error=repr(error),
+        **fields,
+    )
--- /dev/null
+++ b/wisteriasill/links/peer_topology.py
@@ -0,0 +1,100 @@
+"""Which peers an entry host is linked with."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import itertools
+import operator
+
+import xxhash
+
+from wisteriasill.machines import member as members
+
+FULL_MESH_MEMBERS = 12
+
+
+def choose_relay(
+    candidates: Iterable[members.Member], area: str
+) -> members.Member | None:
+    """Chooses the member that links an area with the others.
+
+    Every member that knows the same candidates makes the same choice, and the
+    loss of a member moves only the areas that it served.
+
+    Args:
+        candidates: Members of the area.
+        area: Name of the zone or region.
+
+    Returns:
+        The member, or None without candidates. Leaving members are chosen
+        only if there are no others.
+    """
+    return max(
+        candidates,
+        key=lambda item: (
+            not item.leaving,
+            xxhash.xxh3_64_intdigest(f"{area}\0{item.member_id}".encode()),
+            item.member_id,
+        ),
+        default=None,
+    )
+
+
+def _relays_by_zone(
+    known: Iterable[members.Member],
+) -> dict[tuple[str, str], members.Member]:
+    area = operator.attrgetter("region", "availability_zone")
+    groups = itertools.groupby(sorted(known, key=area), key=area)
+    relays = {key: choose_relay(group, "/".join(key)) for key, group in groups}
+    return {key: relay for key, relay in relays.items() if relay is not None}
+
+
+def _relays_by_region(
+    zone_relays: Iterable[members.Member],
+) -> dict[str, members.Member]:
+    region = operator.attrgetter("region")
+    groups = itertools.groupby(sorted(zone_relays, key=region), key=region)
+    relays = {name: choose_relay(group, name) for name, group in groups}
+    return {name: relay for name, relay in relays.items() if relay is not None}
+
+
+def peers_to_connect(
+    self_member: members.Member, known: Iterable[members.Member]
+) -> frozenset[str]:
+    """Chooses the peers that a member is linked with.
+
+    The relation is symmetric for members that know the same members. Up to
+    `FULL_MESH_MEMBERS` members all are linked. Above that, each is linked
+    with its zone; the relay of a zone also with those of the region's other
+    zones; the relay of a region, one of its zones' relays, also with those
+    of the other regions.
+
+    Args:
+        self_member: The member itself.
+        known: Live members; `self_member` may be among them.
+
+    Returns:
+        Ids of the peers.
+    """
+    everyone = {item.member_id: item for item in known}
+    everyone[self_member.member_id] = self_member
+    others = [item for item in everyone.values() if item != self_member]
+    if len(everyone) <= FULL_MESH_MEMBERS:
+        return frozenset(item.member_id for item in others)
+    own_area = (self_member.region, self_member.availability_zone)
+    by_zone = _relays_by_zone(everyone.values())
+    by_region = _relays_by_region(by_zone.values())
+    chosen = {
+        item.member_id
+        for item in others
+        if (item.region, item.availability_zone) == own_area
+    }
+    if by_zone[own_area] == self_member:
+        chosen |= {
+            relay.member_id
+            for (region, _), relay in by_zone.items()
+            if region == self_member.region
+        }
+    if by_region[self_member.region] == self_member:
+        chosen |= {relay.member_id for relay in by_region.values()}
+    return frozenset(chosen - {self_member.member_id})
