Add membership and the decision of who is live

A member counts as live while its link is heard or its beat moves on this process's own clock; stillness is counted only over time in which polls of the table succeeded, so a store outage or a pause of this process makes nobody dead. Rows of dead members are removed by a conditional delete.

--- a/wisteriasill/clock.py
+++ b/wisteriasill/clock.py
@@ -65,3 +65,34 @@
             return True
         self.advance(timeout_seconds)
         return False
+
+
+class PauseDetector:
+    """Tells a loop that its process was stopped between two turns.
+
+    A monotonic clock goes on while a process is suspended. What the loop
+    learned before the pause, such as which peers are heard, is out of date
+    afterwards.
+    """
+
+    def __init__(self, clock: Clock, limit_seconds: float) -> None:
+        """Starts at the time of the first turn.
+
+        Args:
+            clock: The clock.
+            limit_seconds: Longest time that a turn takes without a pause.
+        """
+        self._clock = clock
+        self._limit_seconds = limit_seconds
+        self._turn_at = clock.monotonic()
+
+    def paused(self) -> bool:
+        """Notes a turn.
+
+        Returns:
+            Whether the last turn began longer ago than the limit.
+        """
+        now = self._clock.monotonic()
+        elapsed_seconds = now - self._turn_at
+        self._turn_at = now
+        return elapsed_seconds > self._limit_seconds
--- /dev/null
+++ b/wisteriasill/zones/membership.py
@@ -0,0 +1,240 @@
+"""Membership of this entry host and of its peers."""
+
+from __future__ import annotations
+
+from concurrent import futures
+import threading
+from typing import Any
+
+from returns import result
+
+from wisteriasill import clock as clocks
+from wisteriasill import documents
+from wisteriasill import events
+from wisteriasill import settings as settings_module
+from wisteriasill.links import peer_messages
+from wisteriasill.links import peer_topology
+from wisteriasill.links import platform as platforms
+from wisteriasill.machines import member as members
+from wisteriasill.zones import liveness
+from wisteriasill.zones import own_row
+from wisteriasill.zones import site as sites
+
+# Each member reads all rows, so the period grows with their number beyond
+# this, to keep the traffic of a node below its bound.
+_MEMBERS_PER_POLL_PERIOD = 12
+# While a link is missing, liveness is decided this often, so that the loss
+# of a member is noticed in under 3 s.
+_DECIDE_SECONDS = 0.25
+# A turn waits for at most three calls of the platform; a longer one was
+# interrupted by a pause of the process.
+_CALLS_A_TURN = 3
+
+
+class Membership:
+    """Keeps this member's row and the site's live members.
+
+    `settings` hold the ports that are bound, not 0.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.EntrySettings,
+        platform: platforms.Platform,
+        site: sites.Site,
+        mesh: peer_messages.PeerMesh,
+        incarnation: str,
+        clock: clocks.Clock,
+    ) -> None:
+        self._settings = settings
+        self._platform = platform
+        self._site = site
+        self._mesh = mesh
+        self._clock = clock
+        self._own = own_row.OwnRow(platform, _own_member(settings, incarnation))
+        self._pauses = clocks.PauseDetector(
+            clock,
+            settings.poll_seconds
+            + _CALLS_A_TURN * settings.platform_timeout_seconds,
+        )
+        self._lock = threading.Lock()
+        self._sightings: dict[str, liveness.Sighting] = {}
+        self._poll_began_at: float | None = None
+        self._beat_at = self._poll_at = clock.monotonic()
+        self._leaving = False
+        self._changed = threading.Event()
+        self._stopping = False
+        self._executor = futures.ThreadPoolExecutor(
+            1, thread_name_prefix="membership"
+        )
+        self._task: futures.Future[None] | None = None
+
+    @property
+    def displaced(self) -> bool:
+        """Whether a newer process has this member id; this one must end."""
+        return self._own.displaced
+
+    def start(self) -> None:
+        """Joins the members and follows them."""
+        self._mesh.on_members_changed(self._changed.set)
+        self._mesh.on_message("goodbye", self._note_goodbye)
+        self._site.set_members([self._own.member])
+        self._task = self._executor.submit(self._run)
+
+    def announce_leaving(self) -> None:
+        """Writes `leaving` to the row at the next turn, which is at once."""
+        self._leaving = True
+        self._beat_at = self._clock.monotonic()
+        self._changed.set()
+
+    def stop(self) -> None:
+        """Leaves the members and joins the task."""
+        self._stopping = True
+        self._changed.set()
+        if self._task is not None:
+            self._task.result()
+        self._executor.shutdown()
+
+    def turn(self) -> float:
+        """Renews the row and polls when due, and decides who is live.
+
+        Returns:
+            Seconds until the next turn.
+        """
+        paused = self._pauses.paused()
+        if self._clock.monotonic() >= self._beat_at:
+            self._beat()
+        if self._clock.monotonic() >= self._poll_at:
+            self._poll()
+        undecided = self._decide(paused)
+        now = self._clock.monotonic()
+        due_seconds = max(0.0, min(self._beat_at, self._poll_at) - now)
+        return min(due_seconds, _DECIDE_SECONDS) if undecided else due_seconds
+
+    def _run(self) -> None:
+        while not self._stopping:
+            wait_seconds = self.turn()
+            self._clock.wait(self._changed, wait_seconds)
+            self._changed.clear()
+        self._own.remove()
+
+    def _beat(self) -> None:
+        period_seconds = (
+            liveness.BEAT_SECONDS
+            if self._own.renew(self._leaving)
+            else self._settings.poll_seconds
+        )
+        self._beat_at = self._clock.monotonic() + period_seconds
+
+    def _poll(self) -> None:
+        began_at = self._clock.monotonic()
+        period_seconds = self._period_seconds()
+        self._poll_at = began_at + period_seconds
+        scanned = self._platform.table.scan(members.TABLE)
+        if not isinstance(scanned, result.Success):
+            return
+        rows: tuple[platforms.Row, ...] = scanned.unwrap()
+        decoded = [(row, _decode(row)) for row in rows]
+        poll = liveness.Poll(
+            tuple(
+                (row, member)
+                for row, member in decoded
+                if member and row.key != self._settings.member_id
+            ),
+            began_at,
+            self._poll_began_at,
+            2 * period_seconds,
+        )
+        with self._lock:
+            self._sightings = liveness.note_poll(self._sightings, poll)
+        self._poll_began_at = began_at
+        self._site.confirm("members")
+        self._remove_dead_rows()
+
+    def _period_seconds(self) -> float:
+        shares = len(self._sightings) / _MEMBERS_PER_POLL_PERIOD
+        return self._settings.poll_seconds * max(1.0, shares)
+
+    def _decide(self, paused: bool) -> bool:
+        """Publishes the live members; True if a link is missing."""
+        now = self._clock.monotonic()
+        heard = self._mesh.connected_peers()
+        with self._lock:
+            self._sightings = liveness.note_links(
+                self._sightings, heard, now, paused
+            )
+            sightings = self._sightings
+        stale_seconds = liveness.stale_seconds(self._period_seconds())
+        linked = peer_topology.peers_to_connect(
+            self._own.member,
+            (
+                known.member
+                for known in sightings.values()
+                if known.still_seconds < stale_seconds and not known.left
+            ),
+        )
+        live = {
+            member_id: known.member
+            for member_id, known in sightings.items()
+            if liveness.is_live(known, member_id in linked, now, stale_seconds)
+        }
+        self._publish(live)
+        return any(
+            sightings[key].missing_since is not None
+            for key in live.keys() & linked
+        )
+
+    def _publish(self, live: dict[str, members.Member]) -> None:
+        before = self._site.snapshot.members_by_id.keys()
+        own_id = self._settings.member_id
+        for member_id in sorted(live.keys() - before):
+            events.log(
+                events.Event.MEMBER_JOINED, "Member joined", member=member_id
+            )
+        for member_id in sorted(before - live.keys() - {own_id}):
+            events.log(
+                events.Event.MEMBER_LEFT, "Member left", member=member_id
+            )
+        # The beat would make each renewal a change of the site.
+        self._site.set_members(
+            item._replace(beat=0) for item in (*live.values(), self._own.member)
+        )
+
+    def _note_goodbye(self, peer_id: str, _: Any) -> None:
+        with self._lock:
+            known = self._sightings.get(peer_id)
+            if known is not None:
+                self._sightings[peer_id] = known._replace(left=True)
+        self._changed.set()
+
+    def _remove_dead_rows(self) -> None:
+        for known in liveness.rows_to_remove(
+            self._sightings,
+            self._site.snapshot.members_by_id,
+            self._settings.member_id,
+        ):
+            key = known.member.member_id
+            self._platform.table.transact(
+                [platforms.Condition(members.TABLE, key, known.version)],
+                [platforms.Write(members.TABLE, key, None)],
+            )
+
+
+def _own_member(
+    settings: settings_module.EntrySettings, incarnation: str
+) -> members.Member:
+    return members.Member(
+        member_id=settings.member_id,
+        incarnation=incarnation,
+        region=settings.region,
+        availability_zone=settings.availability_zone,
+        address=settings.advertised_address,
+        caller_port=settings.caller_port,
+        operator_port=settings.operator_port,
+        peer_port=settings.peer_port,
+    )
+
+
+def _decode(row: platforms.Row) -> members.Member | None:
+    decoded = documents.decode(members.Member, row.value)
+    return decoded.value_or(None)
