--- /dev/null
+++ b/wisteriasill/contracts/service_file.py
@@ -0,0 +1,131 @@
+"""Reads service files and site files and checks all of them at once."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+import pathlib
+from typing import NamedTuple
+
+from wisteriasill.contracts import configuration as configurations
+from wisteriasill.contracts import service as services
+from wisteriasill.contracts import service_checks as checks
+from wisteriasill.contracts import service_text
+from wisteriasill.contracts import site_checks
+from wisteriasill.contracts import toml_lines
+
+SERVICE_FILE = "wisteriasill.toml"
+SITE_FILE = "site.toml"
+MAX_FILE_BYTES = 64 * 1024
+
+
+class SiteDirectory(NamedTuple):
+    """All files of a site.
+
+    Attributes:
+        site: The site's contract; None if its file is missing or wrong.
+        services_by_name: All services whose files can be read.
+        files_by_name: Path of each document's file.
+        problems: Errors and warnings of all files.
+    """
+
+    site: services.SiteContract | None
+    services_by_name: Mapping[str, services.Service]
+    files_by_name: Mapping[str, str]
+    problems: tuple[service_text.Problem, ...]
+
+    @property
+    def errors(self) -> tuple[service_text.Problem, ...]:
+        """The problems that are errors."""
+        return tuple(item for item in self.problems if item.is_error)
+
+
+def read_file(path: pathlib.Path, shown: str = "") -> service_text.ParsedFile:
+    """Reads one file from disk; an unreadable file is a problem.
+
+    Args:
+        path: The file; its name tells a site file from a service file.
+        shown: Its path in problems; the path itself by default.
+    """
+    file = shown or str(path)
+    try:
+        if path.stat().st_size > MAX_FILE_BYTES:
+            raise OSError(f"larger than {MAX_FILE_BYTES} bytes")
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
+        finding = checks.Finding("", ("file",), None, f"unreadable: {reason}")
+        return service_text.ParsedFile(
+            file, None, {}, (service_text.Problem(file, 1, finding),)
+        )
+    return service_text.parse(file, text, is_site=path.name == SITE_FILE)
+
+
+def read_directory(folder: pathlib.Path) -> SiteDirectory:
+    """Reads `site.toml` and every service file below a directory.
+
+    Args:
+        folder: The directory.
+
+    Returns:
+        All contracts, errors and warnings.
+    """
+    paths = [folder / SITE_FILE, *sorted(folder.glob(f"*/**/{SERVICE_FILE}"))]
+    return combine(
+        [read_file(path, str(path.relative_to(folder))) for path in paths]
+    )
+
+
+def combine(parsed: Iterable[service_text.ParsedFile]) -> SiteDirectory:
+    """Checks files against each other.
+
+    Args:
+        parsed: The site file and the service files, each read alone.
+
+    Returns:
+        All contracts, errors and warnings.
+    """
+    site = None
+    services_by_name: dict[str, services.Service] = {}
+    files: dict[str, service_text.ParsedFile] = {}
+    problems: list[service_text.Problem] = []
+    for item in parsed:
+        problems.extend(item.problems)
+        contract = item.contract
+        if isinstance(contract, services.SiteContract):
+            site = contract
+            files[configurations.SITE_DOCUMENT] = item
+        elif contract is not None and contract.name in services_by_name:
+            problems.append(
+                _duplicate(contract.name, item, files[contract.name])
+            )
+        elif contract is not None:
+            services_by_name[contract.name] = contract
+            files[contract.name] = item
+    complete = not problems
+    for finding in site_checks.check_all(
+        site if complete else None, services_by_name
+    ):
+        place = files[finding.document]
+        line = toml_lines.line_of(place.lines, finding.path)
+        problems.append(service_text.Problem(place.file, line, finding))
+    return SiteDirectory(
+        site,
+        services_by_name,
+        {name: item.file for name, item in files.items()},
+        tuple(sorted(problems, key=lambda item: (item.file, item.line))),
+    )
+
+
+def _duplicate(
+    name: str, item: service_text.ParsedFile, first: service_text.ParsedFile
+) -> service_text.Problem:
+    path = ("service", "name")
+    finding = checks.Finding(
+        name,
+        path,
+        name,
+        f"{first.file} describes a service of this name already",
+    )
+    return service_text.Problem(
+        item.file, toml_lines.line_of(item.lines, path), finding
+    )
--- /dev/null
+++ b/wisteriasill/contracts/site_checks.py
@@ -0,0 +1,92 @@
+"""Checks of the services of a site against each other."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+import itertools
+
+from wisteriasill.contracts import service as services
+from wisteriasill.contracts import service_checks as checks
+
+
+def check_all(
+    site: services.SiteContract | None,
+    services_by_name: Mapping[str, services.Service],
+) -> tuple[checks.Finding, ...]:
+    """Checks a whole configuration.
+
+    Args:
+        site: The site's document; None if it could not be read.
+        services_by_name: All services.
+
+    Returns:
+        Errors and warnings.
+    """
+    every = tuple(services_by_name.values())
+    return tuple(
+        itertools.chain(
+            itertools.chain.from_iterable(map(checks.check_service, every)),
+            _check_prefixes(every),
+            _check_spare(every),
+            () if site is None else _check_quotas(site, every),
+        )
+    )
+
+
+def _check_prefixes(
+    every: tuple[services.Service, ...],
+) -> Iterator[checks.Finding]:
+    with_prefix = sorted(
+        (item for item in every if item.path_prefix),
+        key=lambda item: (item.path_prefix, item.name),
+    )
+    for outer, inner in itertools.combinations(with_prefix, 2):
+        if f"{inner.path_prefix}/".startswith(f"{outer.path_prefix}/"):
+            yield checks.Finding(
+                inner.name,
+                ("service", "path_prefix"),
+                inner.path_prefix,
+                f'overlaps "{outer.path_prefix}" of service "{outer.name}"',
+            )
+
+
+def _check_spare(
+    every: tuple[services.Service, ...],
+) -> Iterator[checks.Finding]:
+    spare = sorted(item.name for item in every if item.pool.spare)
+    for name in spare[1:]:
+        yield checks.Finding(
+            name,
+            ("pool", "spare"),
+            True,
+            f'"{spare[0]}" is the spare pool already; a site has one',
+        )
+
+
+def _check_quotas(
+    site: services.SiteContract, every: tuple[services.Service, ...]
+) -> Iterator[checks.Finding]:
+    teams = {item.team for item in every}
+    seen: set[str] = set()
+    for index, quota in enumerate(site.quotas):
+        at = ("quota", index, "team")
+        if quota.team in seen:
+            yield checks.Finding("site", at, quota.team, "has a quota already")
+        elif quota.team not in teams:
+            yield checks.Finding(
+                "site",
+                at,
+                quota.team,
+                "no service belongs to this team"
+                + checks.nearest(quota.team, teams),
+            )
+        seen.add(quota.team)
+    for item in every:
+        if item.jobs and item.team not in seen:
+            yield checks.Finding(
+                item.name,
+                ("service", "team"),
+                item.team,
+                "has jobs but no [[quota]] in site.toml, so no upper bound",
+                is_error=False,
+            )
