Publish and load the configuration through the platform's store

A publish is one conditional transaction on the configuration row and on the rows of every pool whose promise it tightens. It leaves a record with a token, so a lost answer is resolved, and a stale change is refused with author, time and content of the change that it would undo.

The contract tests cover lost answers before and after the write, with and without stale reads and a racing operator.

--- /dev/null
+++ b/tests/contracts/conftest.py
@@ -0,0 +1,32 @@
+"""Fixtures of the contract tests."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import pathlib
+from typing import Any
+
+import pytest
+
+from tests import scripted_platform
+from wisteriasill import documents
+from wisteriasill.contracts import service_file
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+
+
+@pytest.fixture
+def scripted() -> scripted_platform.ScriptedPlatform:
+    """A platform in memory."""
+    return scripted_platform.ScriptedPlatform()
+
+
+@pytest.fixture
+def mandacaru() -> dict[str, Mapping[str, Any]]:
+    """The documents of the example site."""
+    directory = service_file.read_directory(EXAMPLES / "mandacaru")
+    assert directory.problems == ()
+    return {
+        "site": documents.encode(directory.site),
+        **documents.encode(directory.services_by_name),
+    }
--- /dev/null
+++ b/tests/scripted_platform.py
@@ -0,0 +1,144 @@
+"""A platform in memory whose answers a test can script."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping, Sequence
+import json
+import threading
+from typing import Any, cast
+
+from returns import result
+
+from wisteriasill import errors
+from wisteriasill.links import platform
+
+Rows = dict[tuple[str, str], platform.Row]
+
+
+class ScriptedPlatform:
+    """Table and object store, with faults for the next transactions.
+
+    Attributes:
+        rows: All rows.
+        stale_rows: Rows that reads show instead of the real ones; or None.
+        script: One entry for each coming transaction with writes:
+            `lost-before`, `lost-after` or a function to call before it.
+        down: Whether every call fails.
+        fetched: Keys of objects that were read.
+    """
+
+    def __init__(self) -> None:
+        self.rows: Rows = {}
+        self.stale_rows: Rows | None = None
+        self.script: list[str | Callable[[], object]] = []
+        self.down = False
+        self.fetched: list[str] = []
+        self._bodies: dict[str, bytes] = {}
+        self._lock = threading.RLock()
+
+    @property
+    def table(self) -> platform.Table:
+        """The table service."""
+        return self
+
+    @property
+    def objects(self) -> platform.ObjectStore:
+        """The object store."""
+        return self
+
+    @property
+    def host_list(self) -> platform.HostList:
+        """Not scripted."""
+        raise NotImplementedError
+
+    @property
+    def tasks(self) -> platform.TaskRunner:
+        """Not scripted."""
+        raise NotImplementedError
+
+    @property
+    def host_control(self) -> platform.HostControl:
+        """Not scripted."""
+        raise NotImplementedError
+
+    def set_row(self, table: str, key: str, value: Mapping[str, Any]) -> None:
+        """Writes a row as another process would."""
+        known = self.rows.get((table, key))
+        version = 1 if known is None else known.version + 1
+        copied = cast("dict[str, Any]", json.loads(json.dumps(value)))
+        self.rows[(table, key)] = platform.Row(table, key, version, copied)
+
+    def read(
+        self, table: str, key: str
+    ) -> result.Result[platform.Row | None, errors.Failure]:
+        """Reads a row."""
+        return self._answer(lambda: self._shown().get((table, key)))
+
+    def scan(
+        self, table: str, prefix: str = ""
+    ) -> result.Result[tuple[platform.Row, ...], errors.Failure]:
+        """Reads rows by prefix."""
+        return self._answer(
+            lambda: tuple(
+                row
+                for place, row in sorted(self._shown().items())
+                if place[0] == table and place[1].startswith(prefix)
+            )
+        )
+
+    def transact(
+        self,
+        conditions: Sequence[platform.Condition],
+        writes: Sequence[platform.Write],
+    ) -> result.Result[tuple[int, ...], errors.Failure]:
+        """Writes all rows or none."""
+        step = self.script.pop(0) if self.script and writes else ""
+        if callable(step):
+            step()
+        with self._lock:
+            if self.down or step == "lost-before":
+                return _failed(
+                    errors.ErrorKind.STORE_OUTCOME_UNKNOWN
+                    if step
+                    else errors.ErrorKind.STORE_UNAVAILABLE
+                )
+            for table, key, version in conditions:
+                known = self.rows.get((table, key))
+                if version != (0 if known is None else known.version):
+                    return _failed(errors.ErrorKind.CONFLICT)
+            versions = tuple(map(self._write, writes))
+        if step == "lost-after":
+            return _failed(errors.ErrorKind.STORE_OUTCOME_UNKNOWN)
+        return result.Success(versions)
+
+    def put(self, key: str, body: bytes) -> result.Result[None, errors.Failure]:
+        """Stores an object."""
+        return self._answer(lambda: self._bodies.update({key: body}))
+
+    def get(self, key: str) -> result.Result[bytes | None, errors.Failure]:
+        """Reads an object."""
+        self.fetched.append(key)
+        return self._answer(lambda: self._bodies.get(key))
+
+    def _shown(self) -> Rows:
+        return self.rows if self.stale_rows is None else self.stale_rows
+
+    def _answer(
+        self, call: Callable[[], Any]
+    ) -> result.Result[Any, errors.Failure]:
+        if self.down:
+            return _failed(errors.ErrorKind.STORE_UNAVAILABLE)
+        with self._lock:
+            return result.Success(call())
+
+    def _write(self, write: platform.Write) -> int:
+        place = (write.table, write.key)
+        if write.value is None:
+            self.rows.pop(place, None)
+            return 0
+        self.set_row(write.table, write.key, write.value)
+        return self.rows[place].version
+
+
+def _failed(kind: errors.ErrorKind) -> result.Result[Any, errors.Failure]:
+    return result.Failure(errors.failure(kind, "scripted"))
--- /dev/null
+++ b/wisteriasill/contracts/configuration_store.py
@@ -0,0 +1,298 @@
+"""Loads the configuration in force and publishes changes of it."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import random
+import secrets
+import threading
+import time
+from typing import NamedTuple, NoReturn
+
+from returns import result
+
+from wisteriasill import clock as clocks
+from wisteriasill import documents
+from wisteriasill import errors
+from wisteriasill.contracts import capacity_promise
+from wisteriasill.contracts import configuration as configurations
+from wisteriasill.contracts import configuration_change as changes
+from wisteriasill.contracts import configuration_documents
+from wisteriasill.contracts import configuration_reader
+from wisteriasill.contracts import publication
+from wisteriasill.links import platform
+
+Change = publication.Change
+load = configuration_reader.load
+
+Published = result.Result[configurations.Manifest, errors.Failure]
+
+# Twenty operators at once need at most twenty rounds of a few milliseconds;
+# the rest covers stale reads and slow answers of the store.
+PUBLISH_SECONDS = 20.0
+RETRY_SECONDS = 0.1
+PUT_ATTEMPTS = 3
+
+_RETRIED_KINDS = frozenset(
+    {errors.ErrorKind.CONFLICT, errors.ErrorKind.STORE_OUTCOME_UNKNOWN}
+)
+
+
+class _Draft(NamedTuple):
+    """A generation that is ready to be written."""
+
+    manifest: configurations.Manifest
+    record: publication.Publication
+    conditions: tuple[platform.Condition, ...]
+
+
+def publish(
+    platform_: platform.Platform,
+    change: Change,
+    previous: configurations.Configuration = configurations.NO_CONFIGURATION,
+    clock: clocks.Clock | None = None,
+) -> Published:
+    """Puts a change in force, or nothing of it.
+
+    Args:
+        platform_: The platform.
+        change: The change. Documents that are in force already are left out;
+            if nothing remains, no generation is made.
+        previous: A configuration that is loaded already, which saves reading
+            its documents.
+        clock: Clock for the waits between attempts.
+
+    Returns:
+        The manifest that contains the change; CONFIGURATION_CONFLICT,
+        CAPACITY_PROMISE or INVALID_CONFIGURATION if it was refused; or a
+        failure of the store.
+    """
+    contracts: dict[str, configuration_documents.Contract] = {}
+    for name, value in change.documents.items():
+        match configuration_documents.decode_value(name, value):
+            case result.Failure(wrong):
+                return result.Failure(wrong)
+            case result.Success(contract):
+                contracts[name] = contract
+    return _Publisher(
+        platform_, change, contracts, previous, clock or clocks.SystemClock()
+    ).run()
+
+
+class _Publisher:
+    """One publish call: repeats its transaction until the outcome is known."""
+
+    def __init__(
+        self,
+        platform_: platform.Platform,
+        change: Change,
+        contracts: Mapping[str, configuration_documents.Contract],
+        previous: configurations.Configuration,
+        clock: clocks.Clock,
+    ) -> None:
+        self._platform = platform_
+        self._change = change
+        self._contracts = contracts
+        self._in_force = previous
+        self._clock = clock
+        self._never = threading.Event()
+        self._give_up_at = clock.monotonic() + PUBLISH_SECONDS
+        self._uncertain: _Draft | None = None
+
+    def run(self) -> Published:
+        """Repeats attempts that lost a race until the time is up."""
+        while True:
+            outcome = self._attempt()
+            match outcome:
+                case result.Failure(wrong) if (
+                    wrong.kind in _RETRIED_KINDS and self._pause()
+                ):
+                    continue
+            return outcome
+
+    def _pause(self) -> bool:
+        """Waits for a random time; False when the time is up."""
+        if self._clock.monotonic() >= self._give_up_at:
+            return False
+        self._clock.wait(self._never, random.uniform(0.1, 1) * RETRY_SECONDS)
+        return True
+
+    def _attempt(self) -> Published:
+        if self._uncertain is not None:
+            return self._resolve(self._uncertain)
+        match configuration_reader.read_manifest(self._platform):
+            case result.Failure(wrong):
+                return result.Failure(wrong)
+            case result.Success((manifest, version)):
+                pass
+        if manifest.generation < self._change.base_generation:
+            return self._refuse(
+                version, changes.unknown_base(self._change, manifest)
+            )
+        selection = changes.select(
+            manifest, self._contracts, self._change.removed
+        )
+        if not selection.names:
+            # A stale read could show this change in force after someone else
+            # has replaced it; a transaction without writes rules that out.
+            return self._confirm(version).map(lambda _: manifest)
+        match load(self._platform, manifest, self._in_force):
+            case result.Failure(wrong):
+                return result.Failure(wrong)
+            case result.Success(in_force):
+                self._in_force = in_force
+        return self._draft(selection, version).bind(self._write)
+
+    def _confirm(
+        self, version: int
+    ) -> result.Result[tuple[int, ...], errors.Failure]:
+        """Checks that a manifest is the current one; CONFLICT if not."""
+        return self._platform.table.transact([_condition(version)], [])
+
+    def _refuse(
+        self, version: int, reason: errors.Failure
+    ) -> result.Result[NoReturn, errors.Failure]:
+        """Refuses the change unless the manifest was a stale read."""
+        match self._confirm(version):
+            case result.Failure(wrong):
+                return result.Failure(wrong)
+        return result.Failure(reason)
+
+    def _draft(
+        self, selection: changes.Selection, version: int
+    ) -> result.Result[_Draft, errors.Failure]:
+        reason = self._find_reason(selection)
+        if reason is not None:
+            return self._refuse(version, reason)
+        _, merged = changes.merge(self._in_force, selection)
+        checked = capacity_promise.check_change(
+            self._platform, self._in_force.services_by_name, merged
+        )
+        match checked:
+            case result.Failure(
+                errors.Failure(kind=errors.ErrorKind.CAPACITY_PROMISE) as wrong
+            ):
+                return self._refuse(version, wrong)
+            case result.Failure(wrong):
+                return result.Failure(wrong)
+            case result.Success(conditions):
+                pass
+        match self._put_documents(selection):
+            case result.Failure(wrong):
+                return result.Failure(wrong)
+        record = self._record(selection)
+        return result.Success(
+            _Draft(
+                changes.next_manifest(self._in_force, selection, record),
+                record,
+                (_condition(version), *conditions),
+            )
+        )
+
+    def _find_reason(
+        self, selection: changes.Selection
+    ) -> errors.Failure | None:
+        manifest = self._in_force.manifest
+        conflict = changes.find_conflict(self._change, selection, manifest)
+        if conflict is None:
+            site, merged = changes.merge(self._in_force, selection)
+            return changes.check(site, merged, selection.removed)
+        what: tuple[str, ...] = ()
+        if conflict.entry is not None:
+            key = publication.record_key(conflict.entry.generation)
+            match self._platform.table.read(configurations.TABLE, key):
+                case result.Success(platform.Row(value=value)):
+                    lines = value.get("changes", {}).get(conflict.name, ())
+                    what = tuple(str(line) for line in lines)
+        return changes.conflict_failure(self._change, conflict, manifest, what)
+
+    def _put_documents(
+        self, selection: changes.Selection
+    ) -> result.Result[None, errors.Failure]:
+        for contract in selection.changed.values():
+            body = configuration_documents.encode(contract)
+            key = configuration_documents.digest(body)
+            for _ in range(PUT_ATTEMPTS):  # Repeats do no harm.
+                stored = self._platform.objects.put(key, body)
+                if isinstance(stored, result.Success):
+                    break
+            match stored:
+                case result.Failure(wrong):
+                    return result.Failure(
+                        wrong._replace(executed=errors.Executed.NO)
+                    )
+        return result.Success(None)
+
+    def _record(self, selection: changes.Selection) -> publication.Publication:
+        return publication.Publication(
+            generation=self._in_force.generation + 1,
+            token=secrets.token_hex(16),
+            author=self._change.author,
+            changed_at=time.time(),
+            changes=changes.describe(self._in_force, selection),
+        )
+
+    def _write(self, draft: _Draft) -> Published:
+        generation = draft.record.generation
+        writes = [
+            platform.Write(
+                configurations.TABLE,
+                configurations.CURRENT_KEY,
+                documents.encode(draft.manifest),
+            ),
+            platform.Write(
+                configurations.TABLE,
+                publication.record_key(generation),
+                documents.encode(draft.record),
+            ),
+        ]
+        if generation > publication.KEPT_RECORDS:
+            old = publication.record_key(generation - publication.KEPT_RECORDS)
+            writes.append(platform.Write(configurations.TABLE, old, None))
+        written = self._platform.table.transact(draft.conditions, writes)
+        match written:
+            case result.Failure(
+                errors.Failure(kind=errors.ErrorKind.STORE_OUTCOME_UNKNOWN)
+            ):
+                self._uncertain = draft
+        return written.map(lambda _: draft.manifest)
+
+    def _resolve(self, draft: _Draft) -> Published:
+        """Finds out whether a write whose answer was lost took effect."""
+        key = publication.record_key(draft.record.generation)
+        match self._platform.table.read(configurations.TABLE, key):
+            case result.Success(platform.Row(value=value)):
+                if value.get("token") == draft.record.token:
+                    return result.Success(draft.manifest)
+                self._uncertain = None  # Someone else made the generation.
+                return self._attempt()
+            case result.Success(None):
+                return self._repeat_if_current(draft)
+            case _:
+                return result.Failure(_unknown_outcome(draft))
+
+    def _repeat_if_current(self, draft: _Draft) -> Published:
+        # No record: a stale read, or nothing was written. The conditions
+        # tell the two apart.
+        match self._write(draft):
+            case result.Success(manifest):
+                return result.Success(manifest)
+            case result.Failure(errors.Failure(kind=errors.ErrorKind.CONFLICT)):
+                match self._confirm(draft.conditions[0].version):
+                    case result.Success(_):
+                        self._uncertain = None  # Only a pool has changed.
+        return result.Failure(_unknown_outcome(draft))
+
+
+def _condition(version: int) -> platform.Condition:
+    return platform.Condition(
+        configurations.TABLE, configurations.CURRENT_KEY, version
+    )
+
+
+def _unknown_outcome(draft: _Draft) -> errors.Failure:
+    return errors.failure(
+        errors.ErrorKind.STORE_OUTCOME_UNKNOWN,
+        f"generation {draft.record.generation} may be in force; publish the "
+        "same files again, which changes nothing if it is",
+    )
