Add the operators' HTTP server

It answers for the whole site from this entry host's view, says how old that view is and whether the store answers, publishes changes and writes orders.

--- a/wisteriasill/contracts/publication.py
+++ b/wisteriasill/contracts/publication.py
@@ -5,9 +5,12 @@
 from collections.abc import Mapping
 import datetime
 import types
-from typing import Any, NamedTuple
+from typing import Annotated, Any, NamedTuple
+
+import pydantic
 
 from wisteriasill.contracts import configuration as configurations
+from wisteriasill.contracts import service as services
 
 # At 1,400 changes a day the records cover more than a day, which is longer
 # than a stale directory or an unanswered publish needs.
@@ -15,6 +18,8 @@
 MAX_CHANGE_LINES = 12
 _KEY_PREFIX = "generation/"
 
+Author = Annotated[str, pydantic.Field(min_length=1, max_length=200)]
+
 
 class Change(NamedTuple):
     """A change that an operator submits.
@@ -31,9 +36,9 @@
     """
 
     documents: Mapping[str, Mapping[str, Any]]
-    author: str
-    base_generation: int
-    base_by_name: Mapping[str, int] = types.MappingProxyType({})
+    author: Author
+    base_generation: services.Count
+    base_by_name: Mapping[str, services.Count] = types.MappingProxyType({})
     base_names: tuple[str, ...] = ()
     removed: tuple[str, ...] = ()
 
--- a/wisteriasill/events.py
+++ b/wisteriasill/events.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 import sys
-from typing import Any
+import threading
+import time
+from typing import Any, NamedTuple
 
 import loguru
 
@@ -55,6 +58,84 @@
     OPERATOR_REJECTED = 801
 
 
+class Occurrence(NamedTuple):
+    """An event that happened in this process.
+
+    Attributes:
+        sequence: Grows by one with each event of the process.
+        event: Number of the event.
+        name: Name of the event.
+        level: Level that it was logged with.
+        message: The sentence that was logged.
+        at: Seconds since the epoch, for people to read.
+        fields: What differs between occurrences, as text.
+    """
+
+    sequence: int
+    event: int
+    name: str
+    level: str
+    message: str
+    at: float
+    fields: dict[str, str]
+
+
+class Ring:
+    """The last events of this process; old ones fall out."""
+
+    def __init__(self, size: int = 1000) -> None:
+        self._kept: collections.deque[Occurrence] = collections.deque(
+            maxlen=size
+        )
+        self._changed = threading.Condition()
+        self._sequence = 0
+
+    def add(
+        self, event: Event, message: str, level: str, fields: dict[str, Any]
+    ) -> None:
+        """Keeps an event and wakes those who wait for one."""
+        with self._changed:
+            self._sequence += 1
+            self._kept.append(
+                Occurrence(
+                    self._sequence,
+                    int(event),
+                    event.name,
+                    level,
+                    message,
+                    time.time(),
+                    {key: str(value) for key, value in fields.items()},
+                )
+            )
+            self._changed.notify_all()
+
+    def after(
+        self, sequence: int, wait_seconds: float = 0.0
+    ) -> tuple[Occurrence, ...]:
+        """Returns the events after a sequence number.
+
+        Args:
+            sequence: The last event that the reader knows; one higher than
+                any event belongs to an earlier process and counts as 0.
+            wait_seconds: Longest wait for an event if there is none.
+
+        Returns:
+            The events that are still kept; empty after the wait.
+        """
+        with self._changed:
+            known = sequence if sequence <= self._sequence else 0
+            if self._sequence <= known and wait_seconds > 0:
+                self._changed.wait(wait_seconds)
+            return tuple(item for item in self._kept if item.sequence > known)
+
+    def wake(self) -> None:
+        """Ends all waits, for a shutdown."""
+        with self._changed:
+            self._changed.notify_all()
+
+
+RECENT = Ring()
+
 _TEXT_FORMAT = (
     "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level:<7} "
     "{extra[event]:>3} {message} {extra[fields]}"
@@ -88,6 +169,7 @@
         level: Level of the event.
         **fields: What differs between occurrences.
     """
+    RECENT.add(event, message, level, fields)
     text = " ".join(f"{key}={value}" for key, value in fields.items())
     loguru.logger.bind(event=int(event), fields=text, **fields).log(
         level, message
--- /dev/null
+++ b/wisteriasill/links/operator_orders.py
@@ -0,0 +1,237 @@
+"""Writes operators' orders to the table, each of them once."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+import time
+from typing import Annotated, NamedTuple, NoReturn
+
+import pydantic
+from returns import result
+
+from wisteriasill import documents
+from wisteriasill import errors
+from wisteriasill.contracts import jobs
+from wisteriasill.contracts import orders
+from wisteriasill.contracts import service as services
+from wisteriasill.contracts import service_checks
+from wisteriasill.links import platform
+from wisteriasill.zones import site as sites
+
+# Maps an order's name to its row. The row's own key begins with the shard,
+# which may differ for a repeat after the host has moved.
+INDEX_TABLE = "order_ids"
+HOLD_DETAIL = "hold"
+MAX_TEXT = 200
+
+OrderId = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9-]{8,64}$")]
+Text = Annotated[str, pydantic.Field(min_length=1, max_length=MAX_TEXT)]
+
+_HOST_KINDS = frozenset(
+    {orders.OrderKind.DRAIN, orders.OrderKind.RETURN, orders.OrderKind.MOVE}
+)
+_WAVE_KINDS = frozenset(
+    {orders.OrderKind.PAUSE_WAVES, orders.OrderKind.RESUME_WAVES}
+)
+
+
+class OrderRequest(NamedTuple):
+    """An order as an operator submits it.
+
+    Attributes:
+        order_id: Chosen by the client, so that a repeat is the same order.
+        kind: What is ordered.
+        subject: Host id, pool or job id, as the kind says.
+        author: Operator who orders it.
+        pool: Pool to move to.
+        hold: Whether a drained host stays away until it is returned.
+    """
+
+    order_id: OrderId
+    kind: orders.OrderKind
+    subject: Text
+    author: Text
+    pool: Annotated[str, pydantic.Field(max_length=MAX_TEXT)] = ""
+    hold: bool = False
+
+
+Submitted = result.Result[orders.Order, errors.Failure]
+
+
+def submit(
+    platform_: platform.Platform,
+    snapshot: sites.SiteSnapshot,
+    request: OrderRequest,
+) -> Submitted:
+    """Writes an order unless it is written already.
+
+    Args:
+        platform_: The platform.
+        snapshot: The site as this entry host knows it.
+        request: The order.
+
+    Returns:
+        The order as the table has it, carried out or not.
+    """
+    known = find(platform_, request.order_id)
+    match known:
+        case result.Success(orders.Order() as order):
+            return _same(order, request)
+        case result.Failure(wrong) if (
+            wrong.kind is not errors.ErrorKind.NOT_FOUND
+        ):
+            return result.Failure(wrong)
+    return _shard(platform_, snapshot, request).bind(
+        lambda shard: _write(platform_, _order(request, shard), request)
+    )
+
+
+def find(platform_: platform.Platform, order_id: str) -> Submitted:
+    """Reads an order by its name.
+
+    Args:
+        platform_: The platform.
+        order_id: Name of the order.
+
+    Returns:
+        The order, or NOT_FOUND.
+    """
+    match platform_.table.read(INDEX_TABLE, order_id):
+        case result.Failure(wrong):
+            return result.Failure(wrong)
+        case result.Success(platform.Row(value=value)):
+            row = platform_.table.read(orders.TABLE, str(value.get("key")))
+        case _:
+            return _missing("order", order_id, ())
+    match row:
+        case result.Failure(wrong):
+            return result.Failure(wrong)
+        case result.Success(platform.Row(value=value)):
+            return documents.decode(orders.Order, value)
+    return _missing("order", order_id, ())
+
+
+def _order(request: OrderRequest, shard: str) -> orders.Order:
+    return orders.Order(
+        order_id=request.order_id,
+        shard=shard,
+        kind=request.kind,
+        subject=request.subject.rpartition("/")[2],
+        author=request.author,
+        pool=request.pool,
+        ordered_at=time.time(),
+        detail=HOLD_DETAIL if request.hold else "",
+    )
+
+
+def _same(order: orders.Order, request: OrderRequest) -> Submitted:
+    subject = request.subject.rpartition("/")[2]
+    if (order.kind, order.subject, order.pool) == (
+        request.kind,
+        subject,
+        request.pool,
+    ):
+        return result.Success(order)
+    return result.Failure(
+        errors.failure(
+            errors.ErrorKind.CONFLICT,
+            f'order_id "{order.order_id}" belongs to another order '
+            f"({order.kind.value} {order.subject}); choose a new one",
+        )
+    )
+
+
+def _write(
+    platform_: platform.Platform, order: orders.Order, request: OrderRequest
+) -> Submitted:
+    written = platform_.table.transact(
+        [
+            platform.Condition(INDEX_TABLE, order.order_id, 0),
+            platform.Condition(orders.TABLE, order.key, 0),
+        ],
+        [
+            platform.Write(INDEX_TABLE, order.order_id, {"key": order.key}),
+            platform.Write(orders.TABLE, order.key, documents.encode(order)),
+        ],
+    )
+    match written:
+        case result.Success(_):
+            return result.Success(order)
+        case result.Failure(errors.Failure(kind=kind) as wrong):
+            pass
+    if kind in (
+        errors.ErrorKind.CONFLICT,
+        errors.ErrorKind.STORE_OUTCOME_UNKNOWN,
+    ):
+        match find(platform_, order.order_id):
+            case result.Success(existing):
+                return _same(existing, request)
+    return result.Failure(
+        wrong._replace(
+            detail=f"{wrong.detail}; order {order.order_id}: repeat it with "
+            "the same order_id"
+        )
+    )
+
+
+def _shard(
+    platform_: platform.Platform,
+    snapshot: sites.SiteSnapshot,
+    request: OrderRequest,
+) -> result.Result[str, errors.Failure]:
+    """Finds the pool whose holder carries an order out."""
+    configured = snapshot.configuration.services_by_name
+    if request.kind in _WAVE_KINDS:
+        if request.subject not in configured:
+            return _missing("pool", request.subject, configured)
+        return result.Success(request.subject)
+    if request.kind in _HOST_KINDS:
+        return _host_shard(snapshot, configured, request)
+    return platform_.table.scan(jobs.TABLE).bind(
+        lambda rows: _job_shard(rows, request.subject)
+    )
+
+
+def _host_shard(
+    snapshot: sites.SiteSnapshot,
+    configured: Mapping[str, services.Service],
+    request: OrderRequest,
+) -> result.Result[str, errors.Failure]:
+    known = snapshot.hosts_by_id.get(request.subject)
+    if known is None:
+        return _missing("host", request.subject, snapshot.hosts_by_id)
+    is_move = request.kind is orders.OrderKind.MOVE
+    if is_move and request.pool not in configured:
+        return _missing("pool", request.pool, configured)
+    if is_move and request.pool == known.host.pool:
+        return result.Failure(
+            errors.failure(
+                errors.ErrorKind.BAD_REQUEST,
+                f'host "{request.subject}" is in pool "{request.pool}" already',
+            )
+        )
+    return result.Success(known.host.pool)
+
+
+def _job_shard(
+    rows: Iterable[platform.Row], subject: str
+) -> result.Result[str, errors.Failure]:
+    job_id = subject.rpartition("/")[2]
+    keys = [row.key for row in rows]
+    for key in keys:
+        pool, _, found = key.partition("/")
+        if found == job_id:
+            return result.Success(pool)
+    return _missing("job", subject, (key.partition("/")[2] for key in keys))
+
+
+def _missing(
+    what: str, name: str, known: Iterable[str]
+) -> result.Result[NoReturn, errors.Failure]:
+    return result.Failure(
+        errors.failure(
+            errors.ErrorKind.NOT_FOUND,
+            f'no {what} "{name}" is known'
+            + service_checks.nearest(name, known),
+        )
+    )
--- /dev/null
+++ b/wisteriasill/links/operator_views.py
@@ -0,0 +1,189 @@
+"""What operators are shown of the site: decisions without any transport."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from wisteriasill import documents
+from wisteriasill.contracts import configuration as configurations
+from wisteriasill.machines import host as hosts
+from wisteriasill.zones import site as sites
+
+TOPICS = ("hosts", "members", "configuration")
+
+
+class PoolCounts(NamedTuple):
+    """A pool as it is and as it is promised.
+
+    Attributes:
+        pool: Name of the pool.
+        hosts: Hosts that it holds.
+        hosts_promised: Hosts that its service file names.
+        hosts_usable: Hosts that take new work.
+        hosts_always_usable: Hosts that it promises to keep usable.
+        hosts_by_state: Hosts by state, states without hosts left out.
+        hosts_spare: Hosts that may leave now.
+        spare: Whether it is the spare pool.
+    """
+
+    pool: str
+    hosts: int
+    hosts_promised: int
+    hosts_usable: int
+    hosts_always_usable: int
+    hosts_by_state: Mapping[str, int]
+    hosts_spare: int
+    spare: bool
+
+
+def ages(site: sites.Site) -> dict[str, float | None]:
+    """Returns the age of what is known by topic; None if never confirmed."""
+    found = {topic: site.age_seconds(topic) for topic in TOPICS}
+    return {
+        topic: None if age is None else round(age, 3)
+        for topic, age in found.items()
+    }
+
+
+def pool_counts(snapshot: sites.SiteSnapshot) -> tuple[PoolCounts, ...]:
+    """Counts the hosts of all pools, configured or not.
+
+    Args:
+        snapshot: The site as this entry host knows it.
+
+    Returns:
+        Counts ordered by name.
+    """
+    configured = snapshot.configuration.services_by_name
+    names = sorted({*configured, *snapshot.hosts_by_pool})
+    return tuple(_count(snapshot, name) for name in names)
+
+
+def _count(snapshot: sites.SiteSnapshot, name: str) -> PoolCounts:
+    held = snapshot.hosts_by_pool.get(name, ())
+    service = snapshot.configuration.services_by_name.get(name)
+    by_state = {
+        state.value: sum(host.state is state for host in held)
+        for state in hosts.HostState
+    }
+    usable = by_state[hosts.HostState.SERVING.value]
+    promised = 0 if service is None else service.pool.hosts_always_usable
+    return PoolCounts(
+        pool=name,
+        hosts=len(held),
+        hosts_promised=0 if service is None else service.pool.hosts,
+        hosts_usable=usable,
+        hosts_always_usable=promised,
+        hosts_by_state={
+            state: count for state, count in by_state.items() if count
+        },
+        hosts_spare=max(usable - promised, 0),
+        spare=service is not None and service.pool.spare,
+    )
+
+
+def status(
+    snapshot: sites.SiteSnapshot, generations_by_member: Mapping[str, int]
+) -> dict[str, Any]:
+    """Builds the overview of the site.
+
+    Args:
+        snapshot: The site as this entry host knows it.
+        generations_by_member: Generation in force at each member heard of.
+
+    Returns:
+        Plain data.
+    """
+    configuration = snapshot.configuration
+    return {
+        "site": configuration.site.name,
+        "prefer": configuration.site.prefer.value,
+        "generation": configuration.generation,
+        "pools": [documents.encode(item) for item in pool_counts(snapshot)],
+        "members": [
+            {
+                "member_id": member.member_id,
+                "availability_zone": member.availability_zone,
+                "leaving": member.leaving,
+                "generation": generations_by_member.get(member.member_id),
+            }
+            for member in sorted(snapshot.members_by_id.values())
+        ],
+    }
+
+
+def host_rows(
+    snapshot: sites.SiteSnapshot, pool: str = "", state: str = ""
+) -> list[dict[str, Any]]:
+    """Lists hosts.
+
+    Args:
+        snapshot: The site as this entry host knows it.
+        pool: Only hosts of this pool; empty for all.
+        state: Only hosts in this state; empty for all.
+
+    Returns:
+        Host rows as plain data, by pool and id.
+    """
+    return [
+        _host_row(host)
+        for name, members in sorted(snapshot.hosts_by_pool.items())
+        if pool in ("", name)
+        for host in members
+        if state in ("", host.state.value)
+    ]
+
+
+def _host_row(host: hosts.Host) -> dict[str, Any]:
+    row: dict[str, Any] = documents.encode(host)
+    del row["token"]  # Writers compare it; it means nothing to readers.
+    return row
+
+
+def configuration_document(
+    configuration: configurations.Configuration,
+) -> dict[str, Any]:
+    """Builds the configuration in force with all its documents."""
+    contracts: dict[str, Any] = dict(configuration.services_by_name)
+    if configurations.SITE_DOCUMENT in configuration.manifest.entries:
+        contracts[configurations.SITE_DOCUMENT] = configuration.site
+    return {
+        "generation": configuration.generation,
+        "documents": [
+            {
+                "name": name,
+                **documents.encode(entry),
+                "document": documents.encode(contracts.get(name)),
+            }
+            for name, entry in sorted(configuration.manifest.entries.items())
+        ],
+    }
+
+
+def plan(snapshot: sites.SiteSnapshot) -> list[dict[str, Any]]:
+    """Builds the maintenance outlook with the three measures of each pool."""
+    rows = []
+    for counts in pool_counts(snapshot):
+        service = snapshot.configuration.services_by_name.get(counts.pool)
+        if service is None:
+            continue
+        held = snapshot.hosts_by_pool.get(counts.pool, ())
+        away_at_once = max(counts.hosts - counts.hosts_always_usable, 0)
+        rounds = -(-counts.hosts // away_at_once) if away_at_once else None
+        minutes = service.pool.maintenance_minutes
+        rows.append(
+            {
+                "pool": counts.pool,
+                "hosts": counts.hosts,
+                "hosts_away_at_once": away_at_once,
+                "buffer_hosts": away_at_once,
+                "roll_out_minutes": rounds and rounds * minutes,
+                "host_moves": sum(bool(host.next_pool) for host in held),
+                "maintenance_every_days": service.pool.maintenance_every_days,
+                "last_maintained_at": min(
+                    (host.maintained_at for host in held), default=0.0
+                ),
+            }
+        )
+    return rows
