--- /dev/null
+++ b/wisteriasill/machines/entry_host.py
@@ -0,0 +1,160 @@
+"""An entry host: the one place where settings become objects."""
+
+from __future__ import annotations
+
+import secrets
+
+from wisteriasill import clock as clocks
+from wisteriasill import events
+from wisteriasill import metrics as metrics_module
+from wisteriasill import settings as settings_module
+from wisteriasill.contracts import configuration_store
+from wisteriasill.contracts import idempotency
+from wisteriasill.links import caller_link
+from wisteriasill.links import dispatch
+from wisteriasill.links import operator_link
+from wisteriasill.links import peer_link
+from wisteriasill.links import platform_link
+from wisteriasill.machines import controller
+from wisteriasill.machines import job_keeper
+from wisteriasill.zones import membership
+from wisteriasill.zones import site as sites
+from wisteriasill.zones import site_poll
+
+
+class EntryHost:
+    """One entry host with its links, its view of the site and its shards.
+
+    Attributes:
+        settings: The settings, with the ports that were bound.
+        site: What this entry host knows.
+        metrics: Its metrics.
+    """
+
+    def __init__(
+        self,
+        settings: settings_module.EntrySettings,
+        clock: clocks.Clock | None = None,
+    ) -> None:
+        self._clock = clock or clocks.SystemClock()
+        self._incarnation = secrets.token_hex(8)
+        self._leaving = False
+        self.metrics = metrics_module.Metrics()
+        self.site = sites.Site(self._clock)
+        self._platform = platform_link.PlatformLink(settings)
+        self._peers = peer_link.PeerLinks(
+            settings, self.site, self._incarnation, self.metrics, self._clock
+        )
+        self._idempotency = idempotency.IdempotencyRegistry(
+            self._platform, settings, self._clock
+        )
+        self._dispatcher = dispatch.Dispatcher(
+            settings,
+            self.site,
+            self._peers,
+            self._idempotency,
+            self.metrics,
+            self._clock,
+        )
+        self._callers = caller_link.CallerLink(
+            settings, self._dispatcher, self, self.metrics
+        )
+        self._operators = operator_link.OperatorLink(
+            settings, self._platform, self.site, self._peers, self.metrics
+        )
+        self.settings = settings
+
+    def ready(self) -> str:
+        """Returns why callers should go elsewhere; empty when ready."""
+        if self._leaving:
+            return "the entry host is shutting down"
+        snapshot = self.site.snapshot
+        if snapshot.configuration.generation == 0:
+            return "no configuration is known yet"
+        if not snapshot.hosts_by_id:
+            return "no host is known yet"
+        return ""
+
+    def start(self) -> None:
+        """Binds the ports and starts all tasks.
+
+        Raises:
+            OSError: A port is in use or an address is not this machine's.
+        """
+        self._peers.start()
+        self._callers.start()
+        self._operators.start()
+        self.settings = self.settings._replace(
+            peer_port=self._peers.port,
+            caller_port=self._callers.port,
+            operator_port=self._operators.port,
+        )
+        self._idempotency.start()
+        self._start_site_tasks()
+        events.log(
+            events.Event.STARTED,
+            "entry host started",
+            member=self.settings.member_id,
+            caller_port=self.settings.caller_port,
+            operator_port=self.settings.operator_port,
+            peer_port=self.settings.peer_port,
+        )
+
+    def _start_site_tasks(self) -> None:
+        self._membership = membership.Membership(
+            self.settings,
+            self._platform,
+            self.site,
+            self._peers,
+            self._incarnation,
+            self._clock,
+        )
+        self._poll = site_poll.SitePoll(
+            self.settings,
+            self._platform,
+            self.site,
+            self._peers,
+            self._clock,
+            configuration_store.load,
+        )
+        self._controller = controller.Controller(
+            self.settings,
+            self._platform,
+            self.site,
+            self._peers,
+            self._incarnation,
+            self._clock,
+            job_keeper.JobKeeper(
+                self._platform, self._clock, secrets.token_hex
+            ),
+        )
+        self._membership.start()
+        self._poll.start()
+        if self.settings.control:
+            self._controller.start()
+
+    def stop(self) -> None:
+        """Leaves without cutting off a request in progress.
+
+        Readiness falls first; the balancer gets `drain_notice_seconds` to
+        notice before the callers' port closes.
+        """
+        self._leaving = True
+        events.log(
+            events.Event.STOPPING,
+            "entry host is stopping",
+            member=self.settings.member_id,
+        )
+        self._membership.announce_leaving()
+        self._controller.stop()
+        self._callers.stop(self.settings.shutdown_seconds)
+        self._operators.stop(1.0)
+        self._poll.stop()
+        self._membership.stop()
+        self._peers.stop()
+        self._idempotency.stop()
+        events.log(
+            events.Event.STOPPED,
+            "entry host stopped",
+            member=self.settings.member_id,
+        )
