--- /dev/null
+++ b/standins/event_loop.py
@@ -0,0 +1,28 @@
+"""The event loop thread that the stand-ins of a process share."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+import functools
+import threading
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+CALL_SECONDS = 10.0
+
+
+@functools.cache
+def event_loop() -> asyncio.AbstractEventLoop:
+    """Returns the loop that all back ends of this process share."""
+    loop = asyncio.new_event_loop()
+    threading.Thread(
+        target=loop.run_forever, name="back-ends", daemon=True
+    ).start()
+    return loop
+
+
+def call(coroutine: Coroutine[Any, Any, T]) -> T:
+    """Runs a coroutine on the shared loop and waits for its result."""
+    future = asyncio.run_coroutine_threadsafe(coroutine, event_loop())
+    return future.result(CALL_SECONDS)
--- /dev/null
+++ b/wisteriasill/contracts/routing.py
@@ -0,0 +1,76 @@
+"""Which service and request class a request belongs to."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from returns import result
+
+from wisteriasill import errors
+from wisteriasill.contracts import exchange
+from wisteriasill.contracts import service as services
+
+
+class Route(NamedTuple):
+    """Where a request goes and how it is treated."""
+
+    service: services.Service
+    request_class: services.RequestClass
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the request may be run more than once."""
+        return self.request_class.repeat is services.Repeat.SAFE
+
+
+def has_prefix(path: str, prefix: str) -> bool:
+    """Returns whether a path is a prefix's or below it, by whole segments."""
+    base = prefix.rstrip("/")
+    return path == base or path.startswith(base + "/")
+
+
+def find_route(
+    services_by_name: Mapping[str, services.Service],
+    request: exchange.CallerRequest,
+) -> result.Result[Route, errors.Failure]:
+    """Finds service and class; the longest matching path wins.
+
+    Args:
+        services_by_name: Services of the configuration in force.
+        request: The caller's request.
+
+    Returns:
+        The route, or UNKNOWN_SERVICE or METHOD_NOT_ALLOWED.
+    """
+    matching = [
+        item
+        for item in services_by_name.values()
+        if item.path_prefix and has_prefix(request.path, item.path_prefix)
+    ]
+    if not matching:
+        return _unknown(f"no service has the path {request.path}")
+    service = max(matching, key=lambda item: len(item.path_prefix.rstrip("/")))
+    rest = request.path[len(service.path_prefix.rstrip("/")) :] or "/"
+    on_path = [item for item in service.requests if has_prefix(rest, item.path)]
+    if not on_path:
+        return _unknown(f"{service.name} has no class for {request.path}")
+    allowed = [item for item in on_path if _allows(item, request.method)]
+    if not allowed:
+        detail = f"{service.name} takes no {request.method} at {request.path}"
+        return result.Failure(
+            errors.failure(errors.ErrorKind.METHOD_NOT_ALLOWED, detail)
+        )
+    chosen = max(allowed, key=lambda item: len(item.path.rstrip("/")))
+    return result.Success(Route(service, chosen))
+
+
+def _allows(request_class: services.RequestClass, method: str) -> bool:
+    methods = request_class.methods
+    return method in methods or (method == "HEAD" and "GET" in methods)
+
+
+def _unknown(detail: str) -> result.Result[Route, errors.Failure]:
+    return result.Failure(
+        errors.failure(errors.ErrorKind.UNKNOWN_SERVICE, detail)
+    )
--- /dev/null
+++ b/wisteriasill/contracts/slots.py
@@ -0,0 +1,120 @@
+"""How entry hosts share the slots of workers."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable, Sequence
+import random
+import threading
+from typing import Protocol
+
+from wisteriasill import clock as clocks
+from wisteriasill import settings as setting_types
+from wisteriasill.links import peer_messages
+from wisteriasill.machines import host as hosts
+
+Groups = Sequence[Sequence[hosts.Host]]
+
+
+class SlotPolicy(Protocol):
+    """Chooses a target and reserves one of its slots."""
+
+    def reserve(self, groups: Groups) -> hosts.Host | None:
+        """Reserves a slot.
+
+        Args:
+            groups: Targets in order of preference; those of a group are
+                equally good.
+
+        Returns:
+            A target of the first group that has room, None if none has.
+        """
+
+    def release(self, host_id: str) -> None:
+        """Gives a reserved slot back."""
+
+    def in_flight(self, host_id: str) -> int:
+        """Returns this entry host's own reservations of a target."""
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Calls a function when a target may have room again."""
+
+    def start(self) -> None:
+        """Starts the policy's task, if it has one."""
+
+    def stop(self) -> None:
+        """Ends and joins it."""
+
+
+class IndependentSlots:
+    """Each entry host acts on its own; workers refuse what is too much.
+
+    Args:
+        chooser: Source of random choices between equals.
+    """
+
+    def __init__(self, chooser: random.Random) -> None:
+        self._chooser = chooser
+        self._lock = threading.Lock()
+        self._own_by_host_id: collections.Counter[str] = collections.Counter()
+
+    def reserve(self, groups: Groups) -> hosts.Host | None:
+        """Reserves a slot of the target with the fewest own requests."""
+        with self._lock:
+            for group in groups:
+                free = [
+                    item
+                    for item in group
+                    if self._own_by_host_id[item.host_id] < item.slots
+                ]
+                if free:
+                    chosen = min(free, key=self._order)
+                    self._own_by_host_id[chosen.host_id] += 1
+                    return chosen
+        return None
+
+    def release(self, host_id: str) -> None:
+        """Gives a reserved slot back."""
+        with self._lock:
+            self._own_by_host_id[host_id] -= 1
+
+    def in_flight(self, host_id: str) -> int:
+        """Returns this entry host's own reservations of a target."""
+        return self._own_by_host_id[host_id]
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Does nothing: only own releases make room here."""
+
+    def start(self) -> None:
+        """Does nothing: there is no task."""
+
+    def stop(self) -> None:
+        """Does nothing: there is no task."""
+
+    def _order(self, item: hosts.Host) -> tuple[int, float]:
+        return self._own_by_host_id[item.host_id], self._chooser.random()
+
+
+def build(
+    settings: setting_types.EntrySettings,
+    mesh: peer_messages.PeerMesh,
+    chooser: random.Random,
+    clock: clocks.Clock,
+) -> SlotPolicy:
+    """Builds the policy that the settings name.
+
+    Args:
+        settings: Settings of this entry host.
+        mesh: Links to the peers.
+        chooser: Source of random choices between equals.
+        clock: Source of monotonic time.
+
+    Returns:
+        The policy, not started.
+
+    Raises:
+        ValueError: If there is no policy of that name.
+    """
+    if settings.slot_policy == "independent":
+        return IndependentSlots(chooser)
+    raise ValueError(f"slot_policy: no policy {settings.slot_policy!r}")
--- /dev/null
+++ b/wisteriasill/links/caller_link.py
@@ -0,0 +1,259 @@
+"""The callers' HTTP server."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from concurrent import futures
+import http
+import threading
+import time
+from typing import TYPE_CHECKING, Any, Protocol
+
+from cheroot import errors as cheroot_errors
+from returns import result
+from werkzeug import wrappers
+
+from wisteriasill import errors
+from wisteriasill import metrics as metric_types
+from wisteriasill import settings as setting_types
+from wisteriasill.contracts import exchange
+from wisteriasill.links import caller_server
+from wisteriasill.links import http_headers
+from wisteriasill.links import problem
+
+if TYPE_CHECKING:
+    from _typeshed.wsgi import StartResponse
+
+READ_BYTES = 64 * 1024
+STATUS_WITHOUT_BODY = (204, 304)
+
+
+class Health(Protocol):
+    """Tells whether this entry host can serve callers."""
+
+    def ready(self) -> str:
+        """Returns why it is not ready; empty when it is."""
+
+
+class RequestHandler(Protocol):
+    """Answers callers' requests; the dispatcher is one."""
+
+    def handle(
+        self, request: exchange.CallerRequest
+    ) -> result.Result[exchange.Reply, errors.Failure]:
+        """Answers one request."""
+
+
+class CallerLink:
+    """Reads callers' requests whole and writes their answers.
+
+    Args:
+        settings: Settings of this entry host.
+        dispatcher: Answers the requests.
+        health: Tells whether this entry host is ready.
+        metrics: Metrics of this process, served at `/metrics`.
+    """
+
+    def __init__(
+        self,
+        settings: setting_types.EntrySettings,
+        dispatcher: RequestHandler,
+        health: Health,
+        metrics: metric_types.Metrics,
+    ) -> None:
+        self._settings = settings
+        self._dispatcher = dispatcher
+        self._health = health
+        self._metrics = metrics
+        self._server = caller_server.CallerServer(settings, self._application)
+        self._executor = futures.ThreadPoolExecutor(
+            1, thread_name_prefix="callers"
+        )
+        self._serving: futures.Future[None] | None = None
+        self._pages: dict[str, Callable[[wrappers.Request], Any]] = {
+            "/healthz": self._healthz,
+            "/readyz": self._readyz,
+            "/metrics": self._metrics_page,
+        }
+
+    @property
+    def port(self) -> int:
+        """The port that callers connect to."""
+        return int(self._server.bind_addr[1])
+
+    def start(self) -> None:
+        """Opens the port and serves callers."""
+        self._server.prepare()
+        self._serving = self._executor.submit(self._server.serve)
+
+    def stop(self, deadline_seconds: float) -> None:
+        """Stops without cutting off a request.
+
+        Readiness falls and connections are closed with their next answer;
+        after the notice for the balancer the port is closed, and requests in
+        progress end.
+
+        Args:
+            deadline_seconds: Longest time for all of it.
+        """
+        if self._serving is None:
+            return
+        deadline_at = time.monotonic() + deadline_seconds
+        self._server.stopping_event.set()
+        threading.Event().wait(
+            min(self._settings.drain_notice_seconds, deadline_seconds / 2)
+        )
+        self._server.shutdown_timeout = max(0.1, deadline_at - time.monotonic())
+        self._server.stop()
+        self._serving.result(timeout=1.0)
+        self._executor.shutdown()
+        self._serving = None
+
+    def _application(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        request = wrappers.Request(environ, populate_request=False)
+        page = self._pages.get(request.path)
+        if page is not None:
+            answer = page(request)
+            return _as_bytes(answer(environ, start_response))
+        read = read_request(request, self._settings.max_body_bytes)
+        if isinstance(read, result.Success):
+            outcome = self._dispatcher.handle(read.unwrap())
+            if isinstance(outcome, result.Success):
+                return _write_reply(request, outcome.unwrap(), start_response)
+            failure = outcome.failure()
+        else:
+            failure = read.failure()
+        answer = problem.response(failure)
+        _echo_request_id(request, answer.headers)
+        return _as_bytes(answer(environ, start_response))
+
+    def _healthz(self, request: wrappers.Request) -> wrappers.Response:
+        return wrappers.Response("alive\n", content_type="text/plain")
+
+    def _readyz(self, request: wrappers.Request) -> wrappers.Response:
+        if self._server.stopping_event.is_set():
+            return problem.response(
+                errors.failure(
+                    errors.ErrorKind.SHUTTING_DOWN,
+                    "a planned stop",
+                )
+            )
+        reason = self._health.ready()
+        if reason:
+            return problem.response(
+                errors.failure(errors.ErrorKind.NOT_READY, reason)
+            )
+        return wrappers.Response("ready\n", content_type="text/plain")
+
+    def _metrics_page(self, request: wrappers.Request) -> wrappers.Response:
+        body, headers = self._metrics.render(request.headers.getlist("Accept"))
+        return wrappers.Response(body, headers=headers)
+
+
+def read_request(
+    request: wrappers.Request, max_body_bytes: int
+) -> result.Result[exchange.CallerRequest, errors.Failure]:
+    """Reads a caller's request whole.
+
+    Args:
+        request: The request, its body not read yet.
+        max_body_bytes: Largest body.
+
+    Returns:
+        The request, or BAD_REQUEST or BODY_TOO_LARGE.
+    """
+    deadline = request.headers.get(exchange.DEADLINE_HEADER, "0")
+    if not (deadline.isascii() and deadline.isdigit() and len(deadline) < 10):
+        return _malformed(f"{exchange.DEADLINE_HEADER}: {deadline!r}")
+    body = _read_body(request, max_body_bytes)
+    if not isinstance(body, result.Success):
+        return result.Failure(body.failure())
+    headers = tuple(request.headers.items())
+    return result.Success(
+        exchange.CallerRequest(
+            method=request.method,
+            path=request.path,
+            query=request.query_string.decode("latin-1"),
+            headers=http_headers.end_to_end(headers),
+            body=body.unwrap(),
+            caller=http_headers.first(headers, exchange.CALLER_HEADER)
+            or exchange.ANONYMOUS_CALLER,
+            idempotency_key=http_headers.first(
+                headers, exchange.IDEMPOTENCY_KEY_HEADER
+            ),
+            deadline_ms=int(deadline),
+            received_at=time.monotonic(),
+        )
+    )
+
+
+def _read_body(
+    request: wrappers.Request, max_body_bytes: int
+) -> result.Result[bytes, errors.Failure]:
+    stream = request.environ["wsgi.input"]
+    parts = []
+    total = 0
+    try:
+        while part := stream.read(READ_BYTES):
+            parts.append(part)
+            total += len(part)
+            if total > max_body_bytes:
+                return _too_large(max_body_bytes)
+    except cheroot_errors.MaxSizeExceeded:
+        return _too_large(max_body_bytes)
+    except ValueError as error:
+        return _malformed(f"body: {error}")
+    expected = request.content_length
+    if expected is not None and total != expected:
+        return _malformed(f"body: {total} of {expected} bytes arrived")
+    return result.Success(b"".join(parts))
+
+
+def _malformed(detail: str) -> result.Result[Any, errors.Failure]:
+    return result.Failure(errors.failure(errors.ErrorKind.BAD_REQUEST, detail))
+
+
+def _too_large(max_body_bytes: int) -> result.Result[Any, errors.Failure]:
+    return result.Failure(
+        errors.failure(
+            errors.ErrorKind.BODY_TOO_LARGE,
+            f"body: more than {max_body_bytes} bytes",
+        )
+    )
+
+
+def _write_reply(
+    request: wrappers.Request,
+    reply: exchange.Reply,
+    start_response: StartResponse,
+) -> Iterable[bytes]:
+    headers = list(reply.headers)
+    without_body = (
+        request.method == "HEAD" or reply.status in STATUS_WITHOUT_BODY
+    )
+    if not without_body:
+        headers.append(("Content-Length", str(len(reply.body))))
+    own_id = request.headers.get(exchange.REQUEST_ID_HEADER)
+    if own_id:
+        headers.append((exchange.REQUEST_ID_HEADER, own_id))
+    start_response(f"{reply.status} {_phrase(reply.status)}", headers)
+    return () if without_body else (reply.body,)
+
+
+def _echo_request_id(request: wrappers.Request, headers: Any) -> None:
+    own_id = request.headers.get(exchange.REQUEST_ID_HEADER)
+    if own_id:
+        headers[exchange.REQUEST_ID_HEADER] = own_id
+
+
+def _phrase(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Unassigned"
+
+
+def _as_bytes(parts: Any) -> Iterable[bytes]:
+    return tuple(parts)
--- /dev/null
+++ b/wisteriasill/links/caller_server.py
@@ -0,0 +1,169 @@
+"""cheroot with total read times and problem documents."""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+import time
+from typing import Any
+
+from cheroot import makefile
+from cheroot import server
+from cheroot import wsgi
+
+from wisteriasill import errors
+from wisteriasill import settings as setting_types
+from wisteriasill.contracts import exchange
+from wisteriasill.links import problem
+
+# How soon a thread that waits for the first byte notices the shutdown.
+STOP_CHECK_SECONDS = 0.5
+# Idle keep-alive connections wait in cheroot's selector at no thread's cost.
+KEEP_ALIVE_LIMIT = 2000
+LISTEN_BACKLOG = 512
+# Readable connections that wait for a thread, for each thread.
+ACCEPTED_QUEUE = 4
+
+
+class _TimedSocketIO(socket.SocketIO):
+    """Reads with a limit on the total time of one request.
+
+    The socket's own timeout starts anew with each byte, so a sender of one
+    byte at a time could hold a thread for hours.
+    """
+
+    def __init__(
+        self, sock: socket.socket, seconds: float, stopping: threading.Event
+    ) -> None:
+        super().__init__(sock, "r")
+        self._connection = sock
+        self._seconds = seconds
+        self._stopping = stopping
+        self._deadline_at = 0.0
+        self._started = False
+        self.restart()
+
+    def restart(self) -> None:
+        """Starts the time of the next request."""
+        self._deadline_at = time.monotonic() + self._seconds
+        self._started = False
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Reads some bytes, as `io.RawIOBase.readinto` says."""
+        while True:
+            remaining = self._deadline_at - time.monotonic()
+            if remaining <= 0:
+                raise TimeoutError("timed out")
+            first = not self._started
+            slice_seconds = STOP_CHECK_SECONDS if first else remaining
+            self._connection.settimeout(min(remaining, slice_seconds))
+            try:
+                count = self._connection.recv_into(buffer)
+            except TimeoutError:
+                if first and not self._stopping.is_set():
+                    continue
+                if first:
+                    return 0
+                raise
+            finally:
+                self._connection.settimeout(self._seconds)
+            self._started = True
+            return count
+
+
+class _Reader(makefile.StreamReader):
+    """cheroot's reader over a socket with a total time."""
+
+    def __init__(self, timed: _TimedSocketIO) -> None:
+        # The constructor of StreamReader would make a SocketIO of its own.
+        super(makefile.StreamReader, self).__init__(timed)
+        self.bytes_read = 0
+        self.timed = timed
+
+
+class _Request(server.HTTPRequest):
+    """A request whose protocol errors are problem documents."""
+
+    def parse_request(self) -> None:
+        """Starts the request's total time and reads its head."""
+        self.conn.rfile.timed.restart()
+        super().parse_request()
+
+    def simple_response(self, status: object, msg: str = "") -> None:
+        """Answers an error of the protocol and closes the connection."""
+        text = str(status)
+        code = int(text[:3])
+        kind = errors.ErrorKind.BAD_REQUEST
+        if code in (413, 414):
+            kind = errors.ErrorKind.BODY_TOO_LARGE
+        elif code == 500:
+            kind = errors.ErrorKind.INTERNAL
+        failure = errors.failure(kind, msg or text[4:])
+        body = json.dumps(problem.document(failure) | {"status": code}) + "\n"
+        lines = (
+            f"{self.server.protocol} {text}",
+            f"Content-Type: {problem.MEDIA_TYPE}",
+            f"Content-Length: {len(body)}",
+            f"{exchange.EXECUTED_HEADER}: {failure.executed}",
+            "Connection: close",
+        )
+        self.close_connection = True
+        self.sent_headers = True
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        self.conn.wfile.write((head + body).encode("utf-8"))
+
+
+class _Connection(server.HTTPConnection):
+    """A connection that reads through a `_Reader`."""
+
+    RequestHandlerClass = _Request
+
+    def __init__(
+        self, owner: CallerServer, sock: socket.socket, *_: Any
+    ) -> None:
+        def make(sock: socket.socket, mode: str, size: int) -> Any:
+            if "w" in mode:
+                return makefile.StreamWriter(sock, mode, size)
+            return _Reader(
+                _TimedSocketIO(sock, owner.read_seconds, owner.stopping_event)
+            )
+
+        super().__init__(owner, sock, make)
+
+
+class CallerServer(wsgi.Server):
+    """cheroot's server with this product's limits.
+
+    Args:
+        settings: Settings of this entry host.
+        application: The WSGI application.
+    """
+
+    ConnectionClass = _Connection
+
+    def __init__(
+        self, settings: setting_types.EntrySettings, application: Any
+    ) -> None:
+        super().__init__(
+            (settings.listen_address, settings.caller_port),
+            application,
+            numthreads=settings.caller_threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=max(1, round(settings.socket_timeout_seconds)),
+            accepted_queue_size=ACCEPTED_QUEUE * settings.caller_threads,
+            accepted_queue_timeout=0,
+        )
+        self.keep_alive_conn_limit = KEEP_ALIVE_LIMIT
+        self.max_request_header_size = settings.max_header_bytes
+        self.max_request_body_size = settings.max_body_bytes
+        self.expiration_interval = 0.1
+        self.read_seconds = settings.socket_timeout_seconds
+        self.stopping_event = threading.Event()
+
+    @property
+    def can_add_keepalive_connection(self) -> bool:
+        """Whether an answered connection stays open."""
+        return not self.stopping_event.is_set() and bool(
+            super().can_add_keepalive_connection
+        )
--- /dev/null
+++ b/wisteriasill/links/target_link.py
@@ -0,0 +1,252 @@
+"""Requests to targets, over bounded and briefly reused connections."""
+
+from __future__ import annotations
+
+import collections
+import threading
+import time
+from typing import Any, NamedTuple
+import urllib.parse
+
+import pycurl
+from returns import result
+
+from wisteriasill import errors
+from wisteriasill import settings as setting_types
+from wisteriasill.contracts import exchange
+from wisteriasill.links import http_headers
+from wisteriasill.links import target_response
+from wisteriasill.machines import host as hosts
+
+# Zones are a few milliseconds apart; a connection that takes longer than
+# this is to a host that is gone.
+CONNECT_SECONDS = 1.0
+SAFE_PATH_CHARACTERS = "/:@!$&'()*+,;=-._~"
+METHODS_WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
+
+
+class _Idle(NamedTuple):
+    """An open connection and the time of its last use."""
+
+    curl: Any
+    used_at: float
+
+
+class TargetLink:
+    """The connections of this entry host to all targets.
+
+    A connection is used by the thread of its request. Thread safe.
+
+    Args:
+        settings: Settings of this entry host.
+    """
+
+    def __init__(self, settings: setting_types.EntrySettings) -> None:
+        self._settings = settings
+        self._lock = threading.Lock()
+        self._idle_by_address: dict[str, collections.deque[_Idle]] = (
+            collections.defaultdict(collections.deque)
+        )
+        self._open_by_address: collections.Counter[str] = collections.Counter()
+
+    def send(
+        self,
+        target: hosts.Host,
+        request: exchange.CallerRequest,
+        attempt: target_response.Attempt,
+    ) -> target_response.Outcome:
+        """Sends a request and waits for the whole answer.
+
+        Args:
+            target: Where to.
+            request: The caller's request.
+            attempt: Id, deadline and connection of this attempt.
+
+        Returns:
+            The reply, or a failure that says whether the target may have
+            executed the request.
+        """
+        curl = self._acquire(target.address, attempt)
+        if curl is None:
+            return target_response.failed(
+                errors.ErrorKind.TARGET_REFUSED,
+                f"{target.host_id}: all connections are in use",
+                errors.Executed.NO,
+            )
+        reusable = False
+        try:
+            outcome, reusable = self._perform(curl, target, request, attempt)
+        finally:
+            self._give_back(
+                target.address, curl, reusable and not attempt.fresh_connection
+            )
+        return outcome
+
+    def close_idle(self, address: str) -> None:
+        """Closes the idle connections to an address."""
+        with self._lock:
+            idle = self._idle_by_address.pop(address, ())
+            self._open_by_address[address] -= len(idle)
+        for item in idle:
+            item.curl.close()
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for address in tuple(self._idle_by_address):
+            self.close_idle(address)
+
+    def open_connections(self, address: str) -> int:
+        """Returns the open connections to an address, idle ones included."""
+        return self._open_by_address[address]
+
+    def _acquire(
+        self, address: str, attempt: target_response.Attempt
+    ) -> Any | None:
+        self._close_expired(address)
+        with self._lock:
+            idle = self._idle_by_address[address]
+            if idle and not attempt.fresh_connection:
+                return idle.pop().curl
+            surplus = None
+            if self._open_by_address[address] >= attempt.connection_limit:
+                if not idle:
+                    return None
+                surplus = idle.popleft()
+            else:
+                self._open_by_address[address] += 1
+        if surplus is not None:
+            surplus.curl.close()
+        return pycurl.Curl()
+
+    def _close_expired(self, address: str) -> None:
+        oldest = time.monotonic() - self._settings.idle_connection_seconds
+        expired = []
+        with self._lock:
+            idle = self._idle_by_address[address]
+            while idle and idle[0].used_at < oldest:
+                expired.append(idle.popleft())
+            self._open_by_address[address] -= len(expired)
+        for item in expired:
+            item.curl.close()
+
+    def _give_back(self, address: str, curl: Any, reusable: bool) -> None:
+        if not reusable:
+            curl.close()
+        with self._lock:
+            if reusable:
+                idle = self._idle_by_address[address]
+                idle.append(_Idle(curl, time.monotonic()))
+            else:
+                self._open_by_address[address] -= 1
+
+    def _perform(
+        self,
+        curl: Any,
+        target: hosts.Host,
+        request: exchange.CallerRequest,
+        attempt: target_response.Attempt,
+    ) -> tuple[target_response.Outcome, bool]:
+        remaining = attempt.deadline_at - time.monotonic()
+        if remaining <= 0:
+            detail = f"{target.host_id}: the deadline passed before sending"
+            kind = errors.ErrorKind.DEADLINE_EXCEEDED
+            return target_response.failed(
+                kind, detail, errors.Executed.NO
+            ), False
+        response = target_response.Response(self._settings.max_body_bytes)
+        _set_options(curl, target, request, attempt, remaining)
+        curl.setopt(pycurl.HEADERFUNCTION, response.add_header)
+        curl.setopt(pycurl.WRITEFUNCTION, response.add_body)
+        try:
+            curl.perform()
+        except pycurl.error as error:
+            failure = _curl_failure(curl, target, response, error)
+            if failure.kind is errors.ErrorKind.DEADLINE_EXCEEDED:
+                # Other connections to a silent target are silent as well.
+                self.close_idle(target.address)
+            return result.Failure(failure), False
+        outcome = target_response.check_response(
+            target, request, attempt, response
+        )
+        kept = (
+            "close"
+            not in http_headers.first(response.headers, "Connection").lower()
+        )
+        return outcome, kept and isinstance(outcome, result.Success)
+
+
+def _set_options(
+    curl: Any,
+    target: hosts.Host,
+    request: exchange.CallerRequest,
+    attempt: target_response.Attempt,
+    remaining_seconds: float,
+) -> None:
+    curl.reset()
+    path = urllib.parse.quote(request.path, safe=SAFE_PATH_CHARACTERS)
+    query = f"?{request.query}" if request.query else ""
+    headers = http_headers.end_to_end(request.headers)
+    lines = [f"{name}: {value}" for name, value in headers]
+    lines.append(f"{exchange.REQUEST_ID_HEADER}: {attempt.attempt_id}")
+    lines.append(
+        f"{exchange.DEADLINE_HEADER}: {max(1, int(remaining_seconds * 1000))}"
+    )
+    # curl adds these of its own unless they are given or switched off.
+    lines.extend(
+        f"{name}:"
+        for name in ("Expect", "Content-Type", "User-Agent", "Accept")
+        if not http_headers.first(headers, name)
+    )
+    milliseconds = max(1, int(remaining_seconds * 1000))
+    options = {
+        pycurl.URL: f"http://{target.address}{path}{query}",
+        pycurl.HTTPHEADER: lines,
+        pycurl.NOSIGNAL: 1,
+        pycurl.PROXY: "",
+        pycurl.PATH_AS_IS: 1,
+        pycurl.HTTP_VERSION: pycurl.CURL_HTTP_VERSION_1_1,
+        pycurl.MAXCONNECTS: 1,
+        pycurl.TIMEOUT_MS: milliseconds,
+        pycurl.CONNECTTIMEOUT_MS: min(
+            milliseconds, int(CONNECT_SECONDS * 1000)
+        ),
+        pycurl.FRESH_CONNECT: int(attempt.fresh_connection),
+        pycurl.FORBID_REUSE: int(attempt.fresh_connection),
+    }
+    for option, value in options.items():
+        curl.setopt(option, value)
+    _set_method(curl, request)
+
+
+def _set_method(curl: Any, request: exchange.CallerRequest) -> None:
+    if request.method == "HEAD":
+        curl.setopt(pycurl.NOBODY, 1)
+        return
+    if request.body or request.method in METHODS_WITH_BODY:
+        curl.setopt(pycurl.POST, 1)
+        curl.setopt(pycurl.POSTFIELDS, request.body)
+    curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+
+
+def _curl_failure(
+    curl: Any,
+    target: hosts.Host,
+    response: target_response.Response,
+    error: pycurl.error,
+) -> errors.Failure:
+    code, text = error.args[0], error.args[1]
+    detail = f"{target.host_id}: {text}"
+    sent = curl.getinfo(pycurl.PRETRANSFER_TIME) > 0 or (
+        curl.getinfo(pycurl.REQUEST_SIZE) > 0
+    )
+    if not sent:
+        return errors.failure(
+            errors.ErrorKind.TARGET_UNREACHABLE, detail, errors.Executed.NO
+        )
+    if code == pycurl.E_OPERATION_TIMEDOUT:
+        kind = errors.ErrorKind.DEADLINE_EXCEEDED
+    elif response.complete_head:
+        kind = errors.ErrorKind.ANSWER_TRUNCATED
+    else:
+        kind = errors.ErrorKind.TARGET_FAILED
+    return errors.failure(kind, detail, errors.Executed.UNKNOWN)
--- /dev/null
+++ b/wisteriasill/machines/target.py
@@ -0,0 +1,214 @@
+"""Workers as one entry host sees them: in flight, refusing, ejected."""
+
+from __future__ import annotations
+
+import enum
+import threading
+from typing import NamedTuple
+
+from wisteriasill import clock as clocks
+from wisteriasill import events
+
+# A moving average with this weight passes the limit at the third failure in
+# a row, and for a target that fails about half of its requests.
+FAILURE_WEIGHT = 0.2
+EJECTION_SHARE = 0.45
+FIRST_EJECTION_SECONDS = 1.0
+LONGEST_EJECTION_SECONDS = 8.0
+# A full worker has room again after about one request time.
+REFUSAL_SECONDS = 0.02
+LONGEST_REFUSAL_SECONDS = 5.0
+
+
+class Verdict(enum.Enum):
+    """What an attempt says about its target.
+
+    GONE is a failed connection; BROKEN a failure that could also be due to
+    the request itself.
+    """
+
+    GOOD = "good"
+    BROKEN = "broken"
+    GONE = "gone"
+
+
+class TargetState(NamedTuple):
+    """A target's state in the memory of one entry host.
+
+    Attributes:
+        failure_share: Moving average of failed attempts.
+        ejections: Ejections in a row.
+        ejected_until: Monotonic end of the ejection; 0 for none.
+        on_trial: Whether the single trial request is in progress.
+        refused_until: Monotonic time before which no request is offered.
+    """
+
+    failure_share: float = 0.0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    on_trial: bool = False
+    refused_until: float = 0.0
+
+    @property
+    def ejected(self) -> bool:
+        """Whether the target is ejected or on trial."""
+        return self.ejected_until > 0
+
+
+def after_attempt(
+    state: TargetState, verdict: Verdict, may_eject: bool, now: float
+) -> TargetState:
+    """Decides a target's state after an attempt.
+
+    Args:
+        state: State before.
+        verdict: What the attempt says about the target.
+        may_eject: Whether the pool can do without the target.
+        now: Monotonic seconds.
+
+    Returns:
+        The state after: a good trial readmits, a bad one doubles the
+        ejection.
+    """
+    failed = verdict is not Verdict.GOOD
+    if state.ejected and not failed:
+        return TargetState()
+    share = state.failure_share + FAILURE_WEIGHT * (
+        failed - state.failure_share
+    )
+    if state.ejected and not state.on_trial:
+        # An attempt from before the ejection ends; it adds nothing.
+        return state
+    if state.on_trial or (share >= EJECTION_SHARE and may_eject):
+        seconds = min(
+            FIRST_EJECTION_SECONDS * 2**state.ejections,
+            LONGEST_EJECTION_SECONDS,
+        )
+        return TargetState(share, state.ejections + 1, now + seconds)
+    return state._replace(failure_share=share)
+
+
+class Targets:
+    """The states of all targets; thread safe.
+
+    Args:
+        clock: Source of monotonic time.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._states_by_host_id: dict[str, TargetState] = {}
+
+    def state(self, host_id: str) -> TargetState:
+        """Returns a target's state."""
+        return self._states_by_host_id.get(host_id, TargetState())
+
+    def is_available(self, host_id: str, trial: bool) -> bool:
+        """Returns whether the target is not ejected.
+
+        Args:
+            host_id: The target.
+            trial: Whether the request may be the single trial request after
+                an ejection.
+        """
+        state = self.state(host_id)
+        if not state.ejected:
+            return True
+        now = self._clock.monotonic()
+        return trial and not state.on_trial and state.ejected_until <= now
+
+    def is_offered(self, host_id: str, trial: bool) -> bool:
+        """Returns whether a request may be sent to the target now.
+
+        Args:
+            host_id: The target.
+            trial: As for `is_available`.
+        """
+        now = self._clock.monotonic()
+        return self.state(host_id).refused_until <= now and self.is_available(
+            host_id, trial
+        )
+
+    def begin(self, host_id: str) -> bool:
+        """Notes that an attempt starts.
+
+        Returns:
+            False if another attempt is the target's trial; nothing may be
+            sent then.
+        """
+        with self._lock:
+            state = self.state(host_id)
+            if not state.ejected:
+                return True
+            if state.on_trial or state.ejected_until > self._clock.monotonic():
+                return False
+            self._states_by_host_id[host_id] = state._replace(on_trial=True)
+            return True
+
+    def end(self, host_id: str, verdict: Verdict, pool: list[str]) -> None:
+        """Notes what an attempt says about its target.
+
+        Args:
+            host_id: The target.
+            verdict: What the attempt says.
+            pool: Host ids of the pool. At most half of them are ejected for
+                failures that may be due to the requests.
+        """
+        with self._lock:
+            before = self.state(host_id)
+            ejected = sum(self.state(item).ejected for item in pool)
+            may_eject = verdict is Verdict.GONE or 2 * (ejected + 1) <= len(
+                pool
+            )
+            after = after_attempt(
+                before, verdict, may_eject, self._clock.monotonic()
+            )
+            self._states_by_host_id[host_id] = after
+        if after.ejections > before.ejections:
+            events.log(
+                events.Event.TARGET_EJECTED,
+                "target ejected after failures",
+                level="WARNING",
+                target=host_id,
+                verdict=verdict.value,
+            )
+        elif before.ejected and not after.ejected:
+            events.log(
+                events.Event.TARGET_READMITTED,
+                "target readmitted after a trial request",
+                target=host_id,
+            )
+
+    def end_trial(self, host_id: str) -> None:
+        """Ends an attempt that says nothing, such as one never sent."""
+        with self._lock:
+            state = self.state(host_id)
+            if state.on_trial:
+                self._states_by_host_id[host_id] = state._replace(
+                    on_trial=False
+                )
+
+    def refused(self, host_id: str, retry_after_seconds: int | None) -> None:
+        """Offers no requests to a refusing target for a short time.
+
+        Args:
+            host_id: The target.
+            retry_after_seconds: What the target asked for; None for nothing.
+        """
+        seconds = (
+            REFUSAL_SECONDS
+            if retry_after_seconds is None
+            else min(retry_after_seconds, LONGEST_REFUSAL_SECONDS)
+        )
+        with self._lock:
+            self._states_by_host_id[host_id] = self.state(host_id)._replace(
+                refused_until=self._clock.monotonic() + seconds,
+                on_trial=False,
+            )
+
+    def forget(self, known: frozenset[str]) -> None:
+        """Drops the states of hosts that are gone."""
+        with self._lock:
+            for host_id in self._states_by_host_id.keys() - known:
+                del self._states_by_host_id[host_id]
--- a/wisteriasill/settings.py
+++ b/wisteriasill/settings.py
@@ -37,6 +37,8 @@
         idle_connection_seconds: Longest idle time after which a target
             connection is still reused.
         control: Whether this entry host may hold shards.
+        slot_policy: How entry hosts share the slots of workers:
+            `independent`, `exchanged` or `lent`.
     """
 
     member_id: str
@@ -63,3 +65,4 @@
     shutdown_seconds: float = 30.0
     idle_connection_seconds: float = 2.0
     control: bool = True
+    slot_policy: str = "independent"
--- /dev/null
+++ b/wisteriasill/zones/nearness.py
@@ -0,0 +1,40 @@
+"""Which targets are near to an entry host."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import itertools
+
+from wisteriasill import settings as setting_types
+from wisteriasill.machines import host as hosts
+
+
+def groups(
+    settings: setting_types.EntrySettings,
+    candidates: Sequence[hosts.Host],
+    tried: Sequence[hosts.Host],
+) -> list[list[hosts.Host]]:
+    """Orders targets by preference.
+
+    Args:
+        settings: Settings of this entry host, for its zone and region.
+        candidates: Targets that may be used.
+        tried: Targets that this request was sent to before.
+
+    Returns:
+        Groups of equal preference: targets not tried before those tried,
+        then zones not tried, then the own zone, then the own region.
+    """
+    tried_ids = {item.host_id for item in tried}
+    tried_zones = {item.availability_zone for item in tried}
+
+    def distance(item: hosts.Host) -> tuple[bool, bool, bool, bool]:
+        return (
+            item.host_id in tried_ids,
+            item.availability_zone in tried_zones,
+            item.region != settings.region,
+            item.availability_zone != settings.availability_zone,
+        )
+
+    ordered = sorted(candidates, key=distance)
+    return [list(group) for _, group in itertools.groupby(ordered, distance)]
