--- /dev/null
+++ b/wisteriasill/contracts/host_sequence.py
@@ -0,0 +1,277 @@
+"""The next step of one host: drain, reboot, move, return, failure.
+
+Each step follows from the host's row, the platform's list and what the holder
+has seen since it first read the row, so any successor continues a sequence.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from wisteriasill.links import platform
+from wisteriasill.machines import host as hosts
+
+# One reading of the lagging list may be stale; two that agree are believed.
+READINGS_TO_BELIEVE = 2
+# A lost reboot order is repeated after this time, longer than the list lags.
+REBOOT_RETRY_SECONDS = 60.0
+DOWN_REASON = "down"
+
+
+class StepKind(enum.Enum):
+    """What the holder does next for a host."""
+
+    WAIT = enum.auto()
+    DRAIN_WORKER = enum.auto()
+    CHECKPOINT = enum.auto()
+    REBOOT = enum.auto()
+    WRITE = enum.auto()
+
+
+class HostStep(NamedTuple):
+    """A step and, for WRITE, the row to write."""
+
+    kind: StepKind
+    host: hosts.Host | None = None
+
+
+WAIT = HostStep(StepKind.WAIT)
+
+
+class HostWatch(NamedTuple):
+    """What a holder has seen of a host since its row last changed.
+
+    Attributes:
+        version: Version of the row.
+        since: Monotonic seconds when this holder first saw that version.
+        listed: The host as listed last; None if it was not listed.
+        readings: Readings of the list since then that agree with `listed`.
+        reading: Number of the last reading.
+        drained: Whether the worker was told to refuse new work.
+        tasks_gone: Whether the host's tasks are checkpointed or stopped.
+        reboot_now: Whether this holder wrote the row itself and has not
+            ordered the reboot yet.
+        rebooted_at: Monotonic seconds of the last reboot order; None if this
+            holder has given none.
+    """
+
+    version: int
+    since: float
+    listed: platform.ListedHost | None = None
+    readings: int = 0
+    reading: int = 0
+    drained: bool = False
+    tasks_gone: bool = False
+    reboot_now: bool = False
+    rebooted_at: float | None = None
+
+
+def watch(
+    before: HostWatch | None,
+    version: int,
+    listed: platform.ListedHost | None,
+    reading: int,
+    now: float,
+) -> HostWatch:
+    """Updates what a holder has seen of a host.
+
+    Args:
+        before: What it had seen; None for nothing.
+        version: Version of the host's row.
+        listed: The host in the current reading of the list.
+        reading: Number of that reading; 0 if there was none yet.
+        now: Monotonic seconds.
+
+    Returns:
+        What it has seen now. The reading that was current when the row
+        changed is not counted.
+    """
+    if before is None or before.version != version:
+        return HostWatch(version, now, listed, 0, reading)
+    if reading == before.reading:
+        return before
+    same = (
+        listed is not None
+        and before.listed is not None
+        and (listed.state, listed.boot_count)
+        == (before.listed.state, before.listed.boot_count)
+    ) or (listed is None and before.listed is None)
+    return before._replace(
+        listed=listed,
+        readings=before.readings + 1 if same else 1,
+        reading=reading,
+    )
+
+
+class Moment(NamedTuple):
+    """When a step is decided.
+
+    Attributes:
+        now: Monotonic seconds.
+        wall_seconds: Seconds since the epoch, noted in rows for people.
+        grace_seconds: How long a draining host may still have requests.
+    """
+
+    now: float
+    wall_seconds: float
+    grace_seconds: float
+
+
+def next_step(host: hosts.Host, seen: HostWatch, moment: Moment) -> HostStep:
+    """Decides the next step of one host.
+
+    Args:
+        host: The host's row.
+        seen: What the holder has seen of it.
+        moment: When the step is decided.
+
+    Returns:
+        The step; WAIT when nothing is to be done now.
+    """
+    if seen.reading == 0:
+        return WAIT
+    listed = seen.listed
+    if listed is not None and listed.boot_count < host.boot_count:
+        return WAIT  # A stale reading from before the last boot.
+    believed = seen.readings >= READINGS_TO_BELIEVE
+    if listed is None or listed.state is platform.ListedState.DOWN:
+        return _down(host, listed) if believed else WAIT
+    if host.state is hosts.HostState.DRAINING:
+        return _drain(host, listed, seen, moment)
+    if host.state is hosts.HostState.REBOOTING:
+        return _reboot(host, listed, seen, moment)
+    if not believed:
+        return WAIT
+    if host.state is hosts.HostState.SERVING:
+        return _serve(host, listed)
+    if listed.state is not platform.ListedState.LIVE:
+        return WAIT
+    if host.state is hosts.HostState.JOINING:
+        return _write(
+            host,
+            state=hosts.HostState.SERVING,
+            reason="",
+            wave="",
+            boot_count=listed.boot_count,
+        )
+    return _come_back(host, listed, moment)
+
+
+def _write(host: hosts.Host, **changes: object) -> HostStep:
+    return HostStep(StepKind.WRITE, host._replace(**changes))  # type: ignore[arg-type]
+
+
+def _down(host: hosts.Host, listed: platform.ListedHost | None) -> HostStep:
+    if host.state is hosts.HostState.DOWN:
+        return WAIT
+    planned = host.state in (
+        hosts.HostState.DRAINING,
+        hosts.HostState.REBOOTING,
+    )
+    seen_as = "not listed" if listed is None else "listed as down"
+    return _write(
+        host,
+        state=hosts.HostState.DOWN,
+        reason=host.reason if planned else f"{DOWN_REASON}: {seen_as}",
+    )
+
+
+def _serve(host: hosts.Host, listed: platform.ListedHost) -> HostStep:
+    if listed.state is platform.ListedState.REBOOTING:
+        return _write(
+            host,
+            state=hosts.HostState.DOWN,
+            reason=f"{DOWN_REASON}: reboots without an order",
+        )
+    if listed.state is platform.ListedState.LEAVING:
+        return _write(
+            host,
+            state=hosts.HostState.DRAINING,
+            reason="the platform takes the host away",
+        )
+    if listed.boot_count > host.boot_count:
+        return _write(host, boot_count=listed.boot_count)
+    return WAIT
+
+
+def _drain(
+    host: hosts.Host,
+    listed: platform.ListedHost,
+    seen: HostWatch,
+    moment: Moment,
+) -> HostStep:
+    if not seen.drained:
+        return HostStep(StepKind.DRAIN_WORKER)
+    if not seen.tasks_gone:
+        return HostStep(StepKind.CHECKPOINT)
+    # A reading from after the drain gives the boot count to compare with.
+    if (
+        host.held
+        or moment.now - seen.since < moment.grace_seconds
+        or seen.readings == 0
+    ):
+        return WAIT
+    return _write(
+        host,
+        state=hosts.HostState.REBOOTING,
+        boot_count=listed.boot_count,
+    )
+
+
+def _reboot(
+    host: hosts.Host,
+    listed: platform.ListedHost,
+    seen: HostWatch,
+    moment: Moment,
+) -> HostStep:
+    if listed.state is platform.ListedState.REBOOTING:
+        return WAIT
+    if listed.boot_count > host.boot_count:
+        if listed.state is platform.ListedState.LIVE:
+            return joined(host, listed, moment.wall_seconds)
+        return WAIT
+    if seen.reboot_now:
+        return HostStep(StepKind.REBOOT)
+    last = seen.since if seen.rebooted_at is None else seen.rebooted_at
+    if moment.now - last < REBOOT_RETRY_SECONDS:
+        return WAIT
+    return HostStep(StepKind.REBOOT)
+
+
+def _come_back(
+    host: hosts.Host, listed: platform.ListedHost, moment: Moment
+) -> HostStep:
+    """Returns a DOWN host; one that failed in a sequence continues it."""
+    if host.reason.startswith(DOWN_REASON):
+        return _write(
+            host,
+            state=hosts.HostState.JOINING,
+            boot_count=listed.boot_count,
+        )
+    if listed.boot_count > host.boot_count and not host.held:
+        return joined(host, listed, moment.wall_seconds)
+    return _write(host, state=hosts.HostState.DRAINING)
+
+
+def joined(
+    host: hosts.Host, listed: platform.ListedHost, wall_seconds: float
+) -> HostStep:
+    """Builds the one row write that ends a reboot and changes the pool.
+
+    Args:
+        host: The host's row.
+        listed: The host as listed, with a higher boot count.
+        wall_seconds: Seconds since the epoch.
+
+    Returns:
+        The write.
+    """
+    return _write(
+        host,
+        state=hosts.HostState.JOINING,
+        pool=host.next_pool or host.pool,
+        next_pool="",
+        boot_count=listed.boot_count,
+        maintained_at=wall_seconds,
+    )
--- a/wisteriasill/contracts/maintenance.py
+++ b/wisteriasill/contracts/maintenance.py
@@ -29,6 +29,8 @@
         hosts_done: Hosts that came back.
         hosts_away: Hosts that are away now.
         reason: Why it is stopped or paused.
+        excused: Hosts that were missing when an operator resumed the wave;
+            they don't stop it again.
     """
 
     pool: str
@@ -39,3 +41,4 @@
     hosts_done: int = 0
     hosts_away: tuple[str, ...] = ()
     reason: str = ""
+    excused: tuple[str, ...] = ()
--- /dev/null
+++ b/wisteriasill/contracts/moves.py
@@ -0,0 +1,252 @@
+"""Which pool a host belongs in: first registration and sustained need."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
+
+from wisteriasill.contracts import configuration as configurations
+from wisteriasill.contracts import service
+from wisteriasill.links import platform
+from wisteriasill.machines import host as hosts
+
+# A shortage must last this long before a host is moved for it. A move takes a
+# drain and a reboot, and peaks last seconds: jobs lend processors for those.
+SUSTAINED_SECONDS = 600.0
+# A pool gives hosts only while it keeps this many above its promise, so that
+# the next failure doesn't reverse the move.
+HYSTERESIS_HOSTS = 1
+
+
+class PoolNeed(NamedTuple):
+    """What a pool has and wants.
+
+    Attributes:
+        pool: Name of the pool.
+        wanted: Hosts that it should hold.
+        held: Hosts that belong to it or are on their way to it.
+        since: Monotonic seconds since when `held` has been below `wanted`;
+            None while it is not.
+    """
+
+    pool: str
+    wanted: int
+    held: int
+    since: float | None = None
+
+    @property
+    def missing(self) -> int:
+        """Hosts that the pool lacks; negative when it has more."""
+        return self.wanted - self.held
+
+
+class Move(NamedTuple):
+    """A host to move, and where from and to."""
+
+    host_id: str
+    from_pool: str
+    to_pool: str
+
+
+def fits(
+    item: hosts.Host | platform.ListedHost, contract: service.PoolContract
+) -> bool:
+    """Tells whether a host has at least what a pool's contract names."""
+    return (
+        item.cores >= contract.cores_per_host
+        and item.memory_gib >= contract.memory_gib_per_host
+        and item.accelerators >= contract.accelerators_per_host
+        and item.slots >= contract.slots_per_host
+        and item.connections >= contract.connections_per_host
+    )
+
+
+def choose_pool(
+    listed: platform.ListedHost,
+    configuration: configurations.Configuration,
+    hosts_by_pool: Mapping[str, Sequence[hosts.Host]],
+) -> str:
+    """Chooses the pool of a host that has no row yet.
+
+    Args:
+        listed: The host.
+        configuration: The configuration in force.
+        hosts_by_pool: Hosts that have rows, those chosen a moment ago too.
+
+    Returns:
+        The pool that lacks hosts of this size and has the fewest in the
+        host's zone and rack, else the spare pool; empty if there is neither.
+    """
+    lacking = [
+        name
+        for name, item in configuration.services_by_name.items()
+        if not item.pool.spare
+        and fits(listed, item.pool)
+        and len(hosts_by_pool.get(name, ())) < item.pool.hosts
+    ]
+
+    def rank(name: str) -> tuple[float, float, float, str]:
+        members = hosts_by_pool.get(name, ())
+        wanted = configuration.services_by_name[name].pool.hosts
+        in_zone = sum(
+            1
+            for host in members
+            if host.availability_zone == listed.availability_zone
+        )
+        in_rack = sum(1 for host in members if host.rack == listed.rack)
+        return (
+            in_zone / wanted,
+            in_rack / wanted,
+            len(members) / wanted,
+            name,
+        )
+
+    return min(lacking, key=rank, default=configuration.spare_pool)
+
+
+def needs(
+    configuration: configurations.Configuration,
+    hosts_by_pool: Mapping[str, Sequence[hosts.Host]],
+    before: Iterable[PoolNeed],
+    now: float,
+) -> tuple[PoolNeed, ...]:
+    """Computes what each pool that is not spare has and wants.
+
+    Args:
+        configuration: The configuration in force.
+        hosts_by_pool: All hosts.
+        before: The needs as computed last.
+        now: Monotonic seconds.
+
+    Returns:
+        The needs, with the time since when a pool has lacked hosts.
+    """
+    since_by_pool = {item.pool: item.since for item in before}
+    held_by_pool = dict.fromkeys(configuration.services_by_name, 0)
+    for host in (item for group in hosts_by_pool.values() for item in group):
+        pool = host.next_pool or host.pool
+        if pool in held_by_pool and host.state is not hosts.HostState.DOWN:
+            held_by_pool[pool] += 1
+    return tuple(
+        PoolNeed(
+            name,
+            item.pool.hosts,
+            held_by_pool[name],
+            _first(since_by_pool.get(name), now)
+            if held_by_pool[name] < item.pool.hosts
+            else None,
+        )
+        for name, item in sorted(configuration.services_by_name.items())
+        if not item.pool.spare
+    )
+
+
+def _first(since: float | None, now: float) -> float:
+    return now if since is None else since
+
+
+def plan_move(
+    configuration: configurations.Configuration,
+    hosts_by_pool: Mapping[str, Sequence[hosts.Host]],
+    pool_needs: Sequence[PoolNeed],
+    now: float,
+) -> Move | None:
+    """Plans one move for the pool that lacks most, if the need has lasted.
+
+    Args:
+        configuration: The configuration in force.
+        hosts_by_pool: All hosts.
+        pool_needs: What each pool has and wants.
+        now: Monotonic seconds.
+
+    Returns:
+        The move; None when no pool has lacked hosts for long, or no pool has
+        one to give.
+    """
+    orphan = _plan_orphan(configuration, hosts_by_pool)
+    if orphan is not None:
+        return orphan
+    lasting = [
+        need
+        for need in pool_needs
+        if need.missing > 0
+        and need.since is not None
+        and now - need.since >= SUSTAINED_SECONDS
+    ]
+    for need in sorted(lasting, key=lambda item: -item.missing / item.wanted):
+        contract = configuration.services_by_name[need.pool].pool
+        for donor in _donors(configuration, pool_needs):
+            host = _choose_host(
+                hosts_by_pool.get(donor, ()),
+                hosts_by_pool.get(need.pool, ()),
+                contract,
+            )
+            if host is not None:
+                return Move(host.host_id, donor, need.pool)
+    return None
+
+
+def _plan_orphan(
+    configuration: configurations.Configuration,
+    hosts_by_pool: Mapping[str, Sequence[hosts.Host]],
+) -> Move | None:
+    """Plans the move of a host whose pool is no longer configured."""
+    spare = configuration.spare_pool
+    if not spare:
+        return None
+    return next(
+        (
+            Move(host.host_id, pool, spare)
+            for pool, members in sorted(hosts_by_pool.items())
+            if pool not in configuration.services_by_name
+            for host in members
+            if not host.next_pool
+            and fits(host, configuration.services_by_name[spare].pool)
+        ),
+        None,
+    )
+
+
+def _donors(
+    configuration: configurations.Configuration,
+    pool_needs: Iterable[PoolNeed],
+) -> tuple[str, ...]:
+    """Lists pools that may give a host, the spare pool first."""
+    rich = sorted(
+        (need for need in pool_needs if -need.missing > HYSTERESIS_HOSTS),
+        key=lambda need: need.missing,
+    )
+    spare = configuration.spare_pool
+    return (*([spare] if spare else []), *(need.pool for need in rich))
+
+
+def _choose_host(
+    donors: Iterable[hosts.Host],
+    receivers: Sequence[hosts.Host],
+    contract: service.PoolContract,
+) -> hosts.Host | None:
+    """Chooses the smallest host that fits, where the pool has fewest."""
+
+    def rank(host: hosts.Host) -> tuple[int, int, float, str]:
+        return (
+            sum(
+                1
+                for other in receivers
+                if other.availability_zone == host.availability_zone
+            ),
+            sum(1 for other in receivers if other.rack == host.rack),
+            host.cores,
+            host.host_id,
+        )
+
+    return min(
+        (
+            host
+            for host in donors
+            if host.state is hosts.HostState.SERVING
+            and not host.next_pool
+            and fits(host, contract)
+        ),
+        key=rank,
+        default=None,
+    )
--- /dev/null
+++ b/wisteriasill/contracts/wave_plan.py
@@ -0,0 +1,280 @@
+"""The next step of a pool's maintenance wave."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+import itertools
+import math
+from typing import NamedTuple
+
+from wisteriasill.contracts import availability
+from wisteriasill.contracts import maintenance
+from wisteriasill.contracts import service
+from wisteriasill.machines import host as hosts
+
+DAY_SECONDS = 86_400.0
+# A wave starts this share of the period ahead of the first due date, which
+# leaves a week of 28 days for stops and for operators who come back.
+LEAD_SHARE = 0.25
+# Hosts maintained within this share of the period are left to the next wave.
+FRESH_SHARE = 0.5
+# A wave that saves buffer takes no longer than this share of the lead.
+BUFFER_LEAD_SHARE = 0.5
+# A host is missing after this many times its expected time away.
+OVERDUE_FACTOR = 2.0
+# A wave stops when more hosts are missing or down than this share of the
+# pool, and never for a single one.
+MISSING_SHARE = 0.1
+_AWAY_STATES = (
+    hosts.HostState.DRAINING,
+    hosts.HostState.REBOOTING,
+    hosts.HostState.JOINING,
+)
+
+
+class WaveView(NamedTuple):
+    """What a wave is planned from.
+
+    Attributes:
+        pool: The pool.
+        hosts: Its hosts, ordered by id.
+        missing: Ids of hosts that have been away for too long.
+        contract: What the pool promises.
+        prefer: Which measure the site weighs most.
+        budget: Availability budget now, with the demand ahead.
+        wave: The current wave; None if there was none.
+        wall_seconds: Seconds since the epoch.
+    """
+
+    pool: str
+    hosts: Sequence[hosts.Host]
+    missing: frozenset[str]
+    contract: service.PoolContract
+    prefer: service.Preference
+    budget: availability.Budget
+    wave: maintenance.Wave | None
+    wall_seconds: float
+
+
+class WavePlan(NamedTuple):
+    """A step of a wave.
+
+    Attributes:
+        wave: The wave as it is now; None if there still is none.
+        leaving: Rows of hosts that start to drain.
+    """
+
+    wave: maintenance.Wave | None
+    leaving: tuple[hosts.Host, ...] = ()
+
+
+def wave_key(wave: maintenance.Wave) -> str:
+    """Returns the key of a wave's row; keys sort by number."""
+    return f"{wave.pool}/{wave.number:06d}"
+
+
+def overdue_seconds(contract: service.PoolContract) -> float:
+    """Returns after how long in one state a host counts as missing."""
+    return OVERDUE_FACTOR * contract.maintenance_minutes * 60.0
+
+
+def plan(view: WaveView) -> WavePlan:
+    """Plans the next step of a pool's maintenance.
+
+    Args:
+        view: What it is planned from.
+
+    Returns:
+        The wave as it should be stored, and hosts that leave now.
+    """
+    wave = view.wave
+    if wave is None or wave.state is maintenance.WaveState.FINISHED:
+        return WavePlan(_start(view, 1 if wave is None else wave.number + 1))
+    if wave.state is maintenance.WaveState.PAUSED:
+        return WavePlan(_counted(wave, view))
+    wave = _judged(_counted(wave, view), view)
+    if wave.state is not maintenance.WaveState.RUNNING:
+        return WavePlan(wave)
+    leaving = tuple(
+        host._replace(
+            state=hosts.HostState.DRAINING,
+            reason=f"maintenance wave {wave.number}",
+            wave=wave_key(wave),
+        )
+        for host in _choose(wave, view)
+    )
+    away = tuple(sorted({*wave.hosts_away, *(h.host_id for h in leaving)}))
+    return WavePlan(wave._replace(hosts_away=away), leaving)
+
+
+def is_due(
+    host: hosts.Host,
+    started_at: float,
+    contract: service.PoolContract,
+) -> bool:
+    """Tells whether a wave has to maintain a host.
+
+    Args:
+        host: The host.
+        started_at: Seconds since the epoch of the wave's start.
+        contract: What the pool promises.
+
+    Returns:
+        Whether its last maintenance is half a period or more before.
+    """
+    period_seconds = contract.maintenance_every_days * DAY_SECONDS
+    return host.maintained_at <= started_at - FRESH_SHARE * period_seconds
+
+
+def missing_limit(pool_hosts: int) -> int:
+    """Returns how many missing hosts a wave of a pool of a size bears."""
+    return max(1, math.floor(MISSING_SHARE * pool_hosts))
+
+
+def batch_size(view: WaveView) -> int:
+    """Returns how many hosts a wave takes away at a time.
+
+    Args:
+        view: What the wave is planned from.
+
+    Returns:
+        For roll-out time, all that the promise allows; for buffer cost, the
+        fewest that end the wave in half of its lead.
+    """
+    allowed = max(0, len(view.hosts) - view.budget.required)
+    if view.prefer is service.Preference.ROLL_OUT_TIME:
+        return allowed
+    contract = view.contract
+    lead_seconds = contract.maintenance_every_days * DAY_SECONDS * LEAD_SHARE
+    host_seconds = len(view.hosts) * contract.maintenance_minutes * 60.0
+    fewest = math.ceil(host_seconds / (lead_seconds * BUFFER_LEAD_SHARE))
+    return min(allowed, max(1, fewest))
+
+
+def _start(view: WaveView, number: int) -> maintenance.Wave | None:
+    """Starts a wave when a host is due soon; keeps the old one otherwise."""
+    period_seconds = view.contract.maintenance_every_days * DAY_SECONDS
+    oldest = min(
+        (
+            host.maintained_at
+            for host in view.hosts
+            if host.state is not hosts.HostState.DOWN
+        ),
+        default=view.wall_seconds,
+    )
+    if view.wall_seconds - oldest < (1 - LEAD_SHARE) * period_seconds:
+        return view.wave
+    wave = maintenance.Wave(
+        view.pool, number, maintenance.WaveState.RUNNING, view.wall_seconds, 0
+    )
+    return _counted(wave, view)
+
+
+def _counted(wave: maintenance.Wave, view: WaveView) -> maintenance.Wave:
+    """Counts the wave's hosts anew from the host rows."""
+    key = wave_key(wave)
+    away = tuple(
+        host.host_id
+        for host in view.hosts
+        if host.wave == key and host.state is not hosts.HostState.SERVING
+    )
+    done = sum(
+        1
+        for host in view.hosts
+        if host.maintained_at >= wave.started_at and host.host_id not in away
+    )
+    due = sum(
+        1
+        for host in view.hosts
+        if is_due(host, wave.started_at, view.contract)
+        and host.host_id not in away
+    )
+    return wave._replace(
+        hosts_total=done + due + len(away), hosts_done=done, hosts_away=away
+    )
+
+
+def _judged(wave: maintenance.Wave, view: WaveView) -> maintenance.Wave:
+    """Stops, continues or finishes a wave."""
+    missing = sorted(
+        host.host_id
+        for host in view.hosts
+        if host.host_id not in wave.excused
+        and (host.state is hosts.HostState.DOWN or host.host_id in view.missing)
+    )
+    if len(missing) > missing_limit(len(view.hosts)):
+        return wave._replace(
+            state=maintenance.WaveState.STOPPED,
+            reason=f"{len(missing)} hosts have not come back: "
+            + ", ".join(missing[:8]),
+        )
+    left = [
+        host
+        for host in view.hosts
+        if host.state is not hosts.HostState.DOWN
+        and (
+            is_due(host, wave.started_at, view.contract)
+            or host.host_id in wave.hosts_away
+        )
+    ]
+    state = (
+        maintenance.WaveState.RUNNING
+        if left
+        else maintenance.WaveState.FINISHED
+    )
+    return wave._replace(state=state, reason="")
+
+
+def _choose(wave: maintenance.Wave, view: WaveView) -> tuple[hosts.Host, ...]:
+    """Chooses the hosts that leave now.
+
+    One zone at a time and, in it, one rack after the other: the loss of
+    another failure domain then meets the fewest hosts away. The first host
+    goes alone and each that returns lets one more go, so that maintenance
+    that breaks hosts is noticed at the first ones.
+    """
+    away = [host for host in view.hosts if _is_away(host)]
+    room = min(
+        view.budget.spare,
+        batch_size(view) - len(away),
+        1 + wave.hosts_done - len(away),
+    )
+    due = [
+        host
+        for host in view.hosts
+        if host.state is hosts.HostState.SERVING
+        and is_due(host, wave.started_at, view.contract)
+    ]
+    if room <= 0 or not due:
+        return ()
+    blocking = [
+        host
+        for host in away
+        if host.host_id not in view.missing and host.wave == wave_key(wave)
+    ]
+    zones = {host.availability_zone for host in blocking}
+    racks = {host.rack for host in blocking}
+    if not zones:
+        zones = {_first_zone(due)}
+    inside = sorted(
+        (host for host in due if host.availability_zone in zones),
+        key=lambda host: (host.rack not in racks, host.rack, host.host_id),
+    )
+    return tuple(itertools.islice(inside, room))
+
+
+def _is_away(host: hosts.Host) -> bool:
+    return host.state in _AWAY_STATES
+
+
+def _first_zone(due: Iterable[hosts.Host]) -> str:
+    """Returns the zone of the host that was maintained longest ago."""
+    oldest = min(
+        due,
+        key=lambda host: (
+            host.maintained_at,
+            host.availability_zone,
+            host.rack,
+        ),
+    )
+    return oldest.availability_zone
--- a/wisteriasill/machines/host.py
+++ b/wisteriasill/machines/host.py
@@ -43,6 +43,8 @@
             that a successor can tell whether the reboot has happened.
         maintained_at: Seconds since the epoch of its last maintenance.
         wave: Maintenance wave that took the host away; empty for none.
+        held: Whether a drained host waits for an operator's RETURN before it
+            reboots.
         token: Random value of the last writer.
     """
 
@@ -63,6 +65,7 @@
     boot_count: int = 0
     maintained_at: float = 0.0
     wave: str = ""
+    held: bool = False
     token: str = ""
 
 
--- /dev/null
+++ b/wisteriasill/machines/host_steps.py
@@ -0,0 +1,121 @@
+"""Carries out the next step of each host of a pool."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from returns import result
+
+from wisteriasill import errors
+from wisteriasill.contracts import availability
+from wisteriasill.contracts import host_sequence
+from wisteriasill.machines import host as hosts
+from wisteriasill.machines import pool_hosts
+from wisteriasill.machines import pool_rows
+from wisteriasill.machines import shard_context
+
+
+class HostSteps:
+    """Continues drains, reboots, moves and returns of a pool's hosts."""
+
+    def __init__(
+        self,
+        context: shard_context.ShardContext,
+        pool: pool_hosts.PoolHosts,
+        jobs: shard_context.JobKeeper,
+    ) -> None:
+        self._context = context
+        self._pool = pool
+        self._jobs = jobs
+
+    def step(self) -> result.Result[None, errors.Failure]:
+        """Does the next step of each host; rows are written in batches.
+
+        Returns:
+            The first failure of a row write; a failure of a call to one host
+            only delays that host.
+        """
+        configuration = self._context.site.snapshot.configuration
+        moment = host_sequence.Moment(
+            self._context.clock.monotonic(),
+            self._context.wall_clock(),
+            availability.grace_seconds(configuration, self._context.shard),
+        )
+        writes: list[hosts.Host] = []
+        for host in self._pool.rows.ordered:
+            watch = self._pool.watches[host.host_id]
+            step = host_sequence.next_step(host, watch, moment)
+            if step.host is not None:
+                writes.append(step.host)
+            elif step.kind is not host_sequence.StepKind.WAIT:
+                self._act(host.host_id, step.kind)
+        return self._write(writes)
+
+    def _act(self, host_id: str, kind: host_sequence.StepKind) -> None:
+        if kind is host_sequence.StepKind.DRAIN_WORKER:
+            self._drain(host_id)
+        elif kind is host_sequence.StepKind.CHECKPOINT:
+            self._checkpoint(host_id)
+        elif kind is host_sequence.StepKind.REBOOT:
+            self._reboot(host_id)
+
+    def _drain(self, host_id: str) -> None:
+        drained = self._context.platform.host_control.drain_host(host_id)
+        if isinstance(drained, result.Success):
+            self._pool.note(
+                host_id, self._pool.watches[host_id]._replace(drained=True)
+            )
+            self._checkpoint(host_id)
+
+    def _checkpoint(self, host_id: str) -> None:
+        gone = self._jobs.checkpoint_host(self._context.epoch_row, host_id)
+        if isinstance(gone, result.Success) and gone.unwrap():
+            self._pool.note(
+                host_id, self._pool.watches[host_id]._replace(tasks_gone=True)
+            )
+
+    def _reboot(self, host_id: str) -> None:
+        """Orders a reboot; an unknown outcome counts as ordered."""
+        ordered = self._context.platform.host_control.reboot_host(host_id)
+        if (
+            not isinstance(ordered, result.Success)
+            and ordered.failure().executed is errors.Executed.NO
+        ):
+            return
+        self._pool.note(
+            host_id,
+            self._pool.watches[host_id]._replace(
+                reboot_now=False,
+                rebooted_at=self._context.clock.monotonic(),
+            ),
+        )
+
+    def _write(
+        self, writes: Sequence[hosts.Host]
+    ) -> result.Result[None, errors.Failure]:
+        for start in range(0, len(writes), pool_rows.BATCH_ROWS):
+            batch = writes[start : start + pool_rows.BATCH_ROWS]
+            written = self._pool.change(batch)
+            if not isinstance(written, result.Success):
+                return written
+            for host in batch:
+                if host.state is hosts.HostState.REBOOTING:
+                    self._expect_reboot(host.host_id)
+        return result.Success(None)
+
+    def _expect_reboot(self, host_id: str) -> None:
+        """Orders the reboot of a host whose row this holder just wrote."""
+        known = self._pool.rows.hosts_by_id[host_id]
+        before = self._pool.watches[host_id]
+        self._pool.note(
+            host_id,
+            host_sequence.HostWatch(
+                known.version,
+                self._context.clock.monotonic(),
+                before.listed,
+                0,
+                before.reading,
+                reboot_now=True,
+            ),
+        )
+        self._reboot(host_id)
--- /dev/null
+++ b/wisteriasill/machines/pool_hosts.py
@@ -0,0 +1,117 @@
+"""Changes of a pool's hosts, and the news of them to peers."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from returns import result
+
+from wisteriasill import errors
+from wisteriasill import events
+from wisteriasill.contracts import host_sequence
+from wisteriasill.machines import host as hosts
+from wisteriasill.machines import pool_rows
+from wisteriasill.machines import shard_context
+from wisteriasill.zones import site as sites
+
+
+class PoolHosts:
+    """The hosts of one pool, as its shard's task changes them."""
+
+    def __init__(self, context: shard_context.ShardContext) -> None:
+        self._context = context
+        self._rows = pool_rows.PoolRows(
+            context.platform.table, context.shard, context.token_source
+        )
+        self._watches: dict[str, host_sequence.HostWatch] = {}
+
+    @property
+    def rows(self) -> pool_rows.PoolRows:
+        """The pool's rows as last read or written."""
+        return self._rows
+
+    @property
+    def watches(self) -> Mapping[str, host_sequence.HostWatch]:
+        """What this holder has seen of each host."""
+        return self._watches
+
+    def refresh(self) -> result.Result[None, errors.Failure]:
+        """Reads changed rows and the platform's list."""
+        outcome = self._rows.refresh()
+        if not isinstance(outcome, result.Success):
+            return outcome
+        reading = self._context.listing.current()
+        now = self._context.clock.monotonic()
+        self._watches = {
+            host_id: host_sequence.watch(
+                self._watches.get(host_id),
+                known.version,
+                reading.listed_by_id.get(host_id),
+                reading.number,
+                now,
+            )
+            for host_id, known in self._rows.hosts_by_id.items()
+        }
+        return outcome
+
+    def note(self, host_id: str, watch: host_sequence.HostWatch) -> None:
+        """Keeps what a step has learned of a host."""
+        self._watches[host_id] = watch
+
+    def change(
+        self,
+        changed: Sequence[hosts.Host],
+        extra: pool_rows.Extra = pool_rows.NO_EXTRA,
+    ) -> result.Result[None, errors.Failure]:
+        """Writes host rows and tells peers of hosts that take no new work.
+
+        Args:
+            changed: New values of rows of this pool.
+            extra: Other conditions and writes of the same transaction.
+
+        Returns:
+            Success when the rows are written.
+        """
+        before = {
+            host.host_id: self._rows.hosts_by_id[host.host_id].host
+            for host in changed
+        }
+        written = self._rows.change(changed, extra)
+        if not isinstance(written, result.Success):
+            return result.Failure(written.failure())
+        known = written.unwrap()
+        self._context.site.update_hosts(known)
+        for item in known:
+            self._announce(item, before[item.host.host_id])
+        return result.Success(None)
+
+    def _announce(self, known: sites.KnownHost, before: hosts.Host) -> None:
+        host = known.host
+        if (
+            before.state is hosts.HostState.SERVING
+            and host.state is not hosts.HostState.SERVING
+        ):
+            self._context.mesh.broadcast(
+                {
+                    "type": "departure",
+                    "host_id": host.host_id,
+                    "state": host.state.value,
+                    "version": known.version,
+                }
+            )
+        if host.pool != before.pool:
+            events.log(
+                events.Event.HOST_MOVED,
+                "host moved to another pool",
+                host=host.host_id,
+                from_pool=before.pool,
+                to_pool=host.pool,
+            )
+        events.log(
+            events.Event.HOST_STATE_CHANGED,
+            "host changed its state",
+            host=host.host_id,
+            pool=host.pool,
+            state=host.state.value,
+            reason=repr(host.reason),
+        )
--- /dev/null
+++ b/wisteriasill/machines/pool_keeper.py
@@ -0,0 +1,69 @@
+"""The work of one pool's shard: hosts, orders, waves and jobs."""
+
+from __future__ import annotations
+
+from returns import result
+
+from wisteriasill import errors
+from wisteriasill.machines import host_steps
+from wisteriasill.machines import order_keeper
+from wisteriasill.machines import pool_hosts
+from wisteriasill.machines import shard_context
+from wisteriasill.machines import wave_keeper
+from wisteriasill.machines import wave_rows
+
+
+class PoolKeeper:
+    """Keeps one pool while this process holds its shard."""
+
+    def __init__(
+        self,
+        context: shard_context.ShardContext,
+        jobs: shard_context.JobKeeper,
+    ) -> None:
+        self._context = context
+        self._jobs = jobs
+        self._pool = pool_hosts.PoolHosts(context)
+        self._waves = wave_rows.WaveRows(context)
+        self._steps = host_steps.HostSteps(context, self._pool, jobs)
+        self._orders = order_keeper.OrderKeeper(
+            context, self._pool, self._waves, jobs
+        )
+        self._maintenance = wave_keeper.WaveKeeper(
+            context, self._pool, self._waves
+        )
+
+    def step(self) -> result.Result[None, errors.Failure]:
+        """Does one round.
+
+        Returns:
+            The first failure. Parts that don't need the failed one run all
+            the same: hosts that are away return although an order can't be
+            written, and jobs run although a wave can't start.
+        """
+        read = self._pool.refresh().bind(lambda _: self._waves.refresh())
+        if not isinstance(read, result.Success):
+            return read
+        outcomes = (
+            self._steps.step(),
+            self._orders.step(),
+            self._maintenance.step(),
+            self._run_jobs(),
+        )
+        return next(
+            (
+                outcome
+                for outcome in outcomes
+                if not isinstance(outcome, result.Success)
+            ),
+            outcomes[0],
+        )
+
+    def _run_jobs(self) -> result.Result[None, errors.Failure]:
+        configuration = self._context.site.snapshot.configuration
+        return self._jobs.step(
+            self._context.epoch_row,
+            self._pool.rows.ordered,
+            configuration.services_by_name,
+            configuration.site.quotas,
+        )
--- /dev/null
+++ b/wisteriasill/machines/pool_rows.py
@@ -0,0 +1,313 @@
+"""The host rows of one pool, as the holder of its shard reads and writes them.
+
+The pool's revision row tells which host rows changed. Each write of a host row
+requires the version of the revision row that the decision rests on, so two
+writers never use the same part of an availability budget.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+import types
+from typing import NamedTuple
+
+from returns import result
+
+from wisteriasill import documents
+from wisteriasill import errors
+from wisteriasill.contracts import pool_revision
+from wisteriasill.links import platform
+from wisteriasill.machines import host as hosts
+from wisteriasill.zones import site as sites
+
+# Host rows of one transaction; more are written in the next step.
+BATCH_ROWS = 16
+
+
+class Extra(NamedTuple):
+    """Rows that are written in the same transaction as host rows."""
+
+    conditions: tuple[platform.Condition, ...] = ()
+    writes: tuple[platform.Write, ...] = ()
+
+
+NO_EXTRA = Extra()
+
+
+class KnownRevision(NamedTuple):
+    """A pool's revision row and its version; 0 when there is no row."""
+
+    revision: pool_revision.PoolRevision
+    version: int
+
+    @property
+    def condition(self) -> platform.Condition:
+        """Requires that the row hasn't changed."""
+        return platform.Condition(
+            pool_revision.TABLE, self.revision.pool, self.version
+        )
+
+
+def read_revision(
+    table: platform.Table, pool: str
+) -> result.Result[KnownRevision, errors.Failure]:
+    """Reads the revision row of a pool.
+
+    Args:
+        table: The table service.
+        pool: The pool.
+
+    Returns:
+        The row; an empty one with version 0 if there is none.
+    """
+
+    def decoded(
+        row: platform.Row | None,
+    ) -> result.Result[KnownRevision, errors.Failure]:
+        if row is None:
+            return result.Success(
+                KnownRevision(pool_revision.PoolRevision(pool), 0)
+            )
+        return documents.decode(pool_revision.PoolRevision, row.value).map(
+            lambda revision: KnownRevision(revision, row.version)
+        )
+
+    return table.read(pool_revision.TABLE, pool).bind(decoded)
+
+
+def decode_host(
+    row: platform.Row,
+) -> result.Result[sites.KnownHost, errors.Failure]:
+    """Decodes a host row."""
+    return documents.decode(hosts.Host, row.value).map(
+        lambda host: sites.KnownHost(host, row.version)
+    )
+
+
+class PoolRows:
+    """The host rows of one pool; used by the shard's task only."""
+
+    def __init__(
+        self,
+        table: platform.Table,
+        pool: str,
+        token_source: Callable[[], str],
+    ) -> None:
+        self._table = table
+        self._pool = pool
+        self._token_source = token_source
+        self._known: dict[str, sites.KnownHost] = {}
+        self._revision: KnownRevision | None = None
+
+    @property
+    def hosts_by_id(self) -> Mapping[str, sites.KnownHost]:
+        """The pool's hosts as last read or written."""
+        return types.MappingProxyType(self._known)
+
+    @property
+    def ordered(self) -> tuple[hosts.Host, ...]:
+        """The pool's hosts, ordered by id."""
+        return tuple(self._known[key].host for key in sorted(self._known))
+
+    @property
+    def current(self) -> bool:
+        """Whether no write has failed since the last refresh."""
+        return self._revision is not None
+
+    def refresh(self) -> result.Result[None, errors.Failure]:
+        """Reads what changed since the last refresh."""
+        read = read_revision(self._table, self._pool)
+        if not isinstance(read, result.Success):
+            return result.Failure(read.failure())
+        current = read.unwrap()
+        before = self._revision
+        if before is not None and current.version <= before.version:
+            return result.Success(None)
+        changed = _changed_since(before, current)
+        outcome = self._scan() if changed is None else self._reread(changed)
+        return outcome.map(lambda _: self._adopt(current))
+
+    def change(
+        self, changed: Sequence[hosts.Host], extra: Extra = NO_EXTRA
+    ) -> result.Result[tuple[sites.KnownHost, ...], errors.Failure]:
+        """Writes host rows of this pool, and other rows with them.
+
+        Args:
+            changed: New values of rows of this pool; their pool may differ
+                from the row's, which moves the host.
+            extra: Other conditions and writes of the same transaction.
+
+        Returns:
+            The rows as written. After a failure the next refresh reads
+            everything again.
+        """
+        token = self._token_source()
+        stamped = [host._replace(token=token) for host in changed]
+        revisions = self._next_revisions(stamped)
+        if not isinstance(revisions, result.Success):
+            return result.Failure(revisions.failure())
+        written = self._table.transact(
+            [
+                *(self._condition(host) for host in stamped),
+                *(known.condition for known in revisions.unwrap().values()),
+                *extra.conditions,
+            ],
+            [
+                *(host_write(host) for host in stamped),
+                *(
+                    revision_write(known.revision)
+                    for known in revisions.unwrap().values()
+                ),
+                *extra.writes,
+            ],
+        )
+        if not isinstance(written, result.Success):
+            resolved = self._resolve(stamped, written.failure())
+            if not isinstance(resolved, result.Success):
+                self._revision = None
+                return result.Failure(resolved.failure())
+        own = revisions.unwrap()[self._pool]
+        self._revision = KnownRevision(own.revision, own.version + 1)
+        return result.Success(tuple(self._take_over(stamped)))
+
+    def serving_conditions(
+        self, leaving: Iterable[str]
+    ) -> tuple[platform.Condition, ...]:
+        """Requires that the hosts that stay behind are still SERVING.
+
+        Revision and host rows are separate reads, either of which may be
+        stale, so a planned departure requires the rows that its budget
+        counts.
+
+        Args:
+            leaving: Ids of hosts that the same transaction takes away.
+
+        Returns:
+            A condition for each host of the pool that serves and stays.
+        """
+        excluded = frozenset(leaving)
+        return tuple(
+            platform.Condition(hosts.TABLE, host_id, known.version)
+            for host_id, known in self._known.items()
+            if known.host.state is hosts.HostState.SERVING
+            and host_id not in excluded
+        )
+
+    def _condition(self, host: hosts.Host) -> platform.Condition:
+        version = self._known[host.host_id].version
+        return platform.Condition(hosts.TABLE, host.host_id, version)
+
+    def _next_revisions(
+        self, changed: Iterable[hosts.Host]
+    ) -> result.Result[dict[str, KnownRevision], errors.Failure]:
+        if self._revision is None:
+            return result.Failure(
+                errors.failure(
+                    errors.ErrorKind.CONFLICT,
+                    f"rows of pool {self._pool} have not been read",
+                )
+            )
+        revisions = {self._pool: self._revision}
+        for host in changed:
+            if host.pool not in revisions:
+                read = read_revision(self._table, host.pool)
+                if not isinstance(read, result.Success):
+                    return result.Failure(read.failure())
+                revisions[host.pool] = read.unwrap()
+            for pool in {self._pool, host.pool}:
+                revision, version = revisions[pool]
+                revisions[pool] = KnownRevision(
+                    revision.with_change(host.host_id), version
+                )
+        return result.Success(revisions)
+
+    def _resolve(
+        self, stamped: Sequence[hosts.Host], failure: errors.Failure
+    ) -> result.Result[None, errors.Failure]:
+        """Reads the token back after an unknown outcome."""
+        if failure.kind is not errors.ErrorKind.STORE_OUTCOME_UNKNOWN:
+            return result.Failure(failure)
+        read = self._table.read(hosts.TABLE, stamped[0].host_id)
+        if not isinstance(read, result.Success):
+            return result.Failure(read.failure())
+        row = read.unwrap()
+        if row is None or row.value.get("token") != stamped[0].token:
+            return result.Failure(failure)
+        return result.Success(None)
+
+    def _take_over(
+        self, stamped: Iterable[hosts.Host]
+    ) -> Iterable[sites.KnownHost]:
+        for host in stamped:
+            version = self._known[host.host_id].version + 1
+            known = sites.KnownHost(host, version)
+            self._keep(known)
+            yield known
+
+    def _keep(self, known: sites.KnownHost) -> None:
+        before = self._known.get(known.host.host_id)
+        if before is not None and known.version < before.version:
+            return  # A stale read.
+        if known.host.pool == self._pool:
+            self._known[known.host.host_id] = known
+        else:
+            self._known.pop(known.host.host_id, None)
+
+    def _adopt(self, current: KnownRevision) -> None:
+        self._revision = current
+
+    def _scan(self) -> result.Result[None, errors.Failure]:
+        rows = self._table.scan(hosts.TABLE)
+        if not isinstance(rows, result.Success):
+            return result.Failure(rows.failure())
+        self._known.clear()
+        for row in rows.unwrap():
+            decoded = decode_host(row)
+            if not isinstance(decoded, result.Success):
+                return result.Failure(decoded.failure())
+            self._keep(decoded.unwrap())
+        return result.Success(None)
+
+    def _reread(
+        self, host_ids: Iterable[str]
+    ) -> result.Result[None, errors.Failure]:
+        for host_id in host_ids:
+            read = self._table.read(hosts.TABLE, host_id)
+            if not isinstance(read, result.Success):
+                return result.Failure(read.failure())
+            row = read.unwrap()
+            if row is None:
+                self._known.pop(host_id, None)
+                continue
+            decoded = decode_host(row)
+            if not isinstance(decoded, result.Success):
+                return result.Failure(decoded.failure())
+            self._keep(decoded.unwrap())
+        return result.Success(None)
+
+
+def host_write(host: hosts.Host) -> platform.Write:
+    """Builds the write of a host row."""
+    return platform.Write(hosts.TABLE, host.host_id, documents.encode(host))
+
+
+def revision_write(
+    revision: pool_revision.PoolRevision,
+) -> platform.Write:
+    """Builds the write of a pool's revision row."""
+    return platform.Write(
+        pool_revision.TABLE, revision.pool, documents.encode(revision)
+    )
+
+
+def _changed_since(
+    before: KnownRevision | None, current: KnownRevision
+) -> tuple[str, ...] | None:
+    """Lists the changed hosts; None if too many changes were missed."""
+    if before is None:
+        return None
+    known = before.revision.revision
+    recent = [item for item in current.revision.recent if item.revision > known]
+    if len(recent) < current.revision.revision - known:
+        return None
+    return tuple({item.host_id: None for item in recent})
--- /dev/null
+++ b/wisteriasill/machines/shard_lease.py
@@ -0,0 +1,285 @@
+"""The lease of one shard, as the process that holds it keeps it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from returns import result
+
+from wisteriasill import clock as clocks
+from wisteriasill import documents
+from wisteriasill import errors
+from wisteriasill import events
+from wisteriasill.contracts import lease as leases
+from wisteriasill.contracts import lease_keeper
+from wisteriasill.links import platform
+
+TokenSource = Callable[[], str]
+# A failed renewal is not repeated before each write of a long step.
+RENEWAL_RETRY_SECONDS = 0.5
+
+
+class LeaseOwner(NamedTuple):
+    """Who takes and renews leases.
+
+    Attributes:
+        member_id: Member id of this entry host.
+        incarnation: Random name of this process.
+        lease_seconds: Period of a lease.
+        token_source: Makes a new random token at each call.
+    """
+
+    member_id: str
+    incarnation: str
+    lease_seconds: float
+    token_source: TokenSource
+
+
+def read_lease(
+    table: platform.Table, shard: str
+) -> result.Result[tuple[leases.ShardLease | None, int], errors.Failure]:
+    """Reads a lease row.
+
+    Args:
+        table: The table service.
+        shard: The shard.
+
+    Returns:
+        The row's value and version; None and 0 if there is no row.
+    """
+
+    def decoded(
+        row: platform.Row | None,
+    ) -> result.Result[tuple[leases.ShardLease | None, int], errors.Failure]:
+        if row is None:
+            return result.Success((None, 0))
+        return documents.decode(leases.ShardLease, row.value).map(
+            lambda lease: (lease, row.version)
+        )
+
+    return table.read(leases.TABLE, shard).bind(decoded)
+
+
+class HeldLease:
+    """A lease that this process took; used by the shard's task only."""
+
+    def __init__(
+        self,
+        table: platform.Table,
+        owner: LeaseOwner,
+        clock: clocks.Clock,
+        lease: leases.ShardLease,
+        version: int,
+        epoch_row: platform.Row,
+        sent_at: float,
+    ) -> None:
+        self._table = table
+        self._owner = owner
+        self._clock = clock
+        self._lease = lease
+        self._version = version
+        self._sent_at = sent_at
+        self._tried_at = sent_at
+        self._lost = False
+        self.epoch_row = epoch_row
+
+    @property
+    def shard(self) -> str:
+        """The shard."""
+        return self._lease.shard
+
+    @property
+    def lost(self) -> bool:
+        """Whether another process has taken the shard."""
+        return self._lost
+
+    @property
+    def condition(self) -> platform.Condition:
+        """The condition that every control transaction carries."""
+        row = self.epoch_row
+        return platform.Condition(row.table, row.key, row.version)
+
+    def check(self) -> result.Result[None, errors.Failure]:
+        """Tells whether the holder may act at this moment.
+
+        Returns:
+            Success, or LEASE_LOST; the state may be passing while the store
+            is away, as long as `lost` is false.
+        """
+        now = self._clock.monotonic()
+        if not self._lost and lease_keeper.may_act(
+            self._sent_at, now, self._owner.lease_seconds
+        ):
+            return result.Success(None)
+        return result.Failure(
+            errors.failure(
+                errors.ErrorKind.LEASE_LOST,
+                f"lease of shard {self.shard} was last renewed "
+                f"{now - self._sent_at:.1f} s ago",
+                errors.Executed.NO,
+            )
+        )
+
+    def ensure(self) -> result.Result[None, errors.Failure]:
+        """Renews the lease when that is due, then checks it.
+
+        Returns:
+            Success when the holder may act.
+        """
+        now = self._clock.monotonic()
+        if (
+            not self._lost
+            and lease_keeper.renewal_due(
+                self._sent_at, now, self._owner.lease_seconds
+            )
+            and (
+                now - self._tried_at >= RENEWAL_RETRY_SECONDS
+                or self._tried_at == self._sent_at
+            )
+        ):
+            self._renew(now)
+        return self.check()
+
+    def release(self) -> None:
+        """Gives the lease up, so that another member takes it at once."""
+        if self._lost:
+            return
+        self._lost = True
+        self._write(
+            self._lease._replace(
+                holder="", incarnation="", token=self._owner.token_source()
+            )
+        )
+        self._log_lost("released")
+
+    def _write(
+        self, lease: leases.ShardLease
+    ) -> result.Result[tuple[int, ...], errors.Failure]:
+        return self._table.transact(
+            [platform.Condition(leases.TABLE, self.shard, self._version)],
+            [platform.Write(leases.TABLE, self.shard, documents.encode(lease))],
+        )
+
+    def _renew(self, now: float) -> None:
+        self._tried_at = now
+        renewed = self._lease._replace(
+            beat=self._lease.beat + 1, token=self._owner.token_source()
+        )
+        written = self._write(renewed)
+        if isinstance(written, result.Success):
+            self._lease = renewed
+            self._version = written.unwrap()[0]
+            self._sent_at = now
+        elif written.failure().kind is not errors.ErrorKind.STORE_UNAVAILABLE:
+            self._resolve(renewed, now)
+
+    def _resolve(self, renewed: leases.ShardLease, now: float) -> None:
+        """Reads the row back after a conflict or an unknown outcome."""
+        read = read_lease(self._table, self.shard)
+        if not isinstance(read, result.Success):
+            return
+        lease, version = read.unwrap()
+        if version < self._version:
+            return  # A stale read says nothing.
+        if lease is None or not lease_keeper.is_own(
+            lease, self._owner.incarnation, self._lease.epoch
+        ):
+            self._lost = True
+            self._log_lost("taken over")
+            return
+        self._lease = lease
+        self._version = version
+        if lease.token == renewed.token:
+            self._sent_at = now
+
+    def _log_lost(self, reason: str) -> None:
+        events.log(
+            events.Event.SHARD_LOST,
+            "shard is no longer held",
+            shard=self.shard,
+            epoch=self._lease.epoch,
+            reason=reason,
+        )
+
+
+def take(
+    table: platform.Table,
+    owner: LeaseOwner,
+    clock: clocks.Clock,
+    shard: str,
+    seen: lease_keeper.SeenLease,
+) -> result.Result[HeldLease, errors.Failure]:
+    """Tries to take a shard; the caller has checked `may_take`.
+
+    Args:
+        table: The table service.
+        owner: Who takes it.
+        clock: This process's clock.
+        shard: The shard.
+        seen: The lease row that the decision rests on.
+
+    Returns:
+        The lease, or why it was not taken.
+    """
+    read = table.read(lease_keeper.EPOCH_TABLE, shard)
+    if not isinstance(read, result.Success):
+        return result.Failure(read.failure())
+    row = read.unwrap()
+    epoch_version = 0 if row is None else row.version
+    epoch = 1 if row is None else int(row.value["epoch"]) + 1
+    lease = leases.ShardLease(
+        shard,
+        owner.member_id,
+        owner.incarnation,
+        epoch,
+        token=owner.token_source(),
+    )
+    sent_at = clock.monotonic()
+    written = table.transact(
+        [
+            platform.Condition(leases.TABLE, shard, seen.version),
+            platform.Condition(lease_keeper.EPOCH_TABLE, shard, epoch_version),
+        ],
+        [
+            platform.Write(leases.TABLE, shard, documents.encode(lease)),
+            platform.Write(lease_keeper.EPOCH_TABLE, shard, {"epoch": epoch}),
+        ],
+    )
+    if not isinstance(written, result.Success):
+        unresolved = _read_back(table, lease, written.failure())
+        if not isinstance(unresolved, result.Success):
+            return result.Failure(unresolved.failure())
+    events.log(
+        events.Event.SHARD_ACQUIRED, "shard taken", shard=shard, epoch=epoch
+    )
+    return result.Success(
+        HeldLease(
+            table,
+            owner,
+            clock,
+            lease,
+            seen.version + 1,
+            platform.Row(
+                lease_keeper.EPOCH_TABLE,
+                shard,
+                epoch_version + 1,
+                {"epoch": epoch},
+            ),
+            sent_at,
+        )
+    )
+
+
+def _read_back(
+    table: platform.Table, lease: leases.ShardLease, failure: errors.Failure
+) -> result.Result[None, errors.Failure]:
+    if failure.kind is not errors.ErrorKind.STORE_OUTCOME_UNKNOWN:
+        return result.Failure(failure)
+    read = read_lease(table, lease.shard)
+    if not isinstance(read, result.Success):
+        return result.Failure(read.failure())
+    found, _ = read.unwrap()
+    if found is not None and found.token == lease.token:
+        return result.Success(None)
+    return result.Failure(failure)
--- /dev/null
+++ b/wisteriasill/machines/site_keeper.py
@@ -0,0 +1,201 @@
+"""The work of the `site` shard: new hosts and moves between pools."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from returns import result
+
+from wisteriasill import documents
+from wisteriasill import errors
+from wisteriasill import events
+from wisteriasill.contracts import moves
+from wisteriasill.contracts import orders
+from wisteriasill.links import platform
+from wisteriasill.machines import host as hosts
+from wisteriasill.machines import order_keeper
+from wisteriasill.machines import pool_rows
+from wisteriasill.machines import shard_context
+from wisteriasill.zones import site as sites
+
+AUTHOR = "site"
+# The pool's holder carries a move out within seconds; planning again before
+# that shows in the host's row would move a second host for the same need.
+SECONDS_BETWEEN_MOVES = 30.0
+
+
+class SiteKeeper:
+    """Registers hosts and plans moves while this process holds `site`."""
+
+    def __init__(self, context: shard_context.ShardContext) -> None:
+        self._context = context
+        self._needs: tuple[moves.PoolNeed, ...] = ()
+        self._moved_at = -SECONDS_BETWEEN_MOVES
+
+    def step(self) -> result.Result[None, errors.Failure]:
+        """Does one round.
+
+        Returns:
+            The first failure.
+        """
+        if self._context.site.age_seconds("hosts") is None:
+            return result.Success(None)  # Unknown hosts may have rows.
+        return (
+            self._register()
+            .bind(lambda _: self._move())
+            .bind(lambda _: self._reject_orders())
+        )
+
+    def _register(self) -> result.Result[None, errors.Failure]:
+        snapshot = self._context.site.snapshot
+        listed = self._context.listing.current().listed_by_id
+        chosen = _choose(
+            [
+                item
+                for host_id, item in sorted(listed.items())
+                if host_id not in snapshot.hosts_by_id
+                and item.state is platform.ListedState.LIVE
+            ],
+            snapshot,
+        )
+        if not chosen:
+            return result.Success(None)
+        now = self._context.wall_clock()
+        rows = [
+            hosts.from_listed(item, pool, hosts.HostState.JOINING)._replace(
+                maintained_at=now, token=self._context.token_source()
+            )
+            for item, pool in chosen
+        ]
+        return self._create(rows)
+
+    def _create(
+        self, rows: Sequence[hosts.Host]
+    ) -> result.Result[None, errors.Failure]:
+        """Writes new rows and their pools' revisions in one transaction.
+
+        A lost answer needs no read-back: a second attempt fails because the
+        rows are there, and the poll of the pools brings them in.
+        """
+        revisions: dict[str, pool_rows.KnownRevision] = {}
+        for host in rows:
+            if host.pool not in revisions:
+                read = pool_rows.read_revision(
+                    self._context.platform.table, host.pool
+                )
+                if not isinstance(read, result.Success):
+                    return result.Failure(read.failure())
+                revisions[host.pool] = read.unwrap()
+            revision, version = revisions[host.pool]
+            revisions[host.pool] = pool_rows.KnownRevision(
+                revision.with_change(host.host_id), version
+            )
+        written = self._context.platform.table.transact(
+            [
+                *(
+                    platform.Condition(hosts.TABLE, host.host_id, 0)
+                    for host in rows
+                ),
+                *(known.condition for known in revisions.values()),
+            ],
+            [
+                *(pool_rows.host_write(host) for host in rows),
+                *(
+                    pool_rows.revision_write(known.revision)
+                    for known in revisions.values()
+                ),
+            ],
+        )
+        return written.map(lambda _: self._registered(rows))
+
+    def _registered(self, rows: Sequence[hosts.Host]) -> None:
+        self._context.site.update_hosts(
+            [sites.KnownHost(host, 1) for host in rows]
+        )
+        for host in rows:
+            events.log(
+                events.Event.HOST_REGISTERED,
+                "host registered",
+                host=host.host_id,
+                pool=host.pool,
+                zone=host.availability_zone,
+                rack=host.rack,
+            )
+
+    def _move(self) -> result.Result[None, errors.Failure]:
+        snapshot = self._context.site.snapshot
+        now = self._context.clock.monotonic()
+        self._needs = moves.needs(
+            snapshot.configuration, snapshot.hosts_by_pool, self._needs, now
+        )
+        if now - self._moved_at < SECONDS_BETWEEN_MOVES:
+            return result.Success(None)
+        move = moves.plan_move(
+            snapshot.configuration, snapshot.hosts_by_pool, self._needs, now
+        )
+        if move is None:
+            return result.Success(None)
+        self._moved_at = now
+        return self._order(move)
+
+    def _order(self, move: moves.Move) -> result.Result[None, errors.Failure]:
+        """Orders a move from the holder of the host's pool.
+
+        The holder knows the pool's budget, so it may reject the order.
+        """
+        order = orders.Order(
+            f"{AUTHOR}-{self._context.token_source()}",
+            move.from_pool,
+            orders.OrderKind.MOVE,
+            move.host_id,
+            AUTHOR,
+            pool=move.to_pool,
+            ordered_at=self._context.wall_clock(),
+        )
+        return order_keeper.write_extra(
+            self._context,
+            pool_rows.Extra(
+                (platform.Condition(orders.TABLE, order.key, 0),),
+                (
+                    platform.Write(
+                        orders.TABLE, order.key, documents.encode(order)
+                    ),
+                ),
+            ),
+        )
+
+    def _reject_orders(self) -> result.Result[None, errors.Failure]:
+        rows = order_keeper.read_orders(self._context)
+        if not isinstance(rows, result.Success):
+            return result.Failure(rows.failure())
+        for row, order in rows.unwrap():
+            if order.state is orders.OrderState.PENDING:
+                rejected = order._replace(
+                    state=orders.OrderState.REJECTED,
+                    detail="name the pool that the order concerns, not `site`",
+                )
+                written = order_keeper.write_extra(
+                    self._context, order_keeper.order_extra(row, rejected)
+                )
+                if not isinstance(written, result.Success):
+                    return written
+                order_keeper.log_order(rejected)
+        return order_keeper.prune_orders(self._context, rows.unwrap())
+
+
+def _choose(
+    listed: Sequence[platform.ListedHost], snapshot: sites.SiteSnapshot
+) -> list[tuple[platform.ListedHost, str]]:
+    """Chooses pools for the first batch of hosts without rows."""
+    by_pool: dict[str, list[hosts.Host]] = {
+        pool: list(members) for pool, members in snapshot.hosts_by_pool.items()
+    }
+    chosen = []
+    for item in listed[: pool_rows.BATCH_ROWS]:
+        pool = moves.choose_pool(item, snapshot.configuration, by_pool)
+        if pool:
+            by_pool.setdefault(pool, []).append(
+                hosts.from_listed(item, pool, hosts.HostState.JOINING)
+            )
+            chosen.append((item, pool))
+    return chosen
--- /dev/null
+++ b/wisteriasill/machines/wave_keeper.py
@@ -0,0 +1,126 @@
+"""Carries out the maintenance waves of one pool."""
+
+from __future__ import annotations
+
+from returns import result
+
+from wisteriasill import errors
+from wisteriasill import events
+from wisteriasill.contracts import availability
+from wisteriasill.contracts import maintenance
+from wisteriasill.contracts import wave_plan
+from wisteriasill.machines import host as hosts
+from wisteriasill.machines import pool_hosts
+from wisteriasill.machines import pool_rows
+from wisteriasill.machines import shard_context
+from wisteriasill.machines import wave_rows
+
+_EVENTS_BY_STATE = {
+    maintenance.WaveState.RUNNING: (
+        events.Event.WAVE_STARTED,
+        "maintenance wave runs",
+    ),
+    maintenance.WaveState.STOPPED: (
+        events.Event.WAVE_STOPPED,
+        "maintenance wave stopped",
+    ),
+    maintenance.WaveState.PAUSED: (
+        events.Event.WAVE_STOPPED,
+        "maintenance wave paused",
+    ),
+    maintenance.WaveState.FINISHED: (
+        events.Event.WAVE_FINISHED,
+        "maintenance wave finished",
+    ),
+}
+
+
+class WaveKeeper:
+    """Takes hosts away for maintenance as the plan says."""
+
+    def __init__(
+        self,
+        context: shard_context.ShardContext,
+        pool: pool_hosts.PoolHosts,
+        waves: wave_rows.WaveRows,
+    ) -> None:
+        self._context = context
+        self._pool = pool
+        self._waves = waves
+
+    def step(self) -> result.Result[None, errors.Failure]:
+        """Does the next step of the wave, if there is one."""
+        configuration = self._context.site.snapshot.configuration
+        owner = configuration.services_by_name.get(self._context.shard)
+        # The plan needs each host's state as of now: after a failed write in
+        # this round the rows are read anew first.
+        if owner is None or not self._pool.rows.current:
+            return result.Success(None)
+        contract = owner.pool
+        plan = wave_plan.plan(
+            wave_plan.WaveView(
+                self._context.shard,
+                self._pool.rows.ordered,
+                self._missing(wave_plan.overdue_seconds(contract)),
+                contract,
+                configuration.site.prefer,
+                availability.budget_of(self._pool.rows.ordered, contract),
+                self._waves.wave,
+                self._context.wall_clock(),
+            )
+        )
+        if plan.wave is None or (
+            plan.wave == self._waves.wave and not plan.leaving
+        ):
+            return result.Success(None)
+        return self._write(plan.wave, plan)
+
+    def _missing(self, overdue_seconds: float) -> frozenset[str]:
+        now = self._context.clock.monotonic()
+        return frozenset(
+            host.host_id
+            for host in self._pool.rows.ordered
+            if host.state
+            in (hosts.HostState.REBOOTING, hosts.HostState.JOINING)
+            and now - self._pool.watches[host.host_id].since > overdue_seconds
+        )
+
+    def _write(
+        self, wave: maintenance.Wave, plan: wave_plan.WavePlan
+    ) -> result.Result[None, errors.Failure]:
+        before = self._waves.wave
+        leaving = plan.leaving[: pool_rows.BATCH_ROWS]
+        if leaving:
+            extra = self._waves.extra(wave)
+            self._waves.forget()
+            written = self._pool.change(
+                leaving,
+                extra._replace(
+                    conditions=(
+                        *extra.conditions,
+                        *self._pool.rows.serving_conditions(
+                            host.host_id for host in leaving
+                        ),
+                    )
+                ),
+            ).bind(lambda _: self._waves.refresh())
+        else:
+            written = self._waves.write(wave, pool_rows.Extra())
+        if isinstance(written, result.Success) and (
+            before is None or before.state is not wave.state
+        ):
+            _log(wave)
+        return written
+
+
+def _log(wave: maintenance.Wave) -> None:
+    event, message = _EVENTS_BY_STATE[wave.state]
+    events.log(
+        event,
+        message,
+        pool=wave.pool,
+        wave=wave.number,
+        hosts=wave.hosts_total,
+        done=wave.hosts_done,
+        reason=repr(wave.reason),
+    )
--- /dev/null
+++ b/wisteriasill/machines/wave_rows.py
@@ -0,0 +1,101 @@
+"""The current maintenance wave of one pool, as its shard's task keeps it."""
+
+from __future__ import annotations
+
+from returns import result
+
+from wisteriasill import documents
+from wisteriasill import errors
+from wisteriasill.contracts import maintenance
+from wisteriasill.contracts import wave_plan
+from wisteriasill.links import platform
+from wisteriasill.machines import pool_rows
+from wisteriasill.machines import shard_context
+
+# Waves that stay in the table for operators to read.
+KEPT_WAVES = 8
+
+
+class WaveRows:
+    """Reads and writes the rows of a pool's waves."""
+
+    def __init__(self, context: shard_context.ShardContext) -> None:
+        self._context = context
+        self._rows: tuple[platform.Row, ...] | None = None
+        self._wave: maintenance.Wave | None = None
+
+    @property
+    def wave(self) -> maintenance.Wave | None:
+        """The wave with the highest number; None if there is none."""
+        return self._wave
+
+    def refresh(self) -> result.Result[None, errors.Failure]:
+        """Reads the waves at first and after a failed write.
+
+        The holder of the shard is the only writer, so its own copy is
+        current.
+        """
+        if self._rows is not None:
+            return result.Success(None)
+        scanned = self._context.platform.table.scan(
+            maintenance.TABLE, f"{self._context.shard}/"
+        )
+        if not isinstance(scanned, result.Success):
+            return result.Failure(scanned.failure())
+        rows = scanned.unwrap()
+        if rows:
+            decoded = documents.decode(maintenance.Wave, rows[-1].value)
+            if not isinstance(decoded, result.Success):
+                return result.Failure(decoded.failure())
+            self._wave = decoded.unwrap()
+        self._rows = rows
+        return result.Success(None)
+
+    def extra(self, wave: maintenance.Wave) -> pool_rows.Extra:
+        """Builds the conditions and writes that store a wave.
+
+        Args:
+            wave: The wave; a new number makes a new row and deletes the
+                oldest row beyond those that are kept.
+
+        Returns:
+            To be written alone or with host rows.
+        """
+        key = wave_plan.wave_key(wave)
+        rows = self._rows or ()
+        version = next((row.version for row in rows if row.key == key), 0)
+        old = [row for row in rows if row.key != key][: -KEPT_WAVES + 1]
+        return pool_rows.Extra(
+            (platform.Condition(maintenance.TABLE, key, version),),
+            (
+                platform.Write(maintenance.TABLE, key, documents.encode(wave)),
+                *(
+                    platform.Write(maintenance.TABLE, row.key, None)
+                    for row in old
+                ),
+            ),
+        )
+
+    def forget(self) -> None:
+        """Makes the next refresh read the rows again."""
+        self._rows = None
+
+    def write(
+        self, wave: maintenance.Wave, extra: pool_rows.Extra
+    ) -> result.Result[None, errors.Failure]:
+        """Writes a wave and the rows that go with it.
+
+        Args:
+            wave: The wave.
+            extra: Other conditions and writes of the same transaction.
+
+        Returns:
+            Success when they are written.
+        """
+        own = self.extra(wave)
+        self.forget()
+        written = self._context.platform.table.transact(
+            (*own.conditions, *extra.conditions),
+            (*own.writes, *extra.writes),
+        )
+        return written.bind(lambda _: self.refresh())
