--- /dev/null
+++ b/bench/control_site.py
@@ -0,0 +1,214 @@
+"""Control of a site without threads: members that a driver steps by hand."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import random
+import threading
+import types
+
+from returns import result
+
+from wisteriasill import clock as clocks
+from wisteriasill import errors
+from wisteriasill import settings as all_settings
+from wisteriasill.contracts import configuration as configurations
+from wisteriasill.contracts import service
+from wisteriasill.links import peer_messages
+from wisteriasill.links import platform
+from wisteriasill.machines import controller
+from wisteriasill.machines import host as hosts
+from wisteriasill.machines import member as members
+from wisteriasill.machines import shard_balance
+from wisteriasill.machines import shard_context
+from wisteriasill.machines import shard_lease
+from wisteriasill.machines import shard_task
+from wisteriasill.zones import site as sites
+
+
+class RecordingMesh:
+    """A mesh without peers that keeps what was broadcast."""
+
+    def __init__(self) -> None:
+        self.sent: list[peer_messages.Message] = []
+
+    def broadcast(self, message: peer_messages.Message) -> None:
+        """Keeps the message."""
+        self.sent.append(message)
+
+    def send(self, member_id: str, message: peer_messages.Message) -> bool:
+        """Keeps the message; no peer is connected."""
+        self.sent.append(message)
+        return False
+
+    def on_message(
+        self, message_type: str, handler: peer_messages.Handler
+    ) -> None:
+        """Has no messages to hand over."""
+
+    def on_members_changed(self, handler: object) -> None:
+        """Has no peers that change."""
+
+    def connected_peers(self) -> frozenset[str]:
+        """Returns no peers."""
+        return frozenset()
+
+
+class NoTasks:
+    """A job keeper of pools that run no jobs."""
+
+    def step(
+        self,
+        epoch_row: platform.Row,
+        hosts: object,
+        services: object,
+        quotas: object,
+    ) -> result.Result[None, errors.Failure]:
+        """Has nothing to run."""
+        return result.Success(None)
+
+    def checkpoint_host(
+        self, epoch_row: platform.Row, host_id: str
+    ) -> result.Result[bool, errors.Failure]:
+        """Finds no task left."""
+        return result.Success(True)
+
+    def cancel(
+        self, epoch_row: platform.Row, job_id: str
+    ) -> result.Result[None, errors.Failure]:
+        """Knows no job."""
+        return result.Failure(
+            errors.failure(errors.ErrorKind.NOT_FOUND, f"no job {job_id}")
+        )
+
+
+class ControlMember:
+    """One member's control, stepped by hand instead of by its threads."""
+
+    def __init__(
+        self,
+        member_id: str,
+        platform: platform.Platform,
+        site: sites.Site,
+        clock: clocks.Clock,
+        sources: controller.Sources,
+        jobs: shard_context.JobKeeperFactory = lambda _: NoTasks(),
+    ) -> None:
+        self.member_id = member_id
+        self.mesh = RecordingMesh()
+        self._clock = clock
+        self._table = platform.table
+        settings = all_settings.EntrySettings(member_id, "z", "")
+        incarnation = sources.token_source()
+        self._controller = controller.Controller(
+            settings,
+            platform,
+            site,
+            self.mesh,
+            incarnation,
+            clock,
+            jobs,
+            sources,
+        )
+        self._balance = shard_balance.ShardBalance(
+            platform.table,
+            site,
+            shard_lease.LeaseOwner(
+                member_id,
+                incarnation,
+                settings.lease_seconds,
+                sources.token_source,
+            ),
+            clock,
+        )
+        self.tasks: dict[str, shard_task.ShardTask] = {}
+        self.leases: dict[str, shard_lease.HeldLease] = {}
+
+    def balance(self) -> None:
+        """Gives up, drops and takes shards once."""
+        for shard in self._balance.give_up(self.leases.keys()):
+            self.leases[shard].release()
+        for shard in [key for key, item in self.leases.items() if item.lost]:
+            del self.leases[shard]
+            del self.tasks[shard]
+        taken = self._balance.take(self.leases.keys())
+        if isinstance(taken, result.Success):
+            for lease in taken.unwrap():
+                self._hold(lease)
+
+    def _hold(self, lease: shard_lease.HeldLease) -> None:
+        stopping = threading.Event()
+        self.leases[lease.shard] = lease
+        self.tasks[lease.shard] = shard_task.ShardTask(
+            lease,
+            self._controller.build_keeper(lease, stopping),
+            self._clock,
+            stopping,
+        )
+
+    def step(self) -> None:
+        """Does one round of the balance and of each shard held."""
+        self.balance()
+        for task in self.tasks.values():
+            task.step()
+
+
+def known_members(site: sites.Site, member_ids: Iterable[str]) -> None:
+    """Tells a site which members are live."""
+    site.set_members(
+        [
+            members.Member(name, name, "r", "z", "127.0.0.1", 0, 0, 0)
+            for name in member_ids
+        ]
+    )
+
+
+def pool_service(
+    name: str, contract: service.PoolContract, deadline_ms: int = 2000
+) -> service.Service:
+    """Builds a service with one request class."""
+    return service.Service(
+        name,
+        "team",
+        contract,
+        requests=(service.RequestClass("all", deadline_ms=deadline_ms),),
+    )
+
+
+def configure(
+    site: sites.Site,
+    services: Iterable[service.Service],
+    prefer: service.Preference = service.Preference.ROLL_OUT_TIME,
+) -> None:
+    """Puts a configuration in force."""
+    generation = site.snapshot.configuration.generation + 1
+    site.adopt_configuration(
+        configurations.Configuration(
+            generation,
+            service.SiteContract("bench", prefer),
+            types.MappingProxyType({item.name: item for item in services}),
+            configurations.Manifest(generation, {}),
+        )
+    )
+
+
+def seeded_sources(
+    rng: random.Random, clock: clocks.Clock
+) -> controller.Sources:
+    """Builds random values and a time of day that a seed repeats."""
+    return controller.Sources(
+        lambda: f"{rng.getrandbits(64):016x}", clock.monotonic, rng
+    )
+
+
+def poll_hosts(site: sites.Site, table: platform.Table) -> None:
+    """Does what a member's poll does: brings host rows into its view."""
+    scanned = table.scan(hosts.TABLE)
+    if isinstance(scanned, result.Success):
+        known = []
+        for row in scanned.unwrap():
+            value = dict(row.value)
+            value["state"] = hosts.HostState(value["state"])
+            known.append(sites.KnownHost(hosts.Host(**value), row.version))
+        site.update_hosts(known)
+        site.confirm("hosts")
