Add the demo scenario and a site's stand-ins in one process

Cause: the whole path needs one run that counts at the stand-ins and callers. Conclusion: figures come from the stand-ins, not from the product's counters.

--- /dev/null
+++ b/standins/balancer.py
@@ -0,0 +1,170 @@
+"""The platform's balancer and a caller that checks each answer."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import http.client
+import itertools
+import json
+import threading
+from typing import NamedTuple
+
+from standins import http_wire
+from wisteriasill import clock as clocks
+from wisteriasill.contracts import exchange
+
+CHECK_SECONDS = 0.2
+CHECK_TIMEOUT_SECONDS = 1.0
+CLIENT_MARGIN_SECONDS = 2.0  # Wait beyond the deadline that the caller sets.
+
+
+class Call(NamedTuple):
+    """A request of a caller.
+
+    Attributes:
+        method: HTTP method.
+        path: Path.
+        caller: Name of the caller.
+        body: Body.
+        idempotency_key: Key of a request that must not be repeated.
+        deadline_ms: Longest time that the caller waits.
+    """
+
+    method: str
+    path: str
+    caller: str
+    body: bytes = b""
+    idempotency_key: str = ""
+    deadline_ms: int = 5000
+
+
+class Outcome(NamedTuple):
+    """What a caller got.
+
+    Attributes:
+        status: HTTP status; 0 when the connection ended before the answer.
+        whole: Whether the answer is the whole one to this request.
+        kind: Error kind of an answer that the product made itself.
+        executed: `yes`, `no` or `unknown`.
+        seconds: Time to the answer.
+        detail: What was received, for the report.
+    """
+
+    status: int
+    whole: bool
+    kind: str
+    executed: str
+    seconds: float
+    detail: str = ""
+
+
+class Balancer:
+    """Deals callers to the entry hosts that say they are ready."""
+
+    def __init__(self, ports: Sequence[int], clock: clocks.Clock) -> None:
+        self._ports = tuple(ports)
+        self._clock = clock
+        self._ready: tuple[int, ...] = ()
+        self._turn = itertools.count()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._check, daemon=True)
+
+    def start(self) -> None:
+        """Starts the health checks."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the health checks."""
+        self._stopping.set()
+        self._thread.join()
+
+    @property
+    def ready_ports(self) -> tuple[int, ...]:
+        """Ports of the entry hosts that are ready."""
+        return self._ready
+
+    def next_port(self) -> int:
+        """Returns the port of the next ready entry host.
+
+        Raises:
+            LookupError: None is ready.
+        """
+        ready = self._ready
+        if not ready:
+            raise LookupError("no entry host is ready")
+        return ready[next(self._turn) % len(ready)]
+
+    def _check(self) -> None:
+        while not self._clock.wait(self._stopping, CHECK_SECONDS):
+            self._ready = tuple(port for port in self._ports if _is_ready(port))
+
+
+def _is_ready(port: int) -> bool:
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", port, timeout=CHECK_TIMEOUT_SECONDS
+    )
+    try:
+        connection.request("GET", "/readyz")
+        return connection.getresponse().status == http.client.OK
+    except (OSError, http.client.HTTPException):
+        return False
+    finally:
+        connection.close()
+
+
+def send(port: int, call: Call, clock: clocks.Clock) -> Outcome:
+    """Sends a request on a new connection and checks the answer.
+
+    Args:
+        port: Port of the entry host.
+        call: The request.
+        clock: Measures the time to the answer.
+
+    Returns:
+        What the caller got; an end of the connection is status 0.
+    """
+    started_at = clock.monotonic()
+    connection = http.client.HTTPConnection(
+        "127.0.0.1",
+        port,
+        timeout=call.deadline_ms / 1000 + CLIENT_MARGIN_SECONDS,
+    )
+    try:
+        connection.request(
+            call.method, call.path, call.body, headers=_headers(call)
+        )
+        answer = connection.getresponse()
+        body = answer.read()
+    except (OSError, http.client.HTTPException) as error:
+        seconds = clock.monotonic() - started_at
+        return Outcome(0, False, "", "unknown", seconds, repr(error))
+    finally:
+        connection.close()
+    seconds = clock.monotonic() - started_at
+    if answer.headers.get_content_type() == "application/problem+json":
+        problem = json.loads(body)
+        return Outcome(
+            answer.status,
+            False,
+            problem["kind"],
+            problem["executed"],
+            seconds,
+            problem.get("detail", ""),
+        )
+    expected = http_wire.answer_body(
+        call.method, call.path, call.caller, call.body
+    )
+    whole = body == expected
+    return Outcome(
+        answer.status, whole, "", "yes", seconds, "" if whole else repr(body)
+    )
+
+
+def _headers(call: Call) -> dict[str, str]:
+    key = call.idempotency_key
+    return {
+        exchange.CALLER_HEADER: call.caller,
+        exchange.DEADLINE_HEADER: str(call.deadline_ms),
+        "Connection": "close",
+        **({exchange.IDEMPOTENCY_KEY_HEADER: key} if key else {}),
+    }
--- /dev/null
+++ b/standins/demo_load.py
@@ -0,0 +1,197 @@
+"""Load of the demo: callers, their requests and what they got."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from concurrent import futures
+import itertools
+import random
+from typing import NamedTuple
+
+from standins import balancer as balancers
+from wisteriasill import clock as clocks
+from wisteriasill.contracts import service as services
+
+CALLERS = ("bench-1", "bench-2", "dealer-1", "dealer-2", "desk")
+CALLER_THREADS = 24
+REPEATS_PER_KEY = 2
+KEYED_EVERY = 12  # One request in this many must not be repeated.
+MAX_ATTEMPTS = 6
+RETRY_SECONDS = 0.25
+
+
+class Sent(NamedTuple):
+    """A request that was sent and what came back."""
+
+    call: balancers.Call
+    outcome: balancers.Outcome
+
+
+class _Template(NamedTuple):
+    """A request class of a service, as callers use it."""
+
+    method: str
+    path: str
+    deadline_ms: int
+    never_repeat: bool
+
+
+def templates(
+    services_by_name: Mapping[str, services.Service],
+) -> list[_Template]:
+    """Returns one template for each request class of the services."""
+    return [
+        _Template(
+            item.methods[0],
+            service.path_prefix + item.path,
+            item.deadline_ms,
+            item.repeat is services.Repeat.NEVER,
+        )
+        for service in services_by_name.values()
+        for item in service.requests
+    ]
+
+
+def build_calls(
+    services_by_name: Mapping[str, services.Service], count: int, seed: int
+) -> list[balancers.Call]:
+    """Builds requests of all classes; keyed ones come twice.
+
+    Args:
+        services_by_name: The services.
+        count: Number of requests.
+        seed: Seed of the random numbers.
+
+    Returns:
+        The requests in the order in which they are sent.
+    """
+    rng = random.Random(seed)
+    known = templates(services_by_name)
+    safe = [item for item in known if not item.never_repeat]
+    never = [item for item in known if item.never_repeat]
+    calls: list[balancers.Call] = []
+    for index in range(count):
+        if never and index % KEYED_EVERY == 0:
+            item = never[index // KEYED_EVERY % len(never)]
+            call = _call(item, index, rng.choice(CALLERS), f"key-{index}")
+            calls.extend([call] * REPEATS_PER_KEY)
+        else:
+            calls.append(
+                _call(rng.choice(safe), index, rng.choice(CALLERS), "")
+            )
+    return calls
+
+
+def _call(item: _Template, index: int, caller: str, key: str) -> balancers.Call:
+    body = b"" if item.method in ("GET", "HEAD") else f"n={index}".encode()
+    return balancers.Call(
+        item.method, item.path, caller, body, key, item.deadline_ms
+    )
+
+
+class Load:
+    """Sends requests at a steady rate from a bounded number of threads."""
+
+    def __init__(
+        self,
+        balancer: balancers.Balancer,
+        calls: Sequence[balancers.Call],
+        requests_per_second: float,
+        clock: clocks.Clock,
+    ) -> None:
+        self._balancer = balancer
+        self._calls = calls
+        self._period_seconds = 1 / requests_per_second
+        self._clock = clock
+        self._turn = itertools.count()
+        self._started_at = 0.0
+        self._pool = futures.ThreadPoolExecutor(CALLER_THREADS, "caller")
+        self._tasks: list[futures.Future[list[Sent]]] = []
+        self.finished = 0
+
+    def start(self) -> None:
+        """Starts to send."""
+        self._started_at = self._clock.monotonic()
+        self._tasks = [
+            self._pool.submit(self._send_all) for _ in range(CALLER_THREADS)
+        ]
+
+    def join(self) -> list[Sent]:
+        """Waits for the last answer and returns everything."""
+        sent = [item for task in self._tasks for item in task.result()]
+        self._pool.shutdown()
+        return sent
+
+    def _send_all(self) -> list[Sent]:
+        sent: list[Sent] = []
+        for index in self._turn:
+            if index >= len(self._calls):
+                return sent
+            due_at = self._started_at + index * self._period_seconds
+            clocks.sleep(self._clock, due_at - self._clock.monotonic())
+            sent.extend(self._send_until_answered(self._calls[index]))
+            self.finished += 1
+        return sent
+
+    def _send_until_answered(self, call: balancers.Call) -> list[Sent]:
+        """Repeats as a caller does: when it wasn't run, or has a key."""
+        sent: list[Sent] = []
+        for _ in range(MAX_ATTEMPTS):
+            outcome = balancers.send(
+                self._balancer.next_port(), call, self._clock
+            )
+            sent.append(Sent(call, outcome))
+            may_repeat = outcome.executed == "no" or call.idempotency_key
+            if outcome.whole or not may_repeat:
+                break
+            clocks.sleep(self._clock, RETRY_SECONDS)
+        return sent
+
+
+class LoadCounts(NamedTuple):
+    """What callers got.
+
+    Attributes:
+        requests: Requests sent, repeats included.
+        answered: Whole answers to the own request.
+        refused_not_run: Refusals that promise that the request was not run.
+        outcome_unknown: Answers that say that the outcome is not known.
+        wrong_answers: Answers that were not the whole own one.
+        cut_off: Connections that ended before the answer.
+        unanswered_keys: Keys that never got their answer.
+        keys: Keys that were sent.
+    """
+
+    requests: int
+    answered: int
+    refused_not_run: int
+    outcome_unknown: int
+    wrong_answers: int
+    cut_off: int
+    unanswered_keys: int
+    keys: int
+
+
+def count(sent: Sequence[Sent]) -> LoadCounts:
+    """Counts outcomes."""
+    own = [item.outcome for item in sent if not item.outcome.kind]
+    problems = Counter(
+        item.outcome.executed for item in sent if item.outcome.kind
+    )
+    keys = {item.call.idempotency_key for item in sent} - {""}
+    answered_keys = {
+        item.call.idempotency_key for item in sent if item.outcome.whole
+    }
+    return LoadCounts(
+        requests=len(sent),
+        answered=sum(outcome.whole for outcome in own),
+        refused_not_run=problems["no"],
+        outcome_unknown=problems["unknown"],
+        wrong_answers=sum(
+            outcome.status != 0 and not outcome.whole for outcome in own
+        ),
+        cut_off=sum(outcome.status == 0 for outcome in own),
+        unanswered_keys=len(keys - answered_keys),
+        keys=len(keys),
+    )
--- /dev/null
+++ b/standins/demo_report.py
@@ -0,0 +1,111 @@
+"""What the demo counts at the stand-ins and at the callers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, TypedDict
+
+from standins import backend_records
+from standins import demo_load
+
+MAX_SLOTS = 8
+MAX_NEW_WORK_SECONDS = 3.0
+MAX_IN_FORCE_SECONDS = 6.0
+MIN_REQUESTS = 2000
+MIN_KEYS = 100
+
+
+class DemoReport(TypedDict):
+    """What the demo counted at the stand-ins and at the callers."""
+
+    site: str
+    requests: int
+    answered: int
+    refused_not_run: int
+    outcome_unknown: int
+    keys: int
+    unanswered_keys: int
+    wrong_answers: int
+    repeated_runs: int
+    false_refusals: int
+    cut_off: int
+    worker_slots_max: int
+    hosts_in_two_pools_max: int
+    new_work_after_drain_seconds: float
+    configuration_in_force_seconds: float
+    drained_host: str
+    drained_host_serves_again: bool
+    moved_host: str
+    moved_to_pool: str
+    moved_job: str
+    job_resumed_from_checkpoint: bool
+    stopped_entry_host: str
+    seconds: float
+    ok: bool
+
+
+def count(
+    sent: Sequence[demo_load.Sent],
+    reports: Iterable[backend_records.BackendReport],
+) -> dict[str, int]:
+    """Counts what callers got and what back ends ran.
+
+    Args:
+        sent: All requests and their outcomes.
+        reports: What each back end has seen.
+
+    Returns:
+        Figures by their names in the report.
+    """
+    counts = demo_load.count(sent)
+    reports = tuple(reports)
+    runs_by_key = Counter(
+        execution.idempotency_key
+        for report in reports
+        for execution in report.executions
+        if execution.idempotency_key
+    )
+    return {
+        **counts._asdict(),
+        "cut_off": counts.cut_off
+        + sum(report.interrupted for report in reports),
+        "repeated_runs": sum(runs > 1 for runs in runs_by_key.values()),
+        "false_refusals": sum(
+            runs_by_key[key] > 0 for key in _refused_keys(sent)
+        ),
+        "worker_slots_max": max(report.max_slots for report in reports),
+    }
+
+
+def _refused_keys(sent: Sequence[demo_load.Sent]) -> set[str]:
+    """Returns the keys whose attempts were all refused as not run."""
+    keys = {item.call.idempotency_key for item in sent}
+    possibly_run = {
+        item.call.idempotency_key
+        for item in sent
+        if item.outcome.executed != "no"
+    }
+    return keys - possibly_run - {""}
+
+
+def is_ok(facts: Mapping[str, Any]) -> bool:
+    """Returns whether everything that must always hold did."""
+    return (
+        facts["requests"] >= MIN_REQUESTS
+        and facts["keys"] >= MIN_KEYS
+        and facts["requests"]
+        == facts["answered"]
+        + facts["refused_not_run"]
+        + facts["outcome_unknown"]
+        and facts["unanswered_keys"] == 0
+        and facts["wrong_answers"] == 0
+        and facts["repeated_runs"] == 0
+        and facts["false_refusals"] == 0
+        and facts["cut_off"] == 0
+        and facts["worker_slots_max"] <= MAX_SLOTS
+        and facts["hosts_in_two_pools_max"] == 1
+        and facts["new_work_after_drain_seconds"] <= MAX_NEW_WORK_SECONDS
+        and facts["configuration_in_force_seconds"] <= MAX_IN_FORCE_SECONDS
+        and bool(facts["job_resumed_from_checkpoint"])
+    )
--- /dev/null
+++ b/standins/demo_site.py
@@ -0,0 +1,154 @@
+"""A site in one process: stand-ins, entry hosts and a balancer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+import contextlib
+import json
+import secrets
+from typing import Any
+
+from standins import balancer as balancers
+from standins import fleet as fleets
+from standins import platform_state
+from wisteriasill import clock as clocks
+from wisteriasill import documents
+from wisteriasill import settings as settings_module
+from wisteriasill.contracts import jobs
+from wisteriasill.links import http_client
+from wisteriasill.machines import entry_host
+from wisteriasill.machines import host as hosts
+
+ENTRY_HOSTS = 7
+CALLER_THREADS = 32
+POLL_SECONDS = 0.05
+STEP_TIMEOUT_SECONDS = 40.0
+OPERATOR_TIMEOUT_SECONDS = 5.0
+TIMING = platform_state.Timing(
+    reboot_seconds=1.5, list_lag_seconds=0.5, report_lag_seconds=0.5
+)
+
+
+class DemoError(Exception):
+    """A step of the demo did not finish in time."""
+
+
+class DemoSite:
+    """A running site and the means to operate and observe it.
+
+    Attributes:
+        fleet: Platform and back ends.
+        entries: Entry hosts that run.
+        balancer: Deals callers to the entry hosts.
+    """
+
+    def __init__(
+        self, site: str, progress: Callable[[str], None], clock: clocks.Clock
+    ) -> None:
+        self._progress = progress
+        self._clock = clock
+        self._http = http_client.HttpClient()
+        self._token = secrets.token_hex(8)
+        self.fleet = fleets.Fleet(fleets.FleetSettings(site, timing=TIMING))
+        zones = sorted(
+            {host.availability_zone for host in self.fleet.state.list_hosts()}
+        )
+        self.fleet.start()
+        self.entries = [
+            entry_host.EntryHost(
+                settings_module.EntrySettings(
+                    member_id=f"entry-{index + 1}",
+                    availability_zone=zones[index % len(zones)],
+                    platform_url=self.fleet.url,
+                    operator_token=self._token,
+                    caller_threads=CALLER_THREADS,
+                )
+            )
+            for index in range(ENTRY_HOSTS)
+        ]
+
+    @contextlib.contextmanager
+    def running(self) -> Iterator[None]:
+        """Runs the entry hosts and the balancer."""
+        for entry in self.entries:
+            entry.start()
+        self.balancer = balancers.Balancer(
+            [entry.settings.caller_port for entry in self.entries],
+            self._clock,
+        )
+        self.balancer.start()
+        try:
+            yield
+        finally:
+            self.balancer.stop()
+            for entry in self.entries:
+                entry.stop()
+            self.fleet.stop()
+
+    def is_ready(self) -> bool:
+        """Whether the balancer sends callers to all entry hosts."""
+        return len(self.balancer.ready_ports) == len(self.entries)
+
+    def serving_hosts(self) -> int:
+        """Number of hosts whose rows say that they serve."""
+        return sum(
+            host.state is hosts.HostState.SERVING
+            for host in self.hosts_by_id().values()
+        )
+
+    def hosts_by_id(self) -> Mapping[str, hosts.Host]:
+        """Host rows as the platform holds them."""
+        return {
+            row.key: documents.decode(hosts.Host, row.value).unwrap()
+            for row in self.fleet.state.scan(hosts.TABLE, "")
+        }
+
+    def jobs(self) -> list[jobs.Job]:
+        """Job rows as the platform holds them."""
+        return [
+            documents.decode(jobs.Job, row.value).unwrap()
+            for row in self.fleet.state.scan(jobs.TABLE, "")
+        ]
+
+    def order(self, kind: str, subject: str, pool: str = "") -> None:
+        """Submits an operator's order."""
+        self.operate(
+            "/v1/orders",
+            {
+                "order_id": secrets.token_hex(8),
+                "kind": kind,
+                "subject": subject,
+                "author": "demo",
+                "pool": pool,
+            },
+        )
+
+    def operate(self, path: str, body: Any) -> Any:
+        """Calls the operators' interface of the first entry host."""
+        port = self.entries[0].settings.operator_port
+        answer = self._http.call(
+            http_client.HttpCall(
+                "POST",
+                f"http://127.0.0.1:{port}{path}",
+                OPERATOR_TIMEOUT_SECONDS,
+                (
+                    ("Authorization", f"Bearer {self._token}"),
+                    ("Content-Type", "application/json"),
+                ),
+                json.dumps(body).encode(),
+            )
+        ).unwrap()
+        if answer.status >= 300:
+            raise DemoError(f"{path}: {answer.status} {answer.body.decode()}")
+        return json.loads(answer.body)
+
+    def wait(self, what: str, condition: Callable[[], bool]) -> None:
+        """Waits for a condition; raises DemoError when it takes too long."""
+        self._progress(f"waiting until {what}")
+        end = self._clock.monotonic() + STEP_TIMEOUT_SECONDS
+        while not condition():
+            if self._clock.monotonic() > end:
+                raise DemoError(
+                    f"not within {STEP_TIMEOUT_SECONDS:g} s: {what}"
+                )
+            clocks.sleep(self._clock, POLL_SECONDS)
--- a/wisteriasill/clock.py
+++ b/wisteriasill/clock.py
@@ -96,3 +96,14 @@
         elapsed_seconds = now - self._turn_at
         self._turn_at = now
         return elapsed_seconds > self._limit_seconds
+
+
+def sleep(clock: Clock, seconds: float) -> None:
+    """Waits on a clock; does nothing for a time that is not positive.
+
+    Args:
+        clock: The clock.
+        seconds: How long.
+    """
+    if seconds > 0:
+        clock.wait(threading.Event(), seconds)
