--- a/tests/links/conftest.py
+++ b/tests/links/conftest.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.links import request_fixtures
 from wisteriasill import clock as clocks
 from wisteriasill import metrics as metrics_module
 from wisteriasill import settings as settings_module
@@ -14,6 +15,11 @@
 from wisteriasill.machines import member as members
 from wisteriasill.zones import site as sites
 
+two_backends = request_fixtures.two_backends
+worker_site = request_fixtures.worker_site
+idempotency = request_fixtures.idempotency
+dispatcher = request_fixtures.dispatcher
+
 HEARTBEAT_SECONDS = 0.05
 SILENCE_SECONDS = 0.25
 
