--- a/wisteriasill/machines/entry_host.py
+++ b/wisteriasill/machines/entry_host.py
@@ -46,7 +46,7 @@
             settings, self.site, self._incarnation, self.metrics, self._clock
         )
         self._idempotency = idempotency.IdempotencyRegistry(
-            self._platform, settings, self._clock
+            self._platform, settings, self._clock, self._incarnation
         )
         self._dispatcher = dispatch.Dispatcher(
             settings,
