Add exchanged and lent slots and the fault cases

libcurl sets PRETRANSFER_TIME even when connecting fails, so a refused connection was reported as executed: unknown. The link now uses the error code, CONNECT_TIME and REQUEST_SIZE; a refused connection gives executed: no.

--- /dev/null
+++ b/tests/contracts/test_slots.py
@@ -0,0 +1,206 @@
+"""Tests of the slot policies, on a mesh in memory."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+
+import pytest
+
+from wisteriasill import clock as clocks
+from wisteriasill import settings as setting_types
+from wisteriasill.contracts import slots
+from wisteriasill.contracts import slots_exchanged
+from wisteriasill.contracts import slots_lent
+from wisteriasill.links import peer_messages
+from wisteriasill.machines import host as hosts
+from wisteriasill.zones import site as sites
+
+MEMBERS = ("e1", "e2", "e3")
+
+
+class MemoryMesh:
+    """A member's end of a mesh that delivers at once."""
+
+    def __init__(self, member_id: str, ends: dict[str, MemoryMesh]) -> None:
+        self.member_id = member_id
+        self.ends = ends
+        self.handlers: dict[str, peer_messages.Handler] = {}
+        self.listeners: list[Callable[[], None]] = []
+        ends[member_id] = self
+
+    def broadcast(self, message: peer_messages.Message) -> None:
+        """Delivers to all others."""
+        for member_id in self.connected_peers():
+            self.send(member_id, message)
+
+    def send(self, member_id: str, message: peer_messages.Message) -> bool:
+        """Delivers to one other."""
+        if member_id not in self.ends:
+            return False
+        self.ends[member_id].handlers[message["type"]](self.member_id, message)
+        return True
+
+    def on_message(
+        self, message_type: str, handler: peer_messages.Handler
+    ) -> None:
+        """Registers a handler."""
+        self.handlers[message_type] = handler
+
+    def on_members_changed(self, handler: Callable[[], None]) -> None:
+        """Registers a handler."""
+        self.listeners.append(handler)
+
+    def connected_peers(self) -> frozenset[str]:
+        """Returns the other members."""
+        return frozenset(self.ends) - {self.member_id}
+
+    def lose(self) -> None:
+        """Cuts this end off and tells the others."""
+        del self.ends[self.member_id]
+        for end in self.ends.values():
+            for listener in end.listeners:
+                listener()
+
+
+def target(host_id: str) -> hosts.Host:
+    return hosts.Host(
+        host_id=host_id,
+        pool="quoting",
+        state=hosts.HostState.SERVING,
+        region="local",
+        availability_zone="z1",
+        rack="r1",
+        address="127.0.0.1:1",
+        cores=16,
+        memory_gib=64,
+        accelerators=0,
+        slots=8,
+        connections=64,
+    )
+
+
+TARGETS = [target("h1"), target("h2")]
+ALL_SLOTS = 16
+
+
+class Fleet:
+    """Three members with lent slots on one clock."""
+
+    def __init__(self, clock: clocks.ManualClock) -> None:
+        self.clock = clock
+        self.ends: dict[str, MemoryMesh] = {}
+        self.policies = {name: self._build(name) for name in MEMBERS}
+        for end in self.ends.values():
+            for listener in end.listeners:
+                listener()
+
+    def _build(self, name: str) -> slots_lent.LentSlots:
+        site = sites.Site(self.clock)
+        site.update_hosts(sites.KnownHost(item, 1) for item in TARGETS)
+        settings = setting_types.EntrySettings(name, "z1", "")
+        return slots_lent.LentSlots(
+            settings,
+            site,
+            MemoryMesh(name, self.ends),
+            random.Random(name),
+            self.clock,
+        )
+
+    def in_flight(self) -> int:
+        """Returns the slots in use by all members."""
+        return sum(
+            policy.in_flight(item.host_id)
+            for policy in self.policies.values()
+            for item in TARGETS
+        )
+
+    def return_idle(self) -> None:
+        """Lets all idle credits go back."""
+        self.clock.advance(slots_lent.IDLE_SECONDS + 0.1)
+        for policy in self.policies.values():
+            policy.return_idle()
+
+
+@pytest.fixture
+def fleet(manual_clock: clocks.ManualClock) -> Fleet:
+    manual_clock.advance(100.0)
+    return Fleet(manual_clock)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_lent_slots_are_never_exceeded(fleet: Fleet, seed: int) -> None:
+    """However members compete, a worker never gets more than its slots."""
+    chooser = random.Random(seed)
+    used: list[tuple[str, str]] = []
+    for _ in range(600):
+        fleet.clock.advance(chooser.choice((0.0, 0.005, 0.1)))
+        name = chooser.choice(MEMBERS)
+        if used and chooser.random() < 0.45:
+            owner, host_id = used.pop(chooser.randrange(len(used)))
+            fleet.policies[owner].release(host_id)
+        elif chosen := fleet.policies[name].reserve([TARGETS]):
+            used.append((name, chosen.host_id))
+        if chooser.random() < 0.1:
+            fleet.policies[name].return_idle()
+        assert fleet.in_flight() <= ALL_SLOTS
+
+
+def test_one_member_can_use_all_lent_slots(fleet: Fleet) -> None:
+    """Credits that idle elsewhere must not keep slots empty."""
+    for name in ("e1", "e2"):
+        chosen = fleet.policies[name].reserve([TARGETS])
+        assert chosen is not None
+        fleet.policies[name].release(chosen.host_id)
+    fleet.return_idle()
+    for _ in range(3 * ALL_SLOTS):
+        fleet.clock.advance(slots_lent.DENIED_SECONDS + 0.01)
+        fleet.policies["e3"].reserve([TARGETS])
+    assert fleet.in_flight() == ALL_SLOTS
+
+
+def test_lost_member_leaves_its_slots(fleet: Fleet) -> None:
+    """Slots lent to an entry host that was killed must come back."""
+    while fleet.policies["e1"].reserve([TARGETS]):
+        fleet.clock.advance(0.01)
+    held = sum(fleet.policies["e1"].in_flight(h.host_id) for h in TARGETS)
+    assert held == ALL_SLOTS
+    del fleet.policies["e1"]
+    fleet.ends["e1"].lose()
+    for _ in range(3 * ALL_SLOTS):
+        fleet.clock.advance(slots_lent.DENIED_SECONDS + 0.01)
+        fleet.policies["e2"].reserve([TARGETS])
+    assert fleet.in_flight() == ALL_SLOTS
+
+
+def test_exchanged_counts_prevent_overcommit(
+    manual_clock: clocks.ManualClock,
+) -> None:
+    """Counts of peers must be respected, and forgotten when they leave."""
+    ends: dict[str, MemoryMesh] = {}
+    first, second = (
+        slots_exchanged.ExchangedSlots(
+            MemoryMesh(name, ends), random.Random(name), manual_clock
+        )
+        for name in ("e1", "e2")
+    )
+    while first.reserve([TARGETS]):
+        pass
+    first.publish()
+    assert second.reserve([TARGETS]) is None
+    first.release("h1")
+    first.publish()
+    chosen = second.reserve([TARGETS])
+    assert chosen is not None
+    assert chosen.host_id == "h1"
+    ends["e1"].lose()
+    assert second.reserve([TARGETS]) is not None
+
+
+def test_independent_slots_prefer_the_first_group() -> None:
+    """The nearest zone is used while it has room, then the next."""
+    policy = slots.IndependentSlots(random.Random(1))
+    groups = [[TARGETS[0]], [TARGETS[1]]]
+    chosen = [policy.reserve(groups) for _ in range(ALL_SLOTS + 1)]
+    ids = [item.host_id if item else "" for item in chosen]
+    assert ids == ["h1"] * 8 + ["h2"] * 8 + [""]
--- a/tests/links/test_caller_link.py
+++ b/tests/links/test_caller_link.py
@@ -29,7 +29,10 @@
 @pytest.fixture
 def link(dispatcher: dispatch.Dispatcher) -> Iterator[caller_link.CallerLink]:
     started = caller_link.CallerLink(
-        request_fixtures.SETTINGS, dispatcher, AlwaysReady(), metric_types.Metrics()
+        request_fixtures.SETTINGS,
+        dispatcher,
+        AlwaysReady(),
+        metric_types.Metrics(),
     )
     started.start()
     yield started
--- a/wisteriasill/contracts/admission.py
+++ b/wisteriasill/contracts/admission.py
@@ -91,7 +91,7 @@
                 break
             self._clock.wait(waiter.event, min(remaining, LONGEST_WAIT_SECONDS))
             if not waiter.event.is_set():
-                self.wake()
+                self.look()
         return self._leave(waiter)
 
     def check(self, ticket: Ticket) -> result.Result[None, errors.Failure]:
@@ -119,6 +119,11 @@
 
     def wake(self) -> None:
         """Grants slots that have become free."""
+        with self._lock:
+            self._grant()
+
+    def look(self) -> None:
+        """Grants free slots unless another waiting request just looked."""
         with self._lock:
             now = self._clock.monotonic()
             if now - self._looked_at >= LOOK_SECONDS:
--- /dev/null
+++ b/wisteriasill/contracts/credit_ledger.py
@@ -0,0 +1,111 @@
+"""The lender's side of lent slots: who holds how many of a target's slots."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+
+
+class Grant(NamedTuple):
+    """Slots lent to a member; none at all says that it has to wait."""
+
+    member_id: str
+    target_id: str
+    slots: int
+
+
+def lender_of(target_id: str, member_ids: Iterable[str]) -> str:
+    """Chooses the member that lends a target's slots.
+
+    Args:
+        target_id: The target.
+        member_ids: Live members.
+
+    Returns:
+        The member with the highest rendezvous hash.
+    """
+
+    def weight(member_id: str) -> tuple[int, str]:
+        text = f"{member_id}|{target_id}".encode()
+        return xxhash.xxh3_64_intdigest(text), member_id
+
+    return max(member_ids, key=weight)
+
+
+class CreditLedger:
+    """Slots lent to each member; not thread safe.
+
+    It is soft state: a new lender starts with an empty ledger, and until old
+    credits lapse the worker's own limit guards its slots.
+    """
+
+    def __init__(self) -> None:
+        self._lent_by_target: dict[str, collections.Counter[str]] = {}
+        self._waiting_by_target: dict[str, collections.deque[str]] = {}
+
+    def request(
+        self, member_id: str, target_id: str, count: int, slots: int
+    ) -> Grant:
+        """Lends slots, or queues the member when there are none.
+
+        Args:
+            member_id: Who asks.
+            target_id: The target.
+            count: Most slots that are useful.
+            slots: All slots of the target; 0 if it is not known.
+
+        Returns:
+            The grant.
+        """
+        waiting = self._waiting(target_id)
+        free = slots - self._lent(target_id).total()
+        granted = 0 if waiting else max(0, min(count, free))
+        if granted:
+            self._lent(target_id)[member_id] += granted
+        elif member_id not in waiting:
+            waiting.append(member_id)
+        return Grant(member_id, target_id, granted)
+
+    def give_back(self, member_id: str, target_id: str, count: int) -> None:
+        """Notes that a member returned slots."""
+        lent = self._lent(target_id)
+        lent[member_id] = max(0, lent[member_id] - count)
+
+    def lend_to_waiting(self, target_id: str, slots: int) -> list[Grant]:
+        """Lends free slots, one to each member that waits longest."""
+        waiting, lent = self._waiting(target_id), self._lent(target_id)
+        grants = []
+        while waiting and lent.total() < slots:
+            member_id = waiting.popleft()
+            lent[member_id] += 1
+            grants.append(Grant(member_id, target_id, 1))
+        return grants
+
+    def keep_only(self, member_ids: frozenset[str]) -> list[str]:
+        """Takes back what lost members held.
+
+        Args:
+            member_ids: Members that are still connected.
+
+        Returns:
+            Targets that may have free slots now.
+        """
+        for lent in self._lent_by_target.values():
+            for member_id in lent.keys() - member_ids:
+                del lent[member_id]
+        for target_id, waiting in self._waiting_by_target.items():
+            self._waiting_by_target[target_id] = collections.deque(
+                item for item in waiting if item in member_ids
+            )
+        return list(self._lent_by_target)
+
+    def _lent(self, target_id: str) -> collections.Counter[str]:
+        return self._lent_by_target.setdefault(target_id, collections.Counter())
+
+    def _waiting(self, target_id: str) -> collections.deque[str]:
+        return self._waiting_by_target.setdefault(
+            target_id, collections.deque()
+        )
--- /dev/null
+++ b/wisteriasill/contracts/slot_policies.py
@@ -0,0 +1,43 @@
+"""The slot policies by name."""
+
+from __future__ import annotations
+
+import random
+
+from wisteriasill import clock as clocks
+from wisteriasill import settings as setting_types
+from wisteriasill.contracts import slots
+from wisteriasill.contracts import slots_exchanged
+from wisteriasill.contracts import slots_lent
+from wisteriasill.links import peer_messages
+from wisteriasill.zones import site as sites
+
+
+def build(
+    settings: setting_types.EntrySettings,
+    site: sites.Site,
+    mesh: peer_messages.PeerMesh,
+    clock: clocks.Clock,
+) -> slots.SlotPolicy:
+    """Builds the policy that the settings name.
+
+    Args:
+        settings: Settings of this entry host.
+        site: What is known of the site.
+        mesh: Links to the peers.
+        clock: Source of monotonic time.
+
+    Returns:
+        The policy, not started.
+
+    Raises:
+        ValueError: If there is no policy of that name.
+    """
+    chooser = random.Random(settings.member_id)
+    if settings.slot_policy == "independent":
+        return slots.IndependentSlots(chooser)
+    if settings.slot_policy == "exchanged":
+        return slots_exchanged.ExchangedSlots(mesh, chooser, clock)
+    if settings.slot_policy == "lent":
+        return slots_lent.LentSlots(settings, site, mesh, chooser, clock)
+    raise ValueError(f"slot_policy: no policy {settings.slot_policy!r}")
--- a/wisteriasill/contracts/slots.py
+++ b/wisteriasill/contracts/slots.py
@@ -8,9 +8,6 @@
 import threading
 from typing import Protocol
 
-from wisteriasill import clock as clocks
-from wisteriasill import settings as setting_types
-from wisteriasill.links import peer_messages
 from wisteriasill.machines import host as hosts
 
 Groups = Sequence[Sequence[hosts.Host]]
@@ -93,28 +90,3 @@
 
     def _order(self, item: hosts.Host) -> tuple[int, float]:
         return self._own_by_host_id[item.host_id], self._chooser.random()
-
-
-def build(
-    settings: setting_types.EntrySettings,
-    mesh: peer_messages.PeerMesh,
-    chooser: random.Random,
-    clock: clocks.Clock,
-) -> SlotPolicy:
-    """Builds the policy that the settings name.
-
-    Args:
-        settings: Settings of this entry host.
-        mesh: Links to the peers.
-        chooser: Source of random choices between equals.
-        clock: Source of monotonic time.
-
-    Returns:
-        The policy, not started.
-
-    Raises:
-        ValueError: If there is no policy of that name.
-    """
-    if settings.slot_policy == "independent":
-        return IndependentSlots(chooser)
-    raise ValueError(f"slot_policy: no policy {settings.slot_policy!r}")
--- a/wisteriasill/links/dispatch.py
+++ b/wisteriasill/links/dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-import random
 import threading
 from typing import Any, Protocol
 import uuid
@@ -19,7 +18,7 @@
 from wisteriasill.contracts import fair_shares
 from wisteriasill.contracts import retry
 from wisteriasill.contracts import routing
-from wisteriasill.contracts import slots
+from wisteriasill.contracts import slot_policies
 from wisteriasill.links import forwarding
 from wisteriasill.links import peer_messages
 from wisteriasill.zones import site as sites
@@ -76,8 +75,7 @@
         self._idempotency = idempotency
         self._metrics = metrics
         self._clock = clock
-        chooser = random.Random(settings.member_id)
-        self._slots = slots.build(settings, mesh, chooser, clock)
+        self._slots = slot_policies.build(settings, site, mesh, clock)
         self._forwarder = forwarding.Forwarder(
             settings, site, self._slots, metrics, clock
         )
--- a/wisteriasill/links/target_link.py
+++ b/wisteriasill/links/target_link.py
@@ -236,10 +236,7 @@
 ) -> errors.Failure:
     code, text = error.args[0], error.args[1]
     detail = f"{target.host_id}: {text}"
-    sent = curl.getinfo(pycurl.PRETRANSFER_TIME) > 0 or (
-        curl.getinfo(pycurl.REQUEST_SIZE) > 0
-    )
-    if not sent:
+    if not _may_have_been_sent(curl, code):
         return errors.failure(
             errors.ErrorKind.TARGET_UNREACHABLE, detail, errors.Executed.NO
         )
@@ -250,3 +247,14 @@
     else:
         kind = errors.ErrorKind.TARGET_FAILED
     return errors.failure(kind, detail, errors.Executed.UNKNOWN)
+
+
+def _may_have_been_sent(curl: Any, code: int) -> bool:
+    """Whether the target may have received any byte of the request."""
+    if code in (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST):
+        return False
+    never_connected = (
+        curl.getinfo(pycurl.CONNECT_TIME) == 0
+        and curl.getinfo(pycurl.REQUEST_SIZE) == 0
+    )
+    return not (code == pycurl.E_OPERATION_TIMEDOUT and never_connected)
--- a/wisteriasill/machines/entry_host.py
+++ b/wisteriasill/machines/entry_host.py
@@ -82,6 +82,7 @@
             OSError: A port is in use or an address is not this machine's.
         """
         self._peers.start()
+        self._dispatcher.start()
         self._callers.start()
         self._operators.start()
         self.settings = self.settings._replace(
@@ -148,6 +149,7 @@
         self._membership.announce_leaving()
         self._controller.stop()
         self._callers.stop(self.settings.shutdown_seconds)
+        self._dispatcher.stop()
         self._operators.stop(1.0)
         self._poll.stop()
         self._membership.stop()
