--- /dev/null
+++ b/tests/machines/test_control_faults.py
@@ -0,0 +1,240 @@
+"""Tests of control under faults at each step of a sequence."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import pytest
+
+from bench import control_site
+from standins import faults
+from tests.machines import conftest
+from wisteriasill.contracts import orders
+from wisteriasill.links import platform
+from wisteriasill.machines import host as hosts
+
+S = hosts.HostState
+STEPS = [S.DRAINING, S.REBOOTING, S.JOINING, S.SERVING]
+Inject = Callable[[conftest.ControlledSite], None]
+
+
+class Killed(BaseException):
+    """Ends a member in the middle of a step, as kill -9 does."""
+
+
+def at_write(
+    site: conftest.ControlledSite, host_id: str, state: S, inject: Inject
+) -> None:
+    """Injects a fault right before the first write of a host's state."""
+
+    def hook(
+        conditions: Sequence[platform.Condition],
+        writes: Sequence[platform.Write],
+    ) -> None:
+        if site.state.faults.lose_answers:
+            site.state.set_faults(faults.Faults())
+        if any(
+            write.key == host_id
+            and write.value is not None
+            and write.value.get("state") == state
+            for write in writes
+        ):
+            site.platform.before_transaction = None
+            inject(site)
+            site.platform.before_transaction = (
+                hook_after if site.state.faults.lose_answers else None
+            )
+
+    def hook_after(*_: Any) -> None:
+        site.state.set_faults(faults.Faults())
+        site.platform.before_transaction = None
+
+    site.platform.before_transaction = hook
+
+
+def lose_answer(site: conftest.ControlledSite) -> None:
+    site.state.set_faults(faults.Faults(lose_answers=1.0))
+
+
+def go_down(site: conftest.ControlledSite) -> None:
+    site.state.set_faults(faults.Faults(down=True))
+
+
+def kill(site: conftest.ControlledSite) -> None:
+    raise Killed
+
+
+def run_with_kills(site: conftest.ControlledSite, seconds: int) -> None:
+    """Runs the site; a killed member is gone from then on."""
+    for _ in range(seconds):
+        for name in list(site.members):
+            try:
+                site.members[name].step()
+            except Killed:
+                del site.members[name]
+        site.clock.advance(1.0)
+
+
+def least_serving(site: conftest.ControlledSite, pool: str, since: int) -> int:
+    """Returns the fewest hosts that served at any time since a write."""
+    states: dict[str, tuple[str, str]] = {}
+    least = 99
+    for number, write in enumerate(site.state.table.host_history):
+        states[write.host_id] = (write.pool, write.state)
+        if number >= since:
+            serving = list(states.values()).count((pool, "serving"))
+            least = min(least, serving)
+    return least
+
+
+@pytest.mark.parametrize("target", ["", "billing"], ids=["drain", "move"])
+@pytest.mark.parametrize("state", STEPS)
+@pytest.mark.parametrize("inject", [lose_answer, go_down, kill])
+def test_sequence_survives_a_fault_at_each_step(
+    controlled: conftest.ControlledSite, inject: Inject, state: S, target: str
+) -> None:
+    """A fault must neither lose a sequence nor do a part of it twice."""
+    host = controlled.hosts_of("quoting")[0]
+    since = len(controlled.state.table.host_history)
+    at_write(controlled, host.host_id, state, inject)
+    kind = orders.OrderKind.MOVE if target else orders.OrderKind.DRAIN
+    key = controlled.order(kind, host, target)
+    run_with_kills(controlled, 30)
+    controlled.state.set_faults(faults.Faults())
+    run_with_kills(controlled, 90)
+    order = controlled.state.table.read(orders.TABLE, key, 0.0)
+    assert order is not None
+    assert order.value["state"] == "done"
+    after = controlled.row(host.host_id)
+    assert after.state is S.SERVING
+    assert after.pool == (target or "quoting")
+    listed = controlled.state.host(host.host_id)
+    assert listed is not None
+    assert listed.boot_count == host.boot_count + 1
+    assert least_serving(controlled, "quoting", since) == 5
+
+
+@pytest.mark.parametrize("state", STEPS)
+def test_paused_holder_writes_nothing_late(
+    controlled: conftest.ControlledSite, state: S
+) -> None:
+    """A holder paused in the middle of a write must not make that write."""
+    host = controlled.hosts_of("quoting")[0]
+    paused = controlled.holder("quoting")
+    conflicts: list[int] = []
+
+    def pause(site: conftest.ControlledSite) -> None:
+        site.run(18, without=paused)
+        conflicts.append(site.state.table.counts.conflicts)
+
+    at_write(controlled, host.host_id, state, pause)
+    controlled.order(orders.OrderKind.DRAIN, host)
+    while not conflicts:
+        controlled.run(1)
+    assert controlled.state.table.counts.conflicts > conflicts[0]
+    controlled.run(2)
+    assert controlled.holder("quoting") != paused
+    epoch = controlled.state.table.read("epochs", "quoting", 0.0)
+    assert epoch is not None
+    assert epoch.value["epoch"] == 2
+    controlled.run(60)
+    after = controlled.row(host.host_id)
+    assert after.state is S.SERVING
+    listed = controlled.state.host(host.host_id)
+    assert listed is not None
+    assert listed.boot_count == host.boot_count + 1
+
+
+def test_dead_holder_is_replaced_within_10_seconds(
+    controlled: conftest.ControlledSite,
+) -> None:
+    """A pool must not be without control for longer than 10 s."""
+    dead = controlled.holder("quoting")
+    del controlled.members[dead]
+    died_at = controlled.clock.monotonic()
+    while not any(
+        "quoting" in member.leases for member in controlled.members.values()
+    ):
+        controlled.run(1)
+    assert controlled.clock.monotonic() - died_at <= 10.0
+
+
+def test_outage_of_the_store_is_sat_out(
+    controlled: conftest.ControlledSite,
+) -> None:
+    """A long outage must end no task, and control must resume in 10 s."""
+    host = controlled.hosts_of("billing")[0]
+    go_down(controlled)
+    controlled.run(600)
+    controlled.state.set_faults(faults.Faults())
+    key = controlled.order(orders.OrderKind.DRAIN, host)
+    controlled.run(10)
+    order = controlled.state.table.read(orders.TABLE, key, 0.0)
+    assert order is not None
+    assert order.value["state"] == "done"
+
+
+def test_drain_is_announced_to_peers(
+    controlled: conftest.ControlledSite,
+) -> None:
+    """Peers must hear of a departure without waiting for their poll."""
+    host = controlled.hosts_of("quoting")[0]
+    controlled.order(orders.OrderKind.DRAIN, host)
+    controlled.run(2)
+    sent = [
+        message
+        for member in controlled.members.values()
+        for message in member.mesh.sent
+    ]
+    row = controlled.state.table.read("hosts", host.host_id, 0.0)
+    assert row is not None
+    assert sent[0] == {
+        "type": "departure",
+        "host_id": host.host_id,
+        "state": "draining",
+        "version": row.version,
+    }
+
+
+def test_member_that_should_have_a_shard_gets_it(
+    controlled: conftest.ControlledSite,
+) -> None:
+    """Shards must spread again after a member has come back."""
+    spread = {name: set(m.leases) for name, m in controlled.members.items()}
+    assert all(spread.values())
+    control_only = next(iter(controlled.members))
+    other = next(name for name in controlled.members if name != control_only)
+    control_site.known_members(controlled.site, [control_only])
+    controlled.run(90, without=other)
+    assert len(controlled.members[control_only].leases) == 3
+    control_site.known_members(controlled.site, list(spread))
+    controlled.run(90)
+    assert {n: set(m.leases) for n, m in controlled.members.items()} == spread
+
+
+def test_stale_scan_takes_nothing_beyond_the_budget(
+    controlled: conftest.ControlledSite, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A successor that scans old host rows must keep the budget."""
+    pool = controlled.hosts_of("quoting")
+    since = len(controlled.state.table.host_history)
+    for host in pool[:2]:
+        controlled.order(orders.OrderKind.DRAIN, host)
+    before = controlled.state.scan("hosts", "")
+    controlled.run(2)
+    current = controlled.state.scan
+
+    def stale_hosts(table: str, prefix: str) -> tuple[platform.Row, ...]:
+        return before if table == "hosts" else current(table, prefix)
+
+    monkeypatch.setattr(controlled.state, "scan", stale_hosts)
+    del controlled.members[controlled.holder("quoting")]
+    key = controlled.order(orders.OrderKind.DRAIN, pool[2])
+    controlled.run(12)
+    monkeypatch.undo()
+    controlled.run(60)
+    assert least_serving(controlled, "quoting", since) == conftest.REQUIRED
+    order = controlled.state.table.read(orders.TABLE, key, 0.0)
+    assert order is not None
+    assert order.value["state"] != "pending"
