--- a/tests/links/test_caller_link.py
+++ b/tests/links/test_caller_link.py
@@ -12,7 +12,7 @@
 
 from standins import backend as backends
 from standins import http_wire
-from tests.links import conftest
+from tests.links import request_fixtures
 from wisteriasill import metrics as metric_types
 from wisteriasill.links import caller_link
 from wisteriasill.links import dispatch
@@ -29,7 +29,10 @@
 @pytest.fixture
 def link(dispatcher: dispatch.Dispatcher) -> Iterator[caller_link.CallerLink]:
     started = caller_link.CallerLink(
-        conftest.SETTINGS, dispatcher, AlwaysReady(), metric_types.Metrics()
+        request_fixtures.SETTINGS,
+        dispatcher,
+        AlwaysReady(),
+        metric_types.Metrics(),
     )
     started.start()
     yield started
