Add the command line

Every command parses with cappa and delegates to one module of wisteriasill.commands. Expected failures print one line that names the flag, file or address and exit with 2 for wrong usage, else 1. publish and plan keep the generation that a directory was compared with in .wisteriasill.lock, so a stale publish of a directory is noticed.

--- /dev/null
+++ b/wisteriasill/__main__.py
@@ -0,0 +1,274 @@
+"""Command line: parses and delegates to `wisteriasill.commands`."""
+
+from __future__ import annotations
+
+import sys
+from typing import Annotated
+
+import cappa
+
+from wisteriasill.commands import arguments
+from wisteriasill.commands import check
+from wisteriasill.commands import command_output
+from wisteriasill.commands import entry as entry_command
+from wisteriasill.commands import events
+from wisteriasill.commands import explain
+from wisteriasill.commands import hosts
+from wisteriasill.commands import jobs
+from wisteriasill.commands import order_arguments
+from wisteriasill.commands import plan
+from wisteriasill.commands import publish
+from wisteriasill.commands import status
+from wisteriasill.commands import waves
+
+
+@cappa.command(name="wisteriasill")
+class Wisteriasill:
+    """Manages the capacity and the maintenance of a fleet."""
+
+    drain = order_arguments.drain
+    return_host = order_arguments.return_host
+    move = order_arguments.move
+    pause = order_arguments.pause
+    resume = order_arguments.resume
+    cancel = order_arguments.cancel
+
+    @cappa.command(description=arguments.example("check examples/malabar"))
+    def check(
+        self,
+        directory: arguments.Directory,
+        as_json: arguments.Json = False,
+    ) -> int:
+        """Reads the files of a site and lists all errors and warnings."""
+        return check.run(directory, as_json)
+
+    @cappa.command(
+        description=arguments.example("explain examples/malabar/bench-tilt")
+    )
+    def explain(
+        self,
+        file: Annotated[str, cappa.Arg(help="Service file or its directory.")],
+        as_json: arguments.Json = False,
+    ) -> int:
+        """Says in plain sentences how the fleet treats a service."""
+        return explain.run(file, as_json)
+
+    @cappa.command(
+        description=arguments.example(
+            "plan examples/malabar --entry http://127.0.0.1:8081"
+        )
+    )
+    def plan(
+        self,
+        directory: arguments.Directory,
+        entry: arguments.Entry = "",
+        token_file: arguments.TokenFile = "",
+        as_json: arguments.Json = False,
+    ) -> int:
+        """Shows what a publish would change and what follows from it."""
+        connection = arguments.connection(entry, token_file)
+        return plan.run(connection, directory, as_json)
+
+    @cappa.command(
+        description=arguments.example(
+            "publish examples/malabar --token-file ~/.wisteriasill-token"
+        )
+    )
+    def publish(
+        self,
+        directory: arguments.Directory,
+        base: Annotated[
+            int,
+            cappa.Arg(
+                long=True,
+                value_name="GENERATION",
+                show_default=False,
+                help="Generation that the files were started from.",
+            ),
+        ] = -1,
+        remove: Annotated[
+            tuple[str, ...],
+            cappa.Arg(
+                long=True,
+                value_name="SERVICE",
+                show_default=False,
+                help="Service to remove; may be repeated.",
+            ),
+        ] = (),
+        no_wait: arguments.NoWait = False,
+        entry: arguments.Entry = "",
+        token_file: arguments.TokenFile = "",
+        as_json: arguments.Json = False,
+    ) -> int:
+        """Puts the files of a site in force and waits until they are."""
+        return publish.run(
+            arguments.connection(entry, token_file),
+            publish.PublishOptions(
+                directory,
+                arguments.author(),
+                None if base < 0 else base,
+                remove,
+                not no_wait,
+                as_json,
+            ),
+        )
+
+    @cappa.command(description=arguments.example("status"))
+    def status(
+        self,
+        entry: arguments.Entry = "",
+        token_file: arguments.TokenFile = "",
+        as_json: arguments.Json = False,
+    ) -> int:
+        """Shows pools, entry hosts and the generation in force."""
+        connection = arguments.connection(entry, token_file)
+        return status.run(connection, as_json)
+
+    @cappa.command(description=arguments.example("hosts --pool quoting"))
+    def hosts(
+        self,
+        pool: arguments.Pool = "",
+        state: arguments.State = "",
+        entry: arguments.Entry = "",
+        token_file: arguments.TokenFile = "",
+        as_json: arguments.Json = False,
+    ) -> int:
+        """Lists hosts with pool, state and reason."""
+        connection = arguments.connection(entry, token_file)
+        return hosts.run(connection, pool, state, as_json)
+
+    @cappa.command(description=arguments.example("waves --state running"))
+    def waves(
+        self,
+        pool: arguments.Pool = "",
+        state: arguments.State = "",
+        entry: arguments.Entry = "",
+        token_file: arguments.TokenFile = "",
+        as_json: arguments.Json = False,
+    ) -> int:
+        """Lists maintenance waves."""
+        connection = arguments.connection(entry, token_file)
+        return waves.run(connection, pool, state, as_json)
+
+    @cappa.command(description=arguments.example("jobs --state waiting"))
+    def jobs(
+        self,
+        pool: arguments.Pool = "",
+        state: arguments.State = "",
+        entry: arguments.Entry = "",
+        token_file: arguments.TokenFile = "",
+        as_json: arguments.Json = False,
+    ) -> int:
+        """Lists jobs and why they wait."""
+        connection = arguments.connection(entry, token_file)
+        return jobs.run(connection, pool, state, as_json)
+
+    @cappa.command(description=arguments.example("events --follow"))
+    def events(
+        self,
+        follow: Annotated[
+            bool,
+            cappa.Arg(
+                long=True, show_default=False, help="Go on until interrupted."
+            ),
+        ] = False,
+        entry: arguments.Entry = "",
+        token_file: arguments.TokenFile = "",
+        as_json: arguments.Json = False,
+    ) -> int:
+        """Prints recent events of an entry host."""
+        connection = arguments.connection(entry, token_file)
+        return events.run(connection, follow, as_json)
+
+    @cappa.command(
+        description=arguments.example(
+            "entry --member-id entry-1 --availability-zone zone-a "
+            "--platform-url http://10.0.0.5:9000"
+        )
+        + " Each setting may be given as WISTERIASILL_NAME too; a flag goes "
+        "first."
+    )
+    def entry(
+        self,
+        member_id: arguments.Setting = "",
+        availability_zone: arguments.Setting = "",
+        platform_url: arguments.Setting = "",
+        region: arguments.Setting = "",
+        listen_address: arguments.Setting = "",
+        advertised_address: arguments.Setting = "",
+        caller_port: arguments.Setting = "",
+        operator_port: arguments.Setting = "",
+        peer_port: arguments.Setting = "",
+        operator_token_file: arguments.Setting = "",
+        other: Annotated[
+            tuple[str, ...],
+            cappa.Arg(
+                long="--set",
+                value_name="NAME=VALUE",
+                show_default=False,
+                help="Any other setting; may be repeated.",
+            ),
+        ] = (),
+        log_json: Annotated[
+            bool,
+            cappa.Arg(
+                long=True, show_default=False, help="Log one JSON a line."
+            ),
+        ] = False,
+    ) -> int:
+        """Runs an entry host until SIGTERM."""
+        flags = {
+            "member_id": member_id,
+            "availability_zone": availability_zone,
+            "platform_url": platform_url,
+            "region": region,
+            "listen_address": listen_address,
+            "advertised_address": advertised_address,
+            "caller_port": caller_port,
+            "operator_port": operator_port,
+            "peer_port": peer_port,
+            "operator_token_file": operator_token_file,
+        }
+        return entry_command.run(flags, other, log_json)
+
+    @cappa.command(description=arguments.example("demo --site mandacaru"))
+    def demo(
+        self,
+        site: Annotated[
+            str,
+            cappa.Arg(
+                long=True,
+                choices=["malabar", "mandacaru"],
+                help="Which example site to run.",
+            ),
+        ] = "malabar",
+        as_json: arguments.Json = False,
+    ) -> int:
+        """Runs a whole example site in one process on loopback."""
+        from wisteriasill.commands import demo
+
+        return int(demo.run(site, as_json))
+
+
+def _known_words() -> list[str]:
+    command = cappa.collect(Wisteriasill)
+    return [
+        name
+        for argument in command.arguments
+        for name in getattr(argument, "options", {})
+    ]
+
+
+def main() -> None:
+    """Runs the command line and exits with its status."""
+    sys.exit(
+        cappa.invoke(
+            Wisteriasill,
+            output=command_output.build(_known_words()),
+            color=False,
+        )
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wisteriasill/commands/check.py
@@ -0,0 +1,52 @@
+"""`wisteriasill check`: reads the files of a site and lists all problems."""
+
+from __future__ import annotations
+
+import pathlib
+
+from wisteriasill import documents
+from wisteriasill.commands import console
+from wisteriasill.contracts import service_file
+
+
+def run(directory: str, as_json: bool) -> int:
+    """Checks a directory.
+
+    Args:
+        directory: Directory with `site.toml` and service files.
+        as_json: Whether to print JSON.
+
+    Returns:
+        Exit status: 1 if there are errors.
+    """
+    if not pathlib.Path(directory).is_dir():
+        console.say_error(f'"{directory}" is not a directory')
+        return console.USAGE
+    read = service_file.read_directory(pathlib.Path(directory))
+    if as_json:
+        console.print_json(
+            {
+                "site": None if read.site is None else read.site.name,
+                "services": sorted(read.services_by_name),
+                "problems": [
+                    {
+                        "file": item.file,
+                        "line": item.line,
+                        "key": item.finding.key,
+                        "value": documents.encode(item.finding.value),
+                        "message": item.finding.message,
+                        "is_error": item.is_error,
+                    }
+                    for item in read.problems
+                ],
+            }
+        )
+    else:
+        for item in read.problems:
+            print(item.text)
+        print(
+            f"{len(read.services_by_name)} services, "
+            f"{len(read.errors)} errors, "
+            f"{len(read.problems) - len(read.errors)} warnings"
+        )
+    return console.FAILED if read.errors else console.DONE
--- /dev/null
+++ b/wisteriasill/commands/explain.py
@@ -0,0 +1,71 @@
+"""`wisteriasill explain`: how the fleet treats one service."""
+
+from __future__ import annotations
+
+import pathlib
+import textwrap
+
+from wisteriasill import documents
+from wisteriasill.commands import console
+from wisteriasill.contracts import explanation
+from wisteriasill.contracts import service as services
+from wisteriasill.contracts import service_file
+
+WIDTH = 78
+
+
+def run(file: str, as_json: bool) -> int:
+    """Explains a service file.
+
+    Args:
+        file: The service file, or the directory that holds it.
+        as_json: Whether to print JSON.
+
+    Returns:
+        Exit status: 1 if the file has errors.
+    """
+    path = pathlib.Path(file)
+    if path.is_dir():
+        path = path / service_file.SERVICE_FILE
+    read = service_file.combine([service_file.read_file(path)])
+    for item in read.errors:
+        console.say_error(item.text)
+    if read.errors or not read.services_by_name:
+        return console.FAILED
+    service = next(iter(read.services_by_name.values()))
+    site = _read_site(path)
+    sections = explanation.explain(service, site)
+    if as_json:
+        console.print_json(documents.encode(sections))
+        return console.DONE
+    for section in sections:
+        print(section.heading)
+        for sentence in section.sentences:
+            print(
+                textwrap.fill(
+                    sentence,
+                    WIDTH,
+                    initial_indent="  - ",
+                    subsequent_indent="    ",
+                )
+            )
+    return console.DONE
+
+
+def _read_site(path: pathlib.Path) -> services.SiteContract:
+    """Reads the site file in one of the directories above a service file."""
+    for folder in path.resolve().parents[:4]:
+        site_path = folder / service_file.SITE_FILE
+        if site_path.is_file():
+            site = service_file.read_file(site_path).contract
+            if isinstance(site, services.SiteContract):
+                return site
+            break
+    assumed = services.SiteContract(
+        "unnamed", services.Preference.ROLL_OUT_TIME
+    )
+    console.say_error(
+        f"no readable {service_file.SITE_FILE} above {path}; assuming "
+        f'prefer = "{assumed.prefer.value}" and no quotas'
+    )
+    return assumed
--- /dev/null
+++ b/wisteriasill/commands/jobs.py
@@ -0,0 +1,26 @@
+"""`wisteriasill jobs`: jobs and why they wait."""
+
+from __future__ import annotations
+
+from wisteriasill.commands import console
+from wisteriasill.commands import rows
+
+COLUMNS = {
+    "job_id": "JOB",
+    "pool": "POOL",
+    "team": "TEAM",
+    "state": "STATE",
+    "cores": "CORES",
+    "memory_gib": "GIB",
+    "host_id": "HOST",
+    "checkpoint": "CHECKPOINT",
+    "reason": "REASON",
+}
+
+
+def run(
+    connection: console.Connection, pool: str, state: str, as_json: bool
+) -> int:
+    """Lists jobs, as `rows.run` says."""
+    listing = rows.Listing("jobs", pool, state, as_json)
+    return rows.run(connection, listing, COLUMNS)
--- /dev/null
+++ b/wisteriasill/commands/site_change.py
@@ -0,0 +1,171 @@
+"""What a directory would change in the configuration in force."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import pathlib
+from typing import Any, NamedTuple
+
+from returns import result
+
+from wisteriasill import documents
+from wisteriasill import errors
+from wisteriasill.commands import console
+from wisteriasill.commands import lock_file
+from wisteriasill.contracts import configuration as configurations
+from wisteriasill.contracts import configuration_documents
+from wisteriasill.contracts import service_file
+from wisteriasill.links import operator_client
+
+Contract = configuration_documents.Contract
+
+
+class InForce(NamedTuple):
+    """The configuration in force as an entry host knows it.
+
+    Attributes:
+        generation: Its generation.
+        contracts: Contracts by document name.
+        authors: Last author by document name.
+    """
+
+    generation: int
+    contracts: Mapping[str, Contract]
+    authors: Mapping[str, str]
+
+
+class Comparison(NamedTuple):
+    """A directory compared with what is in force.
+
+    Attributes:
+        folder: The directory.
+        contracts: Its contracts by document name.
+        in_force: The configuration in force.
+        lock: Content of its lock file.
+    """
+
+    folder: pathlib.Path
+    contracts: Mapping[str, Contract]
+    in_force: InForce
+    lock: lock_file.Lock | None
+
+    @property
+    def differences(self) -> dict[str, tuple[str, ...]]:
+        """Lines by name of each document that differs."""
+        found = {
+            name: configuration_documents.differences(
+                self.in_force.contracts.get(name), contract
+            )
+            for name, contract in self.contracts.items()
+        }
+        return {name: lines for name, lines in found.items() if lines}
+
+    @property
+    def without_file(self) -> list[str]:
+        """Documents in force that the directory has no file for."""
+        return sorted(set(self.in_force.contracts) - set(self.contracts))
+
+    @property
+    def next_lock(self) -> lock_file.Lock:
+        """The lock that says that this comparison was seen."""
+        site = self.contracts[configurations.SITE_DOCUMENT]
+        return lock_file.Lock(
+            site.name,
+            self.in_force.generation,
+            tuple(sorted(self.in_force.contracts)),
+        )
+
+
+def compare(
+    client: operator_client.OperatorClient, directory: str
+) -> result.Result[Comparison, errors.Failure]:
+    """Reads a directory and compares it with what is in force.
+
+    Args:
+        client: Client of an entry host.
+        directory: Directory with `site.toml` and service files.
+
+    Returns:
+        The comparison; INVALID_CONFIGURATION if files have errors.
+    """
+    folder = pathlib.Path(directory)
+    if not folder.is_dir():
+        return console.invalid_setting(f'"{directory}" is not a directory')
+    read = service_file.read_directory(folder)
+    if read.errors or read.site is None:
+        lines = "; ".join(item.text for item in read.errors)
+        return result.Failure(
+            errors.failure(errors.ErrorKind.INVALID_CONFIGURATION, lines)
+        )
+    contracts: dict[str, Contract] = {
+        configurations.SITE_DOCUMENT: read.site,
+        **read.services_by_name,
+    }
+    return lock_file.read(folder).bind(
+        lambda lock: (
+            client.get("/v1/configuration")
+            .bind(_read_in_force)
+            .map(lambda in_force: Comparison(folder, contracts, in_force, lock))
+        )
+    )
+
+
+def _read_in_force(
+    answer: dict[str, Any],
+) -> result.Result[InForce, errors.Failure]:
+    contracts: dict[str, Contract] = {}
+    authors: dict[str, str] = {}
+    for item in answer["documents"]:
+        name = str(item["name"])
+        match configuration_documents.decode_value(name, item["document"]):
+            case result.Success(contract):
+                contracts[name] = contract
+                authors[name] = str(item["author"])
+            case result.Failure(wrong):
+                return result.Failure(wrong)
+    return result.Success(
+        InForce(int(answer["generation"]), contracts, authors)
+    )
+
+
+def choose_base(
+    comparison: Comparison, given: int | None
+) -> result.Result[lock_file.Lock, errors.Failure]:
+    """Decides which generation a publish starts from.
+
+    Args:
+        comparison: The directory and what is in force.
+        given: Value of --base; None if it was not given.
+
+    Returns:
+        The base, or INVALID_SETTING that asks for it.
+    """
+    now = comparison.next_lock
+    if given is not None:
+        return result.Success(now._replace(generation=given, names=()))
+    lock = comparison.lock
+    if lock is not None and lock.site != now.site:
+        return console.invalid_setting(
+            f"{comparison.folder / lock_file.NAME} belongs to site "
+            f'"{lock.site}"; delete it or publish with --base'
+        )
+    if lock is not None:
+        return result.Success(lock)
+    differing = [
+        name
+        for name in comparison.differences
+        if name in comparison.in_force.contracts
+    ]
+    if not differing:
+        return result.Success(now)
+    return console.invalid_setting(
+        f"{', '.join(differing)} differ from generation {now.generation} in "
+        f"force, and {comparison.folder} does not say which generation it "
+        "was started from; compare with `wisteriasill plan "
+        f"{comparison.folder}`, then publish, or pass --base GENERATION"
+    )
+
+
+def to_documents(contracts: Mapping[str, Contract]) -> dict[str, Any]:
+    """Returns the plain data of contracts by name."""
+    return {name: documents.encode(item) for name, item in contracts.items()}
--- /dev/null
+++ b/wisteriasill/commands/status.py
@@ -0,0 +1,61 @@
+"""`wisteriasill status`: overview of the site."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from returns import result
+
+from wisteriasill.commands import console
+
+COLUMNS = {
+    "pool": "POOL",
+    "hosts": "HOSTS",
+    "hosts_promised": "PROMISED",
+    "hosts_usable": "USABLE",
+    "hosts_always_usable": "ALWAYS USABLE",
+    "hosts_spare": "MAY LEAVE",
+    "hosts_by_state": "STATES",
+}
+MEMBER_COLUMNS = {
+    "member_id": "ENTRY HOST",
+    "availability_zone": "ZONE",
+    "generation": "GENERATION",
+    "leaving": "LEAVING",
+}
+
+
+def run(connection: console.Connection, as_json: bool) -> int:
+    """Shows the overview.
+
+    Args:
+        connection: How to reach an entry host.
+        as_json: Whether to print JSON.
+
+    Returns:
+        Exit status.
+    """
+    answer = console.connect(connection).bind(
+        lambda client: client.get("/v1/status")
+    )
+    match answer:
+        case result.Failure(wrong):
+            return console.report(wrong)
+        case result.Success(document):
+            if as_json:
+                console.print_json(document)
+            else:
+                _print(document)
+    return console.DONE
+
+
+def _print(document: dict[str, Any]) -> None:
+    print(
+        f"site {document['site']}, prefers {document['prefer']}, "
+        f"generation {document['generation']}"
+    )
+    print(console.age_line(document))
+    print()
+    console.print_table(document["pools"], COLUMNS)
+    print()
+    console.print_table(document["members"], MEMBER_COLUMNS)
--- a/wisteriasill/contracts/configuration_change.py
+++ b/wisteriasill/contracts/configuration_change.py
@@ -149,6 +149,7 @@
 
 
 def check(
+    in_force: configurations.Configuration,
     site: services.SiteContract | None,
     services_by_name: Mapping[str, services.Service],
     removed: tuple[str, ...],
@@ -156,13 +157,22 @@
     """Checks the whole configuration as it is after a change.
 
     Args:
-        site: The site's contract.
-        services_by_name: All services.
+        in_force: The configuration before the change.
+        site: The site's contract after it.
+        services_by_name: All services after it.
         removed: Documents that the change ends.
 
     Returns:
         INVALID_CONFIGURATION with all errors, or None.
     """
+    if in_force.generation > 0 and site is not None:
+        own = in_force.site.name
+        if site.name != own:
+            return errors.failure(
+                errors.ErrorKind.INVALID_CONFIGURATION,
+                f'the change is for site "{site.name}", but this is site '
+                f'"{own}"; is --entry right?',
+            )
     if site is None or configurations.SITE_DOCUMENT in removed:
         return errors.failure(
             errors.ErrorKind.INVALID_CONFIGURATION,
--- a/wisteriasill/contracts/configuration_store.py
+++ b/wisteriasill/contracts/configuration_store.py
@@ -196,7 +196,9 @@
         conflict = changes.find_conflict(self._change, selection, manifest)
         if conflict is None:
             site, merged = changes.merge(self._in_force, selection)
-            return changes.check(site, merged, selection.removed)
+            return changes.check(
+                self._in_force, site, merged, selection.removed
+            )
         what: tuple[str, ...] = ()
         if conflict.entry is not None:
             key = publication.record_key(conflict.entry.generation)
--- /dev/null
+++ b/wisteriasill/contracts/consequences.py
@@ -0,0 +1,150 @@
+"""The numbers that follow from a service file."""
+
+from __future__ import annotations
+
+import math
+from typing import NamedTuple
+
+from wisteriasill.contracts import availability
+from wisteriasill.contracts import service as services
+from wisteriasill.contracts import wave_plan
+
+PEAK_FACTOR = 5  # Demand peaks reach about five times their mean.
+
+
+class Figures(NamedTuple):
+    """Numbers of a service that an operator plans with.
+
+    Attributes:
+        buffer_hosts: Hosts beyond the promise, which planned work may use.
+        batch_hosts: Hosts that a maintenance wave takes away at a time.
+        rounds: Batches of a full maintenance round if hosts return in time.
+        round_minutes: Shortest time of a full round.
+        slots: Requests that run at once with all hosts.
+        slots_in_maintenance: The same with a batch away.
+        carried_mean: Busy slots at the mean for which a peak of five times
+            the mean runs at once, with all hosts.
+        carried_mean_in_maintenance: The same with a batch away.
+    """
+
+    buffer_hosts: int
+    batch_hosts: int
+    rounds: int
+    round_minutes: float
+    slots: int
+    slots_in_maintenance: int
+    carried_mean: float
+    carried_mean_in_maintenance: float
+
+
+def drain_seconds(service: services.Service) -> float:
+    """Returns how long a leaving host still finishes requests, at most."""
+    longest_ms = max((item.deadline_ms for item in service.requests), default=0)
+    return availability.NOTICE_SECONDS + math.ceil(longest_ms / 1000)
+
+
+def work_out(service: services.Service, prefer: services.Preference) -> Figures:
+    """Computes the figures of a service.
+
+    Args:
+        service: The service.
+        prefer: Which measure its site weighs most.
+
+    Returns:
+        The figures.
+    """
+    pool = service.pool
+    batch = wave_plan.batch_hosts(
+        pool.hosts, pool.hosts_always_usable, pool, prefer
+    )
+    rounds = _rounds(pool.hosts, batch)
+    minutes = pool.maintenance_minutes + drain_seconds(service) / 60
+    slots = pool.hosts * pool.slots_per_host
+    left = (pool.hosts - batch) * pool.slots_per_host
+    return Figures(
+        buffer_hosts=max(pool.hosts - pool.hosts_always_usable, 0),
+        batch_hosts=batch,
+        rounds=rounds,
+        round_minutes=rounds * minutes,
+        slots=slots,
+        slots_in_maintenance=left,
+        carried_mean=slots / PEAK_FACTOR,
+        carried_mean_in_maintenance=left / PEAK_FACTOR,
+    )
+
+
+def _rounds(hosts: int, batch: int) -> int:
+    """Counts batches: one host first, then one more for each that is back."""
+    done = rounds = 0
+    while done < hosts and batch > 0:
+        done += min(batch, 1 + done)
+        rounds += 1
+    return rounds
+
+
+def format_minutes(minutes: float) -> str:
+    """Returns a duration as people say it."""
+    whole = math.ceil(minutes)
+    if whole < 60:
+        return f"{whole} min"
+    hours, rest = divmod(whole, 60)
+    return f"{hours} h {rest} min" if rest else f"{hours} h"
+
+
+def compare(
+    old: services.Service | None,
+    new: services.Service,
+    prefer: services.Preference,
+) -> list[str]:
+    """Says what a change of a service entails.
+
+    Args:
+        old: The service in force; None for a new one.
+        new: The service after the change.
+        prefer: Which measure the site weighs most.
+
+    Returns:
+        One line for each of the three measures and each effect on callers
+        that changes.
+    """
+    after = _effects(new, prefer)
+    if old is None:
+        moves = new.pool.hosts
+        lines = [f"{label}: {value}" for label, value in after.items()]
+    else:
+        moves = abs(new.pool.hosts - old.pool.hosts)
+        before = _effects(old, prefer)
+        lines = [
+            f"{label}: {before.get(label, 'none')} -> "
+            f"{after.get(label, 'none')}"
+            for label in (*before, *(key for key in after if key not in before))
+            if before.get(label) != after.get(label)
+        ]
+    return [*lines, f"host moves: {moves}"]
+
+
+def _effects(
+    service: services.Service, prefer: services.Preference
+) -> dict[str, str]:
+    figures = work_out(service, prefer)
+    effects = {
+        "buffer cost": f"{figures.buffer_hosts} of {service.pool.hosts} hosts",
+        "roll-out time": f"{format_minutes(figures.round_minutes)} with "
+        f"{figures.batch_hosts} away at a time"
+        if figures.batch_hosts
+        else "never, no host may leave",
+        "requests at once": f"{figures.slots}, "
+        f"{figures.slots_in_maintenance} in maintenance",
+    }
+    for item in service.requests:
+        never = item.repeat is services.Repeat.NEVER
+        effects[f"class {item.name}"] = (
+            f"{'never repeated' if never else 'may be repeated'}, "
+            f"{'urgent, ' if item.urgent else ''}"
+            f"deadline {item.deadline_ms} ms"
+        )
+    for job in service.jobs:
+        effects[f"job {job.name}"] = (
+            f"{job.copies} x {job.cores:g} cores, {job.memory_gib:g} GiB"
+        )
+    return effects
--- a/wisteriasill/contracts/wave_plan.py
+++ b/wisteriasill/contracts/wave_plan.py
@@ -141,12 +141,33 @@
         For roll-out time, all that the promise allows; for buffer cost, the
         fewest that end the wave in half of its lead.
     """
-    allowed = max(0, len(view.hosts) - view.budget.required)
-    if view.prefer is service.Preference.ROLL_OUT_TIME:
+    return batch_hosts(
+        len(view.hosts), view.budget.required, view.contract, view.prefer
+    )
+
+
+def batch_hosts(
+    pool_hosts: int,
+    required: int,
+    contract: service.PoolContract,
+    prefer: service.Preference,
+) -> int:
+    """Returns the batch size of a pool with a number of hosts.
+
+    Args:
+        pool_hosts: Hosts of the pool.
+        required: Hosts that must stay SERVING.
+        contract: What the pool promises.
+        prefer: Which measure the site weighs most.
+
+    Returns:
+        As `batch_size`.
+    """
+    allowed = max(0, pool_hosts - required)
+    if prefer is service.Preference.ROLL_OUT_TIME:
         return allowed
-    contract = view.contract
     lead_seconds = contract.maintenance_every_days * DAY_SECONDS * LEAD_SHARE
-    host_seconds = len(view.hosts) * contract.maintenance_minutes * 60.0
+    host_seconds = pool_hosts * contract.maintenance_minutes * 60.0
     fewest = math.ceil(host_seconds / (lead_seconds * BUFFER_LEAD_SHARE))
     return min(allowed, max(1, fewest))
 
--- /dev/null
+++ b/wisteriasill/links/operator_client.py
@@ -0,0 +1,114 @@
+"""Client of the operators' interface of an entry host."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import json
+from typing import Any
+from urllib import parse
+
+from returns import result
+
+from wisteriasill import errors
+from wisteriasill.links import http_client
+
+Document = result.Result[dict[str, Any], errors.Failure]
+
+# A publish may take the store's retry time, see configuration_store.
+TIMEOUT_SECONDS = 30.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+class OperatorClient:
+    """Calls one entry host, which answers for its whole site.
+
+    Args:
+        url: Base URL of the entry host's operator port.
+        token: Bearer token; empty for none.
+    """
+
+    def __init__(self, url: str, token: str = "") -> None:
+        self.url = url.rstrip("/")
+        self._token = token
+        self._client = http_client.HttpClient()
+
+    def get(self, path: str, **query: str | int | float) -> Document:
+        """Reads a resource.
+
+        Args:
+            path: Path of the resource.
+            **query: Query parameters; empty ones are left out.
+
+        Returns:
+            Its document, or the failure that the entry host reported.
+        """
+        given = {key: value for key, value in query.items() if value != ""}
+        suffix = f"?{parse.urlencode(given)}" if given else ""
+        return self._call("GET", path + suffix, None)
+
+    def post(self, path: str, document: Mapping[str, Any]) -> Document:
+        """Submits a document.
+
+        Args:
+            path: Path of the resource.
+            document: Plain data.
+
+        Returns:
+            The answer, or the failure that the entry host reported.
+        """
+        return self._call("POST", path, json.dumps(document).encode())
+
+    def _call(self, method: str, path: str, body: bytes | None) -> Document:
+        headers = [("Accept", "application/json")]
+        if body is not None:
+            headers.append(("Content-Type", "application/json"))
+        if self._token:
+            headers.append(("Authorization", f"Bearer {self._token}"))
+        outcome = self._client.call(
+            http_client.HttpCall(
+                method=method,
+                url=self.url + path,
+                timeout_seconds=TIMEOUT_SECONDS,
+                headers=tuple(headers),
+                body=body,
+                fresh=body is not None,
+                max_body_bytes=MAX_ANSWER_BYTES,
+            )
+        )
+        if isinstance(outcome, result.Failure):
+            return self._unreachable(outcome.failure())
+        return self._read(outcome.unwrap())
+
+    def _read(self, answer: http_client.HttpAnswer) -> Document:
+        try:
+            document = json.loads(answer.body)
+        except ValueError:
+            document = None
+        if not isinstance(document, dict):
+            return self._strange(f"status {answer.status} and no JSON object")
+        if answer.status < 400:
+            return result.Success(document)
+        try:
+            kind = errors.ErrorKind(document.get("kind", ""))
+            executed = errors.Executed(document.get("executed", ""))
+        except ValueError:
+            return self._strange(f"status {answer.status}")
+        detail = str(document.get("detail", kind.value))
+        return result.Failure(errors.failure(kind, detail, executed))
+
+    def _strange(self, what: str) -> Document:
+        return result.Failure(
+            errors.failure(
+                errors.ErrorKind.NOT_FOUND,
+                f"{self.url} does not answer as an entry host does: {what}",
+            )
+        )
+
+    def _unreachable(self, fault: http_client.HttpFault) -> Document:
+        return result.Failure(
+            errors.failure(
+                errors.ErrorKind.NOT_READY,
+                f"entry host {self.url}: {fault.detail}",
+                errors.Executed.UNKNOWN if fault.sent else errors.Executed.NO,
+            )
+        )
