--- a/tests/contracts/conftest.py
+++ b/tests/contracts/conftest.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import pathlib
 from typing import Any
 
@@ -11,7 +11,9 @@
 from tests import scripted_platform
 from wisteriasill import documents
 from wisteriasill.contracts import service_file
+from wisteriasill.machines import host as hosts
 
+HostFactory = Callable[..., hosts.Host]
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
 
 
@@ -30,3 +32,24 @@
         "site": documents.encode(directory.site),
         **documents.encode(directory.services_by_name),
     }
+
+
+@pytest.fixture
+def make_host() -> HostFactory:
+    """Builds a serving host of 16 cores; arguments override its fields."""
+    base = hosts.Host(
+        host_id="h1",
+        pool="quoting",
+        state=hosts.HostState.SERVING,
+        region="local",
+        availability_zone="z1",
+        rack="z1-r1",
+        address="127.0.0.1:1",
+        cores=16,
+        memory_gib=64,
+        accelerators=0,
+        slots=8,
+        connections=64,
+        boot_count=1,
+    )
+    return lambda **changes: base._replace(**changes)
--- a/wisteriasill/machines/entry_host.py
+++ b/wisteriasill/machines/entry_host.py
@@ -124,8 +124,8 @@
             self._peers,
             self._incarnation,
             self._clock,
-            job_keeper.JobKeeper(
-                self._platform, self._clock, secrets.token_hex
+            lambda guarded: job_keeper.JobKeeper(
+                guarded, self._clock, secrets.token_hex
             ),
         )
         self._membership.start()
