--- a/wisteriasill/links/http_client.py
+++ b/wisteriasill/links/http_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import enum
 import io
 import queue
@@ -114,10 +114,20 @@
 
     After a timeout all idle handles are dropped, because connections that
     went silent together would each cost one more timeout.
+
+    Args:
+        idle_seconds: Longest idle time after which a connection is reused.
+        on_traffic: Called with the bytes sent and received by each call,
+            HTTP headers included.
     """
 
-    def __init__(self, idle_seconds: float = 60.0) -> None:
+    def __init__(
+        self,
+        idle_seconds: float = 60.0,
+        on_traffic: Callable[[int, int], None] = lambda sent, received: None,
+    ) -> None:
         self._idle_seconds = max(1, int(idle_seconds))
+        self._on_traffic = on_traffic
         self._idle: queue.LifoQueue[pycurl.Curl] = queue.LifoQueue(IDLE_HANDLES)
 
     def call(self, call: HttpCall) -> result.Result[HttpAnswer, HttpFault]:
@@ -136,10 +146,12 @@
             curl.perform()
         except pycurl.error as error:
             fault = _fault(curl, error, collector)
+            self._note_traffic(curl)
             curl.close()
             if fault.kind is HttpFaultKind.TIMED_OUT:
                 self.close()
             return result.Failure(fault)
+        self._note_traffic(curl)
         answer = collector.answer(curl.getinfo(pycurl.RESPONSE_CODE))
         self._give_back(curl)
         if not _is_framed(call.method, answer):
@@ -160,6 +172,12 @@
             except queue.Empty:
                 return
 
+    def _note_traffic(self, curl: pycurl.Curl) -> None:
+        received = curl.getinfo(pycurl.HEADER_SIZE) + curl.getinfo(
+            pycurl.SIZE_DOWNLOAD_T
+        )
+        self._on_traffic(curl.getinfo(pycurl.REQUEST_SIZE), int(received))
+
     def _take(self) -> pycurl.Curl:
         try:
             return self._idle.get_nowait()
--- a/wisteriasill/links/peer_session.py
+++ b/wisteriasill/links/peer_session.py
@@ -134,6 +134,7 @@
                 return "not wanted"
 
     def _handle(self, body: bytes | str) -> bool:
+        self._context.metrics.count_control_traffic(0, len(body))
         decoded = peer_codec.decode(body)
         if not isinstance(decoded, result.Success):
             self._note_invalid(decoded.failure())
@@ -159,7 +160,7 @@
                     beat_at = now + period_seconds
                 body = self.outbox.take(max(0.0, beat_at - now))
                 if body is not None:
-                    self._connection.send(body)
+                    self._send_encoded(body)
         with contextlib.suppress(OSError):
             self._connection.socket.shutdown(socket.SHUT_WR)
 
@@ -171,7 +172,11 @@
         }
 
     def _send(self, message: peer_messages.Message) -> None:
-        self._connection.send(peer_codec.encode(message).unwrap())
+        self._send_encoded(peer_codec.encode(message).unwrap())
+
+    def _send_encoded(self, body: bytes) -> None:
+        self._connection.send(body)
+        self._context.metrics.count_control_traffic(len(body), 0)
 
     def _note_invalid(self, failure: errors.Failure) -> None:
         self._invalid_messages += 1
--- a/wisteriasill/links/platform_calls.py
+++ b/wisteriasill/links/platform_calls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import json
 from typing import Any, TypeVar
 from urllib import parse
@@ -32,10 +32,14 @@
 class Calls:
     """Calls of the platform, with its faults turned into failures."""
 
-    def __init__(self, settings: settings_types.EntrySettings) -> None:
+    def __init__(
+        self,
+        settings: settings_types.EntrySettings,
+        on_traffic: Callable[[int, int], None],
+    ) -> None:
         self._settings = settings
         self._client = http_client.HttpClient(
-            idle_seconds=settings.idle_connection_seconds
+            settings.idle_connection_seconds, on_traffic
         )
 
     def read(
--- a/wisteriasill/links/platform_link.py
+++ b/wisteriasill/links/platform_link.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple, TypeVar
 from urllib import parse
 
@@ -238,10 +238,18 @@
     Thread safe. Each write uses a new connection, because curl repeats a
     request by itself on a reused one; a conflict caused by such a repeat
     would hide that the first copy was applied.
+
+    Args:
+        settings: Settings of this entry host.
+        on_traffic: Called with the bytes sent and received by each call.
     """
 
-    def __init__(self, settings: settings_types.EntrySettings) -> None:
-        calls = platform_calls.Calls(settings)
+    def __init__(
+        self,
+        settings: settings_types.EntrySettings,
+        on_traffic: Callable[[int, int], None] = lambda sent, received: None,
+    ) -> None:
+        calls = platform_calls.Calls(settings, on_traffic)
         self._calls = calls
         self._table = _TableLink(calls)
         self._objects = _ObjectLink(calls)
--- a/wisteriasill/machines/entry_host.py
+++ b/wisteriasill/machines/entry_host.py
@@ -41,7 +41,9 @@
         self._leaving = False
         self.metrics = metrics_module.Metrics()
         self.site = sites.Site(self._clock)
-        self._platform = platform_link.PlatformLink(settings)
+        self._platform = platform_link.PlatformLink(
+            settings, self.metrics.count_control_traffic
+        )
         self._peers = peer_link.PeerLinks(
             settings, self.site, self._incarnation, self.metrics, self._clock
         )
--- a/wisteriasill/metrics.py
+++ b/wisteriasill/metrics.py
@@ -80,6 +80,16 @@
         with self._lock:
             self._counters.add({"name": name}, amount)
 
+    def count_control_traffic(self, sent: int, received: int) -> None:
+        """Adds bytes exchanged with peers and the platform.
+
+        Args:
+            sent: Bytes sent, without TCP and IP headers.
+            received: Bytes received, without TCP and IP headers.
+        """
+        self.count("control_bytes_sent", sent)
+        self.count("control_bytes_received", received)
+
     def set_gauge(self, name: str, value: float) -> None:
         """Sets a named gauge."""
         with self._lock:
