--- /dev/null
+++ b/bench/backend_process.py
@@ -0,0 +1,59 @@
+"""Child process that hosts back ends."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from bench import processes
+from standins import backend as backends
+from standins import backend_records as records
+from wisteriasill import documents
+
+
+class BackendProcess:
+    """The back ends of one process, addressed by their index."""
+
+    def __init__(self) -> None:
+        self._backends: list[backends.Backend] = []
+
+    def start(self, count: int, work_seconds: float) -> list[str]:
+        """Starts back ends and returns their addresses."""
+        for _ in range(count):
+            item = backends.Backend(work_seconds=work_seconds)
+            item.start()
+            self._backends.append(item)
+        return [f"{item.address}:{item.port}" for item in self._backends]
+
+    def set_faults(self, index: int, faults: dict[str, Any]) -> None:
+        """Sets the faults of one back end."""
+        self._backends[index].faults = records.Faults(**faults)
+
+    def silence(self, share: float) -> int:
+        """Silences a share of the open connections of each back end."""
+        return sum(item.silence_connections(share) for item in self._backends)
+
+    def drain(self, index: int) -> None:
+        """Lets one back end refuse new requests."""
+        self._backends[index].begin_drain()
+
+    def report(self) -> Any:
+        """Returns the reports of all back ends."""
+        return documents.encode([item.report() for item in self._backends])
+
+
+def main() -> None:
+    """Serves the bench until it closes the pipe."""
+    hosted = BackendProcess()
+    processes.serve(
+        {
+            "start": hosted.start,
+            "set_faults": hosted.set_faults,
+            "silence": hosted.silence,
+            "drain": hosted.drain,
+            "report": hosted.report,
+        }
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/peaks.py
@@ -0,0 +1,131 @@
+"""Peaks in turn: five times the mean, which exceeds the pool's slots."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from bench import load
+from bench import report
+from bench import request_fleet
+
+WARM_SECONDS = 2.0
+PEAK_SECONDS = 5.0
+RECOVERY_SECONDS = 4.0
+PEAK_FACTOR = 5.0
+QUIET_FACTOR = 0.05
+# Half the rates of 50 ms requests, so that the generators and seven entry
+# hosts of one machine can drive a peak; all ratios stay.
+WORK_SECONDS = 0.1
+POLICIES = ("independent", "exchanged", "lent")
+
+
+class Phase(NamedTuple):
+    """A time in which each service has its share of the mean."""
+
+    begin: float
+    end: float
+    factors: tuple[float, float]
+
+
+def _phases(both: bool) -> list[Phase]:
+    first_end = WARM_SECONDS + PEAK_SECONDS
+    second_end = first_end + PEAK_SECONDS * both
+    phases = [
+        Phase(0, WARM_SECONDS, (1, 1)),
+        Phase(WARM_SECONDS, first_end, (PEAK_FACTOR, QUIET_FACTOR)),
+        Phase(first_end, second_end, (QUIET_FACTOR, PEAK_FACTOR)),
+        Phase(second_end, second_end + RECOVERY_SECONDS, (1, 1)),
+    ]
+    return [phase for phase in phases if phase.begin < phase.end]
+
+
+def _streams(
+    fleet: request_fleet.RequestFleet, phases: list[Phase]
+) -> list[load.Stream]:
+    return [
+        fleet.stream(name, fleet.mean_rate * factor, phase.begin, phase.end)
+        for phase in phases
+        for name, factor in zip(fleet.service_names, phase.factors, strict=True)
+    ]
+
+
+def _goodput_share(
+    fleet: request_fleet.RequestFleet, outcome: load.Outcome, phase: Phase
+) -> float:
+    """Share of what the slots can deliver that was answered in the peak."""
+    peaked = fleet.service_names[phase.factors.index(PEAK_FACTOR)]
+    answered = sum(
+        phase.begin <= item.at_seconds + item.seconds < phase.end
+        for item in outcome.of_stream(peaked).answered
+    )
+    return answered / (fleet.capacity * (phase.end - phase.begin))
+
+
+def _measure(
+    site: str, seed: int, policy: str, both: bool
+) -> dict[str, report.Figure]:
+    phases = _phases(both)
+    variant = request_fleet.Variant(policy, slot_policy=policy)
+    with request_fleet.RequestFleet(site, variant, WORK_SECONDS) as fleet:
+        outcome = fleet.drive(_streams(fleet, phases), seed)
+        counted = fleet.report()
+        goodput = [
+            _goodput_share(fleet, outcome, phase)
+            for phase in phases
+            if PEAK_FACTOR in phase.factors
+        ]
+    runs = counted.runs_by_key
+    useful = {item.key for item in outcome.answered}
+    last = phases[-1]
+    steady_ms = outcome.between(1.0, WARM_SECONDS).percentile_ms(99)
+    after_ms = outcome.between(last.begin + 2, last.end).percentile_ms(99)
+    return {
+        "requests": len(outcome.records),
+        "answered": len(useful),
+        "goodput_share": min(goodput),
+        "late_work_share": 1
+        - sum(runs[key] for key in useful) / sum(runs.values()),
+        "steady_p99_ms": steady_ms,
+        "peak_p99_ms": outcome.between(WARM_SECONDS, last.begin).percentile_ms(
+            99
+        ),
+        "after_p99_ratio": after_ms / steady_ms,
+        "false_not_executed": sum(
+            item.executed == "no" and item.key in runs
+            for item in outcome.records
+        ),
+        "wrong_answers": outcome.counts["wrong"],
+        "refusals": counted.refusals,
+        "peer_messages_per_s": counted.peer_messages / last.end,
+        "max_slots": counted.max_slots,
+        "generator_late_p99_ms": outcome.worst_late_ms,
+    }
+
+
+def run(site: str, seed: int) -> report.BenchResult:
+    """Measures the kept slot policy with both peaks, the others with one."""
+    kept = request_fleet.Variant("kept").slot_policy
+    measured = {
+        policy: _measure(site, seed, policy, policy == kept)
+        for policy in POLICIES
+    }
+    figures = measured[kept]
+    return report.BenchResult(
+        "peaks",
+        site,
+        seed,
+        ("variant", *figures),
+        [
+            [policy + (" (kept)" if policy == kept else ""), *item.values()]
+            for policy, item in measured.items()
+        ],
+        figures,
+        (
+            report.Limit("goodput_share", ">=", 0.95),
+            report.Limit("late_work_share", "<=", 0.01),
+            report.Limit("after_p99_ratio", "<=", 1.5),
+            report.Limit("false_not_executed", "==", 0),
+            report.Limit("wrong_answers", "==", 0),
+            report.Limit("max_slots", "<=", request_fleet.SLOTS),
+        ),
+    )
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,75 @@
+"""Child processes of an experiment, driven by JSON lines on their pipes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+import json
+import subprocess
+import sys
+from typing import Any
+
+STOP_SECONDS = 10.0
+
+
+class Child:
+    """One child process that runs a module of the bench.
+
+    Args:
+        module: Name of the module, which calls `serve`.
+    """
+
+    def __init__(self, module: str) -> None:
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", module],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+            bufsize=1,
+        )
+
+    def send(self, command: str, **arguments: Any) -> None:
+        """Sends a command without waiting for its answer."""
+        assert self._process.stdin is not None
+        line = json.dumps({"command": command, "arguments": arguments})
+        self._process.stdin.write(line + "\n")
+        self._process.stdin.flush()
+
+    def receive(self) -> Any:
+        """Waits for the answer to the oldest command.
+
+        Raises:
+            RuntimeError: If the child ended instead.
+        """
+        assert self._process.stdout is not None
+        line = self._process.stdout.readline()
+        if not line:
+            raise RuntimeError("a child process of the bench has ended")
+        return json.loads(line)
+
+    def call(self, command: str, **arguments: Any) -> Any:
+        """Sends a command and waits for its answer."""
+        self.send(command, **arguments)
+        return self.receive()
+
+    def stop(self) -> None:
+        """Closes the child's input, which ends it, and waits for it."""
+        assert self._process.stdin is not None
+        self._process.stdin.close()
+        try:
+            self._process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            self._process.kill()
+            self._process.wait()
+
+
+def serve(commands: Mapping[str, Callable[..., Any]]) -> None:
+    """Answers commands until the input is closed.
+
+    Args:
+        commands: Functions by the name of the command.
+    """
+    for line in sys.stdin:
+        order = json.loads(line)
+        answer = commands[order["command"]](**order["arguments"])
+        sys.stdout.write(json.dumps(answer) + "\n")
+        sys.stdout.flush()
--- /dev/null
+++ b/bench/steady.py
@@ -0,0 +1,111 @@
+"""Mean load: latency against the same load sent straight to the workers."""
+
+from __future__ import annotations
+
+from bench import load
+from bench import report
+from bench import request_fleet
+
+SECONDS = 5.0
+WARM_SECONDS = 1.5
+POLICIES = ("independent", "exchanged", "lent")
+
+
+def _direct(fleet: request_fleet.RequestFleet) -> list[load.Stream]:
+    return [
+        fleet.stream(name, fleet.mean_rate, 0, WARM_SECONDS + SECONDS)._replace(
+            addresses=[
+                item.address for item in fleet.hosts if item.pool == name
+            ]
+        )
+        for name in fleet.service_names
+    ]
+
+
+def _through(fleet: request_fleet.RequestFleet) -> list[load.Stream]:
+    return [
+        fleet.stream(name, fleet.mean_rate, 0, WARM_SECONDS + SECONDS)
+        for name in fleet.service_names
+    ]
+
+
+def _row(
+    name: str, outcome: load.Outcome, counted: request_fleet.Report
+) -> list[report.Figure]:
+    measured = outcome.between(WARM_SECONDS, WARM_SECONDS + SECONDS)
+    return [
+        name,
+        len(measured.records),
+        len(measured.records) - len(measured.answered),
+        measured.percentile_ms(50.0),
+        measured.percentile_ms(99.0),
+        counted.refusals,
+        counted.peer_messages / (WARM_SECONDS + SECONDS),
+        counted.max_slots,
+        counted.max_connections,
+        measured.worst_late_ms,
+    ]
+
+
+def run(site: str, seed: int) -> report.BenchResult:
+    """Measures all slot policies and the direct way."""
+    rows = []
+    figures: dict[str, report.Figure] = {}
+    kept = request_fleet.Variant("kept").slot_policy
+    for policy in POLICIES:
+        variant = request_fleet.Variant(policy, slot_policy=policy)
+        with request_fleet.RequestFleet(site, variant) as fleet:
+            if policy == kept:
+                direct = fleet.drive(_direct(fleet), seed)
+                rows.append(_row("direct", direct, fleet.report()))
+            outcome = fleet.drive(_through(fleet), seed)
+            counted = fleet.report()
+        mark = " (kept)" if policy == kept else ""
+        rows.append(_row(policy + mark, outcome, counted))
+        if policy == kept:
+            figures = _figures(direct, outcome, counted)
+    return report.BenchResult(
+        "steady",
+        site,
+        seed,
+        (
+            "variant",
+            "requests",
+            "not_answered",
+            "p50_ms",
+            "p99_ms",
+            "refusals",
+            "peer_messages_per_s",
+            "max_slots",
+            "max_connections",
+            "generator_late_p99_ms",
+        ),
+        rows,
+        figures,
+        (
+            report.Limit("not_answered", "==", 0),
+            report.Limit("p99_ratio", "<=", 1.5),
+            report.Limit("max_slots", "<=", request_fleet.SLOTS),
+            report.Limit("max_connections", "<=", request_fleet.CONNECTIONS),
+        ),
+    )
+
+
+def _figures(
+    direct: load.Outcome,
+    outcome: load.Outcome,
+    counted: request_fleet.Report,
+) -> dict[str, report.Figure]:
+    warm = direct.between(WARM_SECONDS, WARM_SECONDS + SECONDS)
+    measured = outcome.between(WARM_SECONDS, WARM_SECONDS + SECONDS)
+    p99_ms, direct_ms = measured.percentile_ms(99), warm.percentile_ms(99)
+    return {
+        "requests": len(outcome.records),
+        "not_answered": len(outcome.records) - len(outcome.answered),
+        "p99_ms": p99_ms,
+        "direct_p99_ms": direct_ms,
+        "p99_ratio": p99_ms / direct_ms,
+        "max_slots": counted.max_slots,
+        "max_connections": counted.max_connections,
+        "refusals": counted.refusals,
+    }
--- a/wisteriasill/contracts/credit_ledger.py
+++ b/wisteriasill/contracts/credit_ledger.py
@@ -8,6 +8,10 @@
 
 import xxhash
 
+# Longer than any holder keeps a credit without a message, but for a request
+# that takes longer; its slot is then guarded by the worker's own limit.
+LOAN_SECONDS = 10.0
+
 
 class Grant(NamedTuple):
     """Slots lent to a member; none at all says that it has to wait."""
@@ -45,6 +49,7 @@
     def __init__(self) -> None:
         self._lent_by_target: dict[str, collections.Counter[str]] = {}
         self._waiting_by_target: dict[str, collections.deque[str]] = {}
+        self._heard_at: dict[tuple[str, str], float] = {}
 
     def request(
         self, member_id: str, target_id: str, count: int, slots: int
@@ -84,6 +89,31 @@
             grants.append(Grant(member_id, target_id, 1))
         return grants
 
+    def note(self, member_id: str, target_id: str, now: float) -> None:
+        """Notes a message of a member about a target."""
+        self._heard_at[target_id, member_id] = now
+
+    def lapse(self, now: float) -> list[str]:
+        """Takes back loans that nothing was heard of for long.
+
+        A message that was lost on its way must not cost a slot for ever.
+
+        Args:
+            now: Monotonic seconds.
+
+        Returns:
+            Targets that may have free slots now.
+        """
+        lapsed = [
+            key
+            for key, heard_at in self._heard_at.items()
+            if now - heard_at > LOAN_SECONDS
+        ]
+        for target_id, member_id in lapsed:
+            del self._heard_at[target_id, member_id]
+            del self._lent(target_id)[member_id]
+        return sorted({target_id for target_id, _ in lapsed})
+
     def keep_only(self, member_ids: frozenset[str]) -> list[str]:
         """Takes back what lost members held.
 
--- a/wisteriasill/contracts/retry.py
+++ b/wisteriasill/contracts/retry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from typing import Protocol
 
 from wisteriasill import clock as clocks
 from wisteriasill import errors
@@ -67,6 +68,19 @@
     return now + (deadline_at - now) * ATTEMPT_SHARE
 
 
+class RetryPolicy(Protocol):
+    """Decides for one pool whether failed attempts are repeated."""
+
+    def deposit(self) -> None:
+        """Notes a new request."""
+
+    def withdraw(self, failure: errors.Failure) -> bool:
+        """Returns whether a retry after this failure is allowed."""
+
+    def delay_seconds(self, runs: int) -> float:
+        """Returns the wait before the attempt after `runs` runs."""
+
+
 class RetryBudget:
     """Limits a pool's retries to a share of its requests; thread safe.
 
@@ -108,3 +122,15 @@
                 return False
             self._tokens -= cost
             return True
+
+    def delay_seconds(self, runs: int) -> float:
+        """Returns no delay: another target is tried, and the budget limits.
+
+        Args:
+            runs: Attempts so far that were not refused.
+
+        Returns:
+            0 seconds.
+        """
+        del runs
+        return 0.0
--- a/wisteriasill/contracts/slots_lent.py
+++ b/wisteriasill/contracts/slots_lent.py
@@ -143,7 +143,9 @@
                 if now - credit.used_at > IDLE_SECONDS:
                     idle = credit.held - credit.in_flight
                     outgoing += self._give_back(host_id, credit, idle)
-        self._deliver(outgoing)
+            outgoing += self._lend(self._ledger.lapse(now))
+        if self._deliver(outgoing):
+            self._notify()
 
     def _take(self, groups: slots.Groups) -> hosts.Host | None:
         for group in groups:
@@ -239,8 +241,8 @@
             if message["type"] == "credit_grant":
                 self._granted(member_id, message)
                 return []
-            known = self._site.snapshot.hosts_by_id.get(target_id)
-            total = known.host.slots if known is not None else 0
+            self._ledger.note(member_id, target_id, self._clock.monotonic())
+            total = self._slots_of(target_id)
             if message["type"] == "credit_request":
                 grants = [
                     self._ledger.request(member_id, target_id, count, total)
@@ -300,16 +302,23 @@
                     self._credits[target_id] = Credit(
                         held=credit.in_flight, in_flight=credit.in_flight
                     )
-            for target_id in self._ledger.keep_only(members):
-                known = self._site.snapshot.hosts_by_id.get(target_id)
-                total = known.host.slots if known is not None else 0
-                outgoing += [
-                    self._grant_message(grant)
-                    for grant in self._ledger.lend_to_waiting(target_id, total)
-                ]
+            outgoing += self._lend(self._ledger.keep_only(members))
         self._deliver(outgoing)
         self._notify()
 
+    def _lend(self, target_ids: list[str]) -> Outgoing:
+        return [
+            self._grant_message(grant)
+            for target_id in target_ids
+            for grant in self._ledger.lend_to_waiting(
+                target_id, self._slots_of(target_id)
+            )
+        ]
+
+    def _slots_of(self, target_id: str) -> int:
+        known = self._site.snapshot.hosts_by_id.get(target_id)
+        return known.host.slots if known is not None else 0
+
     def _tick_until_stopped(self) -> None:
         while not self._clock.wait(self._stopping, TICK_SECONDS):
             self.return_idle()
--- a/wisteriasill/links/dispatch.py
+++ b/wisteriasill/links/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import hashlib
 import threading
 from typing import Any, Protocol
@@ -59,6 +60,7 @@
         idempotency: Records of requests that must not be repeated.
         metrics: Metrics of this process.
         clock: Source of monotonic time.
+        retry_policy: Builds the retry policy of each pool.
     """
 
     def __init__(
@@ -69,7 +71,11 @@
         idempotency: Idempotency,
         metrics: metric_types.Metrics,
         clock: clocks.Clock,
+        retry_policy: Callable[
+            [clocks.Clock], retry.RetryPolicy
+        ] = retry.RetryBudget,
     ) -> None:
+        self._retry_policy = retry_policy
         self._settings = settings
         self._site = site
         self._idempotency = idempotency
@@ -138,7 +144,7 @@
             if name not in self._pools_by_service:
                 self._pools_by_service[name] = forwarding.PoolState(
                     admission.ServiceQueue(self._settings, self._clock),
-                    retry.RetryBudget(self._clock),
+                    self._retry_policy(self._clock),
                 )
             return self._pools_by_service[name]
 
--- a/wisteriasill/links/forwarding.py
+++ b/wisteriasill/links/forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from typing import NamedTuple
 
 from returns import result
@@ -34,7 +35,7 @@
     """What this entry host holds for one service."""
 
     queue: admission.ServiceQueue
-    budget: retry.RetryBudget
+    budget: retry.RetryPolicy
 
 
 class Order(NamedTuple):
@@ -105,6 +106,14 @@
             if not self._may_repeat(order, outcome, progress):
                 return outcome
             self._metrics.count("retries")
+            self._pause(order, progress)
+
+    def _pause(self, order: Order, progress: attempts.Progress) -> None:
+        """Waits as the retry policy says, at most until the deadline."""
+        seconds = order.pool.budget.delay_seconds(progress.runs)
+        remaining = order.ticket.deadline_at - self._clock.monotonic()
+        if min(seconds, remaining) > 0:
+            self._clock.wait(threading.Event(), min(seconds, remaining))
 
     def _may_repeat(
         self,
