Test service files and the operators' interface

Found by them: a default of Change that pydantic could not copy, and the line of an unknown list of tables.

--- /dev/null
+++ b/tests/operator_site.py
@@ -0,0 +1,134 @@
+"""An operators' server over a platform in memory, for tests."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import contextlib
+import pathlib
+from typing import NamedTuple
+
+from tests import scripted_platform
+from wisteriasill import clock as clocks
+from wisteriasill import documents
+from wisteriasill import metrics as metric_types
+from wisteriasill import settings as setting_types
+from wisteriasill.contracts import configuration_reader
+from wisteriasill.contracts import configuration_store
+from wisteriasill.contracts import service_file
+from wisteriasill.links import operator_link
+from wisteriasill.links import peer_messages
+from wisteriasill.machines import host as hosts
+from wisteriasill.machines import member as members
+from wisteriasill.zones import site as sites
+
+EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
+TOKEN = "correct-horse"
+
+
+class QuietMesh:
+    """A mesh without peers."""
+
+    def broadcast(self, message: peer_messages.Message) -> None:
+        """Reaches nobody."""
+
+    def send(self, member_id: str, message: peer_messages.Message) -> bool:
+        """Reaches nobody."""
+        return False
+
+    def on_message(
+        self, message_type: str, handler: peer_messages.Handler
+    ) -> None:
+        """Never calls the handler."""
+
+    def on_members_changed(self, handler: object) -> None:
+        """Never calls the handler."""
+
+    def connected_peers(self) -> frozenset[str]:
+        """Returns nobody."""
+        return frozenset()
+
+
+class OperatorSite(NamedTuple):
+    """One entry host as operators see it.
+
+    Attributes:
+        platform: The platform.
+        site: What the entry host knows.
+        url: Base URL of the operators' port.
+        port: The operators' port.
+    """
+
+    platform: scripted_platform.ScriptedPlatform
+    site: sites.Site
+    url: str
+    port: int
+
+    def adopt(self) -> None:
+        """Takes over the configuration in force, as the poll does."""
+        manifest, _ = configuration_reader.read_manifest(self.platform).unwrap()
+        self.site.adopt_configuration(
+            configuration_store.load(
+                self.platform, manifest, self.site.snapshot.configuration
+            ).unwrap()
+        )
+
+
+def _hosts() -> Iterator[hosts.Host]:
+    for pool in ("billing", "cutting", "quoting", "support", "swatches"):
+        for number in range(6):
+            yield hosts.Host(
+                host_id=f"{pool}-{number}",
+                pool=pool,
+                state=hosts.HostState.SERVING,
+                region="recife",
+                availability_zone=f"zone-{number % 3}",
+                rack=f"rack-{number // 4}",
+                address="127.0.0.1:1",
+                cores=16,
+                memory_gib=64,
+                accelerators=0,
+                slots=8,
+                connections=64,
+            )
+
+
+@contextlib.contextmanager
+def running(token: str = TOKEN) -> Iterator[OperatorSite]:
+    """Runs an operators' server for the example site in generation 1."""
+    platform = scripted_platform.ScriptedPlatform()
+    directory = service_file.read_directory(EXAMPLES / "mandacaru")
+    change = configuration_store.Change(
+        {
+            "site": documents.encode(directory.site),
+            **documents.encode(directory.services_by_name),
+        },
+        "ana",
+        0,
+    )
+    configuration_store.publish(platform, change).unwrap()
+    site = sites.Site(clocks.SystemClock())
+    site.update_hosts([sites.KnownHost(host, 1) for host in _hosts()])
+    for host in _hosts():
+        platform.set_row(hosts.TABLE, host.host_id, documents.encode(host))
+    site.set_members(
+        [members.Member("entry-1", "i1", "recife", "zone-0", "::1", 1, 2, 3)]
+    )
+    settings = setting_types.EntrySettings(
+        "entry-1",
+        "zone-0",
+        "http://127.0.0.1:1",
+        operator_token=token,
+        socket_timeout_seconds=1.0,
+    )
+    link = operator_link.OperatorLink(
+        settings, platform, site, QuietMesh(), metric_types.Metrics()
+    )
+    link.start()
+    found = OperatorSite(
+        platform, site, f"http://127.0.0.1:{link.port}", link.port
+    )
+    found.adopt()
+    try:
+        yield found
+    finally:
+        link.stop(1.0)
--- a/wisteriasill/__main__.py
+++ b/wisteriasill/__main__.py
@@ -247,7 +247,7 @@
         """Runs a whole example site in one process on loopback."""
         from wisteriasill.commands import demo
 
-        return int(demo.run(site, as_json))
+        return demo.run(site, as_json)
 
 
 def _known_words() -> list[str]:
--- a/wisteriasill/contracts/publication.py
+++ b/wisteriasill/contracts/publication.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Mapping
 import datetime
-import types
 from typing import Annotated, Any, NamedTuple
 
 import pydantic
@@ -38,13 +37,13 @@
     documents: Mapping[str, Mapping[str, Any]]
     author: Author
     base_generation: services.Count
-    base_by_name: Mapping[str, services.Count] = types.MappingProxyType({})
+    base_by_name: Mapping[str, services.Count] | None = None
     base_names: tuple[str, ...] = ()
     removed: tuple[str, ...] = ()
 
     def base_of(self, name: str) -> int:
         """Returns the generation that a document was started from."""
-        return self.base_by_name.get(name, self.base_generation)
+        return (self.base_by_name or {}).get(name, self.base_generation)
 
 
 class Publication(NamedTuple):
--- a/wisteriasill/contracts/toml_lines.py
+++ b/wisteriasill/contracts/toml_lines.py
@@ -33,6 +33,7 @@
         if header:
             parts = _parts(header.group(2))
             table = tuple(parts)
+            lines.setdefault(table, number)
             if header.group(1) == "[[":
                 name = ".".join(parts)
                 counts[name] = counts.get(name, -1) + 1
