--- /dev/null
+++ b/tests/commands/test_usage.py
@@ -0,0 +1,132 @@
+"""Tests of wrong usage: one line that names the thing, never a traceback."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import socket
+
+import pytest
+
+from tests.commands import conftest
+from wisteriasill.commands import entry
+from wisteriasill.contracts import service_file
+
+ENTRY = "entry --member-id e --availability-zone z --platform-url http://127.0.0.1:1"
+
+
+@pytest.mark.parametrize(
+    ("line", "status", "named"),
+    [
+        ("chekc x", 2, "did you mean check?"),
+        ("check", 2, "DIR"),
+        ("check /nowhere", 2, '"/nowhere" is not a directory'),
+        ("check . --jsn", 2, "--jsn"),
+        ("explain /nowhere.toml", 1, "/nowhere.toml:1: error: file"),
+        ("publish . --base x", 2, "--base"),
+        ("publish /nowhere --entry http://127.0.0.1:1", 2, "/nowhere"),
+        ("status", 2, "WISTERIASILL_ENTRY"),
+        ("status --entry here", 2, '"here"'),
+        ("status --entry http://127.0.0.1:1", 1, "http://127.0.0.1:1"),
+        ("status --entry http://x --token-file /no", 2, '"/no"'),
+        ("move h1", 2, "POOL"),
+        ("demo --site kochi", 2, "kochi"),
+        ("entry", 2, "member_id"),
+        (f"{ENTRY} --set caller_threds=1", 2, '"caller_threads"'),
+        (f"{ENTRY} --set caller_threads", 2, "NAME=VALUE"),
+        (f"{ENTRY} --set caller_threads=many", 2, "caller_threads = 'many'"),
+        (f"{ENTRY} --set caller_threads=0", 2, "caller_threads"),
+        (f"{ENTRY} --caller-port 70000", 2, "caller_port"),
+        (f"{ENTRY} --listen-address here", 2, "listen_address"),
+        (f"{ENTRY} --operator-token-file /no", 2, '"/no"'),
+    ],
+)
+def test_wrong_usage(
+    run: conftest.Run, line: str, status: int, named: str
+) -> None:
+    """An operator at night must see what to change from one line."""
+    outcome = run(*line.split())
+    assert outcome.status == status
+    assert named in outcome.errors
+    assert outcome.errors.count("\n") == 1
+    assert outcome.errors.startswith("wisteriasill: ")
+
+
+def test_flags_precede_variables() -> None:
+    """A flag given by hand must win over the unit file's environment."""
+    environment = {
+        "WISTERIASILL_MEMBER_ID": "from-variable",
+        "WISTERIASILL_AVAILABILITY_ZONE": "zone-a",
+        "WISTERIASILL_PLATFORM_URL": "http://127.0.0.1:9",
+        "WISTERIASILL_CONTROL": "false",
+        "WISTERIASILL_ENTRY": "http://127.0.0.1:8",
+        "HOME": "/",
+    }
+    settings = entry.build_settings(
+        {"member_id": "from-flag", "poll_seconds": "0.5"}, environment
+    ).unwrap()
+    assert settings.member_id == "from-flag"
+    assert settings.poll_seconds == 0.5
+    assert settings.control is False
+    wrong = {**environment, "WISTERIASILL_PEER_PROT": "1"}
+    assert "WISTERIASILL_PEER_PORT" in (
+        entry.build_settings({}, wrong).failure().detail
+    )
+
+
+def test_token_file_hides_its_content(
+    run: conftest.Run, tmp_path: pathlib.Path
+) -> None:
+    """A file with two lines may be a key; it must not be shown."""
+    path = tmp_path / "token"
+    path.write_text("first-secret\nsecond\n", encoding="utf-8")
+    outcome = run(
+        "status", "--entry", "http://127.0.0.1:1", "--token-file", str(path)
+    )
+    assert outcome.status == 2
+    assert "secret" not in outcome.errors
+
+
+def test_check_lists_problems_for_scripts(
+    run: conftest.Run, folder: pathlib.Path
+) -> None:
+    """Scripts rely on the field names of `check --json`."""
+    path = folder / "billing" / service_file.SERVICE_FILE
+    text = path.read_text(encoding="utf-8")
+    path.write_text(text.replace("hosts = 6", "hosts = 4"), encoding="utf-8")
+    outcome = run("check", str(folder), "--json")
+    assert outcome.status == 1
+    problem = json.loads(outcome.output)["problems"][0]
+    assert problem["file"] == "billing/wisteriasill.toml"
+    assert (problem["line"], problem["value"]) == (10, 5)
+    assert problem["key"] == "pool.hosts_always_usable"
+
+
+def test_answer_of_another_server_is_no_traceback(run: conftest.Run) -> None:
+    """A wrong port must be told from a broken entry host."""
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        port = other.getsockname()[1]
+        other.settimeout(0.01)
+    outcome = run("status", "--entry", f"http://127.0.0.1:{port}")
+    assert outcome.status == 1
+    assert str(port) in outcome.errors
+
+
+def test_every_command_explains_itself(run: conftest.Run) -> None:
+    """Each command's help must hold an example."""
+    commands = run("--help").output.partition("{")[2].partition("}")[0]
+    for name in commands.replace("\n", "").split(","):
+        outcome = run(name, "--help")
+        assert outcome.status == 0
+        assert f"Example: wisteriasill {name}" in outcome.output
+
+
+def test_completion_script(
+    run: conftest.Run, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Shell completion must name the commands."""
+    monkeypatch.setenv("SHELL", "/bin/bash")
+    assert "complete" in run("--completion", "generate").output
+    monkeypatch.setenv("COMPLETION_LINE", "wisteriasill pu")
+    monkeypatch.setenv("COMPLETION_LOCATION", "2")
+    assert "publish" in run("--completion", "complete").output
--- a/wisteriasill/__main__.py
+++ b/wisteriasill/__main__.py
@@ -259,12 +259,17 @@
     ]
 
 
-def main() -> None:
-    """Runs the command line and exits with its status."""
+def main(argv: list[str] | None = None) -> None:
+    """Runs the command line and exits with its status.
+
+    Args:
+        argv: Arguments; those of the process by default.
+    """
     sys.exit(
         cappa.invoke(
             Wisteriasill,
-            output=command_output.build(_known_words()),
+            argv=argv,
+            output=command_output.build(_known_words),
             color=False,
         )
     )
