Pass services as a sequence to the job keeper

Cause: the pool keeper passed the mapping of services, whose iteration gives names; each round of a pool's shard failed with an AttributeError. Change: the pool keeper passes the values and the protocol says so.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,161 @@
+"""Slopes of control cost, and what they give at the size to design for."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import pathlib
+import statistics
+import time
+from typing import NamedTuple
+
+from bench import capacity_page
+from bench import capacity_site
+from bench import entry_processes
+from bench import report
+
+SETTLE_SECONDS = 8.0
+SAMPLE_SECONDS = 12.0
+MEMBER_COUNTS = (2, 4, 7, 10)
+HOST_COUNTS = (30, 300, 1000, 2000)
+POOL_COUNTS = (5, 10, 20)
+BASE_MEMBERS = 2
+PAGE = pathlib.Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+
+LARGE = capacity_site.Size(hosts=4100, pools=20, zones=9, regions=4)
+MAX_CORE_PERCENT = 2.3
+MAX_RESIDENT_MB = 64.0
+MAX_CONTROL_KB_PER_SECOND = 9.0
+
+
+class NodeCost(NamedTuple):
+    """What one entry host without callers uses, the mean of all.
+
+    Attributes:
+        core_percent: Share of one core.
+        resident_mb: Resident memory, interpreter and libraries included.
+        control_kb_per_second: Bytes sent and received for control.
+    """
+
+    core_percent: float
+    resident_mb: float
+    control_kb_per_second: float
+
+
+class Line(NamedTuple):
+    """A fitted line for one kind of cost.
+
+    Attributes:
+        driver: What grows: members, hosts or pools.
+        cost: Name of the cost.
+        slope: Cost for one more.
+        intercept: Cost at zero.
+        correlation: Correlation coefficient of the fit.
+    """
+
+    driver: str
+    cost: str
+    slope: float
+    intercept: float
+    correlation: float
+
+
+def measure(members: int, size: capacity_site.Size) -> NodeCost:
+    """Measures entry hosts as processes on a site of a size."""
+    state, server = capacity_site.start_platform(size)
+    entries = [
+        entry_processes.start_entry(
+            f"entry-{index:02}", f"zone-{index % size.zones}", server.url
+        )
+        for index in range(members)
+    ]
+    try:
+        entry_processes.wait_ready(entries)
+        time.sleep(SETTLE_SECONDS)
+        return _sample(entries)
+    finally:
+        for entry in entries:
+            entry.process.terminate()
+        for entry in entries:
+            entry.stop()
+        server.stop()
+        state.settle()
+
+
+def _sample(entries: Sequence[entry_processes.EntryProcess]) -> NodeCost:
+    def totals() -> tuple[float, float]:
+        return (
+            sum(entry.cpu_seconds() for entry in entries),
+            sum(
+                entry.counter("control_bytes_sent")
+                + entry.counter("control_bytes_received")
+                for entry in entries
+            ),
+        )
+
+    started_at = time.monotonic()
+    cpu_before, bytes_before = totals()
+    time.sleep(SAMPLE_SECONDS)
+    cpu_after, bytes_after = totals()
+    node_seconds = (time.monotonic() - started_at) * len(entries)
+    return NodeCost(
+        100 * (cpu_after - cpu_before) / node_seconds,
+        statistics.mean(entry.resident_mb() for entry in entries),
+        (bytes_after - bytes_before) / node_seconds / 1000,
+    )
+
+
+def fit(
+    driver: str, sizes: Sequence[int], costs: Sequence[NodeCost]
+) -> list[Line]:
+    """Fits a line to each kind of cost."""
+    lines = []
+    for index, name in enumerate(NodeCost._fields):
+        values = [cost[index] for cost in costs]
+        slope, intercept = statistics.linear_regression(sizes, values)
+        flat = max(values) == min(values)
+        correlation = 1.0 if flat else statistics.correlation(sizes, values)
+        lines.append(Line(driver, name, slope, intercept, correlation))
+    return lines
+
+
+def run(site: str, seed: int) -> report.BenchResult:
+    """Measures the slopes and writes the table of the capacity page.
+
+    Args:
+        site: Only names the run; the sizes are those of the page.
+        seed: Only names the run.
+
+    Returns:
+        Costs by size; the limits are those for the large site.
+    """
+    by_driver = {
+        "members": [
+            (count, measure(count, capacity_site.Size(30)))
+            for count in MEMBER_COUNTS
+        ],
+        "hosts": [
+            (count, measure(BASE_MEMBERS, capacity_site.Size(count)))
+            for count in HOST_COUNTS
+        ],
+        "pools": [
+            (count, measure(BASE_MEMBERS, capacity_site.Size(300, count)))
+            for count in POOL_COUNTS
+        ],
+    }
+    large = measure(BASE_MEMBERS, LARGE)
+    lines = [
+        line
+        for driver, points in by_driver.items()
+        for line in fit(
+            driver, [size for size, _ in points], [cost for _, cost in points]
+        )
+    ]
+    rows: list[Sequence[report.Figure]] = [
+        (driver, size, *cost)
+        for driver, points in by_driver.items()
+        for size, cost in points
+    ]
+    rows.append(("large, 2 members", LARGE.hosts, *large))
+    return capacity_page.finish(
+        capacity_page.Measured(site, seed, rows, lines, large), PAGE
+    )
--- a/wisteriasill/machines/pool_keeper.py
+++ b/wisteriasill/machines/pool_keeper.py
@@ -64,6 +64,6 @@
         return self._jobs.step(
             self._context.epoch_row,
             self._pool.rows.ordered,
-            configuration.services_by_name,
+            tuple(configuration.services_by_name.values()),
             configuration.site.quotas,
         )
--- a/wisteriasill/machines/shard_context.py
+++ b/wisteriasill/machines/shard_context.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from returns import result
@@ -24,7 +24,7 @@
         self,
         epoch_row: platform.Row,
         hosts: Sequence[hosts.Host],
-        services: Mapping[str, service.Service],
+        services: Sequence[service.Service],
         quotas: Sequence[service.TeamQuota],
     ) -> result.Result[None, errors.Failure]:
         """Starts, renews and ends tasks on the pool's hosts."""
