Measure placement, and start jobs whose declared size is too large

Jobs that declared nearly a whole host waited for ever; margins kept 13% of the cores idle; an urgent job that declared a tenth of its memory was ended by its worker.

A host that is full as planned no longer counts as overloaded.

--- /dev/null
+++ b/bench/placement_load.py
@@ -0,0 +1,188 @@
+"""Jobs and faults of the placement experiment."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import random
+from typing import NamedTuple
+
+from standins import sites
+from standins import task_types
+from wisteriasill.contracts import service as services
+
+JOBS_PER_POOL = 70
+BROKEN_PER_POOL = 2
+IMPOSSIBLE_PER_POOL = 2
+CHECKPOINTABLE_SHARE = 0.8
+LARGEST_ERROR = 10.0  # Declared sizes are wrong by up to this factor.
+URGENT_RUN_SECONDS = 120.0
+
+
+class TrueJob(NamedTuple):
+    """A job as it really is, and as its owner declares it."""
+
+    pool: str
+    contract: services.JobContract
+    behaviour: task_types.JobBehaviour
+    arrives_at: float = 0.0
+
+    @property
+    def job_id(self) -> str:
+        """Id of its only copy."""
+        return f"{self.pool}.{self.contract.name}.1"
+
+    def with_declared_cores(self, cores: float) -> TrueJob:
+        """Returns the job with another declaration."""
+        return self._replace(contract=self.contract._replace(cores=cores))
+
+    def with_exact_size(self) -> TrueJob:
+        """Returns the job as a perfect owner would declare it."""
+        behaviour = self.behaviour
+        assert behaviour.cores is not None
+        assert behaviour.memory_gib is not None
+        return self._replace(
+            contract=self.contract._replace(
+                cores=behaviour.cores, memory_gib=behaviour.memory_gib
+            )
+        )
+
+
+class Load(NamedTuple):
+    """Everything that a run is given.
+
+    Attributes:
+        regular: Jobs whose work counts.
+        urgent: Jobs whose start is timed.
+        broken: Jobs that fail on every host.
+        impossible: Jobs that fit on no host.
+        cancelled_at: Time of cancellation by job id.
+    """
+
+    regular: tuple[TrueJob, ...]
+    urgent: tuple[TrueJob, ...]
+    broken: tuple[TrueJob, ...]
+    impossible: tuple[TrueJob, ...]
+    cancelled_at: Mapping[str, float]
+
+    @property
+    def all_jobs(self) -> tuple[TrueJob, ...]:
+        """All jobs of the load."""
+        return self.regular + self.urgent + self.broken + self.impossible
+
+
+def _declared(
+    source: random.Random, true_amount: float, largest: float
+) -> float:
+    factor: float = LARGEST_ERROR ** source.uniform(-1, 1)
+    return min(max(true_amount * factor, 0.05), largest)
+
+
+def _job(
+    source: random.Random,
+    size: sites.SiteSize,
+    pool: str,
+    name: str,
+    share: tuple[float, float],
+) -> TrueJob:
+    cores = size.cores * source.uniform(*share)
+    memory_gib = size.memory_gib * source.uniform(*share)
+    checkpoints = source.random() < CHECKPOINTABLE_SHARE
+    contract = services.JobContract(
+        name=name,
+        cores=_declared(source, cores, size.cores),
+        memory_gib=_declared(source, memory_gib, size.memory_gib),
+        expected_hours=1.0,
+        checkpoint_minutes=int(checkpoints),
+    )
+    behaviour = task_types.JobBehaviour(
+        cores, memory_gib, source.uniform(150.0, 1100.0)
+    )
+    return TrueJob(pool, contract, behaviour)
+
+
+def _urgent(
+    source: random.Random, size: sites.SiteSize, pool: str, arrives_at: float
+) -> TrueJob:
+    job = _job(source, size, pool, f"urgent-{arrives_at:.0f}", (0.05, 0.3))
+    contract = job.contract._replace(
+        cores=min(job.contract.cores, size.cores / 2),
+        memory_gib=min(job.contract.memory_gib, size.memory_gib / 2),
+        urgent=True,
+    )
+    behaviour = job.behaviour._replace(run_seconds=URGENT_RUN_SECONDS)
+    return job._replace(
+        contract=contract, behaviour=behaviour, arrives_at=arrives_at
+    )
+
+
+def build(
+    site: str, seed: int, pools: tuple[str, ...], duration_seconds: float
+) -> Load:
+    """Builds the load of a run, the same for every variant.
+
+    Args:
+        site: `malabar` or `mandacaru`.
+        seed: Seed of the random numbers.
+        pools: Names of the pools.
+        duration_seconds: Length of the run.
+
+    Returns:
+        The load; two cancellation bursts take a third of a pool's jobs each.
+    """
+    source = random.Random(seed)
+    size = sites.SIZES_BY_SITE[site]
+    regular = tuple(
+        _job(source, size, pool, f"job-{number}", (0.02, 0.2))
+        for pool in pools
+        for number in range(JOBS_PER_POOL)
+    )
+    broken = _some(source, size, pools, "broken", BROKEN_PER_POOL)
+    impossible = _some(source, size, pools, "impossible", IMPOSSIBLE_PER_POOL)
+    urgent = tuple(
+        _urgent(source, size, source.choice(pools), at + source.random())
+        for at in range(60, int(duration_seconds) - 60, 30)
+    )
+    bursts = {
+        pools[0]: duration_seconds / 3,
+        pools[1]: duration_seconds / 2,
+    }
+    return Load(
+        regular,
+        urgent,
+        tuple(map(_fails_everywhere, broken)),
+        tuple(job.with_declared_cores(1.5 * size.cores) for job in impossible),
+        _cancelled(source, regular, bursts),
+    )
+
+
+def _some(
+    source: random.Random,
+    size: sites.SiteSize,
+    pools: tuple[str, ...],
+    name: str,
+    count: int,
+) -> list[TrueJob]:
+    return [
+        _job(source, size, pool, f"{name}-{number}", (0.02, 0.1))
+        for pool in pools
+        for number in range(count)
+    ]
+
+
+def _fails_everywhere(job: TrueJob) -> TrueJob:
+    behaviour = job.behaviour._replace(fails_after_seconds=3.0)
+    return job._replace(behaviour=behaviour)
+
+
+def _cancelled(
+    source: random.Random,
+    regular: tuple[TrueJob, ...],
+    time_by_pool: Mapping[str, float],
+) -> dict[str, float]:
+    return {
+        job.job_id: at
+        for pool, at in time_by_pool.items()
+        for job in source.sample(
+            [job for job in regular if job.pool == pool], JOBS_PER_POOL // 3
+        )
+    }
--- a/standins/local_platform.py
+++ b/standins/local_platform.py
@@ -25,15 +25,18 @@
         self._state = state
         self._lottery = faults.AnswerLottery(seed)
         self._lock = threading.Lock()
+        self.on_call: Callable[[], None] | None = None
 
     def read(self, take: Callable[[], Outcome[T]]) -> Outcome[T]:
         """Runs a read."""
+        self._note_call()
         if self._state.faults.down:
             return _down()
         return take()
 
     def write(self, apply: Callable[[], Outcome[T]]) -> Outcome[T]:
         """Runs a write; its answer may get lost."""
+        self._note_call()
         if self._state.faults.down:
             return _down()
         outcome = apply()
@@ -48,6 +51,10 @@
             )
         return outcome
 
+    def _note_call(self) -> None:
+        if self.on_call is not None:
+            self.on_call()
+
 
 def _down() -> result.Result[T, errors.Failure]:
     return result.Failure(
@@ -72,6 +79,10 @@
         self._wire = _Wire(state, seed)
         self.before_transaction: Hook | None = None
 
+    def set_on_call(self, on_call: Callable[[], None]) -> None:
+        """Calls a function before each call, such as one that takes time."""
+        self._wire.on_call = on_call
+
     @property
     def table(self) -> platform.Table:
         """The transactional table service."""
--- a/tests/machines/test_job_keeper.py
+++ b/tests/machines/test_job_keeper.py
@@ -225,3 +225,39 @@
     pool.run(60)
     assert pool.jobs()["age.1"].state is job_pool.State.FINISHED
     assert pool.running() == {"age.2", "age.3"}
+
+
+def test_overstated_job_is_tried_with_less(pool: job_pool.Pool) -> None:
+    """Guards against jobs that wait for ever for room they don't need."""
+    pool.contracts = (
+        job_pool.contract("age", cores=30.0, memory_gib=100.0, copies=6),
+        job_pool.contract("over", cores=64.0, memory_gib=256.0),
+        job_pool.contract("right", cores=8.0, memory_gib=250.0),
+    )
+    small = job_pool.Behaviour(cores=6.0, memory_gib=20.0)
+    pool.set_behaviour("over.1", small)
+    pool.set_behaviour("right.1", job_pool.Behaviour(memory_gib=250.0))
+    pool.run(40)
+    assert "over.1" in pool.running()
+    pool.run(200)
+    assert "over.1" in pool.running()
+    # The other one needs what it declared: it is tried once, then it waits.
+    assert "right.1" not in pool.running()
+    assert pool.state.tasks.memory_kills <= 1
+
+
+def test_urgent_job_with_understated_memory_starts(
+    pool: job_pool.Pool,
+) -> None:
+    """Guards against urgent jobs that are ended for lack of memory."""
+    pool.contracts = (
+        job_pool.contract("age", cores=10.0, memory_gib=80.0, copies=18),
+    )
+    pool.run(60)
+    pool.contracts += (
+        job_pool.contract("now", cores=4.0, memory_gib=8.0, urgent=True),
+    )
+    pool.set_behaviour("now.1", job_pool.Behaviour(memory_gib=80.0))
+    for _ in range(20):
+        pool.step()
+        assert "now.1" in pool.running()
--- a/wisteriasill/contracts/job_schedule.py
+++ b/wisteriasill/contracts/job_schedule.py
@@ -17,6 +17,10 @@
 # Two jobs of unproven size can't exceed a host tenfold for long, and six
 # hosts still start more than a hundred jobs a minute.
 UNPROVEN_LIMIT = 2
+# Declared sizes are wrong by up to this factor. An urgent job that exceeds
+# its memory fails at once and misses its time, so room is made for more.
+LARGEST_ERROR = 10.0
+LARGEST_RESERVE = 0.5  # Of the largest host's memory.
 
 
 class WaitKind(enum.StrEnum):
@@ -71,6 +75,8 @@
         trial_hosts: Those of them that may take a single task.
         jobs: All jobs of the pool.
         held_back: Ids of waiting jobs that are not to be started now.
+        halvings_by_job: How often the declared size of a job that waits for
+            room may be halved, to find out whether it is too large.
         headroom_by_host: Share of each host to leave free.
         held_by_team: What each team's jobs hold in all pools.
         quota_by_team: Quotas; teams without one have no limit.
@@ -81,6 +87,7 @@
     trial_hosts: frozenset[str]
     jobs: Sequence[jobs.Job]
     held_back: frozenset[str]
+    halvings_by_job: Mapping[str, int]
     headroom_by_host: Mapping[str, float]
     held_by_team: Mapping[str, quota.Size]
     quota_by_team: Mapping[str, services.TeamQuota]
@@ -122,20 +129,16 @@
     Returns:
         The decisions.
     """
-    waiting = sorted(
-        (
-            job
-            for job in view.jobs
-            if job.state is jobs.JobState.WAITING
-            and job.job_id not in view.held_back
-            and (job.urgent or not urgent_only)
-        ),
-        key=lambda job: (not job.urgent, job.submitted_at, job.job_id),
-    )
+    waiting = _in_order(view, urgent_only)
     if not waiting:
         return Plan((), {})
     round_ = _Round(view, policy)
     outcomes = {job.job_id: round_.decide(job) for job in waiting}
+    # Probes use only room that no other job takes.
+    for job in waiting if policy.corrects_sizes else ():
+        probe = round_.probe(job, outcomes[job.job_id])
+        if probe is not None:
+            outcomes[job.job_id] = probe
     return Plan(
         tuple(item for item in outcomes.values() if isinstance(item, Start)),
         {
@@ -146,6 +149,19 @@
     )
 
 
+def _in_order(view: PoolView, urgent_only: bool) -> list[jobs.Job]:
+    return sorted(
+        (
+            job
+            for job in view.jobs
+            if job.state is jobs.JobState.WAITING
+            and job.job_id not in view.held_back
+            and (job.urgent or not urgent_only)
+        ),
+        key=lambda job: (not job.urgent, job.submitted_at, job.job_id),
+    )
+
+
 class _Round:
     """Room and quotas while the decisions of one round are made."""
 
@@ -167,13 +183,49 @@
     def decide(self, job: jobs.Job) -> Start | Wait:
         """Starts a job or says why it waits."""
         size, proven = job_sizes.first_size(job, self._sizes_by_name)
-        wanted = placement.PlacedJob(job, size, proven)
-        held = self._held_by_team.get(job.team, quota.NOTHING)
         reason = placement.impossible(self._view.hosts, size)
         if reason is not None:
             return Wait(WaitKind.IMPOSSIBLE, reason)
+        if job.urgent and not proven and self._policy.corrects_sizes:
+            reserved = self._attempt(job, self._with_reserve(size), proven)
+            if isinstance(reserved, Start):
+                return reserved
+        return self._attempt(job, size, proven)
+
+    def probe(self, job: jobs.Job, outcome: Start | Wait) -> Start | None:
+        """Starts a job that waits for room with less than it declared.
+
+        A worker ends a task that exceeds its memory, which shows the true
+        size at the cost of one start; a declared size that is too large
+        would keep the job waiting for ever.
+        """
+        halvings = self._view.halvings_by_job.get(job.job_id, 0)
+        if not isinstance(outcome, Wait) or job.measured or not halvings:
+            return None
+        if outcome.kind is not WaitKind.NO_ROOM:
+            return None
+        share = 0.5**halvings
+        size = quota.Size(
+            job.cores * share, job.memory_gib * share, job.accelerators
+        )
+        probe = self._attempt(job, size, False)
+        return probe if isinstance(probe, Start) else None
+
+    def _with_reserve(self, size: quota.Size) -> quota.Size:
+        largest = max(host.memory_gib for host in self._view.hosts)
+        reserve = min(
+            size.memory_gib * LARGEST_ERROR, largest * LARGEST_RESERVE
+        )
+        return size._replace(memory_gib=max(size.memory_gib, reserve))
+
+    def _attempt(
+        self, job: jobs.Job, size: quota.Size, proven: bool
+    ) -> Start | Wait:
+        wanted = placement.PlacedJob(job, size, proven)
         reason = quota.refusal(
-            self._view.quota_by_team.get(job.team), held, size
+            self._view.quota_by_team.get(job.team),
+            self._held_by_team.get(job.team, quota.NOTHING),
+            size,
         )
         if reason is not None:
             return Wait(WaitKind.QUOTA, reason)
--- a/wisteriasill/contracts/job_sizes.py
+++ b/wisteriasill/contracts/job_sizes.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
+import statistics
 from typing import NamedTuple
 
 from wisteriasill.contracts import jobs
@@ -13,10 +14,12 @@
 
 WINDOW_SECONDS = 120.0  # Peaks older than this no longer count.
 PROOF_REPORTS = 2  # One report may have caught a task while it started.
-CORES_MARGIN = 1.1  # Processors are shared; a short excess only slows.
-MEMORY_MARGIN = 1.15  # A worker that runs out of memory ends a task.
+FIRST_MARGIN = 0.15  # Over the peak of the first reports.
+STEADY_MARGIN = 0.03  # Over the peak of a job whose use doesn't vary.
+STEADY_REPORTS = 6
+MEMORY_MARGIN = 1.15  # Over what a task used when its memory ran out.
 LOWERING_SHARE = 0.5  # Of the way down, at each correction.
-NOTABLE_CHANGE = 0.1  # Smaller corrections aren't worth a write.
+NOTABLE_CHANGE = 0.05  # Smaller corrections aren't worth a write.
 CORRECTION_SECONDS = 10.0  # Between two lower sizes of one job.
 
 
@@ -34,6 +37,7 @@
     def __init__(self) -> None:
         self._usage_by_job: dict[str, list[Usage]] = {}
         self._corrected_at: dict[str, float] = {}
+        self._news: set[str] = set()
 
     def observe(self, report: platform.TaskReport, now: float) -> None:
         """Takes over a report of a running task.
@@ -49,6 +53,7 @@
         if usage and taken_at < usage[-1].taken_at + 0.5:
             return  # The same view again.
         cores = report.cores_used / report.throttle if report.throttle else 0.0
+        self._news.add(report.job_id)
         usage.append(Usage(taken_at, cores, report.memory_gib_used))
         usage[:] = [
             item for item in usage if item.taken_at > now - WINDOW_SECONDS
@@ -74,19 +79,21 @@
             now: Monotonic time.
 
         Returns:
-            The size; None if the present one is close enough or unproven.
+            The size; None if there is no new report, or the present size
+            is close enough or unproven.
         """
         usage = self._usage_by_job.get(job.job_id, [])
-        if len(usage) < PROOF_REPORTS:
+        if job.job_id not in self._news or len(usage) < PROOF_REPORTS:
             return None
+        self._news.discard(job.job_id)
         corrected = quota.Size(
             min(
                 ceiling.cores,
-                _approach(job.cores, _peak_cores(usage), CORES_MARGIN),
+                _approach(job.cores, [item.cores for item in usage]),
             ),
             min(
                 ceiling.memory_gib,
-                _approach(job.memory_gib, _peak_memory(usage), MEMORY_MARGIN),
+                _approach(job.memory_gib, [item.memory_gib for item in usage]),
             ),
             job.accelerators,
         )
@@ -104,20 +111,22 @@
         return corrected
 
 
-def _peak_cores(usage: Iterable[Usage]) -> float:
-    return max(item.cores for item in usage)
+def _with_margin(amounts: Sequence[float]) -> float:
+    """Returns the peak and a margin that follows how much the use varies."""
+    peak = max(amounts)
+    variation = peak - statistics.fmean(amounts)
+    least = FIRST_MARGIN if len(amounts) < STEADY_REPORTS else STEADY_MARGIN
+    return max(0.01, peak + max(least * peak, variation))
 
 
-def _peak_memory(usage: Iterable[Usage]) -> float:
-    return max(item.memory_gib for item in usage)
-
-
-def _approach(present: float, measured: float, margin: float) -> float:
-    with_margin = max(measured * margin, 0.01)
-    if measured > present:
-        return with_margin
+def _approach(present: float, amounts: Sequence[float]) -> float:
+    needed = _with_margin(amounts)
+    if max(amounts) > present:
+        return needed
     # Usage within the present size is no reason to enlarge it.
-    floor = min(with_margin, present)
+    floor = min(needed, present)
+    if len(amounts) >= STEADY_REPORTS:
+        return floor
     return present - (present - floor) * LOWERING_SHARE
 
 
--- a/wisteriasill/contracts/placement.py
+++ b/wisteriasill/contracts/placement.py
@@ -33,7 +33,8 @@
         copies_in_zone: Copies of the job in the host's zone.
         copies_in_rack: Copies of the job in the host's rack.
         copies_on_host: Copies of the job on the host.
-        leftover: Larger share of cores or memory that stays free.
+        leftover: Larger share of cores or memory that is free, negative
+            where the emptiest host is best.
         host_id: Makes the choice definite.
     """
 
@@ -60,27 +61,32 @@
     def blames(self) -> bool:
         """Whether failing hosts and failing jobs are set aside."""
 
-    def rank(self, rooms: Rooms, job: jobs.Job, host_id: str) -> Rank:
+    def rank(self, rooms: Rooms, wanted: PlacedJob, host_id: str) -> Rank:
         """Returns how good a host with enough room is."""
 
 
 class SpreadPlacement:
-    """Spreads copies over zones and racks, then fills the fullest host."""
+    """Spreads copies over zones and racks, then fills the fullest host.
+
+    A job of unproven size goes to the emptiest host instead, where it may
+    use more than it declared.
+    """
 
     preempts = True
     corrects_sizes = True
     blames = True
 
-    def rank(self, rooms: Rooms, job: jobs.Job, host_id: str) -> Rank:
+    def rank(self, rooms: Rooms, wanted: PlacedJob, host_id: str) -> Rank:
         """Returns how good a host with enough room is."""
         host = rooms.hosts_by_id[host_id]
-        name = name_of(job)
+        name = name_of(wanted.job)
+        leftover = rooms.leftover(host_id)
         return Rank(
-            host_id in job.failed_hosts,
+            host_id in wanted.job.failed_hosts,
             rooms.copies_by_place[name, host.availability_zone],
             rooms.copies_by_place[name, host.rack],
             rooms.copies_by_place[name, host_id],
-            rooms.leftover(host_id),
+            leftover if wanted.proven else -leftover,
             host_id,
         )
 
@@ -92,7 +98,7 @@
     corrects_sizes = False
     blames = False
 
-    def rank(self, rooms: Rooms, job: jobs.Job, host_id: str) -> Rank:
+    def rank(self, rooms: Rooms, wanted: PlacedJob, host_id: str) -> Rank:
         """Returns how good a host with enough room is."""
         return Rank(False, 0, 0, 0, 0.0, host_id)
 
@@ -212,7 +218,7 @@
         The choice; None if no host has room.
     """
     ranks = [
-        policy.rank(rooms, wanted.job, host_id)
+        policy.rank(rooms, wanted, host_id)
         for host_id in rooms.hosts_by_id
         if rooms.admits(host_id, wanted)
     ]
--- a/wisteriasill/contracts/preemption.py
+++ b/wisteriasill/contracts/preemption.py
@@ -37,7 +37,7 @@
         The choice; None if no host gets enough room.
     """
     choices = [
-        (len(victims), policy.rank(rooms, wanted.job, host_id), victims)
+        (len(victims), policy.rank(rooms, wanted, host_id), victims)
         for host_id in rooms.hosts_by_id
         if (victims := _victims(rooms, host_id, wanted.size)) is not None
     ]
--- a/wisteriasill/machines/job_follower.py
+++ b/wisteriasill/machines/job_follower.py
@@ -16,6 +16,7 @@
 from wisteriasill.contracts import jobs
 from wisteriasill.contracts import placement
 from wisteriasill.contracts import preemption
+from wisteriasill.contracts import quota
 from wisteriasill.links import platform
 from wisteriasill.machines import job_memory
 from wisteriasill.machines import job_rows
@@ -100,7 +101,9 @@
                 break
             reports = self._runner.list_tasks(host.host_id)
             if isinstance(reports, result.Success):
-                self._memory.take_reports(host, reports.unwrap())
+                self._memory.take_reports(
+                    host, reports.unwrap(), self._held_on(host.host_id)
+                )
 
     def checkpoint(self, round_: job_memory.Round) -> Outcome:
         """Makes the periodic checkpoints that are due."""
@@ -173,6 +176,13 @@
             )
         return self._rows.commit(leaving, round_.quota_by_team)
 
+    def _held_on(self, host_id: str) -> quota.Size:
+        return quota.total(
+            job_schedule.size_of(job)
+            for job in self._rows.running()
+            if job.host_id == host_id
+        )
+
     def _read_at(self, host_id: str) -> float:
         known = self._memory.reports_by_host.get(host_id)
         return -math.inf if known is None else known.read_at
--- a/wisteriasill/machines/job_memory.py
+++ b/wisteriasill/machines/job_memory.py
@@ -22,6 +22,10 @@
 REFUSAL_SECONDS = 5.0  # A worker that refused a task isn't asked again.
 DRAIN_NOTICE_SECONDS = 30.0  # Until the host's row says that it drains.
 LONGEST_BACK_OFF_SECONDS = 60.0
+# A job that finds no room for this long is tried with half its declared
+# size, then with a quarter; the error is seldom larger than the last step.
+HALVING_SECONDS = 15.0
+LARGEST_HALVINGS = 3
 REASON_SECONDS = 10.0  # Between two changes of a waiting job's reason.
 
 
@@ -62,6 +66,7 @@
         self._closed_until: dict[str, float] = {}
         self._held_back_until: dict[str, float] = {}
         self._failures_in_row: dict[str, int] = {}
+        self._no_room_since: dict[str, float] = {}
         self._reasons: dict[str, tuple[job_schedule.WaitKind, float]] = {}
 
     def close_host(self, host_id: str, seconds: float) -> None:
@@ -87,6 +92,7 @@
     def forget_reason(self, job_id: str) -> None:
         """Notes that a job waits no longer."""
         self._reasons.pop(job_id, None)
+        self._no_room_since.pop(job_id, None)
 
     def new_reason(self, job: jobs.Job, wait: job_schedule.Wait) -> str | None:
         """Returns the sentence for a waiting job's row, if it is to change.
@@ -96,6 +102,8 @@
         jobs don't cause many writes.
         """
         now = self._clock.monotonic()
+        if wait.kind is job_schedule.WaitKind.NO_ROOM:
+            self._no_room_since.setdefault(job.job_id, now)
         kind, noted_at = self._reasons.get(job.job_id, (None, -math.inf))
         urgent = wait.kind is job_schedule.WaitKind.IMPOSSIBLE
         if job.reason and kind is wait.kind:
@@ -139,6 +147,7 @@
             trial_hosts=frozenset(trials),
             jobs=pool_jobs,
             held_back=self._held_back(),
+            halvings_by_job=self._halvings(),
             headroom_by_host=self.headroom.shares(round_.hosts, now),
             held_by_team=held_by_team,
             quota_by_team=round_.quota_by_team,
@@ -152,6 +161,13 @@
             and not (blames and self.health.is_ejected(host.host_id, now))
         )
 
+    def _halvings(self) -> dict[str, int]:
+        now = self._clock.monotonic()
+        return {
+            job_id: min(LARGEST_HALVINGS, int((now - since) / HALVING_SECONDS))
+            for job_id, since in self._no_room_since.items()
+        }
+
     def _held_back(self) -> frozenset[str]:
         now = self._clock.monotonic()
         return frozenset(
@@ -161,9 +177,19 @@
         )
 
     def take_reports(
-        self, host: hosts.Host, reports: Iterable[platform.TaskReport]
+        self,
+        host: hosts.Host,
+        reports: Iterable[platform.TaskReport],
+        held: quota.Size,
     ) -> None:
-        """Takes over the reports of a host, and notes an overload."""
+        """Takes over the reports of a host, and notes an overload.
+
+        Args:
+            host: The host.
+            reports: Its reports.
+            held: What its jobs hold by their rows. A host that is full as
+                planned isn't overloaded.
+        """
         now = self._clock.monotonic()
         by_task = {report.task_id: report for report in reports}
         self.reports_by_host[host.host_id] = HostReports(now, by_task)
@@ -180,7 +206,7 @@
         )
         # Short of all memory, because the next task may already exceed it.
         usable = quota.Size(host.cores, host.memory_gib * 0.95)
-        if not used.within(usable):
+        if not used.within(usable) and not used.within(held):
             self.headroom.note_overload(host.host_id, now)
 
     def is_overloaded(self, host_id: str) -> bool:
--- a/wisteriasill/machines/job_rows.py
+++ b/wisteriasill/machines/job_rows.py
@@ -108,6 +108,8 @@
         known = self._know_teams(quota_by_team)
         if isinstance(known, result.Failure):
             return known
+        if not quota_by_team:
+            return result.Success({})
         here = self._held_here(self.jobs_by_id.values())
         return result.Success(
             {
@@ -161,7 +163,7 @@
         known = self._know_teams(quota_by_team)
         if isinstance(known, result.Failure):
             return known
-        here = self._held_here(after.values())
+        here = self._held_here(after.values()) if quota_by_team else {}
         new_teams = {
             team: use
             for team in quota_by_team
--- a/wisteriasill/machines/job_tasks.py
+++ b/wisteriasill/machines/job_tasks.py
@@ -23,6 +23,7 @@
 # it between renewals keeps 4,100 tasks at about 200 calls a second.
 LEASE_SECONDS = 60.0
 RENEWAL_SECONDS = 20.0
+FIRST_RENEWAL_SECONDS = 0.9  # In the step after that of the start.
 # A call that was given up may still reach the worker within this time.
 DELIVERY_SECONDS = 5.0
 
@@ -198,10 +199,16 @@
         return outcome.value_or("")
 
     def is_due(self, job: jobs.Job) -> bool:
-        """Returns whether a task's lease is to be renewed."""
+        """Returns whether a task's lease is to be renewed.
+
+        A young task is renewed more often, since many failures come at once
+        after a start.
+        """
         watch = self.watch_of(job)
         now = self._clock.monotonic()
-        return now - watch.renewed_at >= RENEWAL_SECONDS
+        age = watch.renewed_at - watch.started_at
+        period = min(max(age, FIRST_RENEWAL_SECONDS), RENEWAL_SECONDS)
+        return now - watch.renewed_at >= period
 
     def _call(
         self,
