--- /dev/null
+++ b/bench/key_load.py
@@ -0,0 +1,261 @@
+"""Requests with idempotency keys, sent by several callers at once."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from concurrent import futures
+import random
+import time
+from typing import NamedTuple
+
+from standins import backend_records
+from standins import balancer as balancers
+from wisteriasill import clock as clocks
+
+_THREADS = 96
+# Share of the keys that a second and a third caller send as well.
+_DUPLICATED_SHARE = 0.4
+_DUPLICATE_WITHIN_SECONDS = 0.2
+_REPEAT_SECONDS = 0.4
+_MOST_REPEATS = 5
+
+
+class Shot(NamedTuple):
+    """A caller that sends one key until it has the answer.
+
+    Attributes:
+        at_seconds: When it starts, from the start of the load.
+        call: The request.
+    """
+
+    at_seconds: float
+    call: balancers.Call
+
+
+class Attempt(NamedTuple):
+    """One request that was sent.
+
+    Attributes:
+        key: Its idempotency key.
+        sent_at: Monotonic seconds.
+        answered_at: Monotonic seconds.
+        outcome: What came back.
+        port: Port of the entry host; 0 if none was ready.
+    """
+
+    key: str
+    sent_at: float
+    answered_at: float
+    outcome: balancers.Outcome
+    port: int
+
+
+class Kill(NamedTuple):
+    """An entry host that was killed.
+
+    Attributes:
+        port: Its port for callers.
+        at: Monotonic seconds.
+    """
+
+    port: int
+    at: float
+
+
+class KeyCounts(NamedTuple):
+    """What became of the keys.
+
+    Attributes:
+        keys: Keys that were sent.
+        attempts: Requests that were sent.
+        executed_twice: Keys that back ends ran more than once.
+        false_no: Runs that only a request answered `executed: no` can have
+            caused.
+        no_after_run: Answers `executed: no` to repeats of keys that an
+            earlier request had run. They hold for the request they answer.
+        wrong_replies: Replies that were not the whole own one.
+        answered_keys: Keys whose whole reply came.
+        unknown_keys: Keys whose last answer was that nobody knows.
+        refused_keys: Keys whose last answer was `executed: no`.
+        replays_checked: Answered keys that were sent again after the faults.
+        replays_unknown: Those whose reply was not recorded, because the
+            entry host was killed while its record waited for the store.
+        replays_incomplete: All others that did not get the whole reply again.
+    """
+
+    keys: int
+    attempts: int
+    executed_twice: int
+    false_no: int
+    no_after_run: int
+    wrong_replies: int
+    answered_keys: int
+    unknown_keys: int
+    refused_keys: int
+    replays_checked: int
+    replays_unknown: int
+    replays_incomplete: int
+
+
+def plan(
+    calls: Sequence[balancers.Call], seconds: float, seed: int
+) -> list[Shot]:
+    """Spreads calls over a time and adds callers with the same keys.
+
+    Args:
+        calls: One call for each key.
+        seconds: The time.
+        seed: Seed of the random numbers.
+
+    Returns:
+        Shots by their time.
+    """
+    rng = random.Random(seed)
+    shots: list[Shot] = []
+    for index, call in enumerate(calls):
+        at = seconds * index / len(calls)
+        shots.append(Shot(at, call))
+        while rng.random() < _DUPLICATED_SHARE:
+            delay = rng.uniform(0, _DUPLICATE_WITHIN_SECONDS)
+            shots.append(Shot(at + delay, call))
+    return sorted(shots, key=lambda shot: shot.at_seconds)
+
+
+class KeyLoad:
+    """Sends shots at their times."""
+
+    def __init__(self, balancer: balancers.Balancer) -> None:
+        self._balancer = balancer
+        self._clock = clocks.SystemClock()
+        self._pool = futures.ThreadPoolExecutor(_THREADS, "key-caller")
+        self._tasks: list[futures.Future[list[Attempt]]] = []
+
+    def run(self, shots: Iterable[Shot]) -> None:
+        """Sends shots; returns when the last one has started."""
+        started_at = time.monotonic()
+        for shot in shots:
+            time.sleep(
+                max(0.0, started_at + shot.at_seconds - time.monotonic())
+            )
+            self._tasks.append(self._pool.submit(self._send_shot, shot.call))
+
+    def join(self) -> list[Attempt]:
+        """Waits for all answers."""
+        tasks, self._tasks = self._tasks, []
+        return [item for task in tasks for item in task.result()]
+
+    def replay(self, calls: Iterable[balancers.Call]) -> list[Attempt]:
+        """Sends each call once more."""
+        return list(self._pool.map(self.send, calls))
+
+    def close(self) -> None:
+        """Ends the threads."""
+        self._pool.shutdown()
+
+    def _send_shot(self, call: balancers.Call) -> list[Attempt]:
+        attempts: list[Attempt] = []
+        for number in range(_MOST_REPEATS + 1):
+            if number:
+                time.sleep(_REPEAT_SECONDS * number)
+            attempts.append(self.send(call))
+            if attempts[-1].outcome.whole:
+                break
+        return attempts
+
+    def send(self, call: balancers.Call) -> Attempt:
+        """Sends one request to the next ready entry host."""
+        sent_at = time.monotonic()
+        try:
+            port = self._balancer.next_port()
+        except LookupError as error:
+            port = 0
+            outcome = balancers.Outcome(0, False, "", "no", 0.0, str(error))
+        else:
+            outcome = balancers.send(port, call, self._clock)
+        return Attempt(
+            call.idempotency_key, sent_at, time.monotonic(), outcome, port
+        )
+
+
+def _is_unexplained(run_at: float, attempts: Iterable[Attempt]) -> bool:
+    """Whether a run can only come from a request that was answered `no`."""
+    return not any(
+        item.sent_at <= run_at
+        and item.outcome.executed != "no"
+        and (item.answered_at >= run_at or not item.outcome.whole)
+        for item in attempts
+    )
+
+
+def _is_lost_by_kill(
+    replay: Attempt, attempts: Iterable[Attempt], kills: Sequence[Kill]
+) -> bool:
+    """Whether an unknown replay is due to a kill of the host that replied."""
+    return replay.outcome.executed == "unknown" and any(
+        item.outcome.whole
+        and any(
+            kill.port == item.port and kill.at >= item.answered_at
+            for kill in kills
+        )
+        for item in attempts
+    )
+
+
+def count(
+    attempts: Sequence[Attempt],
+    replays: Sequence[Attempt],
+    kills: Sequence[Kill],
+    reports: Iterable[backend_records.BackendReport],
+) -> KeyCounts:
+    """Compares what callers got with what back ends ran.
+
+    Args:
+        attempts: Requests that were sent while there were faults.
+        replays: One more request for each key, sent afterwards.
+        kills: Entry hosts that were killed meanwhile.
+        reports: What the back ends have seen in the end.
+
+    Returns:
+        The counts.
+    """
+    runs: dict[str, list[float]] = {}
+    for report in reports:
+        for run in report.executions:
+            runs.setdefault(run.idempotency_key, []).append(run.started_at)
+    by_key: dict[str, list[Attempt]] = {}
+    for item in (*attempts, *replays):
+        by_key.setdefault(item.key, []).append(item)
+    answered = {item.key for item in attempts if item.outcome.whole}
+    checked = [item for item in replays if item.key in answered]
+    missing = [item for item in checked if not item.outcome.whole]
+    lost = sum(
+        _is_lost_by_kill(item, by_key[item.key], kills) for item in missing
+    )
+    last = [items[-1].outcome.executed for items in by_key.values()]
+    return KeyCounts(
+        keys=len(by_key),
+        attempts=len(attempts),
+        executed_twice=sum(len(runs.get(key, ())) > 1 for key in by_key),
+        false_no=sum(
+            _is_unexplained(run_at, items)
+            for key, items in by_key.items()
+            for run_at in runs.get(key, ())
+        ),
+        no_after_run=sum(
+            item.outcome.executed == "no"
+            and any(at < item.sent_at for at in runs.get(item.key, ()))
+            for item in attempts
+        ),
+        wrong_replies=sum(
+            item.outcome.status != 0
+            and not item.outcome.kind
+            and not item.outcome.whole
+            for item in (*attempts, *replays)
+        ),
+        answered_keys=len(answered),
+        unknown_keys=last.count("unknown"),
+        refused_keys=last.count("no"),
+        replays_checked=len(checked),
+        replays_unknown=lost,
+        replays_incomplete=len(missing) - lost,
+    )
--- a/wisteriasill/contracts/settlement.py
+++ b/wisteriasill/contracts/settlement.py
@@ -24,7 +24,8 @@
 # After an outage all entry hosts write what waits; together they stay well
 # below the store's rate.
 _WRITES_PER_SECOND = 10
-_PAUSE_SECONDS = 1.0
+_PAUSE_SECONDS = 0.1
+_PAUSE_MAX_SECONDS = 2.0
 # Single lost answers are no outage.
 _FAILURES_IN_A_ROW = 3
 # A row that refuses the write although it holds the claim was expired.
@@ -212,9 +213,11 @@
                 del self._waiting[settlement.row_key]
                 if step is not Step.DONE:  # To the end; none blocks all.
                     self._waiting[settlement.row_key] = following
+        jitter = self._random.uniform(0.5, 1.5)
         if step is Step.STORE_FAILED:
-            return _PAUSE_SECONDS * self._random.uniform(0.5, 1.0)
-        return self._random.uniform(0.5, 1.5) / _WRITES_PER_SECOND
+            pause_seconds = _PAUSE_SECONDS * 2.0 ** min(self._failures, 10)
+            return min(pause_seconds, _PAUSE_MAX_SECONDS) * jitter
+        return jitter / _WRITES_PER_SECOND
 
     def flush(self, deadline_at: float) -> int:
         """Writes what waits until the store fails or the time is up.
