Run the whole path in the demo

Cause: the demo started its load before every entry host had heard that all hosts serve, which gave about 260 refusals (no-capacity) of 2,850 requests. Change: it waits for the views of all entry hosts, stops them at the same time, and lists the kinds of answers that were not whole.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -15,6 +15,7 @@
 from wisteriasill.contracts import jobs
 from wisteriasill.contracts import publication
 from wisteriasill.contracts import service_file
+from wisteriasill.machines import entry_host
 from wisteriasill.machines import host as hosts
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
@@ -85,6 +86,7 @@
                 "moved_job": drained.job.job_id,
                 "job_resumed_from_checkpoint": resumed,
                 "stopped_entry_host": stopped,
+                "problems": demo_report.problems_by_kind(sent),
                 "seconds": round(self._clock.monotonic() - started_at, 1),
             }
         facts["ok"] = demo_report.is_ok(facts)
@@ -128,7 +130,7 @@
                 and len(self._demo_site.balancer.ready_ports)
                 == demo_site.ENTRY_HOSTS
                 and all(
-                    len(entry.site.snapshot.hosts_by_id) == expected
+                    _serving_in_view(entry) == expected
                     for entry in self._demo_site.entries
                 )
             ),
@@ -255,3 +257,10 @@
             and job.can_checkpoint
             and not self._directory.services_by_name[job.pool].pool.spare
         ]
+
+
+def _serving_in_view(entry: entry_host.EntryHost) -> int:
+    return sum(
+        known.host.state is hosts.HostState.SERVING
+        for known in entry.site.snapshot.hosts_by_id.values()
+    )
--- a/standins/demo_report.py
+++ b/standins/demo_report.py
@@ -14,6 +14,7 @@
 MAX_IN_FORCE_SECONDS = 6.0
 MIN_REQUESTS = 2000
 MIN_KEYS = 100
+MOST_PROBLEMS = 8
 
 
 class DemoReport(TypedDict):
@@ -41,6 +42,7 @@
     moved_job: str
     job_resumed_from_checkpoint: bool
     stopped_entry_host: str
+    problems: dict[str, int]
     seconds: float
     ok: bool
 
@@ -78,6 +80,17 @@
     }
 
 
+def problems_by_kind(sent: Sequence[demo_load.Sent]) -> dict[str, int]:
+    """Counts answers that weren't whole by error kind and detail."""
+    return dict(
+        Counter(
+            f"{item.outcome.kind or item.outcome.status}: {item.outcome.detail}"
+            for item in sent
+            if not item.outcome.whole
+        ).most_common(MOST_PROBLEMS)
+    )
+
+
 def _refused_keys(sent: Sequence[demo_load.Sent]) -> set[str]:
     """Returns the keys whose attempts were all refused as not run."""
     keys = {item.call.idempotency_key for item in sent}
--- a/standins/demo_site.py
+++ b/standins/demo_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator, Mapping
+from concurrent import futures
 import contextlib
 import json
 import secrets
@@ -81,10 +82,13 @@
             yield
         finally:
             self.balancer.stop()
-            for entry in self.entries:
-                entry.stop()
+            self._stop_entries()
             self.fleet.stop()
 
+    def _stop_entries(self) -> None:
+        with futures.ThreadPoolExecutor(len(self.entries)) as pool:
+            list(pool.map(entry_host.EntryHost.stop, self.entries))
+
     def is_ready(self) -> bool:
         """Whether the balancer sends callers to all entry hosts."""
         return len(self.balancer.ready_ports) == len(self.entries)
