--- a/bench/capacity_site.py
+++ b/bench/capacity_site.py
@@ -139,9 +139,7 @@
         ).unwrap()
 
 
-def start_platform(
-    size: Size,
-) -> tuple[platform_state.PlatformState, platform_server.PlatformServer]:
+def start_platform(size: Size) -> platform_server.PlatformServer:
     """Starts a platform that holds a running site of a size."""
     state = platform_state.PlatformState(
         clocks.SystemClock(), listed_hosts(size)
@@ -150,4 +148,4 @@
     write_hosts(state, size)
     server = platform_server.PlatformServer(state)
     server.start()
-    return state, server
+    return server
