Make lent slots and the queue hold under peaks

Cause, seen with the peaks experiment on a busy machine: waiting threads queued for the queue's lock, denied entry hosts asked each lender again every 50 ms, and an attempt of a request that had waited long got half of a short rest, so it always timed out and still cost its slot.

Waiting requests now look without waiting for the lock; the queue orders flows instead of single requests; a denied request is remembered by the lender for 1 s and idle credits are recalled instead; an attempt gets all of what remains when half is under four typical answer times. A retry is no longer drawn back to the failed target by a credit held there.

--- a/bench/request_fleet.py
+++ b/bench/request_fleet.py
@@ -283,7 +283,7 @@
             WORKERS, WORKERS - 2, 16, 64, SLOTS, CONNECTIONS
         ),
         path_prefix=f"/{name}",
-        requests=(services.RequestClass("read"),),
+        requests=(services.RequestClass("read", deadline_ms=10_000),),
     )
 
 
--- a/wisteriasill/contracts/admission.py
+++ b/wisteriasill/contracts/admission.py
@@ -15,30 +15,29 @@
 from wisteriasill.contracts import fair_shares
 from wisteriasill.machines import host as hosts
 
-# Of five grants in a row at least one goes to requests that are not urgent.
-URGENT_GRANTS_IN_A_ROW = 4
-# A waiting request looks for room at least this often, because the end of a
-# target's refusal or ejection notifies nobody; all of them together look at
-# most once in LOOK_SECONDS.
-LONGEST_WAIT_SECONDS = 0.05
+# A waiting request looks for room at least this often; one that was refused
+# looks sooner, because the end of a refusal notifies nobody. All of them
+# together look at most once in LOOK_SECONDS.
+LONGEST_WAIT_SECONDS = 0.25
+REFUSED_WAIT_SECONDS = 0.02
 LOOK_SECONDS = 0.01
-MAX_FLOWS = 1024
+# The typical time is a mean, so about half of the answers take longer.
+MARGIN_FACTOR = 1.25
 FIRST_SERVICE_SECONDS = 0.05
 SERVICE_TIME_WEIGHT = 0.05
 LONGEST_RETRY_AFTER_SECONDS = 10
 
 
 Ticket = fair_shares.Ticket
-Reserve = Callable[[], hosts.Host | None]
+Reserve = Callable[[int], hosts.Host | None]
 Admitted = result.Result[hosts.Host, errors.Failure]
 
 
 class _Waiter:
     """A ticket in the queue and what has become of it."""
 
-    def __init__(self, ticket: Ticket, sequence: int, reserve: Reserve) -> None:
+    def __init__(self, ticket: Ticket, reserve: Reserve) -> None:
         self.ticket = ticket
-        self.sequence = sequence
         self.reserve = reserve
         self.event = threading.Event()
         self.target: hosts.Host | None = None
@@ -59,10 +58,7 @@
         self._settings = settings
         self._clock = clock
         self._lock = threading.Lock()
-        self._waiters: list[_Waiter] = []
-        self._shares = fair_shares.FairShares()
-        self._sequence = 0
-        self._urgent_in_a_row = 0
+        self._line: fair_shares.FairLine[_Waiter] = fair_shares.FairLine()
         self._in_use = 0
         self._looked_at = -math.inf
         self._seconds_by_class: dict[str, float] = {}
@@ -73,8 +69,8 @@
 
         Args:
             ticket: Who asks.
-            reserve: Reserves a slot of a suitable target; called under the
-                queue's lock.
+            reserve: Reserves a slot of a suitable target, given the number
+                of waiting requests; called under the queue's lock.
 
         Returns:
             The target whose slot was reserved, or OVERLOADED or
@@ -83,13 +79,18 @@
         with self._lock:
             if rejection := self._reject_early(ticket):
                 return result.Failure(rejection)
-            waiter = self._enqueue(ticket, reserve)
-            self._grant()
+            waiter = _Waiter(ticket, reserve)
+            self._line.add(ticket, waiter)
+            if ticket.repeated or len(self._line) == 1:
+                self._grant()
+        longest = (
+            REFUSED_WAIT_SECONDS if ticket.repeated else LONGEST_WAIT_SECONDS
+        )
         while waiter.target is None and not waiter.evicted:
             remaining = ticket.deadline_at - self._clock.monotonic()
             if remaining <= 0:
                 break
-            self._clock.wait(waiter.event, min(remaining, LONGEST_WAIT_SECONDS))
+            self._clock.wait(waiter.event, min(remaining, longest))
             if not waiter.event.is_set():
                 self.look()
         return self._leave(waiter)
@@ -123,12 +124,20 @@
             self._grant()
 
     def look(self) -> None:
-        """Grants free slots unless another waiting request just looked."""
-        with self._lock:
-            now = self._clock.monotonic()
-            if now - self._looked_at >= LOOK_SECONDS:
+        """Grants free slots unless another thread does so or just did.
+
+        Never waits for the lock: its holder grants what is free anyway, and
+        a queue of looking threads would delay the release of slots.
+        """
+        now = self._clock.monotonic()
+        if now - self._looked_at < LOOK_SECONDS:
+            return
+        if self._lock.acquire(blocking=False):
+            try:
                 self._looked_at = now
                 self._grant()
+            finally:
+                self._lock.release()
 
     def service_seconds(self, ticket: Ticket) -> float:
         """Returns the typical time of an answer in the ticket's class."""
@@ -139,22 +148,15 @@
     @property
     def waiting(self) -> int:
         """Requests that wait."""
-        return len(self._waiters)
-
-    def _enqueue(self, ticket: Ticket, reserve: Reserve) -> _Waiter:
-        tickets = [item.ticket for item in self._waiters]
-        self._shares.join(ticket, tickets)
-        self._sequence += 1
-        waiter = _Waiter(ticket, self._sequence, reserve)
-        self._waiters.append(waiter)
-        return waiter
+        return len(self._line)
 
     def _leave(self, waiter: _Waiter) -> Admitted:
+        if waiter.target is not None:
+            return result.Success(waiter.target)
         with self._lock:
             if waiter.target is not None:
                 return result.Success(waiter.target)
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
+            self._line.remove(waiter.ticket, waiter)
             if waiter.evicted:
                 return result.Failure(self._overloaded(waiter.evicted))
         return result.Failure(
@@ -167,77 +169,50 @@
 
     def _grant(self) -> None:
         """Gives slots to waiting requests, in fair order, while there are."""
-        while self._waiters:
-            waiter = self._next()
+        while self._line:
+            waiter = self._line.first()
             if self._is_hopeless(waiter.ticket, self._clock.monotonic()):
                 self._evict(waiter, "the deadline is too near")
                 continue
-            target = waiter.reserve()
+            target = waiter.reserve(len(self._line))
             if target is None:
                 return
             self._hand_over(waiter, target)
 
     def _is_hopeless(self, ticket: Ticket, now: float) -> bool:
-        """Whether an answer would come after the deadline."""
-        return now + self.service_seconds(ticket) > ticket.deadline_at
+        """Whether an answer would probably come after the deadline."""
+        needed = MARGIN_FACTOR * self.service_seconds(ticket)
+        return now + needed > ticket.deadline_at
 
     def _evict(self, waiter: _Waiter, reason: str) -> None:
-        self._waiters.remove(waiter)
+        self._line.remove(waiter.ticket, waiter)
         waiter.evicted = reason
         waiter.event.set()
 
     def _hand_over(self, waiter: _Waiter, target: hosts.Host) -> None:
         waiter.target = target
-        self._waiters.remove(waiter)
-        self._shares.grant(waiter.ticket)
-        self._urgent_in_a_row = (
-            self._urgent_in_a_row + 1 if waiter.ticket.urgent else 0
-        )
+        self._line.remove(waiter.ticket, waiter)
+        self._line.count_grant(waiter.ticket)
         self._in_use += 1
         self._grants.append(self._clock.monotonic())
-        if self._shares.flows > MAX_FLOWS:
-            self._shares.forget([item.ticket for item in self._waiters])
         waiter.event.set()
 
-    def _next(self) -> _Waiter:
-        urgent_first = self._urgent_in_a_row < URGENT_GRANTS_IN_A_ROW
-        return min(
-            self._waiters,
-            key=lambda item: (
-                not item.ticket.repeated,
-                item.ticket.urgent is not urgent_first,
-                self._shares.order(item.ticket),
-                item.sequence,
-            ),
-        )
-
     def _reject_early(self, ticket: Ticket) -> errors.Failure | None:
         """Rejects what can't be answered in time; makes room if it can."""
         now = self._clock.monotonic()
         if self._is_hopeless(ticket, now):
             return self._overloaded("the deadline is too near")
-        if ticket.repeated or not self._waiters:
+        if ticket.repeated or not self._line:
             return None
-        wait_seconds = self._expected_wait_seconds(ticket)
+        wait_seconds = self._line.position(ticket) / self._grants_per_second()
         if self._is_hopeless(ticket, now + wait_seconds):
             return self._overloaded("the queue is too long", wait_seconds)
-        if len(self._waiters) < self._settings.queue_length:
+        if len(self._line) < self._settings.queue_length:
             return None
         if not self._evict_for(ticket):
             return self._overloaded("its queue is full", wait_seconds)
         return None
 
-    def _expected_wait_seconds(self, ticket: Ticket) -> float:
-        flow = (ticket.class_name, ticket.caller)
-        ahead = [
-            (item.ticket.class_name, item.ticket.caller)
-            for item in self._waiters
-            if item.ticket.urgent or not ticket.urgent
-        ]
-        flows = len({*ahead, flow})
-        position = min(len(ahead) + 1, (ahead.count(flow) + 1) * flows)
-        return position / self._grants_per_second()
-
     def _grants_per_second(self) -> float:
         """Estimates the rate from slots in use, or from recent grants."""
         seconds = self._seconds_by_class.values()
@@ -249,17 +224,10 @@
         return max(by_slots, len(self._grants) / max(span, 0.001))
 
     def _evict_for(self, ticket: Ticket) -> bool:
-        """Evicts the newest request of the caller that waits most."""
-        counts = collections.Counter(
-            item.ticket.caller for item in self._waiters
-        )
-        caller, most = counts.most_common(1)[0]
-        if counts[ticket.caller] + 1 >= most:
+        """Makes room at the cost of the caller that waits most."""
+        newest = self._line.newest_of_longest(ticket)
+        if newest is None:
             return False
-        newest = max(
-            (item for item in self._waiters if item.ticket.caller == caller),
-            key=lambda item: item.sequence,
-        )
         self._evict(newest, "its queue is full")
         return True
 
--- a/wisteriasill/contracts/credit_ledger.py
+++ b/wisteriasill/contracts/credit_ledger.py
@@ -89,6 +89,11 @@
             grants.append(Grant(member_id, target_id, 1))
         return grants
 
+    def holders(self, target_id: str) -> set[str]:
+        """Returns the members that hold slots of a target."""
+        lent = self._lent(target_id)
+        return {member_id for member_id in lent if lent[member_id] > 0}
+
     def note(self, member_id: str, target_id: str, now: float) -> None:
         """Notes a message of a member about a target."""
         self._heard_at[target_id, member_id] = now
--- a/wisteriasill/contracts/fair_shares.py
+++ b/wisteriasill/contracts/fair_shares.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+import collections
+from collections.abc import Iterator
+from typing import Generic, NamedTuple, TypeVar
+
+# Of five grants in a row at least one goes to requests that are not urgent.
+URGENT_GRANTS_IN_A_ROW = 4
+MAX_FLOWS = 1024
 
 
 class Ticket(NamedTuple):
@@ -23,58 +29,166 @@
     repeated: bool = False
 
 
-class FairShares:
-    """Counts of grants that decide who is next.
+class Flow(NamedTuple):
+    """Requests of one caller and class, which are served in order.
+
+    Requests that had a slot before form a flow of their own that goes first.
+    """
+
+    repeated: bool
+    urgent: bool
+    class_name: str
+    caller: str
+
+
+T = TypeVar("T")
 
+
+def flow_of(ticket: Ticket) -> Flow:
+    """Returns the flow that a ticket belongs to."""
+    if ticket.repeated:
+        return Flow(True, False, "", "")
+    return Flow(False, ticket.urgent, ticket.class_name, ticket.caller)
+
+
+class FairLine(Generic[T]):
+    """Waiting requests, and who of them is next; not thread safe.
+
+    Each class and each flow counts its grants, and the lowest count is next.
     A flow that starts to wait begins at the count of the flow served last,
     so it neither saves up a share while away nor falls behind for ever.
     """
 
     def __init__(self) -> None:
+        self._items_by_flow: dict[Flow, collections.deque[T]] = {}
         self._grants_by_class: dict[str, float] = {}
-        self._grants_by_flow: dict[tuple[str, str], float] = {}
+        self._grants_by_flow: dict[Flow, float] = {}
         self._class_level = 0.0
         self._flow_level_by_class: dict[str, float] = {}
+        self._urgent_in_a_row = 0
+        self._length = 0
 
-    def join(self, ticket: Ticket, waiting: list[Ticket]) -> None:
-        """Sets the counts of a flow that joins the queue."""
-        name, flow = ticket.class_name, (ticket.class_name, ticket.caller)
-        if all(item.class_name != name for item in waiting):
-            self._grants_by_class[name] = max(
-                self._grants_by_class.get(name, 0.0), self._class_level
-            )
-        if all((item.class_name, item.caller) != flow for item in waiting):
-            self._grants_by_flow[flow] = max(
-                self._grants_by_flow.get(flow, 0.0),
-                self._flow_level_by_class.get(name, 0.0),
-            )
+    def __len__(self) -> int:
+        """Returns how many requests wait."""
+        return self._length
 
-    def order(self, ticket: Ticket) -> tuple[float, float]:
-        """Returns the sort key; the lowest is next."""
-        flow = (ticket.class_name, ticket.caller)
-        return (
-            self._grants_by_class.get(ticket.class_name, 0.0),
-            self._grants_by_flow.get(flow, 0.0),
+    def add(self, ticket: Ticket, item: T) -> None:
+        """Puts a request at the end of its flow."""
+        flow = flow_of(ticket)
+        if flow not in self._items_by_flow:
+            self._join(flow)
+        self._items_by_flow[flow].append(item)
+        self._length += 1
+
+    def remove(self, ticket: Ticket, item: T) -> bool:
+        """Takes a request out of the line; False if it is not there."""
+        flow = flow_of(ticket)
+        items = self._items_by_flow.get(flow, collections.deque())
+        if item not in items:
+            return False
+        items.remove(item)
+        if not items:
+            del self._items_by_flow[flow]
+        self._length -= 1
+        return True
+
+    def first(self) -> T:
+        """Returns the request that is next; the line must not be empty."""
+        urgent_first = self._urgent_in_a_row < URGENT_GRANTS_IN_A_ROW
+        flow = min(
+            self._items_by_flow,
+            key=lambda item: (
+                not item.repeated,
+                item.urgent is not urgent_first,
+                self._grants_by_class.get(item.class_name, 0.0),
+                self._grants_by_flow.get(item, 0.0),
+            ),
         )
+        return self._items_by_flow[flow][0]
 
-    def grant(self, ticket: Ticket) -> None:
-        """Counts a grant."""
-        name, flow = ticket.class_name, (ticket.class_name, ticket.caller)
-        self._class_level, level = self.order(ticket)
+    def count_grant(self, ticket: Ticket) -> None:
+        """Counts a grant to the flow of a ticket."""
+        if ticket.repeated:
+            return
+        flow, name = flow_of(ticket), ticket.class_name
+        self._class_level = self._grants_by_class.get(name, 0.0)
+        level = self._grants_by_flow.get(flow, 0.0)
         self._flow_level_by_class[name] = level
         self._grants_by_class[name] = self._class_level + 1
         self._grants_by_flow[flow] = level + 1
+        self._urgent_in_a_row = (
+            self._urgent_in_a_row + 1 if ticket.urgent else 0
+        )
+        if len(self._grants_by_flow) > MAX_FLOWS:
+            self._forget_absent()
+
+    def position(self, ticket: Ticket) -> int:
+        """Estimates how many grants come before a new ticket's, and its own.
+
+        Args:
+            ticket: A ticket that is not in the line.
+
+        Returns:
+            At least 1.
+        """
+        ahead = {
+            flow: len(items)
+            for flow, items in self._items_by_flow.items()
+            if flow.repeated or flow.urgent or not ticket.urgent
+        }
+        flow = flow_of(ticket)
+        flows = len({*ahead, flow})
+        return min(sum(ahead.values()) + 1, (ahead.get(flow, 0) + 1) * flows)
+
+    def newest_of_longest(self, ticket: Ticket) -> T | None:
+        """Returns the newest request of the caller that waits most.
 
-    @property
-    def flows(self) -> int:
-        """Flows that are remembered."""
-        return len(self._grants_by_flow)
+        Args:
+            ticket: A new ticket that needs room in the line.
+
+        Returns:
+            The request to give up; None if no other caller waits for more
+            than the ticket's own.
+        """
+        counts: collections.Counter[str] = collections.Counter()
+        for flow, items in self._items_by_flow.items():
+            if not flow.repeated:
+                counts[flow.caller] += len(items)
+        if not counts:
+            return None
+        caller, most = counts.most_common(1)[0]
+        if counts[ticket.caller] + 1 >= most:
+            return None
+        flows = [
+            flow
+            for flow in self._items_by_flow
+            if flow.caller == caller and not flow.repeated
+        ]
+        longest = max(flows, key=lambda flow: len(self._items_by_flow[flow]))
+        return self._items_by_flow[longest][-1]
+
+    def __iter__(self) -> Iterator[T]:
+        """Iterates over the waiting requests."""
+        for items in tuple(self._items_by_flow.values()):
+            yield from tuple(items)
+
+    def _join(self, flow: Flow) -> None:
+        """Sets the counts of a flow that starts to wait."""
+        name = flow.class_name
+        if all(item.class_name != name for item in self._items_by_flow):
+            self._grants_by_class[name] = max(
+                self._grants_by_class.get(name, 0.0), self._class_level
+            )
+        self._grants_by_flow[flow] = max(
+            self._grants_by_flow.get(flow, 0.0),
+            self._flow_level_by_class.get(name, 0.0),
+        )
+        self._items_by_flow[flow] = collections.deque()
 
-    def forget(self, waiting: list[Ticket]) -> None:
-        """Drops flows that do not wait, which bounds the memory."""
-        kept = {(item.class_name, item.caller) for item in waiting}
+    def _forget_absent(self) -> None:
+        """Drops the counts of flows that do not wait, to bound memory."""
         self._grants_by_flow = {
             flow: count
             for flow, count in self._grants_by_flow.items()
-            if flow in kept
+            if flow in self._items_by_flow
         }
--- a/wisteriasill/contracts/retry.py
+++ b/wisteriasill/contracts/retry.py
@@ -19,6 +19,9 @@
 # The first attempt of a request that may be repeated leaves time for one
 # more.
 ATTEMPT_SHARE = 0.5
+# An attempt that had less than this many typical times says nothing about
+# its target when it times out.
+SLOW_FACTOR = 4.0
 
 REPEATABLE_KINDS = frozenset(
     (
@@ -49,23 +52,25 @@
 
 
 def attempt_deadline(
-    now: float, deadline_at: float, repeatable: bool, attempts: int
+    now: float, deadline_at: float, typical_seconds: float, may_retry: bool
 ) -> float:
     """Sets the end of one attempt.
 
     Args:
         now: Monotonic seconds.
         deadline_at: Deadline of the request.
-        repeatable: Whether the request may be run more than once.
-        attempts: Attempts made before.
+        typical_seconds: Typical time of an answer.
+        may_retry: Whether another attempt may follow.
 
     Returns:
-        Monotonic seconds; half of what remains for the first attempts of a
-        repeatable request, so that a silent target leaves time for another.
+        Monotonic seconds. Half of what remains, so that a silent target
+        leaves time for another; all of it when half is too short to tell a
+        silent target from a busy one.
     """
-    if not repeatable or attempts + 1 >= MOST_ATTEMPTS:
+    half = (deadline_at - now) * ATTEMPT_SHARE
+    if not may_retry or half < SLOW_FACTOR * typical_seconds:
         return deadline_at
-    return now + (deadline_at - now) * ATTEMPT_SHARE
+    return now + half
 
 
 class RetryPolicy(Protocol):
--- /dev/null
+++ b/wisteriasill/contracts/slot_lender.py
@@ -0,0 +1,105 @@
+"""The lender's side of lent slots: answers requests and recalls credits."""
+
+from __future__ import annotations
+
+import math
+import uuid
+
+from wisteriasill.contracts import credit_ledger
+from wisteriasill.links import peer_messages
+from wisteriasill.zones import site as sites
+
+# A lender that has to deny a request asks the holders for idle credits at
+# most this often; more often costs more processor time than it yields.
+RECALL_SECONDS = 0.1
+
+Outgoing = list[tuple[str, peer_messages.CreditMessage]]
+
+
+class SlotLender:
+    """Lends the slots of the targets that fall to this member.
+
+    Each method returns the messages to send; not thread safe.
+
+    Args:
+        site: What is known of the site, for the targets' slots.
+    """
+
+    def __init__(self, site: sites.Site) -> None:
+        self._site = site
+        self._incarnation = uuid.uuid4().hex
+        self._ledger = credit_ledger.CreditLedger()
+        self._recalled_at: dict[str, float] = {}
+
+    def requested(
+        self, member_id: str, message: peer_messages.CreditMessage, now: float
+    ) -> Outgoing:
+        """Answers a request; a denied member waits in line."""
+        target_id = message["target_id"]
+        self._ledger.note(member_id, target_id, now)
+        grant = self._ledger.request(
+            member_id, target_id, message["count"], self._slots_of(target_id)
+        )
+        if grant.slots:
+            return [self._grant_message(grant)]
+        return [self._grant_message(grant), *self._recall(grant, now)]
+
+    def returned(
+        self, member_id: str, message: peer_messages.CreditMessage, now: float
+    ) -> Outgoing:
+        """Takes slots back and lends them to members in line."""
+        target_id = message["target_id"]
+        if message["incarnation"] != self._incarnation:
+            return []
+        self._ledger.note(member_id, target_id, now)
+        self._ledger.give_back(member_id, target_id, message["count"])
+        return self._lend([target_id])
+
+    def keep_only(self, member_ids: frozenset[str]) -> Outgoing:
+        """Takes back what lost members held."""
+        return self._lend(self._ledger.keep_only(member_ids))
+
+    def lapse(self, now: float) -> Outgoing:
+        """Takes back loans that nothing was heard of for long."""
+        return self._lend(self._ledger.lapse(now))
+
+    def _lend(self, target_ids: list[str]) -> Outgoing:
+        return [
+            self._grant_message(grant)
+            for target_id in target_ids
+            for grant in self._ledger.lend_to_waiting(
+                target_id, self._slots_of(target_id)
+            )
+        ]
+
+    def _recall(self, denied: credit_ledger.Grant, now: float) -> Outgoing:
+        """Asks the holders of a target's slots for those that idle.
+
+        A recall is a `credit_request` with the lender's incarnation.
+        """
+        target_id = denied.target_id
+        if now - self._recalled_at.get(target_id, -math.inf) < RECALL_SECONDS:
+            return []
+        self._recalled_at[target_id] = now
+        message: peer_messages.CreditMessage = {
+            "type": "credit_request",
+            "target_id": target_id,
+            "count": 0,
+            "incarnation": self._incarnation,
+        }
+        holders = self._ledger.holders(target_id) - {denied.member_id}
+        return [(holder, message) for holder in sorted(holders)]
+
+    def _slots_of(self, target_id: str) -> int:
+        known = self._site.snapshot.hosts_by_id.get(target_id)
+        return known.host.slots if known is not None else 0
+
+    def _grant_message(
+        self, grant: credit_ledger.Grant
+    ) -> tuple[str, peer_messages.CreditMessage]:
+        return grant.member_id, {
+            "type": "credit_grant",
+            "target_id": grant.target_id,
+            "count": grant.slots,
+            "incarnation": self._incarnation,
+        }
--- a/wisteriasill/contracts/slots.py
+++ b/wisteriasill/contracts/slots.py
@@ -16,12 +16,13 @@
 class SlotPolicy(Protocol):
     """Chooses a target and reserves one of its slots."""
 
-    def reserve(self, groups: Groups) -> hosts.Host | None:
+    def reserve(self, groups: Groups, wanted: int = 1) -> hosts.Host | None:
         """Reserves a slot.
 
         Args:
             groups: Targets in order of preference; those of a group are
                 equally good.
+            wanted: Requests that wait, this one included.
 
         Returns:
             A target of the first group that has room, None if none has.
@@ -55,7 +56,7 @@
         self._lock = threading.Lock()
         self._own_by_host_id: collections.Counter[str] = collections.Counter()
 
-    def reserve(self, groups: Groups) -> hosts.Host | None:
+    def reserve(self, groups: Groups, wanted: int = 1) -> hosts.Host | None:
         """Reserves a slot of the target with the fewest own requests."""
         with self._lock:
             for group in groups:
--- a/wisteriasill/contracts/slots_exchanged.py
+++ b/wisteriasill/contracts/slots_exchanged.py
@@ -52,7 +52,9 @@
         mesh.on_message("in_flight", self._receive)
         mesh.on_members_changed(self._members_changed)
 
-    def reserve(self, groups: slots.Groups) -> hosts.Host | None:
+    def reserve(
+        self, groups: slots.Groups, wanted: int = 1
+    ) -> hosts.Host | None:
         """Reserves a slot of a target that seems to have room."""
         with self._lock:
             for group in groups:
--- a/wisteriasill/contracts/slots_lent.py
+++ b/wisteriasill/contracts/slots_lent.py
@@ -4,14 +4,15 @@
 
 from collections.abc import Callable
 from concurrent import futures
+import math
 import random
 import threading
 from typing import Any, NamedTuple
-import uuid
 
 from wisteriasill import clock as clocks
 from wisteriasill import settings as setting_types
 from wisteriasill.contracts import credit_ledger
+from wisteriasill.contracts import slot_lender
 from wisteriasill.contracts import slots
 from wisteriasill.links import peer_messages
 from wisteriasill.machines import host as hosts
@@ -21,11 +22,18 @@
 # An idle credit goes back after this; a used one at its next release after
 # the term, so that no entry host keeps a slot while others wait.
 IDLE_SECONDS = 0.15
-TERM_SECONDS = 0.3
+TERM_SECONDS = 1.0
 CREDITS_PER_REQUEST = 2
 # A request that the lender did not answer by then was lost.
 ANSWER_SECONDS = 0.2
-DENIED_SECONDS = 0.05
+# The lender remembers a request that it denied, so asking again is only for
+# the case that the answer was lost.
+DENIED_SECONDS = 1.0
+# A credit granted more recently than this may still be meant for use.
+FRESH_SECONDS = 0.02
+
+
+Outgoing = slot_lender.Outgoing
 
 
 class Credit(NamedTuple):
@@ -38,7 +46,7 @@
         incarnation: Its incarnation.
         granted_at: Monotonic time of the last grant.
         used_at: Monotonic time of the last use.
-        asked_at: Monotonic time of a request without an answer; 0 for none.
+        asked_at: Monotonic time of a request without an answer.
         denied_until: Monotonic time before which asking is no use.
     """
 
@@ -48,13 +56,10 @@
     incarnation: str = ""
     granted_at: float = 0.0
     used_at: float = 0.0
-    asked_at: float = 0.0
+    asked_at: float = -math.inf
     denied_until: float = 0.0
 
 
-Outgoing = list[tuple[str, peer_messages.CreditMessage]]
-
-
 class LentSlots:
     """Borrows slots from each target's lender, and lends as one.
 
@@ -75,13 +80,11 @@
         clock: clocks.Clock,
     ) -> None:
         self._member_id = settings.member_id
-        self._site = site
         self._mesh = mesh
         self._chooser = chooser
         self._clock = clock
-        self._incarnation = uuid.uuid4().hex
         self._lock = threading.RLock()
-        self._ledger = credit_ledger.CreditLedger()
+        self._lender = slot_lender.SlotLender(site)
         self._credits: dict[str, Credit] = {}
         self._members = frozenset((self._member_id,))
         self._listeners: list[Callable[[], None]] = []
@@ -94,16 +97,23 @@
             mesh.on_message(name, self._receive)
         mesh.on_members_changed(self._members_changed)
 
-    def reserve(self, groups: slots.Groups) -> hosts.Host | None:
+    def reserve(
+        self, groups: slots.Groups, wanted: int = 1
+    ) -> hosts.Host | None:
         """Uses a credit; asks for more if there is none."""
         with self._lock:
             chosen = self._take(groups)
-            if chosen is not None:
-                return chosen
-            outgoing = self._ask(groups)
-        self._deliver(outgoing)
-        with self._lock:
-            return self._take(groups)
+        # Each round asks targets not asked before, so this ends; only those
+        # that this entry host lends itself answer at once.
+        while chosen is None:
+            with self._lock:
+                outgoing = self._ask(groups, wanted)
+            if not outgoing:
+                return None
+            self._deliver(outgoing)
+            with self._lock:
+                chosen = self._take(groups)
+        return chosen
 
     def release(self, host_id: str) -> None:
         """Ends the use of a credit; returns it if its term is over."""
@@ -143,7 +153,7 @@
                 if now - credit.used_at > IDLE_SECONDS:
                     idle = credit.held - credit.in_flight
                     outgoing += self._give_back(host_id, credit, idle)
-            outgoing += self._lend(self._ledger.lapse(now))
+            outgoing += self._lender.lapse(now)
         if self._deliver(outgoing):
             self._notify()
 
@@ -169,29 +179,27 @@
         credit = self._credits.get(host_id, Credit())
         return credit.held - credit.in_flight
 
-    def _ask(self, groups: slots.Groups) -> Outgoing:
-        """Asks the nearest group that has not said no just now."""
+    def _ask(self, groups: slots.Groups, wanted: int) -> Outgoing:
+        """Asks for the credits that are wanted and not asked for yet."""
         now = self._clock.monotonic()
+        outgoing: Outgoing = []
         for group in groups:
-            hopeful = [
-                item.host_id
-                for item in group
-                if self._credits.get(item.host_id, Credit()).denied_until <= now
-            ]
-            if hopeful:
-                return [
-                    self._request(host_id, now)
-                    for host_id in hopeful
-                    if self._may_ask(host_id, now)
-                ]
-        return []
-
-    def _may_ask(self, host_id: str, now: float) -> bool:
-        asked_at = self._credits.get(host_id, Credit()).asked_at
-        return not asked_at or now - asked_at > ANSWER_SECONDS
+            for item in self._chooser.sample(list(group), len(group)):
+                credit = self._credits.get(item.host_id, Credit())
+                if credit.denied_until > now:
+                    continue
+                if now - credit.asked_at <= ANSWER_SECONDS:
+                    wanted -= CREDITS_PER_REQUEST
+                elif wanted > 0:
+                    count = min(wanted, CREDITS_PER_REQUEST)
+                    outgoing.append(self._request(item.host_id, count, now))
+                    wanted -= count
+            if wanted <= 0:
+                break
+        return outgoing
 
     def _request(
-        self, host_id: str, now: float
+        self, host_id: str, count: int, now: float
     ) -> tuple[str, peer_messages.CreditMessage]:
         credit = self._credits.get(host_id, Credit())
         self._credits[host_id] = credit._replace(asked_at=now)
@@ -199,7 +207,7 @@
         return lender, {
             "type": "credit_request",
             "target_id": host_id,
-            "count": CREDITS_PER_REQUEST,
+            "count": count,
             "incarnation": "",
         }
 
@@ -236,22 +244,24 @@
     def _handle(
         self, member_id: str, message: peer_messages.CreditMessage
     ) -> Outgoing:
-        target_id, count = message["target_id"], message["count"]
         with self._lock:
             if message["type"] == "credit_grant":
                 self._granted(member_id, message)
                 return []
-            self._ledger.note(member_id, target_id, self._clock.monotonic())
-            total = self._slots_of(target_id)
-            if message["type"] == "credit_request":
-                grants = [
-                    self._ledger.request(member_id, target_id, count, total)
-                ]
-            else:
-                if message["incarnation"] == self._incarnation:
-                    self._ledger.give_back(member_id, target_id, count)
-                grants = self._ledger.lend_to_waiting(target_id, total)
-        return [self._grant_message(grant) for grant in grants]
+            now = self._clock.monotonic()
+            if message["type"] == "credit_return":
+                return self._lender.returned(member_id, message, now)
+            if message["incarnation"]:
+                return self._recalled(message["target_id"], now)
+            return self._lender.requested(member_id, message, now)
+
+    def _recalled(self, target_id: str, now: float) -> Outgoing:
+        """Returns what idles; credits just granted may be meant for use."""
+        credit = self._credits.get(target_id, Credit())
+        if now - credit.granted_at < FRESH_SECONDS:
+            return []
+        idle = credit.held - credit.in_flight
+        return self._give_back(target_id, credit, idle)
 
     def _granted(
         self, member_id: str, message: peer_messages.CreditMessage
@@ -261,7 +271,7 @@
         now = self._clock.monotonic()
         if not message["count"]:
             self._credits[target_id] = credit._replace(
-                asked_at=0.0, denied_until=now + DENIED_SECONDS
+                asked_at=-math.inf, denied_until=now + DENIED_SECONDS
             )
             return
         same = credit.incarnation == message["incarnation"]
@@ -272,20 +282,10 @@
             incarnation=message["incarnation"],
             granted_at=now,
             used_at=now,
-            asked_at=0.0,
+            asked_at=-math.inf,
             denied_until=0.0,
         )
 
-    def _grant_message(
-        self, grant: credit_ledger.Grant
-    ) -> tuple[str, peer_messages.CreditMessage]:
-        return grant.member_id, {
-            "type": "credit_grant",
-            "target_id": grant.target_id,
-            "count": grant.slots,
-            "incarnation": self._incarnation,
-        }
-
     def _receive(self, member_id: str, message: Any) -> None:
         granted = message["type"] == "credit_grant"
         if self._deliver(self._handle(member_id, message)) or granted:
@@ -302,23 +302,10 @@
                     self._credits[target_id] = Credit(
                         held=credit.in_flight, in_flight=credit.in_flight
                     )
-            outgoing += self._lend(self._ledger.keep_only(members))
+            outgoing += self._lender.keep_only(members)
         self._deliver(outgoing)
         self._notify()
 
-    def _lend(self, target_ids: list[str]) -> Outgoing:
-        return [
-            self._grant_message(grant)
-            for target_id in target_ids
-            for grant in self._ledger.lend_to_waiting(
-                target_id, self._slots_of(target_id)
-            )
-        ]
-
-    def _slots_of(self, target_id: str) -> int:
-        known = self._site.snapshot.hosts_by_id.get(target_id)
-        return known.host.slots if known is not None else 0
-
     def _tick_until_stopped(self) -> None:
         while not self._clock.wait(self._stopping, TICK_SECONDS):
             self.return_idle()
--- a/wisteriasill/links/forwarding.py
+++ b/wisteriasill/links/forwarding.py
@@ -26,10 +26,6 @@
 from wisteriasill.zones import nearness
 from wisteriasill.zones import site as sites
 
-# An attempt that had less than this many typical times says nothing about
-# its target when it times out.
-SLOW_FACTOR = 4.0
-
 
 class PoolState(NamedTuple):
     """What this entry host holds for one service."""
@@ -140,7 +136,7 @@
             )
         ticket = order.ticket._replace(repeated=bool(progress.tried))
         return order.pool.queue.acquire(
-            ticket, lambda: self._reserve(order, progress)
+            ticket, lambda wanted: self._reserve(order, progress, wanted)
         )
 
     def _serving(self, pool: str) -> list[hosts.Host]:
@@ -158,7 +154,7 @@
         )
 
     def _reserve(
-        self, order: Order, progress: attempts.Progress
+        self, order: Order, progress: attempts.Progress, wanted: int
     ) -> hosts.Host | None:
         trial = order.route.repeatable
         offered = [
@@ -166,9 +162,13 @@
             for item in self._serving(order.route.service.name)
             if self._targets.is_offered(item.host_id, trial)
         ]
-        return self._slots.reserve(
-            nearness.groups(self._settings, offered, progress.tried)
+        # A slot that is free at once must not draw a retry to the target
+        # that has just failed.
+        untried = [item for item in offered if item not in progress.tried]
+        groups = nearness.groups(
+            self._settings, untried or offered, progress.tried
         )
+        return self._slots.reserve(groups, wanted)
 
     def _attempt(
         self,
@@ -178,27 +178,28 @@
     ) -> attempts.Outcome | None:
         """Makes one attempt; None if the target may not be used any more."""
         started_at = self._clock.monotonic()
+        details = self._details(order, target, progress, started_at)
         answered = False
         try:
             if not self._still_serving(target) or not self._targets.begin(
                 target.host_id
             ):
                 return None
-            details = self._details(order, target, progress, started_at)
             outcome = self._link.send(target, order.request, details)
             answered = isinstance(outcome, result.Success)
-            allowed_seconds = details.deadline_at - started_at
-            self._judge(order, target, outcome, progress, allowed_seconds)
-            return outcome
         except BaseException:
             self._targets.end_trial(target.host_id)
             raise
         finally:
+            # The next request gets the slot before this one is looked at.
             self._slots.release(target.host_id)
             elapsed = self._clock.monotonic() - started_at
             order.pool.queue.release(
                 order.ticket, elapsed if answered else None
             )
+        allowed_seconds = details.deadline_at - started_at
+        self._judge(order, target, outcome, progress, allowed_seconds)
+        return outcome
 
     def _details(
         self,
@@ -212,7 +213,10 @@
         return target_response.Attempt(
             f"{order.trace_id}-{len(progress.tried) + 1}",
             retry.attempt_deadline(
-                now, order.ticket.deadline_at, repeatable, progress.runs
+                now,
+                order.ticket.deadline_at,
+                order.pool.queue.service_seconds(order.ticket),
+                repeatable and progress.runs + 1 < retry.MOST_ATTEMPTS,
             ),
             not repeatable,
             max(1, target.connections // (members + 1)),
@@ -281,4 +285,4 @@
         if failure.executed is errors.Executed.NO:
             return True
         typical = order.pool.queue.service_seconds(order.ticket)
-        return allowed_seconds < SLOW_FACTOR * typical
+        return allowed_seconds < retry.SLOW_FACTOR * typical
--- a/wisteriasill/settings.py
+++ b/wisteriasill/settings.py
@@ -65,4 +65,4 @@
     shutdown_seconds: float = 30.0
     idle_connection_seconds: float = 2.0
     control: bool = True
-    slot_policy: str = "independent"
+    slot_policy: str = "lent"
--- a/wisteriasill/zones/nearness.py
+++ b/wisteriasill/zones/nearness.py
@@ -22,15 +22,13 @@
         tried: Targets that this request was sent to before.
 
     Returns:
-        Groups of equal preference: targets not tried before those tried,
-        then zones not tried, then the own zone, then the own region.
+        Groups of equal preference: zones not tried before those tried, then
+        the own region, then the own zone.
     """
-    tried_ids = {item.host_id for item in tried}
     tried_zones = {item.availability_zone for item in tried}
 
-    def distance(item: hosts.Host) -> tuple[bool, bool, bool, bool]:
+    def distance(item: hosts.Host) -> tuple[bool, bool, bool]:
         return (
-            item.host_id in tried_ids,
             item.availability_zone in tried_zones,
             item.region != settings.region,
             item.availability_zone != settings.availability_zone,
