--- a/bench/control_site.py
+++ b/bench/control_site.py
@@ -14,6 +14,7 @@
 from wisteriasill import settings as all_settings
 from wisteriasill.contracts import configuration as configurations
 from wisteriasill.contracts import service
+from wisteriasill.contracts import wave_plan
 from wisteriasill.links import peer_messages
 from wisteriasill.links import platform
 from wisteriasill.machines import controller
@@ -93,6 +94,7 @@
         clock: clocks.Clock,
         sources: controller.Sources,
         jobs: shard_context.JobKeeperFactory = lambda _: NoTasks(),
+        planner: wave_plan.Planner = wave_plan.plan,
     ) -> None:
         self.member_id = member_id
         self.mesh = RecordingMesh()
@@ -109,6 +111,7 @@
             clock,
             jobs,
             sources,
+            planner,
         )
         self._balance = shard_balance.ShardBalance(
             platform.table,
--- /dev/null
+++ b/bench/fleet_platform.py
@@ -0,0 +1,237 @@
+"""A platform whose hosts fail, reboot and come back over weeks.
+
+Time is set by hand. All durations follow from the seed and the host's number
+of boots, so that variants of a plan meet the same luck.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from returns import result
+
+from standins import faults
+from standins import local_platform
+from standins import platform_state
+from standins import table_state
+from wisteriasill import clock as clocks
+from wisteriasill import errors
+from wisteriasill.links import platform
+from wisteriasill.machines import host as hosts
+
+LIST_LAG_SECONDS = 2.0
+# A host that fails its reboot or is lost comes back after a repair.
+REPAIR_SECONDS = 6 * 3600.0
+Outcome = result.Result[None, errors.Failure]
+
+
+class Loss(NamedTuple):
+    """Hosts that fail together.
+
+    Attributes:
+        at: Seconds when they fail.
+        host_ids: The hosts.
+        seconds: How long they are down.
+    """
+
+    at: float
+    host_ids: tuple[str, ...]
+    seconds: float
+
+
+class Luck(NamedTuple):
+    """What goes wrong.
+
+    Attributes:
+        seed: Seed of durations and failed reboots.
+        maintenance_seconds: Median time of a reboot with maintenance.
+        lost_reboot_share: Share of reboots that need a repair.
+        bad_from: Seconds from which every reboot needs a repair.
+        bad_until: Seconds until which every reboot needs a repair.
+        losses: Hosts that fail by themselves.
+    """
+
+    seed: int
+    maintenance_seconds: float
+    lost_reboot_share: float = 0.002
+    bad_from: float = 0.0
+    bad_until: float = 0.0
+    losses: tuple[Loss, ...] = ()
+
+
+class HostEvent(NamedTuple):
+    """A write of a host row."""
+
+    at: float
+    host_id: str
+    pool: str
+    state: str
+    wave: str
+
+
+class FleetPlatform:
+    """Implements `links.platform.Platform`; its workers run no tasks."""
+
+    def __init__(
+        self,
+        clock: clocks.ManualClock,
+        listed: Iterable[platform.ListedHost],
+        luck: Luck,
+    ) -> None:
+        self._clock = clock
+        self._luck = luck
+        self._hosts_by_id = {host.host_id: host for host in listed}
+        self._number = itertools.count()
+        self._changes: list[
+            tuple[float, int, str, platform.ListedState, int]
+        ] = []
+        self._list = faults.Lagging(
+            LIST_LAG_SECONDS, lambda: tuple(self._hosts_by_id.values())
+        )
+        self._empty = local_platform.LocalPlatform(
+            platform_state.PlatformState(clock, ())
+        )
+        self.state = table_state.TableState(clock)
+        self.lost_reboots = 0
+        self.history: list[HostEvent] = []
+        for loss in luck.losses:
+            for host_id in loss.host_ids:
+                self._plan(loss.at, host_id, platform.ListedState.DOWN, 0)
+                self._plan(
+                    loss.at + loss.seconds,
+                    host_id,
+                    platform.ListedState.LIVE,
+                    1,
+                )
+
+    @property
+    def table(self) -> platform.Table:
+        """The transactional table service."""
+        return self
+
+    @property
+    def objects(self) -> platform.ObjectStore:
+        """A store of objects that nothing here uses."""
+        return self._empty
+
+    @property
+    def host_list(self) -> platform.HostList:
+        """The lagging list of hosts."""
+        return self
+
+    @property
+    def tasks(self) -> platform.TaskRunner:
+        """Workers without tasks; nothing here starts one."""
+        return self._empty
+
+    @property
+    def host_control(self) -> platform.HostControl:
+        """Drain and reboot of hosts."""
+        return self
+
+    def read(
+        self, table: str, key: str
+    ) -> result.Result[platform.Row | None, errors.Failure]:
+        """Reads one row."""
+        return result.Success(self.state.read(table, key, 0.0))
+
+    def scan(
+        self, table: str, prefix: str = ""
+    ) -> result.Result[tuple[platform.Row, ...], errors.Failure]:
+        """Reads rows by prefix."""
+        return result.Success(self.state.scan(table, prefix, 0.0))
+
+    def transact(
+        self,
+        conditions: Sequence[platform.Condition],
+        writes: Sequence[platform.Write],
+    ) -> result.Result[tuple[int, ...], errors.Failure]:
+        """Writes rows if all conditions hold; keeps host rows' history."""
+        outcome = self.state.transact(conditions, writes).alt(
+            lambda failed: errors.failure(
+                errors.ErrorKind.CONFLICT, f"{failed.table}/{failed.key}"
+            )
+        )
+        if isinstance(outcome, result.Success):
+            now = self._clock.monotonic()
+            self.history.extend(
+                HostEvent(
+                    now,
+                    write.key,
+                    write.value["pool"],
+                    write.value["state"],
+                    write.value["wave"],
+                )
+                for write in writes
+                if write.table == hosts.TABLE and write.value is not None
+            )
+        return outcome
+
+    def list_hosts(
+        self,
+    ) -> result.Result[tuple[platform.ListedHost, ...], errors.Failure]:
+        """Reads the lagging list."""
+        self._settle()
+        return result.Success(self._list.read(self._clock.monotonic())[1])
+
+    def drain_host(self, host_id: str) -> Outcome:
+        """Makes a worker refuse new work."""
+        self._settle()
+        host = self._hosts_by_id[host_id]
+        if host.state is platform.ListedState.DOWN:
+            return _unreachable(host_id)
+        self._set(host_id, platform.ListedState.LEAVING, 0)
+        return result.Success(None)
+
+    def reboot_host(self, host_id: str) -> Outcome:
+        """Reboots a host; its maintenance takes a while and may fail."""
+        self._settle()
+        host = self._hosts_by_id[host_id]
+        if host.state is platform.ListedState.DOWN:
+            return _unreachable(host_id)
+        now = self._clock.monotonic()
+        rng = random.Random(f"{self._luck.seed}/{host_id}/{host.boot_count}")
+        ends_at = now + self._luck.maintenance_seconds * rng.lognormvariate(
+            0.0, 0.2
+        )
+        lost = rng.random() < self._luck.lost_reboot_share
+        if lost or self._luck.bad_from <= now < self._luck.bad_until:
+            self.lost_reboots += 1
+            self._plan(ends_at, host_id, platform.ListedState.DOWN, 0)
+            ends_at += REPAIR_SECONDS
+        self._set(host_id, platform.ListedState.REBOOTING, 0)
+        self._plan(ends_at, host_id, platform.ListedState.LIVE, 1)
+        return result.Success(None)
+
+    def _plan(
+        self, at: float, host_id: str, state: platform.ListedState, boots: int
+    ) -> None:
+        heapq.heappush(
+            self._changes, (at, next(self._number), host_id, state, boots)
+        )
+
+    def _settle(self) -> None:
+        now = self._clock.monotonic()
+        while self._changes and self._changes[0][0] <= now:
+            _, _, host_id, state, boots = heapq.heappop(self._changes)
+            self._set(host_id, state, boots)
+
+    def _set(
+        self, host_id: str, state: platform.ListedState, boots: int
+    ) -> None:
+        host = self._hosts_by_id[host_id]
+        self._hosts_by_id[host_id] = host._replace(
+            state=state, boot_count=host.boot_count + boots
+        )
+
+
+def _unreachable(host_id: str) -> Outcome:
+    return result.Failure(
+        errors.failure(
+            errors.ErrorKind.PLATFORM_REFUSED, f"host {host_id} is down"
+        )
+    )
--- /dev/null
+++ b/bench/wave_runs.py
@@ -0,0 +1,267 @@
+"""Runs four weeks of maintenance with one plan and measures them."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Mapping, Sequence
+import random
+from typing import NamedTuple
+
+from bench import control_site
+from bench import fleet_platform
+from wisteriasill import clock as clocks
+from wisteriasill import documents
+from wisteriasill.contracts import configuration as configurations
+from wisteriasill.contracts import maintenance
+from wisteriasill.contracts import pool_revision
+from wisteriasill.contracts import wave_plan
+from wisteriasill.links import platform
+from wisteriasill.machines import host as hosts
+from wisteriasill.zones import site as sites
+
+WEEKS_4_SECONDS = 28 * 86_400.0
+
+
+class Pace(NamedTuple):
+    """How far the clock goes with each step.
+
+    Attributes:
+        idle_seconds: While no pool has a wave under way.
+        active_seconds: While one has.
+    """
+
+    idle_seconds: float
+    active_seconds: float
+
+
+class WaveFigures(NamedTuple):
+    """What four weeks with one plan came to.
+
+    Attributes:
+        violations: Planned departures that left a pool below its promise.
+        maintained_share: Share of hosts maintained in the four weeks, of
+            those that weren't down at the end.
+        roll_out_hours_mean: Mean over waves, first departure to last return.
+        roll_out_hours_max: The longest of them.
+        site_roll_out_hours: First departure to last return of all waves.
+        buffer_hosts: Sum over waves of most hosts that each had away.
+        buffer_host_hours: Each wave's number times its roll-out, summed.
+        away_host_hours: Hours that hosts were away for waves.
+        lost_hosts: Reboots that ended in a repair.
+        moves: Changes of pools.
+        rows_written: Rows written in the four weeks.
+    """
+
+    violations: int
+    maintained_share: float
+    roll_out_hours_mean: float
+    roll_out_hours_max: float
+    site_roll_out_hours: float
+    buffer_hosts: int
+    buffer_host_hours: float
+    away_host_hours: float
+    lost_hosts: int
+    moves: int
+    rows_written: int
+
+
+class Fleet(NamedTuple):
+    """Hosts, their pools, the configuration and what goes wrong."""
+
+    listed: tuple[platform.ListedHost, ...]
+    pool_by_host: Mapping[str, str]
+    configuration: configurations.Configuration
+    luck: fleet_platform.Luck
+
+
+class FleetRun:
+    """One run of a fleet under one plan."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        planner_for: Callable[[sites.Site], wave_plan.Planner],
+        seed: int,
+    ) -> None:
+        self._fleet = fleet
+        self.clock = clocks.ManualClock()
+        self.platform = fleet_platform.FleetPlatform(
+            self.clock, fleet.listed, fleet.luck
+        )
+        self.site = sites.Site(self.clock)
+        self.site.adopt_configuration(fleet.configuration)
+        control_site.known_members(self.site, ["m1"])
+        self._store_rows()
+        self.member = control_site.ControlMember(
+            "m1",
+            self.platform,
+            self.site,
+            self.clock,
+            control_site.seeded_sources(random.Random(seed), self.clock),
+            planner=planner_for(self.site),
+        )
+
+    def run(self, until: float, pace: Pace) -> None:
+        """Steps control until a time."""
+        while self.clock.monotonic() < until:
+            self.member.step()
+            self.clock.advance(
+                pace.active_seconds if self._active() else pace.idle_seconds
+            )
+
+    def _active(self) -> bool:
+        return any(
+            host.wave and host.state is not hosts.HostState.SERVING
+            for pool in self.site.snapshot.hosts_by_pool.values()
+            for host in pool
+        ) or any(
+            row.value["state"] == "running"
+            for row in self.platform.scan(maintenance.TABLE).unwrap()
+        )
+
+    def _store_rows(self) -> None:
+        """Stores serving hosts, all maintained at the start."""
+        rows = [
+            hosts.from_listed(
+                listed,
+                self._fleet.pool_by_host[listed.host_id],
+                hosts.HostState.SERVING,
+            )
+            for listed in self._fleet.listed
+        ]
+        self.platform.transact(
+            [],
+            [
+                platform.Write(
+                    hosts.TABLE, host.host_id, documents.encode(host)
+                )
+                for host in rows
+            ]
+            + [
+                platform.Write(
+                    pool_revision.TABLE,
+                    pool,
+                    documents.encode(pool_revision.PoolRevision(pool)),
+                )
+                for pool in sorted({host.pool for host in rows})
+            ],
+        ).unwrap()
+        self.site.update_hosts([sites.KnownHost(host, 1) for host in rows])
+        self.site.confirm("hosts")
+
+    def figures(self) -> WaveFigures:
+        """Measures the run from the history of host rows."""
+        history = self.platform.history
+        absences = _absences(history, self.clock.monotonic())
+        by_wave: dict[str, list[Absence]] = defaultdict(list)
+        for absence in absences:
+            by_wave[absence.wave].append(absence)
+        roll_outs = {
+            wave: (
+                max(item.until for item in items)
+                - min(item.since for item in items)
+            )
+            / 3600
+            for wave, items in by_wave.items()
+        }
+        peaks = {wave: _peak(items) for wave, items in by_wave.items()}
+        return WaveFigures(
+            _violations(history, self._fleet.configuration),
+            self._maintained_share(),
+            sum(roll_outs.values()) / max(1, len(roll_outs)),
+            max(roll_outs.values(), default=0.0),
+            (
+                max(item.until for item in absences)
+                - min(item.since for item in absences)
+            )
+            / 3600,
+            sum(peaks.values()),
+            sum(peaks[wave] * roll_outs[wave] for wave in peaks),
+            sum(item.until - item.since for item in absences) / 3600,
+            self.platform.lost_reboots,
+            _moves(history),
+            self.platform.state.counts.rows_written,
+        )
+
+    def _maintained_share(self) -> float:
+        rows = [
+            host
+            for pool in self.site.snapshot.hosts_by_pool.values()
+            for host in pool
+            if host.state is not hosts.HostState.DOWN
+        ]
+        return sum(1 for host in rows if host.maintained_at > 0) / len(rows)
+
+
+class Absence(NamedTuple):
+    """A time that a wave took a host away."""
+
+    wave: str
+    since: float
+    until: float
+
+
+def _absences(
+    history: Sequence[fleet_platform.HostEvent], end: float
+) -> list[Absence]:
+    open_since: dict[str, tuple[str, float]] = {}
+    states: dict[str, str] = {}
+    absences = []
+    for write in history:
+        before = states.get(write.host_id)
+        states[write.host_id] = write.state
+        if before == "serving" and write.state == "draining" and write.wave:
+            open_since[write.host_id] = (write.wave, write.at)
+        elif write.state == "serving" and write.host_id in open_since:
+            wave, since = open_since.pop(write.host_id)
+            absences.append(Absence(wave, since, write.at))
+    return absences + [
+        Absence(wave, since, end) for wave, since in open_since.values()
+    ]
+
+
+def _peak(absences: Sequence[Absence]) -> int:
+    edges = sorted(
+        [(item.since, 1) for item in absences]
+        + [(item.until, -1) for item in absences]
+    )
+    away = peak = 0
+    for _, change in edges:
+        away += change
+        peak = max(peak, away)
+    return peak
+
+
+def _violations(
+    history: Sequence[fleet_platform.HostEvent],
+    configuration: configurations.Configuration,
+) -> int:
+    """Counts planned departures that left too few serving hosts."""
+    rows: dict[str, tuple[str, str]] = {}
+    serving: dict[str, int] = defaultdict(int)
+    violations = 0
+    for write in history:
+        before = rows.get(write.host_id)
+        if before is not None and before[1] == "serving":
+            serving[before[0]] -= 1
+        rows[write.host_id] = (write.pool, write.state)
+        if write.state == "serving":
+            serving[write.pool] += 1
+        if (
+            before is not None
+            and before[1] == "serving"
+            and write.state == "draining"
+        ):
+            contract = configuration.services_by_name[write.pool].pool
+            violations += serving[write.pool] < contract.hosts_always_usable
+    return violations
+
+
+def _moves(history: Sequence[fleet_platform.HostEvent]) -> int:
+    pools: dict[str, str] = {}
+    moves = 0
+    for write in history:
+        before = pools.get(write.host_id)
+        pools[write.host_id] = write.pool
+        moves += before is not None and before != write.pool
+    return moves
--- /dev/null
+++ b/bench/waves.py
@@ -0,0 +1,150 @@
+"""Four weeks of maintenance at one of the two sites.
+
+In the third week maintenance breaks every host that it touches for six hours,
+a rack is lost during the waves, and single hosts fail at the design rate.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import pathlib
+import random
+import types
+
+from bench import fleet_platform
+from bench import report
+from bench import wave_baselines
+from bench import wave_runs
+from standins import sites as standin_sites
+from wisteriasill import events
+from wisteriasill.contracts import configuration as configurations
+from wisteriasill.contracts import service_file
+from wisteriasill.contracts import wave_plan
+from wisteriasill.links import platform
+from wisteriasill.zones import site as sites
+
+EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
+PACE = wave_runs.Pace(idle_seconds=1200.0, active_seconds=15.0)
+# The design's rate: 41 of 4,100 hosts fail a day.
+FAILURES_PER_HOST_DAY = 41 / 4100
+PLANNERS: dict[str, Callable[[sites.Site], wave_plan.Planner]] = {
+    "chosen": lambda _: wave_plan.plan,
+    "one host at a time": lambda _: wave_baselines.one_at_a_time,
+    "fixed racks": wave_baselines.FixedRacks,
+}
+COLUMNS = (
+    "plan",
+    "violations",
+    "maintained",
+    "roll-out h mean",
+    "roll-out h max",
+    "site roll-out h",
+    "buffer hosts",
+    "buffer host-h",
+    "away host-h",
+    "lost",
+    "moves",
+)
+
+
+def build_fleet(site: str, seed: int, faulty: bool) -> wave_runs.Fleet:
+    """Builds a site's hosts, its example configuration and its luck.
+
+    Args:
+        site: The site.
+        seed: Seed of the luck.
+        faulty: Whether maintenance breaks hosts and racks and hosts fail.
+
+    Returns:
+        The fleet.
+    """
+    directory = service_file.read_directory(EXAMPLES / site)
+    assert directory.site is not None
+    services = directory.services_by_name
+    listed = standin_sites.build_hosts(site, str)
+    minutes = max(item.pool.maintenance_minutes for item in services.values())
+    return wave_runs.Fleet(
+        listed,
+        standin_sites.deal_to_pools(listed, tuple(services)),
+        configurations.Configuration(
+            1,
+            directory.site,
+            types.MappingProxyType(dict(services)),
+            configurations.Manifest(1, {}),
+        ),
+        _luck(listed, seed, minutes * 60 * 0.8)
+        if faulty
+        else fleet_platform.Luck(seed, minutes * 60 * 0.8, 0.0),
+    )
+
+
+def _luck(
+    listed: tuple[platform.ListedHost, ...],
+    seed: int,
+    maintenance_seconds: float,
+) -> fleet_platform.Luck:
+    rng = random.Random(seed)
+    day = 86_400.0
+    single = tuple(
+        fleet_platform.Loss(
+            rng.uniform(number * day, (number + 1) * day),
+            (host.host_id,),
+            rng.uniform(0.5, 8.0) * 3600,
+        )
+        for number in range(28)
+        for host in listed
+        if rng.random() < FAILURES_PER_HOST_DAY
+    )
+    racks = sorted({host.rack for host in listed})
+    lost_racks = tuple(
+        fleet_platform.Loss(
+            21 * day * week / 3 + rng.uniform(600, 7200),
+            tuple(host.host_id for host in listed if host.rack == rack),
+            3 * 3600.0,
+        )
+        for week, rack in enumerate(rng.sample(racks, 4))
+    )
+    waves_start = wave_plan.DAY_SECONDS * 28 * (1 - wave_plan.LEAD_SHARE)
+    bad_from = waves_start + rng.uniform(0, 3600)
+    return fleet_platform.Luck(
+        seed,
+        maintenance_seconds,
+        bad_from=bad_from,
+        bad_until=bad_from + 6 * 3600,
+        losses=(*single, *lost_racks),
+    )
+
+
+def run(site: str, seed: int) -> report.BenchResult:
+    """Runs the three plans on the same fleet and luck."""
+    events.configure("ERROR")
+    rows = []
+    figures: dict[str, report.Figure] = {}
+    for faulty in (False, True):
+        for name, planner_for in PLANNERS.items():
+            fleet = build_fleet(site, seed, faulty)
+            fleet_run = wave_runs.FleetRun(fleet, planner_for, seed)
+            fleet_run.run(wave_runs.WEEKS_4_SECONDS, PACE)
+            measured = fleet_run.figures()
+            luck = "faults" if faulty else "calm"
+            rows.append((f"{name}, {luck}", *measured[:-1]))
+            if name == "chosen":
+                figures.update(
+                    {
+                        f"{luck}_{key}": value
+                        for key, value in measured._asdict().items()
+                    }
+                )
+    return report.BenchResult(
+        "waves",
+        site,
+        seed,
+        COLUMNS,
+        rows,
+        figures,
+        [
+            report.Limit(f"{luck}_{figure}", "==", bound)
+            for luck in ("calm", "faults")
+            for figure, bound in (("violations", 0), ("maintained_share", 1))
+        ],
+    )
--- a/wisteriasill/contracts/host_sequence.py
+++ b/wisteriasill/contracts/host_sequence.py
@@ -16,6 +16,8 @@
 READINGS_TO_BELIEVE = 2
 # A lost reboot order is repeated after this time, longer than the list lags.
 REBOOT_RETRY_SECONDS = 60.0
+# The row of a host that the list has dropped is deleted after this time.
+RETIRE_SECONDS = 3600.0
 DOWN_REASON = "down"
 
 
@@ -27,6 +29,7 @@
     CHECKPOINT = enum.auto()
     REBOOT = enum.auto()
     WRITE = enum.auto()
+    RETIRE = enum.auto()
 
 
 class HostStep(NamedTuple):
@@ -136,6 +139,8 @@
         return WAIT  # A stale reading from before the last boot.
     believed = seen.readings >= READINGS_TO_BELIEVE
     if listed is None or listed.state is platform.ListedState.DOWN:
+        if host.state is hosts.HostState.DOWN:
+            return _retire(listed, moment.now - seen.since)
         return _down(host, listed) if believed else WAIT
     if host.state is hosts.HostState.DRAINING:
         return _drain(host, listed, seen, moment)
@@ -163,8 +168,6 @@
 
 
 def _down(host: hosts.Host, listed: platform.ListedHost | None) -> HostStep:
-    if host.state is hosts.HostState.DOWN:
-        return WAIT
     planned = host.state in (
         hosts.HostState.DRAINING,
         hosts.HostState.REBOOTING,
@@ -177,6 +180,14 @@
     )
 
 
+def _retire(
+    listed: platform.ListedHost | None, down_seconds: float
+) -> HostStep:
+    if listed is None and down_seconds >= RETIRE_SECONDS:
+        return HostStep(StepKind.RETIRE)
+    return WAIT
+
+
 def _serve(host: hosts.Host, listed: platform.ListedHost) -> HostStep:
     if listed.state is platform.ListedState.REBOOTING:
         return _write(
--- a/wisteriasill/contracts/wave_plan.py
+++ b/wisteriasill/contracts/wave_plan.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 import itertools
 import math
 from typing import NamedTuple
@@ -16,15 +16,24 @@
 # A wave starts this share of the period ahead of the first due date, which
 # leaves a week of 28 days for stops and for operators who come back.
 LEAD_SHARE = 0.25
+# The spare pool starts earlier by this time, and other pools wait until its
+# first host is back: its hosts carry no requests, so maintenance that breaks
+# hosts is noticed there first.
+SPARE_LEAD_SECONDS = 600.0
 # Hosts maintained within this share of the period are left to the next wave.
 FRESH_SHARE = 0.5
 # A wave that saves buffer takes no longer than this share of the lead.
 BUFFER_LEAD_SHARE = 0.5
 # A host is missing after this many times its expected time away.
 OVERDUE_FACTOR = 2.0
-# A wave stops when more hosts are missing or down than this share of the
-# pool, and never for a single one.
-MISSING_SHARE = 0.1
+# A wave stops when more of its hosts are lost than this share of those that
+# came back: at the first one in a small pool, later in a large one, which
+# loses hosts for other reasons as well.
+LOST_SHARE = 0.1
+# It also stops while more hosts are down, for whatever reason, than this share
+# of the pool, and never for a single one.
+DOWN_SHARE = 0.1
+NAMED_HOSTS = 8
 _AWAY_STATES = (
     hosts.HostState.DRAINING,
     hosts.HostState.REBOOTING,
@@ -44,6 +53,8 @@
         budget: Availability budget now, with the demand ahead.
         wave: The current wave; None if there was none.
         wall_seconds: Seconds since the epoch.
+        canary_waits: Whether the spare pool's wave has stopped, or no host of
+            it has come back yet.
     """
 
     pool: str
@@ -54,6 +65,7 @@
     budget: availability.Budget
     wave: maintenance.Wave | None
     wall_seconds: float
+    canary_waits: bool = False
 
 
 class WavePlan(NamedTuple):
@@ -68,6 +80,9 @@
     leaving: tuple[hosts.Host, ...] = ()
 
 
+Planner = Callable[[WaveView], WavePlan]
+
+
 def wave_key(wave: maintenance.Wave) -> str:
     """Returns the key of a wave's row; keys sort by number."""
     return f"{wave.pool}/{wave.number:06d}"
@@ -126,9 +141,9 @@
     return host.maintained_at <= started_at - FRESH_SHARE * period_seconds
 
 
-def missing_limit(pool_hosts: int) -> int:
-    """Returns how many missing hosts a wave of a pool of a size bears."""
-    return max(1, math.floor(MISSING_SHARE * pool_hosts))
+def down_limit(pool_hosts: int) -> int:
+    """Returns how many down hosts a wave of a pool of a size bears."""
+    return max(1, math.floor(DOWN_SHARE * pool_hosts))
 
 
 def batch_size(view: WaveView) -> int:
@@ -139,9 +154,12 @@
 
     Returns:
         For roll-out time, all that the promise allows; for buffer cost, the
-        fewest that end the wave in half of its lead.
+        fewest that end the wave in half of its lead. A spare pool keeps half
+        of its hosts for failures.
     """
     allowed = max(0, len(view.hosts) - view.budget.required)
+    if view.contract.spare:
+        allowed = math.ceil(allowed / 2)
     if view.prefer is service.Preference.ROLL_OUT_TIME:
         return allowed
     contract = view.contract
@@ -162,7 +180,10 @@
         ),
         default=view.wall_seconds,
     )
-    if view.wall_seconds - oldest < (1 - LEAD_SHARE) * period_seconds:
+    start_at = oldest + (1 - LEAD_SHARE) * period_seconds
+    if view.contract.spare:
+        start_at -= SPARE_LEAD_SECONDS
+    if view.wall_seconds < start_at:
         return view.wave
     wave = maintenance.Wave(
         view.pool, number, maintenance.WaveState.RUNNING, view.wall_seconds, 0
@@ -196,18 +217,9 @@
 
 def _judged(wave: maintenance.Wave, view: WaveView) -> maintenance.Wave:
     """Stops, continues or finishes a wave."""
-    missing = sorted(
-        host.host_id
-        for host in view.hosts
-        if host.host_id not in wave.excused
-        and (host.state is hosts.HostState.DOWN or host.host_id in view.missing)
-    )
-    if len(missing) > missing_limit(len(view.hosts)):
-        return wave._replace(
-            state=maintenance.WaveState.STOPPED,
-            reason=f"{len(missing)} hosts have not come back: "
-            + ", ".join(missing[:8]),
-        )
+    stop = _stop_reason(wave, view)
+    if stop:
+        return wave._replace(state=maintenance.WaveState.STOPPED, reason=stop)
     left = [
         host
         for host in view.hosts
@@ -222,7 +234,35 @@
         if left
         else maintenance.WaveState.FINISHED
     )
-    return wave._replace(state=state, reason="")
+    waits = view.canary_waits and state is maintenance.WaveState.RUNNING
+    return wave._replace(
+        state=state,
+        reason="waits for the wave of the spare pool" if waits else "",
+    )
+
+
+def _stop_reason(wave: maintenance.Wave, view: WaveView) -> str:
+    """Says why a wave must stop; empty if it need not."""
+    away = frozenset(wave.hosts_away)
+    gone = [
+        host.host_id
+        for host in view.hosts
+        if host.host_id not in wave.excused
+        and (host.state is hosts.HostState.DOWN or host.host_id in view.missing)
+    ]
+    lost = [host_id for host_id in gone if host_id in away]
+    if len(lost) > math.floor(LOST_SHARE * wave.hosts_done):
+        return _listed("maintained hosts have not come back", lost)
+    if len(gone) > down_limit(len(view.hosts)):
+        return _listed("hosts are down", gone)
+    return ""
+
+
+def _listed(what: str, host_ids: Sequence[str]) -> str:
+    """Counts hosts and names the first of them."""
+    more = ", ..." if len(host_ids) > NAMED_HOSTS else ""
+    named = ", ".join(host_ids[:NAMED_HOSTS])
+    return f"{len(host_ids)} {what}: {named}{more}"
 
 
 def _choose(wave: maintenance.Wave, view: WaveView) -> tuple[hosts.Host, ...]:
@@ -245,12 +285,12 @@
         if host.state is hosts.HostState.SERVING
         and is_due(host, wave.started_at, view.contract)
     ]
-    if room <= 0 or not due:
+    if room <= 0 or not due or view.canary_waits:
         return ()
     blocking = [
         host
         for host in away
-        if host.host_id not in view.missing and host.wave == wave_key(wave)
+        if host.host_id not in wave.excused and host.wave == wave_key(wave)
     ]
     zones = {host.availability_zone for host in blocking}
     racks = {host.rack for host in blocking}
--- a/wisteriasill/machines/controller.py
+++ b/wisteriasill/machines/controller.py
@@ -17,6 +17,7 @@
 from wisteriasill import events
 from wisteriasill import settings as all_settings
 from wisteriasill.contracts import orders
+from wisteriasill.contracts import wave_plan
 from wisteriasill.links import peer_messages
 from wisteriasill.links import platform as platforms
 from wisteriasill.machines import guarded_platform
@@ -71,6 +72,7 @@
         clock: clocks.Clock,
         jobs: shard_context.JobKeeperFactory,
         sources: Sources = SYSTEM_SOURCES,
+        planner: wave_plan.Planner = wave_plan.plan,
     ) -> None:
         self._settings = settings
         self._platform = platform
@@ -79,6 +81,7 @@
         self._clock = clock
         self._jobs = jobs
         self._sources = sources
+        self._planner = planner
         owner = shard_lease.LeaseOwner(
             settings.member_id,
             incarnation,
@@ -188,6 +191,7 @@
             self._listing,
             self._sources.token_source,
             self._sources.wall_clock,
+            self._planner,
         )
         if lease.shard == orders.SITE_SHARD:
             return site_keeper.SiteKeeper(context)
--- /dev/null
+++ b/wisteriasill/machines/host_rows.py
@@ -0,0 +1,112 @@
+"""Host rows and pools' revision rows as stored."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from returns import result
+
+from wisteriasill import documents
+from wisteriasill import errors
+from wisteriasill.contracts import pool_revision
+from wisteriasill.links import platform
+from wisteriasill.machines import host as hosts
+from wisteriasill.zones import site as sites
+
+# Host rows of one transaction; more are written in the next step.
+BATCH_ROWS = 16
+
+
+class Extra(NamedTuple):
+    """Rows that are written in the same transaction as host rows."""
+
+    conditions: tuple[platform.Condition, ...] = ()
+    writes: tuple[platform.Write, ...] = ()
+
+
+NO_EXTRA = Extra()
+
+
+class KnownRevision(NamedTuple):
+    """A pool's revision row and its version; 0 when there is no row."""
+
+    revision: pool_revision.PoolRevision
+    version: int
+
+    @property
+    def condition(self) -> platform.Condition:
+        """Requires that the row hasn't changed."""
+        return platform.Condition(
+            pool_revision.TABLE, self.revision.pool, self.version
+        )
+
+
+def read_revision(
+    table: platform.Table, pool: str
+) -> result.Result[KnownRevision, errors.Failure]:
+    """Reads the revision row of a pool.
+
+    Args:
+        table: The table service.
+        pool: The pool.
+
+    Returns:
+        The row; an empty one with version 0 if there is none.
+    """
+
+    def decoded(
+        row: platform.Row | None,
+    ) -> result.Result[KnownRevision, errors.Failure]:
+        if row is None:
+            return result.Success(
+                KnownRevision(pool_revision.PoolRevision(pool), 0)
+            )
+        return documents.decode(pool_revision.PoolRevision, row.value).map(
+            lambda revision: KnownRevision(revision, row.version)
+        )
+
+    return table.read(pool_revision.TABLE, pool).bind(decoded)
+
+
+def decode_host(
+    row: platform.Row,
+) -> result.Result[sites.KnownHost, errors.Failure]:
+    """Decodes a host row."""
+    return documents.decode(hosts.Host, row.value).map(
+        lambda host: sites.KnownHost(host, row.version)
+    )
+
+
+def host_write(host: hosts.Host) -> platform.Write:
+    """Builds the write of a host row."""
+    return platform.Write(hosts.TABLE, host.host_id, documents.encode(host))
+
+
+def revision_write(
+    revision: pool_revision.PoolRevision,
+) -> platform.Write:
+    """Builds the write of a pool's revision row."""
+    return platform.Write(
+        pool_revision.TABLE, revision.pool, documents.encode(revision)
+    )
+
+
+def changed_since(
+    before: KnownRevision | None, current: KnownRevision
+) -> tuple[str, ...] | None:
+    """Lists the hosts that changed between two reads of a revision row.
+
+    Args:
+        before: The row as read before; None for never.
+        current: The row as read now.
+
+    Returns:
+        Ids of the changed hosts; None if too many changes were missed.
+    """
+    if before is None:
+        return None
+    known = before.revision.revision
+    recent = [item for item in current.revision.recent if item.revision > known]
+    if len(recent) < current.revision.revision - known:
+        return None
+    return tuple({item.host_id: None for item in recent})
--- a/wisteriasill/machines/host_steps.py
+++ b/wisteriasill/machines/host_steps.py
@@ -7,11 +7,12 @@
 from returns import result
 
 from wisteriasill import errors
+from wisteriasill import events
 from wisteriasill.contracts import availability
 from wisteriasill.contracts import host_sequence
 from wisteriasill.machines import host as hosts
+from wisteriasill.machines import host_rows
 from wisteriasill.machines import pool_hosts
-from wisteriasill.machines import pool_rows
 from wisteriasill.machines import shard_context
 
 
@@ -58,6 +59,19 @@
             self._checkpoint(host_id)
         elif kind is host_sequence.StepKind.REBOOT:
             self._reboot(host_id)
+        elif kind is host_sequence.StepKind.RETIRE:
+            self._retire(host_id)
+
+    def _retire(self, host_id: str) -> None:
+        retired = self._pool.rows.retire(host_id)
+        if isinstance(retired, result.Success):
+            self._context.site.remove_hosts([host_id])
+            events.log(
+                events.Event.HOST_STATE_CHANGED,
+                "host is gone and its row deleted",
+                host=host_id,
+                pool=self._context.shard,
+            )
 
     def _drain(self, host_id: str) -> None:
         drained = self._context.platform.host_control.drain_host(host_id)
@@ -93,8 +107,8 @@
     def _write(
         self, writes: Sequence[hosts.Host]
     ) -> result.Result[None, errors.Failure]:
-        for start in range(0, len(writes), pool_rows.BATCH_ROWS):
-            batch = writes[start : start + pool_rows.BATCH_ROWS]
+        for start in range(0, len(writes), host_rows.BATCH_ROWS):
+            batch = writes[start : start + host_rows.BATCH_ROWS]
             written = self._pool.change(batch)
             if not isinstance(written, result.Success):
                 return written
--- a/wisteriasill/machines/order_keeper.py
+++ b/wisteriasill/machines/order_keeper.py
@@ -14,8 +14,8 @@
 from wisteriasill.contracts import orders
 from wisteriasill.links import platform
 from wisteriasill.machines import host as hosts
+from wisteriasill.machines import host_rows
 from wisteriasill.machines import pool_hosts
-from wisteriasill.machines import pool_rows
 from wisteriasill.machines import shard_context
 from wisteriasill.machines import wave_rows
 
@@ -125,16 +125,16 @@
     return result.Success(tuple(found))
 
 
-def order_extra(row: platform.Row, order: orders.Order) -> pool_rows.Extra:
+def order_extra(row: platform.Row, order: orders.Order) -> host_rows.Extra:
     """Builds the write that ends an order."""
-    return pool_rows.Extra(
+    return host_rows.Extra(
         (platform.Condition(row.table, row.key, row.version),),
         (platform.Write(row.table, row.key, documents.encode(order)),),
     )
 
 
 def write_extra(
-    context: shard_context.ShardContext, extra: pool_rows.Extra
+    context: shard_context.ShardContext, extra: host_rows.Extra
 ) -> result.Result[None, errors.Failure]:
     """Writes rows that go with no host row; a conflict is seen next time."""
     written = context.platform.table.transact(extra.conditions, extra.writes)
@@ -170,10 +170,10 @@
         ),
         reverse=True,
     )
-    surplus = ended[KEPT_ORDERS:][: pool_rows.BATCH_ROWS]
+    surplus = ended[KEPT_ORDERS:][: host_rows.BATCH_ROWS]
     if not surplus:
         return result.Success(None)
-    extra = pool_rows.Extra(
+    extra = host_rows.Extra(
         tuple(
             platform.Condition(orders.TABLE, key, version)
             for _, key, version in surplus
--- a/wisteriasill/machines/pool_hosts.py
+++ b/wisteriasill/machines/pool_hosts.py
@@ -10,6 +10,8 @@
 from wisteriasill import events
 from wisteriasill.contracts import host_sequence
 from wisteriasill.machines import host as hosts
+from wisteriasill.machines import host_listing
+from wisteriasill.machines import host_rows
 from wisteriasill.machines import pool_rows
 from wisteriasill.machines import shard_context
 from wisteriasill.zones import site as sites
@@ -24,6 +26,7 @@
             context.platform.table, context.shard, context.token_source
         )
         self._watches: dict[str, host_sequence.HostWatch] = {}
+        self._seen = (-1, -1)
 
     @property
     def rows(self) -> pool_rows.PoolRows:
@@ -41,6 +44,13 @@
         if not isinstance(outcome, result.Success):
             return outcome
         reading = self._context.listing.current()
+        seen = (reading.number, self._rows.changes)
+        if seen != self._seen:
+            self._seen = seen
+            self._watch(reading)
+        return outcome
+
+    def _watch(self, reading: host_listing.Reading) -> None:
         now = self._context.clock.monotonic()
         self._watches = {
             host_id: host_sequence.watch(
@@ -52,7 +62,6 @@
             )
             for host_id, known in self._rows.hosts_by_id.items()
         }
-        return outcome
 
     def note(self, host_id: str, watch: host_sequence.HostWatch) -> None:
         """Keeps what a step has learned of a host."""
@@ -61,7 +70,7 @@
     def change(
         self,
         changed: Sequence[hosts.Host],
-        extra: pool_rows.Extra = pool_rows.NO_EXTRA,
+        extra: host_rows.Extra = host_rows.NO_EXTRA,
     ) -> result.Result[None, errors.Failure]:
         """Writes host rows and tells peers of hosts that take no new work.
 
--- a/wisteriasill/machines/pool_rows.py
+++ b/wisteriasill/machines/pool_rows.py
@@ -9,80 +9,15 @@
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
 import types
-from typing import NamedTuple
 
 from returns import result
 
-from wisteriasill import documents
 from wisteriasill import errors
-from wisteriasill.contracts import pool_revision
 from wisteriasill.links import platform
 from wisteriasill.machines import host as hosts
+from wisteriasill.machines import host_rows
 from wisteriasill.zones import site as sites
 
-# Host rows of one transaction; more are written in the next step.
-BATCH_ROWS = 16
-
-
-class Extra(NamedTuple):
-    """Rows that are written in the same transaction as host rows."""
-
-    conditions: tuple[platform.Condition, ...] = ()
-    writes: tuple[platform.Write, ...] = ()
-
-
-NO_EXTRA = Extra()
-
-
-class KnownRevision(NamedTuple):
-    """A pool's revision row and its version; 0 when there is no row."""
-
-    revision: pool_revision.PoolRevision
-    version: int
-
-    @property
-    def condition(self) -> platform.Condition:
-        """Requires that the row hasn't changed."""
-        return platform.Condition(
-            pool_revision.TABLE, self.revision.pool, self.version
-        )
-
-
-def read_revision(
-    table: platform.Table, pool: str
-) -> result.Result[KnownRevision, errors.Failure]:
-    """Reads the revision row of a pool.
-
-    Args:
-        table: The table service.
-        pool: The pool.
-
-    Returns:
-        The row; an empty one with version 0 if there is none.
-    """
-
-    def decoded(
-        row: platform.Row | None,
-    ) -> result.Result[KnownRevision, errors.Failure]:
-        if row is None:
-            return result.Success(
-                KnownRevision(pool_revision.PoolRevision(pool), 0)
-            )
-        return documents.decode(pool_revision.PoolRevision, row.value).map(
-            lambda revision: KnownRevision(revision, row.version)
-        )
-
-    return table.read(pool_revision.TABLE, pool).bind(decoded)
-
-
-def decode_host(
-    row: platform.Row,
-) -> result.Result[sites.KnownHost, errors.Failure]:
-    """Decodes a host row."""
-    return documents.decode(hosts.Host, row.value).map(
-        lambda host: sites.KnownHost(host, row.version)
-    )
-
 
 class PoolRows:
     """The host rows of one pool; used by the shard's task only."""
@@ -97,7 +32,9 @@
         self._pool = pool
         self._token_source = token_source
         self._known: dict[str, sites.KnownHost] = {}
-        self._revision: KnownRevision | None = None
+        self._revision: host_rows.KnownRevision | None = None
+        self._ordered: tuple[hosts.Host, ...] | None = None
+        self._changes = 0
 
     @property
     def hosts_by_id(self) -> Mapping[str, sites.KnownHost]:
@@ -107,7 +44,16 @@
     @property
     def ordered(self) -> tuple[hosts.Host, ...]:
         """The pool's hosts, ordered by id."""
-        return tuple(self._known[key].host for key in sorted(self._known))
+        if self._ordered is None:
+            self._ordered = tuple(
+                self._known[key].host for key in sorted(self._known)
+            )
+        return self._ordered
+
+    @property
+    def changes(self) -> int:
+        """Grows with each change of the known rows."""
+        return self._changes
 
     @property
     def current(self) -> bool:
@@ -116,19 +62,21 @@
 
     def refresh(self) -> result.Result[None, errors.Failure]:
         """Reads what changed since the last refresh."""
-        read = read_revision(self._table, self._pool)
+        read = host_rows.read_revision(self._table, self._pool)
         if not isinstance(read, result.Success):
             return result.Failure(read.failure())
         current = read.unwrap()
         before = self._revision
         if before is not None and current.version <= before.version:
             return result.Success(None)
-        changed = _changed_since(before, current)
+        changed = host_rows.changed_since(before, current)
         outcome = self._scan() if changed is None else self._reread(changed)
         return outcome.map(lambda _: self._adopt(current))
 
     def change(
-        self, changed: Sequence[hosts.Host], extra: Extra = NO_EXTRA
+        self,
+        changed: Sequence[hosts.Host],
+        extra: host_rows.Extra = host_rows.NO_EXTRA,
     ) -> result.Result[tuple[sites.KnownHost, ...], errors.Failure]:
         """Writes host rows of this pool, and other rows with them.
 
@@ -153,9 +101,9 @@
                 *extra.conditions,
             ],
             [
-                *(host_write(host) for host in stamped),
+                *(host_rows.host_write(host) for host in stamped),
                 *(
-                    revision_write(known.revision)
+                    host_rows.revision_write(known.revision)
                     for known in revisions.unwrap().values()
                 ),
                 *extra.writes,
@@ -167,9 +115,32 @@
                 self._revision = None
                 return result.Failure(resolved.failure())
         own = revisions.unwrap()[self._pool]
-        self._revision = KnownRevision(own.revision, own.version + 1)
+        self._revision = host_rows.KnownRevision(own.revision, own.version + 1)
         return result.Success(tuple(self._take_over(stamped)))
 
+    def retire(self, host_id: str) -> result.Result[None, errors.Failure]:
+        """Deletes the row of a host that is gone.
+
+        Args:
+            host_id: The host.
+
+        Returns:
+            Success when the row is deleted.
+        """
+        host = self._known[host_id].host
+        revisions = self._next_revisions([host])
+        if not isinstance(revisions, result.Success):
+            return result.Failure(revisions.failure())
+        own = revisions.unwrap()[self._pool]
+        self._revision = None
+        return self._table.transact(
+            [self._condition(host), own.condition],
+            [
+                platform.Write(hosts.TABLE, host_id, None),
+                host_rows.revision_write(own.revision),
+            ],
+        ).map(lambda _: None)
+
     def serving_conditions(
         self, leaving: Iterable[str]
     ) -> tuple[platform.Condition, ...]:
@@ -199,7 +170,7 @@
 
     def _next_revisions(
         self, changed: Iterable[hosts.Host]
-    ) -> result.Result[dict[str, KnownRevision], errors.Failure]:
+    ) -> result.Result[dict[str, host_rows.KnownRevision], errors.Failure]:
         if self._revision is None:
             return result.Failure(
                 errors.failure(
@@ -210,13 +181,13 @@
         revisions = {self._pool: self._revision}
         for host in changed:
             if host.pool not in revisions:
-                read = read_revision(self._table, host.pool)
+                read = host_rows.read_revision(self._table, host.pool)
                 if not isinstance(read, result.Success):
                     return result.Failure(read.failure())
                 revisions[host.pool] = read.unwrap()
             for pool in {self._pool, host.pool}:
                 revision, version = revisions[pool]
-                revisions[pool] = KnownRevision(
+                revisions[pool] = host_rows.KnownRevision(
                     revision.with_change(host.host_id), version
                 )
         return result.Success(revisions)
@@ -248,12 +219,17 @@
         before = self._known.get(known.host.host_id)
         if before is not None and known.version < before.version:
             return  # A stale read.
+        self._note_change()
         if known.host.pool == self._pool:
             self._known[known.host.host_id] = known
         else:
             self._known.pop(known.host.host_id, None)
 
-    def _adopt(self, current: KnownRevision) -> None:
+    def _note_change(self) -> None:
+        self._ordered = None
+        self._changes += 1
+
+    def _adopt(self, current: host_rows.KnownRevision) -> None:
         self._revision = current
 
     def _scan(self) -> result.Result[None, errors.Failure]:
@@ -261,8 +237,9 @@
         if not isinstance(rows, result.Success):
             return result.Failure(rows.failure())
         self._known.clear()
+        self._note_change()
         for row in rows.unwrap():
-            decoded = decode_host(row)
+            decoded = host_rows.decode_host(row)
             if not isinstance(decoded, result.Success):
                 return result.Failure(decoded.failure())
             self._keep(decoded.unwrap())
@@ -278,36 +255,10 @@
             row = read.unwrap()
             if row is None:
                 self._known.pop(host_id, None)
+                self._note_change()
                 continue
-            decoded = decode_host(row)
+            decoded = host_rows.decode_host(row)
             if not isinstance(decoded, result.Success):
                 return result.Failure(decoded.failure())
             self._keep(decoded.unwrap())
         return result.Success(None)
-
-
-def host_write(host: hosts.Host) -> platform.Write:
-    """Builds the write of a host row."""
-    return platform.Write(hosts.TABLE, host.host_id, documents.encode(host))
-
-
-def revision_write(
-    revision: pool_revision.PoolRevision,
-) -> platform.Write:
-    """Builds the write of a pool's revision row."""
-    return platform.Write(
-        pool_revision.TABLE, revision.pool, documents.encode(revision)
-    )
-
-
-def _changed_since(
-    before: KnownRevision | None, current: KnownRevision
-) -> tuple[str, ...] | None:
-    """Lists the changed hosts; None if too many changes were missed."""
-    if before is None:
-        return None
-    known = before.revision.revision
-    recent = [item for item in current.revision.recent if item.revision > known]
-    if len(recent) < current.revision.revision - known:
-        return None
-    return tuple({item.host_id: None for item in recent})
--- a/wisteriasill/machines/shard_context.py
+++ b/wisteriasill/machines/shard_context.py
@@ -10,6 +10,7 @@
 from wisteriasill import clock as clocks
 from wisteriasill import errors
 from wisteriasill.contracts import service
+from wisteriasill.contracts import wave_plan
 from wisteriasill.links import peer_messages
 from wisteriasill.links import platform
 from wisteriasill.machines import host as hosts
@@ -56,6 +57,7 @@
         listing: The platform's list of hosts.
         token_source: Makes a new random token at each call.
         wall_clock: Seconds since the epoch, for people to read.
+        planner: Plans maintenance waves; the bench compares several.
     """
 
     shard: str
@@ -67,6 +69,7 @@
     listing: host_listing.HostListing
     token_source: Callable[[], str]
     wall_clock: Callable[[], float]
+    planner: wave_plan.Planner = wave_plan.plan
 
 
 class ShardKeeper(Protocol):
--- a/wisteriasill/machines/site_keeper.py
+++ b/wisteriasill/machines/site_keeper.py
@@ -13,8 +13,8 @@
 from wisteriasill.contracts import orders
 from wisteriasill.links import platform
 from wisteriasill.machines import host as hosts
+from wisteriasill.machines import host_rows
 from wisteriasill.machines import order_keeper
-from wisteriasill.machines import pool_rows
 from wisteriasill.machines import shard_context
 from wisteriasill.zones import site as sites
 
@@ -77,17 +77,17 @@
         A lost answer needs no read-back: a second attempt fails because the
         rows are there, and the poll of the pools brings them in.
         """
-        revisions: dict[str, pool_rows.KnownRevision] = {}
+        revisions: dict[str, host_rows.KnownRevision] = {}
         for host in rows:
             if host.pool not in revisions:
-                read = pool_rows.read_revision(
+                read = host_rows.read_revision(
                     self._context.platform.table, host.pool
                 )
                 if not isinstance(read, result.Success):
                     return result.Failure(read.failure())
                 revisions[host.pool] = read.unwrap()
             revision, version = revisions[host.pool]
-            revisions[host.pool] = pool_rows.KnownRevision(
+            revisions[host.pool] = host_rows.KnownRevision(
                 revision.with_change(host.host_id), version
             )
         written = self._context.platform.table.transact(
@@ -99,20 +99,25 @@
                 *(known.condition for known in revisions.values()),
             ],
             [
-                *(pool_rows.host_write(host) for host in rows),
+                *(host_rows.host_write(host) for host in rows),
                 *(
-                    pool_rows.revision_write(known.revision)
+                    host_rows.revision_write(known.revision)
                     for known in revisions.values()
                 ),
             ],
         )
-        return written.map(lambda _: self._registered(rows))
-
-    def _registered(self, rows: Sequence[hosts.Host]) -> None:
-        self._context.site.update_hosts(
-            [sites.KnownHost(host, 1) for host in rows]
+        return written.map(
+            lambda versions: self._registered(
+                [
+                    sites.KnownHost(host, version)
+                    for host, version in zip(rows, versions, strict=False)
+                ]
+            )
         )
-        for host in rows:
+
+    def _registered(self, rows: Sequence[sites.KnownHost]) -> None:
+        self._context.site.update_hosts(rows)
+        for host, _ in rows:
             events.log(
                 events.Event.HOST_REGISTERED,
                 "host registered",
@@ -154,7 +159,7 @@
         )
         return order_keeper.write_extra(
             self._context,
-            pool_rows.Extra(
+            host_rows.Extra(
                 (platform.Condition(orders.TABLE, order.key, 0),),
                 (
                     platform.Write(
@@ -191,7 +196,7 @@
         pool: list(members) for pool, members in snapshot.hosts_by_pool.items()
     }
     chosen = []
-    for item in listed[: pool_rows.BATCH_ROWS]:
+    for item in listed[: host_rows.BATCH_ROWS]:
         pool = moves.choose_pool(item, snapshot.configuration, by_pool)
         if pool:
             by_pool.setdefault(pool, []).append(
--- a/wisteriasill/machines/wave_keeper.py
+++ b/wisteriasill/machines/wave_keeper.py
@@ -10,11 +10,13 @@
 from wisteriasill.contracts import maintenance
 from wisteriasill.contracts import wave_plan
 from wisteriasill.machines import host as hosts
+from wisteriasill.machines import host_rows
 from wisteriasill.machines import pool_hosts
-from wisteriasill.machines import pool_rows
 from wisteriasill.machines import shard_context
 from wisteriasill.machines import wave_rows
 
+# How often a running wave looks at that of the spare pool.
+CANARY_SECONDS = 60.0
 _EVENTS_BY_STATE = {
     maintenance.WaveState.RUNNING: (
         events.Event.WAVE_STARTED,
@@ -47,6 +49,8 @@
         self._context = context
         self._pool = pool
         self._waves = waves
+        self._canary = False
+        self._canary_read_at = -CANARY_SECONDS
 
     def step(self) -> result.Result[None, errors.Failure]:
         """Does the next step of the wave, if there is one."""
@@ -57,7 +61,7 @@
         if owner is None or not self._pool.rows.current:
             return result.Success(None)
         contract = owner.pool
-        plan = wave_plan.plan(
+        plan = self._context.planner(
             wave_plan.WaveView(
                 self._context.shard,
                 self._pool.rows.ordered,
@@ -67,6 +71,7 @@
                 availability.budget_of(self._pool.rows.ordered, contract),
                 self._waves.wave,
                 self._context.wall_clock(),
+                self._canary_waits(configuration.spare_pool),
             )
         )
         if plan.wave is None or (
@@ -75,6 +80,31 @@
             return result.Success(None)
         return self._write(plan.wave, plan)
 
+    def _canary_waits(self, spare_pool: str) -> bool:
+        """Tells whether to wait for the spare pool's wave, as last read."""
+        now = self._context.clock.monotonic()
+        running = (
+            self._waves.wave is not None
+            and self._waves.wave.state is maintenance.WaveState.RUNNING
+        )
+        if not spare_pool or spare_pool == self._context.shard or not running:
+            return False
+        if now - self._canary_read_at >= CANARY_SECONDS:
+            rows = self._context.platform.table.scan(
+                maintenance.TABLE, f"{spare_pool}/"
+            )
+            if isinstance(rows, result.Success):
+                self._canary_read_at = now
+                self._canary = any(
+                    row.value["state"] == maintenance.WaveState.STOPPED
+                    or (
+                        row.value["state"] == maintenance.WaveState.RUNNING
+                        and row.value["hosts_done"] == 0
+                    )
+                    for row in rows.unwrap()[-1:]
+                )
+        return self._canary
+
     def _missing(self, overdue_seconds: float) -> frozenset[str]:
         now = self._context.clock.monotonic()
         return frozenset(
@@ -89,7 +119,7 @@
         self, wave: maintenance.Wave, plan: wave_plan.WavePlan
     ) -> result.Result[None, errors.Failure]:
         before = self._waves.wave
-        leaving = plan.leaving[: pool_rows.BATCH_ROWS]
+        leaving = plan.leaving[: host_rows.BATCH_ROWS]
         if leaving:
             extra = self._waves.extra(wave)
             self._waves.forget()
@@ -105,7 +135,7 @@
                 ),
             ).bind(lambda _: self._waves.refresh())
         else:
-            written = self._waves.write(wave, pool_rows.Extra())
+            written = self._waves.write(wave, host_rows.Extra())
         if isinstance(written, result.Success) and (
             before is None or before.state is not wave.state
         ):
--- a/wisteriasill/machines/wave_rows.py
+++ b/wisteriasill/machines/wave_rows.py
@@ -9,7 +9,7 @@
 from wisteriasill.contracts import maintenance
 from wisteriasill.contracts import wave_plan
 from wisteriasill.links import platform
-from wisteriasill.machines import pool_rows
+from wisteriasill.machines import host_rows
 from wisteriasill.machines import shard_context
 
 # Waves that stay in the table for operators to read.
@@ -51,7 +51,7 @@
         self._rows = rows
         return result.Success(None)
 
-    def extra(self, wave: maintenance.Wave) -> pool_rows.Extra:
+    def extra(self, wave: maintenance.Wave) -> host_rows.Extra:
         """Builds the conditions and writes that store a wave.
 
         Args:
@@ -65,7 +65,7 @@
         rows = self._rows or ()
         version = next((row.version for row in rows if row.key == key), 0)
         old = [row for row in rows if row.key != key][: -KEPT_WAVES + 1]
-        return pool_rows.Extra(
+        return host_rows.Extra(
             (platform.Condition(maintenance.TABLE, key, version),),
             (
                 platform.Write(maintenance.TABLE, key, documents.encode(wave)),
@@ -81,7 +81,7 @@
         self._rows = None
 
     def write(
-        self, wave: maintenance.Wave, extra: pool_rows.Extra
+        self, wave: maintenance.Wave, extra: host_rows.Extra
     ) -> result.Result[None, errors.Failure]:
         """Writes a wave and the rows that go with it.
 
