--- a/bench/waves.py
+++ b/bench/waves.py
@@ -19,6 +19,7 @@
 from wisteriasill import events
 from wisteriasill.contracts import configuration as configurations
 from wisteriasill.contracts import service_file
+from wisteriasill.contracts import wave_limits
 from wisteriasill.contracts import wave_plan
 from wisteriasill.links import platform
 from wisteriasill.zones import site as sites
@@ -104,7 +105,7 @@
         )
         for week, rack in enumerate(rng.sample(racks, 4))
     )
-    waves_start = wave_plan.DAY_SECONDS * 28 * (1 - wave_plan.LEAD_SHARE)
+    waves_start = wave_limits.DAY_SECONDS * 28 * (1 - wave_limits.LEAD_SHARE)
     bad_from = waves_start + rng.uniform(0, 3600)
     return fleet_platform.Luck(
         seed,
--- a/tests/contracts/test_wave_plan.py
+++ b/tests/contracts/test_wave_plan.py
@@ -10,12 +10,13 @@
 from wisteriasill.contracts import availability
 from wisteriasill.contracts import maintenance
 from wisteriasill.contracts import service
+from wisteriasill.contracts import wave_limits
 from wisteriasill.contracts import wave_plan
 from wisteriasill.machines import host as hosts
 
 S = hosts.HostState
 W = maintenance.WaveState
-DAY = wave_plan.DAY_SECONDS
+DAY = wave_limits.DAY_SECONDS
 CONTRACT = service.PoolContract(6, 4, 16, 64, 8, 64)
 RUNNING = maintenance.Wave("quoting", 3, W.RUNNING, 22 * DAY, 6, 2)
 KEY = wave_plan.wave_key(RUNNING)
--- a/wisteriasill/contracts/wave_plan.py
+++ b/wisteriasill/contracts/wave_plan.py
@@ -4,35 +4,14 @@
 
 from collections.abc import Callable, Iterable, Sequence
 import itertools
-import math
 from typing import NamedTuple
 
 from wisteriasill.contracts import availability
 from wisteriasill.contracts import maintenance
 from wisteriasill.contracts import service
+from wisteriasill.contracts import wave_limits
 from wisteriasill.machines import host as hosts
 
-DAY_SECONDS = 86_400.0
-# A wave starts this share of the period ahead of the first due date, which
-# leaves a week of 28 days for stops and for operators who come back.
-LEAD_SHARE = 0.25
-# The spare pool starts earlier by this time, and other pools wait until its
-# first host is back: its hosts carry no requests, so maintenance that breaks
-# hosts is noticed there first.
-SPARE_LEAD_SECONDS = 600.0
-# Hosts maintained within this share of the period are left to the next wave.
-FRESH_SHARE = 0.5
-# A wave that saves buffer takes no longer than this share of the lead.
-BUFFER_LEAD_SHARE = 0.5
-# A host is missing after this many times its expected time away.
-OVERDUE_FACTOR = 2.0
-# A wave stops when more of its hosts are lost than this share of those that
-# came back: at the first one in a small pool, later in a large one, which
-# loses hosts for other reasons as well.
-LOST_SHARE = 0.1
-# It also stops while more hosts are down, for whatever reason, than this share
-# of the pool, and never for a single one.
-DOWN_SHARE = 0.1
 NAMED_HOSTS = 8
 _AWAY_STATES = (
     hosts.HostState.DRAINING,
@@ -88,11 +67,6 @@
     return f"{wave.pool}/{wave.number:06d}"
 
 
-def overdue_seconds(contract: service.PoolContract) -> float:
-    """Returns after how long in one state a host counts as missing."""
-    return OVERDUE_FACTOR * contract.maintenance_minutes * 60.0
-
-
 def plan(view: WaveView) -> WavePlan:
     """Plans the next step of a pool's maintenance.
 
@@ -137,13 +111,11 @@
     Returns:
         Whether its last maintenance is half a period or more before.
     """
-    period_seconds = contract.maintenance_every_days * DAY_SECONDS
-    return host.maintained_at <= started_at - FRESH_SHARE * period_seconds
-
-
-def down_limit(pool_hosts: int) -> int:
-    """Returns how many down hosts a wave of a pool of a size bears."""
-    return max(1, math.floor(DOWN_SHARE * pool_hosts))
+    period_seconds = contract.maintenance_every_days * wave_limits.DAY_SECONDS
+    return (
+        host.maintained_at
+        <= started_at - wave_limits.FRESH_SHARE * period_seconds
+    )
 
 
 def batch_size(view: WaveView) -> int:
@@ -157,21 +129,16 @@
         fewest that end the wave in half of its lead. A spare pool keeps half
         of its hosts for failures.
     """
-    allowed = max(0, len(view.hosts) - view.budget.required)
-    if view.contract.spare:
-        allowed = math.ceil(allowed / 2)
-    if view.prefer is service.Preference.ROLL_OUT_TIME:
-        return allowed
-    contract = view.contract
-    lead_seconds = contract.maintenance_every_days * DAY_SECONDS * LEAD_SHARE
-    host_seconds = len(view.hosts) * contract.maintenance_minutes * 60.0
-    fewest = math.ceil(host_seconds / (lead_seconds * BUFFER_LEAD_SHARE))
-    return min(allowed, max(1, fewest))
+    return wave_limits.batch_hosts(
+        len(view.hosts), view.budget.required, view.contract, view.prefer
+    )
 
 
 def _start(view: WaveView, number: int) -> maintenance.Wave | None:
     """Starts a wave when a host is due soon; keeps the old one otherwise."""
-    period_seconds = view.contract.maintenance_every_days * DAY_SECONDS
+    period_seconds = (
+        view.contract.maintenance_every_days * wave_limits.DAY_SECONDS
+    )
     oldest = min(
         (
             host.maintained_at
@@ -180,9 +147,9 @@
         ),
         default=view.wall_seconds,
     )
-    start_at = oldest + (1 - LEAD_SHARE) * period_seconds
+    start_at = oldest + (1 - wave_limits.LEAD_SHARE) * period_seconds
     if view.contract.spare:
-        start_at -= SPARE_LEAD_SECONDS
+        start_at -= wave_limits.SPARE_LEAD_SECONDS
     if view.wall_seconds < start_at:
         return view.wave
     wave = maintenance.Wave(
@@ -251,9 +218,9 @@
         and (host.state is hosts.HostState.DOWN or host.host_id in view.missing)
     ]
     lost = [host_id for host_id in gone if host_id in away]
-    if len(lost) > math.floor(LOST_SHARE * wave.hosts_done):
+    if len(lost) > wave_limits.lost_limit(wave.hosts_done):
         return _listed("maintained hosts have not come back", lost)
-    if len(gone) > down_limit(len(view.hosts)):
+    if len(gone) > wave_limits.down_limit(len(view.hosts)):
         return _listed("hosts are down", gone)
     return ""
 
--- a/wisteriasill/links/dispatch.py
+++ b/wisteriasill/links/dispatch.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import hashlib
-import random
 import threading
 from typing import Any, Protocol
 import uuid
@@ -19,7 +19,7 @@
 from wisteriasill.contracts import fair_shares
 from wisteriasill.contracts import retry
 from wisteriasill.contracts import routing
-from wisteriasill.contracts import slots
+from wisteriasill.contracts import slot_policies
 from wisteriasill.links import forwarding
 from wisteriasill.links import peer_messages
 from wisteriasill.zones import site as sites
@@ -60,6 +60,7 @@
         idempotency: Records of requests that must not be repeated.
         metrics: Metrics of this process.
         clock: Source of monotonic time.
+        retry_policy: Builds the retry policy of each pool.
     """
 
     def __init__(
@@ -70,14 +71,17 @@
         idempotency: Idempotency,
         metrics: metric_types.Metrics,
         clock: clocks.Clock,
+        retry_policy: Callable[
+            [clocks.Clock], retry.RetryPolicy
+        ] = retry.RetryBudget,
     ) -> None:
+        self._retry_policy = retry_policy
         self._settings = settings
         self._site = site
         self._idempotency = idempotency
         self._metrics = metrics
         self._clock = clock
-        chooser = random.Random(settings.member_id)
-        self._slots = slots.build(settings, mesh, chooser, clock)
+        self._slots = slot_policies.build(settings, site, mesh, clock)
         self._forwarder = forwarding.Forwarder(
             settings, site, self._slots, metrics, clock
         )
@@ -140,7 +144,7 @@
             if name not in self._pools_by_service:
                 self._pools_by_service[name] = forwarding.PoolState(
                     admission.ServiceQueue(self._settings, self._clock),
-                    retry.RetryBudget(self._clock),
+                    self._retry_policy(self._clock),
                 )
             return self._pools_by_service[name]
 
--- a/wisteriasill/machines/entry_host.py
+++ b/wisteriasill/machines/entry_host.py
@@ -41,12 +41,14 @@
         self._leaving = False
         self.metrics = metrics_module.Metrics()
         self.site = sites.Site(self._clock)
-        self._platform = platform_link.PlatformLink(settings)
+        self._platform = platform_link.PlatformLink(
+            settings, self.metrics.count_control_traffic
+        )
         self._peers = peer_link.PeerLinks(
             settings, self.site, self._incarnation, self.metrics, self._clock
         )
         self._idempotency = idempotency.IdempotencyRegistry(
-            self._platform, settings, self._clock
+            self._platform, settings, self._clock, self._incarnation
         )
         self._dispatcher = dispatch.Dispatcher(
             settings,
@@ -82,6 +84,7 @@
             OSError: A port is in use or an address is not this machine's.
         """
         self._peers.start()
+        self._dispatcher.start()
         self._callers.start()
         self._operators.start()
         self.settings = self.settings._replace(
@@ -148,6 +151,7 @@
         self._membership.announce_leaving()
         self._controller.stop()
         self._callers.stop(self.settings.shutdown_seconds)
+        self._dispatcher.stop()
         self._operators.stop(1.0)
         self._poll.stop()
         self._membership.stop()
--- a/wisteriasill/machines/wave_keeper.py
+++ b/wisteriasill/machines/wave_keeper.py
@@ -8,6 +8,7 @@
 from wisteriasill import events
 from wisteriasill.contracts import availability
 from wisteriasill.contracts import maintenance
+from wisteriasill.contracts import wave_limits
 from wisteriasill.contracts import wave_plan
 from wisteriasill.machines import host as hosts
 from wisteriasill.machines import host_rows
@@ -65,7 +66,7 @@
             wave_plan.WaveView(
                 self._context.shard,
                 self._pool.rows.ordered,
-                self._missing(wave_plan.overdue_seconds(contract)),
+                self._missing(wave_limits.overdue_seconds(contract)),
                 contract,
                 configuration.site.prefer,
                 availability.budget_of(self._pool.rows.ordered, contract),
