--- /dev/null
+++ b/bench/controlled_site.py
@@ -0,0 +1,137 @@
+"""A small site under the control of several members, on one manual clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+from typing import NamedTuple
+
+from bench import control_site
+from standins import local_platform
+from standins import platform_state
+from standins import sites as standin_sites
+from wisteriasill import clock as clocks
+from wisteriasill import documents
+from wisteriasill.contracts import orders
+from wisteriasill.contracts import service
+from wisteriasill.links import platform
+from wisteriasill.machines import host as hosts
+from wisteriasill.zones import site as sites
+
+REQUIRED = 4
+CONTRACT = service.PoolContract(6, REQUIRED, 16, 64, 8, 64)
+PlatformFor = Callable[[str, local_platform.LocalPlatform], platform.Platform]
+
+
+class Shape(NamedTuple):
+    """Size of a controlled site.
+
+    Attributes:
+        pools: Pools of six hosts, of which four must serve.
+        members: Members that control them.
+    """
+
+    pools: tuple[str, ...] = ("quoting", "billing")
+    members: tuple[str, ...] = ("m1", "m2")
+
+
+class ControlledSite:
+    """Pools of six hosts and members that control them."""
+
+    def __init__(
+        self,
+        clock: clocks.ManualClock,
+        seed: int,
+        shape: Shape = Shape(),  # noqa: B008 - immutable
+        platform_for: PlatformFor = lambda _, shared: shared,
+    ) -> None:
+        self.clock = clock
+        self.shape = shape
+        self.state = platform_state.PlatformState(
+            clock, _listed(len(shape.pools) * CONTRACT.hosts)
+        )
+        self.platform = local_platform.LocalPlatform(self.state, seed)
+        self.site = sites.Site(clock)
+        control_site.configure(
+            self.site,
+            [control_site.pool_service(name, CONTRACT) for name in shape.pools],
+        )
+        control_site.known_members(self.site, shape.members)
+        sources = control_site.seeded_sources(random.Random(seed), clock)
+        self.members = {
+            name: control_site.ControlMember(
+                name,
+                platform_for(name, self.platform),
+                self.site,
+                clock,
+                sources,
+            )
+            for name in shape.members
+        }
+
+    def run(self, seconds: int, without: str = "") -> None:
+        """Steps all members, but one, once a second."""
+        for _ in range(seconds):
+            control_site.poll_hosts(self.site, self.platform)
+            for name, member in list(self.members.items()):
+                if name != without:
+                    member.step()
+            self.clock.advance(1.0)
+
+    def row(self, host_id: str) -> hosts.Host:
+        """Returns a host's row as stored."""
+        row = self.state.table.read(hosts.TABLE, host_id, 0.0)
+        assert row is not None
+        return documents.decode(hosts.Host, row.value).unwrap()
+
+    def hosts_of(self, pool: str) -> list[hosts.Host]:
+        """Returns the rows of a pool."""
+        rows = self.state.table.scan(hosts.TABLE, "", 0.0)
+        found = [self.row(row.key) for row in rows]
+        return [host for host in found if host.pool == pool]
+
+    def order(
+        self, kind: orders.OrderKind, host: hosts.Host, pool: str = ""
+    ) -> str:
+        """Stores an operator's order and returns its key."""
+        number = len(self.state.table.scan(orders.TABLE, "", 0.0))
+        order = orders.Order(
+            f"o{number:03}", host.pool, kind, host.host_id, "ana", pool
+        )
+        self.state.transact(
+            [platform.Condition(orders.TABLE, order.key, 0)],
+            [platform.Write(orders.TABLE, order.key, documents.encode(order))],
+        ).unwrap()
+        return order.key
+
+    def order_state(self, key: str) -> str:
+        """Returns the state of an order as stored."""
+        row = self.state.table.read(orders.TABLE, key, 0.0)
+        assert row is not None
+        return str(row.value["state"])
+
+    def boot_count(self, host_id: str) -> int:
+        """Returns how often a host has booted in truth."""
+        listed = self.state.host(host_id)
+        assert listed is not None
+        return listed.boot_count
+
+    def holder(self, shard: str) -> str:
+        """Returns the member that holds a shard by its own lights."""
+        return next(
+            name
+            for name, member in self.members.items()
+            if shard in member.leases and not member.leases[shard].lost
+        )
+
+
+def _listed(count: int) -> list[platform.ListedHost]:
+    """Lists hosts of mandacaru's size, as many as needed."""
+    built = standin_sites.build_hosts("mandacaru", str)
+    return [
+        built[number % len(built)]._replace(
+            host_id=f"host-{number:03}",
+            rack=f"{built[number % len(built)].rack}-{number // len(built)}",
+        )
+        for number in range(count)
+    ]
--- a/tests/machines/test_control_faults.py
+++ b/tests/machines/test_control_faults.py
@@ -8,15 +8,15 @@
 import pytest
 
 from bench import control_site
+from bench import controlled_site
 from standins import faults
-from tests.machines import conftest
 from wisteriasill.contracts import orders
 from wisteriasill.links import platform
 from wisteriasill.machines import host as hosts
 
 S = hosts.HostState
 STEPS = [S.DRAINING, S.REBOOTING, S.JOINING, S.SERVING]
-Inject = Callable[[conftest.ControlledSite], None]
+Inject = Callable[[controlled_site.ControlledSite], None]
 
 
 class Killed(BaseException):
@@ -24,7 +24,7 @@
 
 
 def at_write(
-    site: conftest.ControlledSite, host_id: str, state: S, inject: Inject
+    site: controlled_site.ControlledSite, host_id: str, state: S, inject: Inject
 ) -> None:
     """Injects a fault right before the first write of a host's state."""
 
@@ -53,19 +53,19 @@
     site.platform.before_transaction = hook
 
 
-def lose_answer(site: conftest.ControlledSite) -> None:
+def lose_answer(site: controlled_site.ControlledSite) -> None:
     site.state.set_faults(faults.Faults(lose_answers=1.0))
 
 
-def go_down(site: conftest.ControlledSite) -> None:
+def go_down(site: controlled_site.ControlledSite) -> None:
     site.state.set_faults(faults.Faults(down=True))
 
 
-def kill(site: conftest.ControlledSite) -> None:
+def kill(site: controlled_site.ControlledSite) -> None:
     raise Killed
 
 
-def run_with_kills(site: conftest.ControlledSite, seconds: int) -> None:
+def run_with_kills(site: controlled_site.ControlledSite, seconds: int) -> None:
     """Runs the site; a killed member is gone from then on."""
     for _ in range(seconds):
         for name in list(site.members):
@@ -76,7 +76,9 @@
         site.clock.advance(1.0)
 
 
-def least_serving(site: conftest.ControlledSite, pool: str, since: int) -> int:
+def least_serving(
+    site: controlled_site.ControlledSite, pool: str, since: int
+) -> int:
     """Returns the fewest hosts that served at any time since a write."""
     states: dict[str, tuple[str, str]] = {}
     least = 99
@@ -92,7 +94,10 @@
 @pytest.mark.parametrize("state", STEPS)
 @pytest.mark.parametrize("inject", [lose_answer, go_down, kill])
 def test_sequence_survives_a_fault_at_each_step(
-    controlled: conftest.ControlledSite, inject: Inject, state: S, target: str
+    controlled: controlled_site.ControlledSite,
+    inject: Inject,
+    state: S,
+    target: str,
 ) -> None:
     """A fault must neither lose a sequence nor do a part of it twice."""
     host = controlled.hosts_of("quoting")[0]
@@ -103,28 +108,24 @@
     run_with_kills(controlled, 30)
     controlled.state.set_faults(faults.Faults())
     run_with_kills(controlled, 90)
-    order = controlled.state.table.read(orders.TABLE, key, 0.0)
-    assert order is not None
-    assert order.value["state"] == "done"
+    assert controlled.order_state(key) == "done"
     after = controlled.row(host.host_id)
     assert after.state is S.SERVING
     assert after.pool == (target or "quoting")
-    listed = controlled.state.host(host.host_id)
-    assert listed is not None
-    assert listed.boot_count == host.boot_count + 1
+    assert controlled.boot_count(host.host_id) == host.boot_count + 1
     assert least_serving(controlled, "quoting", since) == 5
 
 
 @pytest.mark.parametrize("state", STEPS)
 def test_paused_holder_writes_nothing_late(
-    controlled: conftest.ControlledSite, state: S
+    controlled: controlled_site.ControlledSite, state: S
 ) -> None:
     """A holder paused in the middle of a write must not make that write."""
     host = controlled.hosts_of("quoting")[0]
     paused = controlled.holder("quoting")
     conflicts: list[int] = []
 
-    def pause(site: conftest.ControlledSite) -> None:
+    def pause(site: controlled_site.ControlledSite) -> None:
         site.run(18, without=paused)
         conflicts.append(site.state.table.counts.conflicts)
 
@@ -141,13 +142,11 @@
     controlled.run(60)
     after = controlled.row(host.host_id)
     assert after.state is S.SERVING
-    listed = controlled.state.host(host.host_id)
-    assert listed is not None
-    assert listed.boot_count == host.boot_count + 1
+    assert controlled.boot_count(host.host_id) == host.boot_count + 1
 
 
 def test_dead_holder_is_replaced_within_10_seconds(
-    controlled: conftest.ControlledSite,
+    controlled: controlled_site.ControlledSite,
 ) -> None:
     """A pool must not be without control for longer than 10 s."""
     dead = controlled.holder("quoting")
@@ -161,7 +160,7 @@
 
 
 def test_outage_of_the_store_is_sat_out(
-    controlled: conftest.ControlledSite,
+    controlled: controlled_site.ControlledSite,
 ) -> None:
     """A long outage must end no task, and control must resume in 10 s."""
     host = controlled.hosts_of("billing")[0]
@@ -170,13 +169,11 @@
     controlled.state.set_faults(faults.Faults())
     key = controlled.order(orders.OrderKind.DRAIN, host)
     controlled.run(10)
-    order = controlled.state.table.read(orders.TABLE, key, 0.0)
-    assert order is not None
-    assert order.value["state"] == "done"
+    assert controlled.order_state(key) == "done"
 
 
 def test_drain_is_announced_to_peers(
-    controlled: conftest.ControlledSite,
+    controlled: controlled_site.ControlledSite,
 ) -> None:
     """Peers must hear of a departure without waiting for their poll."""
     host = controlled.hosts_of("quoting")[0]
@@ -198,7 +195,7 @@
 
 
 def test_member_that_should_have_a_shard_gets_it(
-    controlled: conftest.ControlledSite,
+    controlled: controlled_site.ControlledSite,
 ) -> None:
     """Shards must spread again after a member has come back."""
     spread = {name: set(m.leases) for name, m in controlled.members.items()}
@@ -214,7 +211,7 @@
 
 
 def test_stale_scan_takes_nothing_beyond_the_budget(
-    controlled: conftest.ControlledSite, monkeypatch: pytest.MonkeyPatch
+    controlled: controlled_site.ControlledSite, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A successor that scans old host rows must keep the budget."""
     pool = controlled.hosts_of("quoting")
@@ -234,7 +231,7 @@
     controlled.run(12)
     monkeypatch.undo()
     controlled.run(60)
-    assert least_serving(controlled, "quoting", since) == conftest.REQUIRED
-    order = controlled.state.table.read(orders.TABLE, key, 0.0)
-    assert order is not None
-    assert order.value["state"] != "pending"
+    assert (
+        least_serving(controlled, "quoting", since) == controlled_site.REQUIRED
+    )
+    assert controlled.order_state(key) != "pending"
--- a/tests/machines/test_control_sequences.py
+++ b/tests/machines/test_control_sequences.py
@@ -7,9 +7,9 @@
 import hypothesis
 from hypothesis import strategies
 
+from bench import controlled_site
 from standins import faults
 from standins import table_state
-from tests.machines import conftest
 from wisteriasill import clock as clocks
 from wisteriasill.contracts import orders
 from wisteriasill.links import platform
@@ -35,13 +35,13 @@
 )
 
 
-def act(site: conftest.ControlledSite, kind: str, what: object) -> str:
+def act(site: controlled_site.ControlledSite, kind: str, what: object) -> str:
     """Does one action; returns the member that is paused afterwards."""
     if isinstance(what, faults.Faults):
         site.state.set_faults(what)
         return ""
     assert isinstance(what, int)
-    rows = [host for pool in conftest.POOLS for host in site.hosts_of(pool)]
+    rows = [host for pool in site.shape.pools for host in site.hosts_of(pool)]
     host = rows[what]
     listed = site.state.host(host.host_id)
     assert listed is not None
@@ -49,7 +49,7 @@
     if kind == "drain":
         site.order(orders.OrderKind.DRAIN, host)
     elif kind == "move":
-        other = next(name for name in conftest.POOLS if name != host.pool)
+        other = next(name for name in site.shape.pools if name != host.pool)
         site.order(orders.OrderKind.MOVE, host, other)
     elif kind == "fail" and not down:
         site.state.fail_host(host.host_id)
@@ -71,7 +71,7 @@
             assert write.state == "joining"
         if before[1] == "serving" and write.state == "draining":
             serving = list(rows.values()).count((write.pool, "serving"))
-            assert serving >= conftest.REQUIRED
+            assert serving >= controlled_site.REQUIRED
 
 
 @hypothesis.settings(
@@ -86,7 +86,7 @@
     steps: list[tuple[tuple[str, object], int]],
 ) -> None:
     """No mix of orders and faults may break a budget or undo a change."""
-    site = conftest.ControlledSite(clocks.ManualClock(), 7)
+    site = controlled_site.ControlledSite(clocks.ManualClock(), 7)
     site.run(20)
     versions = {row.key: 0 for row in site.state.table.scan("hosts", "", 0)}
     for (kind, what), seconds in steps:
@@ -98,7 +98,7 @@
     site.state.set_faults(faults.Faults())
     site.run(120)
     check_history(site.state.table.host_history)
-    by_pool = [site.hosts_of(pool) for pool in conftest.POOLS]
+    by_pool = [site.hosts_of(pool) for pool in site.shape.pools]
     assert sorted(host.host_id for host in itertools.chain(*by_pool)) == sorted(
         versions
     )
