--- a/bench/controlled_site.py
+++ b/bench/controlled_site.py
@@ -20,7 +20,10 @@
 
 REQUIRED = 4
 CONTRACT = service.PoolContract(6, REQUIRED, 16, 64, 8, 64)
-PlatformFor = Callable[[str, local_platform.LocalPlatform], platform.Platform]
+PlatformFor = Callable[
+    [str, local_platform.LocalPlatform, platform_state.PlatformState],
+    platform.Platform,
+]
 
 
 class Shape(NamedTuple):
@@ -43,7 +46,7 @@
         clock: clocks.ManualClock,
         seed: int,
         shape: Shape = Shape(),  # noqa: B008 - immutable
-        platform_for: PlatformFor = lambda _, shared: shared,
+        platform_for: PlatformFor = lambda _, shared, __: shared,
     ) -> None:
         self.clock = clock
         self.shape = shape
@@ -61,7 +64,7 @@
         self.members = {
             name: control_site.ControlMember(
                 name,
-                platform_for(name, self.platform),
+                platform_for(name, self.platform, self.state),
                 self.site,
                 clock,
                 sources,
