--- a/bench/controlled_site.py
+++ b/bench/controlled_site.py
@@ -16,6 +16,7 @@
 from wisteriasill.contracts import service
 from wisteriasill.links import platform
 from wisteriasill.machines import host as hosts
+from wisteriasill.machines import write_budget
 from wisteriasill.zones import site as sites
 
 REQUIRED = 4
@@ -46,6 +47,7 @@
         clock: clocks.ManualClock,
         seed: int,
         shape: Shape = Shape(),  # noqa: B008 - immutable
+        limits: write_budget.WriteLimits = write_budget.DEFAULT_LIMITS,
         platform_for: PlatformFor = lambda _, shared, __: shared,
     ) -> None:
         self.clock = clock
@@ -60,7 +62,9 @@
             [control_site.pool_service(name, CONTRACT) for name in shape.pools],
         )
         control_site.known_members(self.site, shape.members)
-        sources = control_site.seeded_sources(random.Random(seed), clock)
+        sources = control_site.seeded_sources(
+            random.Random(seed), clock
+        )._replace(limits=limits)
         self.members = {
             name: control_site.ControlMember(
                 name,
--- a/tests/machines/test_controller.py
+++ b/tests/machines/test_controller.py
@@ -69,9 +69,9 @@
     """Members must not write all at once when the store comes back."""
     budget = write_budget.WriteBudget(manual_clock, lambda: 7, random.Random(1))
     assert budget.rows_per_second == 8.0
-    assert budget.reserve(write_budget.BURST_ROWS) == 0.0
+    assert budget.reserve(write_budget.DEFAULT_LIMITS.burst_rows) == 0.0
     assert budget.reserve(8) == 1.0
     manual_clock.advance(60.0)
     budget.note(False)
     assert budget.note(True)
-    assert 0.0 < budget.reserve(1) <= write_budget.JITTER_SECONDS
+    assert 0.0 < budget.reserve(1) <= write_budget.DEFAULT_LIMITS.jitter_seconds
--- a/wisteriasill/machines/controller.py
+++ b/wisteriasill/machines/controller.py
@@ -42,11 +42,13 @@
         token_source: Makes a new random token at each call.
         wall_clock: Seconds since the epoch, for people to read.
         rng: Random numbers for jitter.
+        limits: Bounds on control writes.
     """
 
     token_source: Callable[[], str] = lambda: secrets.token_hex(8)
     wall_clock: Callable[[], float] = time.time
     rng: random.Random = random.Random()
+    limits: write_budget.WriteLimits = write_budget.DEFAULT_LIMITS
 
 
 SYSTEM_SOURCES = Sources()
@@ -92,7 +94,10 @@
             platform.table, site, owner, clock
         )
         self._budget = write_budget.WriteBudget(
-            clock, lambda: len(site.snapshot.members_by_id), sources.rng
+            clock,
+            lambda: len(site.snapshot.members_by_id),
+            sources.rng,
+            sources.limits,
         )
         self._listing = host_listing.HostListing(platform.host_list, clock)
         self._stopping = threading.Event()
