--- a/wisteriasill/zones/site.py
+++ b/wisteriasill/zones/site.py
@@ -52,15 +52,45 @@
 
 
 def _by_pool(
-    known: Iterable[KnownHost],
+    before: SiteSnapshot, by_id: Mapping[str, KnownHost]
 ) -> Mapping[str, tuple[hosts.Host, ...]]:
-    ordered = sorted(
-        (item.host for item in known),
-        key=operator.attrgetter("pool", "host_id"),
-    )
-    groups = itertools.groupby(ordered, key=operator.attrgetter("pool"))
+    """Groups hosts by pool; builds only the groups that changed.
+
+    A change touches one or two pools of some 200 hosts, while a large site
+    has 4,100.
+    """
+    old = before.hosts_by_id
+    changed_ids = {
+        host_id
+        for host_id in old.keys() | by_id.keys()
+        if old.get(host_id) is not by_id.get(host_id)
+    }
+    pools = {
+        known.host.pool
+        for host_id in changed_ids
+        for known in (old.get(host_id), by_id.get(host_id))
+        if known is not None
+    }
+    groups = dict(before.hosts_by_pool)
+    for pool in pools:
+        kept = (
+            host
+            for host in groups.get(pool, ())
+            if host.host_id not in changed_ids
+        )
+        added = (
+            by_id[host_id].host
+            for host_id in changed_ids & by_id.keys()
+            if by_id[host_id].host.pool == pool
+        )
+        groups[pool] = tuple(
+            sorted(
+                itertools.chain(kept, added),
+                key=operator.attrgetter("host_id"),
+            )
+        )
     return types.MappingProxyType(
-        {pool: tuple(group) for pool, group in groups}
+        {pool: groups[pool] for pool in sorted(groups) if groups[pool]}
     )
 
 
@@ -197,7 +227,7 @@
     def _replace_hosts(self, by_id: dict[str, KnownHost]) -> None:
         self._snapshot = self._snapshot._replace(
             hosts_by_id=types.MappingProxyType(by_id),
-            hosts_by_pool=_by_pool(by_id.values()),
+            hosts_by_pool=_by_pool(self._snapshot, by_id),
         )
 
     def _notify(self) -> None:
