--- a/wisteriasill/contracts/configuration_reader.py
+++ b/wisteriasill/contracts/configuration_reader.py
@@ -1,7 +1,9 @@
-"""Reads the manifest and the documents of a configuration."""
+"""Reads the manifest and the documents of a configuration; stores them."""
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from returns import result
 
 from wisteriasill import documents
@@ -11,6 +13,8 @@
 from wisteriasill.contracts import service as services
 from wisteriasill.links import platform
 
+PUT_ATTEMPTS = 3
+
 
 def read_manifest(
     platform_: platform.Platform,
@@ -110,3 +114,32 @@
     if name == configurations.SITE_DOCUMENT:
         return configuration.site
     return configuration.services_by_name.get(name)
+
+
+def put_documents(
+    platform_: platform.Platform,
+    contracts: Iterable[configuration_documents.Contract],
+) -> result.Result[None, errors.Failure]:
+    """Stores documents under their digests; a repeat does no harm.
+
+    Args:
+        platform_: The platform.
+        contracts: What the documents say.
+
+    Returns:
+        Nothing, or the failure of the first document; no configuration is
+        changed either way.
+    """
+    for contract in contracts:
+        body = configuration_documents.encode(contract)
+        key = configuration_documents.digest(body)
+        for _ in range(PUT_ATTEMPTS):
+            stored = platform_.objects.put(key, body)
+            if isinstance(stored, result.Success):
+                break
+        match stored:
+            case result.Failure(wrong):
+                return result.Failure(
+                    wrong._replace(executed=errors.Executed.NO)
+                )
+    return result.Success(None)
--- a/wisteriasill/contracts/configuration_store.py
+++ b/wisteriasill/contracts/configuration_store.py
@@ -32,7 +32,6 @@
 # the rest covers stale reads and slow answers of the store.
 PUBLISH_SECONDS = 20.0
 RETRY_SECONDS = 0.1
-PUT_ATTEMPTS = 3
 
 _RETRIED_KINDS = frozenset(
     {errors.ErrorKind.CONFLICT, errors.ErrorKind.STORE_OUTCOME_UNKNOWN}
@@ -186,7 +185,10 @@
                 return result.Failure(wrong)
             case result.Success(conditions):
                 pass
-        match self._put_documents(selection):
+        stored = configuration_reader.put_documents(
+            self._platform, selection.changed.values()
+        )
+        match stored:
             case result.Failure(wrong):
                 return result.Failure(wrong)
         record = self._record(selection)
@@ -217,23 +219,6 @@
                     what = tuple(str(line) for line in lines)
         return changes.conflict_failure(self._change, conflict, manifest, what)
 
-    def _put_documents(
-        self, selection: changes.Selection
-    ) -> result.Result[None, errors.Failure]:
-        for contract in selection.changed.values():
-            body = configuration_documents.encode(contract)
-            key = configuration_documents.digest(body)
-            for _ in range(PUT_ATTEMPTS):  # Repeats do no harm.
-                stored = self._platform.objects.put(key, body)
-                if isinstance(stored, result.Success):
-                    break
-            match stored:
-                case result.Failure(wrong):
-                    return result.Failure(
-                        wrong._replace(executed=errors.Executed.NO)
-                    )
-        return result.Success(None)
-
     def _record(self, selection: changes.Selection) -> publication.Publication:
         return publication.Publication(
             generation=self._in_force.generation + 1,
