--- /dev/null
+++ b/bench/waves_large.py
@@ -0,0 +1,207 @@
+"""Four weeks of maintenance at the design size.
+
+4,100 hosts in 20 pools and 9 zones, 41 single failures a day, a rack lost
+each week and a zone lost once while the waves run. Restarts of hosts, which
+change only a boot count, are left out.
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+import tracemalloc
+import types
+
+from bench import fleet_platform
+from bench import report
+from bench import wave_runs
+from bench import waves
+from wisteriasill import events
+from wisteriasill.contracts import configuration as configurations
+from wisteriasill.contracts import service
+from wisteriasill.contracts import wave_limits
+from wisteriasill.contracts import wave_plan
+from wisteriasill.links import platform
+
+HOSTS = 4100
+POOLS = 20
+ZONES = 9
+REGIONS = 4
+HOSTS_PER_RACK = 20
+PREFERENCES = {
+    "malabar": service.Preference.ROLL_OUT_TIME,
+    "mandacaru": service.Preference.BUFFER_COST,
+}
+PACE = wave_runs.Pace(idle_seconds=3600.0, active_seconds=200.0)
+MAINTENANCE_SECONDS = 24 * 60.0
+DAY = wave_limits.DAY_SECONDS
+ROUNDS = 15
+# 2.3% of a core at one round a second; a node holds one shard or two.
+SHARD_ROUND_MS = 23.0
+MEMORY_MIB = 64.0
+
+
+def build_fleet(site: str, seed: int, hosts: int = HOSTS) -> wave_runs.Fleet:
+    """Builds a fleet of a size with the design's faults.
+
+    Args:
+        site: The site whose preference holds.
+        seed: Seed of the luck.
+        hosts: Number of hosts.
+
+    Returns:
+        The fleet; the last pool is the spare pool.
+    """
+    listed = tuple(_listed(number, hosts) for number in range(hosts))
+    pools = tuple(f"pool-{number:02}" for number in range(POOLS))
+    size = hosts // POOLS
+    return wave_runs.Fleet(
+        listed,
+        {
+            host.host_id: pools[number % POOLS]
+            for number, host in enumerate(listed)
+        },
+        configurations.Configuration(
+            1,
+            service.SiteContract(site, PREFERENCES[site]),
+            types.MappingProxyType(
+                {
+                    name: _service(name, size, spare=name == pools[-1])
+                    for name in pools
+                }
+            ),
+            configurations.Manifest(1, {}),
+        ),
+        _luck(listed, seed),
+    )
+
+
+def _listed(number: int, hosts: int) -> platform.ListedHost:
+    """Lays hosts out zone by zone and rack by rack."""
+    zone = number * ZONES // hosts
+    rack = number // HOSTS_PER_RACK
+    return platform.ListedHost(
+        f"host-{number:04}",
+        f"region-{zone % REGIONS}",
+        f"zone-{zone}",
+        f"zone-{zone}-rack-{rack:03}",
+        str(number),
+        64.0,
+        256.0,
+        2,
+        8,
+        64,
+        platform.ListedState.LIVE,
+    )
+
+
+def _service(name: str, hosts: int, spare: bool) -> service.Service:
+    usable = 0 if spare else hosts - hosts // 12
+    contract = service.PoolContract(hosts, usable, 64.0, 256.0, 8, 64)
+    return service.Service(name, "team", contract._replace(spare=spare))
+
+
+def _luck(
+    listed: tuple[platform.ListedHost, ...], seed: int
+) -> fleet_platform.Luck:
+    rng = random.Random(seed)
+    single = [
+        fleet_platform.Loss(
+            rng.uniform(0, 28 * DAY),
+            (host.host_id,),
+            rng.uniform(0.5, 8.0) * 3600,
+        )
+        for host in listed
+        for _ in range(28)
+        if rng.random() < waves.FAILURES_PER_HOST_DAY
+    ]
+    racks = sorted({host.rack for host in listed})
+    lost_racks = [
+        fleet_platform.Loss(
+            (week + rng.random()) * 7 * DAY,
+            tuple(host.host_id for host in listed if host.rack == rack),
+            3 * 3600.0,
+        )
+        for week, rack in enumerate(rng.sample(racks, 4))
+    ]
+    zone = f"zone-{rng.randrange(ZONES)}"
+    lost_zone = fleet_platform.Loss(
+        21 * DAY + rng.uniform(0, 8 * 3600),
+        tuple(
+            host.host_id for host in listed if host.availability_zone == zone
+        ),
+        2 * 3600.0,
+    )
+    return fleet_platform.Luck(
+        seed, MAINTENANCE_SECONDS, losses=(*single, *lost_racks, lost_zone)
+    )
+
+
+def measure_round(site: str, seed: int, hosts: int) -> tuple[float, float]:
+    """Measures one planning round in the middle of the waves.
+
+    Args:
+        site: The site whose preference holds.
+        seed: Seed of the luck.
+        hosts: Number of hosts.
+
+    Returns:
+        Median milliseconds of a round of one shard, and MiB that all
+        shards together hold, without the stand-in of the platform.
+    """
+    fleet = build_fleet(site, seed, hosts)
+    fleet = fleet._replace(luck=fleet.luck._replace(losses=()))
+    tracemalloc.start()
+    fleet_run = wave_runs.FleetRun(fleet, lambda _: wave_plan.plan, seed)
+    start = 28 * DAY * (1 - wave_limits.LEAD_SHARE)
+    fleet_run.run(start + 2 * 3600.0, wave_runs.Pace(start - 1200.0, 60.0))
+    taken = tracemalloc.take_snapshot().filter_traces(
+        [
+            tracemalloc.Filter(False, pattern)
+            for pattern in ("*/bench/*", "*/standins/*", "*/json/*")
+        ]
+    )
+    held = sum(item.size for item in taken.statistics("filename")) / 2**20
+    tracemalloc.stop()
+    times = []
+    for _ in range(ROUNDS):
+        fleet_run.clock.advance(1.0)
+        started = time.perf_counter()
+        fleet_run.member.step()
+        times.append((time.perf_counter() - started) * 1000)
+    shards = len(fleet_run.member.leases)
+    return statistics.median(times) / shards, held
+
+
+def run(site: str, seed: int) -> report.BenchResult:
+    """Runs the three plans on the same fleet and measures rounds."""
+    events.configure("CRITICAL")
+    rows: list[tuple[report.Figure, ...]] = []
+    figures: dict[str, report.Figure] = {}
+    for name, planner_for in waves.PLANNERS.items():
+        fleet_run = wave_runs.FleetRun(
+            build_fleet(site, seed), planner_for, seed
+        )
+        fleet_run.run(wave_runs.WEEKS_4_SECONDS, PACE)
+        measured = fleet_run.figures()
+        rows.append((name, *measured[:-1]))
+        figures = figures or dict(measured._asdict())
+    for share in (4, 2, 1):
+        milliseconds, mebibytes = measure_round(site, seed, HOSTS // share)
+        figures[f"shard_round_ms_at_{HOSTS // share}"] = milliseconds
+        figures[f"memory_mib_at_{HOSTS // share}"] = mebibytes
+    return report.BenchResult(
+        "waves-large",
+        site,
+        seed,
+        waves.COLUMNS,
+        rows,
+        figures,
+        [
+            report.Limit("violations", "==", 0),
+            report.Limit("maintained_share", "==", 1),
+            report.Limit(f"shard_round_ms_at_{HOSTS}", "<=", SHARD_ROUND_MS),
+            report.Limit(f"memory_mib_at_{HOSTS}", "<=", MEMORY_MIB),
+        ],
+    )
--- a/wisteriasill/contracts/moves.py
+++ b/wisteriasill/contracts/moves.py
@@ -14,7 +14,7 @@
 # drain and a reboot, and peaks last seconds: jobs lend processors for those.
 SUSTAINED_SECONDS = 600.0
 # A pool gives hosts only while it keeps this many above its promise, so that
-# the next failure doesn't reverse the move.
+# the next failure doesn't reverse the move, unless nobody else has any.
 HYSTERESIS_HOSTS = 1
 
 
@@ -211,13 +211,20 @@
     configuration: configurations.Configuration,
     pool_needs: Iterable[PoolNeed],
 ) -> tuple[str, ...]:
-    """Lists pools that may give a host, the spare pool first."""
+    """Lists pools that may give a host, in the order they are asked.
+
+    Pools with hosts to spare beyond the hysteresis come first: hosts that
+    were lent for a failure stay where they are after it, and this brings
+    them to where they are needed without emptying the spare pool.
+    """
     rich = sorted(
-        (need for need in pool_needs if -need.missing > HYSTERESIS_HOSTS),
+        (need for need in pool_needs if need.missing < 0),
         key=lambda need: need.missing,
     )
+    first = [need.pool for need in rich if -need.missing > HYSTERESIS_HOSTS]
+    last = [need.pool for need in rich if -need.missing <= HYSTERESIS_HOSTS]
     spare = configuration.spare_pool
-    return (*([spare] if spare else []), *(need.pool for need in rich))
+    return (*first, *([spare] if spare else []), *last)
 
 
 def _choose_host(
