--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -8,13 +8,15 @@
 import time
 from typing import NamedTuple
 
-from bench import capacity_page
 from bench import capacity_site
 from bench import entry_processes
+from bench import node_cost
 from bench import report
 
 SETTLE_SECONDS = 8.0
 SAMPLE_SECONDS = 12.0
+READY_SECONDS = 60.0
+POLL_SECONDS = 0.2
 MEMBER_COUNTS = (2, 4, 7, 10)
 HOST_COUNTS = (30, 300, 1000, 2000)
 POOL_COUNTS = (5, 10, 20)
@@ -61,35 +63,43 @@
 
 def measure(members: int, size: capacity_site.Size) -> NodeCost:
     """Measures entry hosts as processes on a site of a size."""
-    state, server = capacity_site.start_platform(size)
+    server = capacity_site.start_platform(size)
+    ports = entry_processes.free_ports(2 * members)
     entries = [
-        entry_processes.start_entry(
-            f"entry-{index:02}", f"zone-{index % size.zones}", server.url
+        entry_processes.EntryProcess(
+            f"entry-{index:02}",
+            f"zone-{index % size.zones}",
+            server.url,
+            "",
+            entry_processes.Ports(ports[2 * index], ports[2 * index + 1]),
         )
         for index in range(members)
     ]
     try:
-        entry_processes.wait_ready(entries)
+        _wait_ready(entries)
         time.sleep(SETTLE_SECONDS)
         return _sample(entries)
     finally:
         for entry in entries:
-            entry.process.terminate()
+            entry.terminate()
         for entry in entries:
-            entry.stop()
+            entry.wait()
         server.stop()
-        state.settle()
+
+
+def _wait_ready(entries: Sequence[entry_processes.EntryProcess]) -> None:
+    end = time.monotonic() + READY_SECONDS
+    while not all(node_cost.is_ready(entry) for entry in entries):
+        if time.monotonic() > end:
+            raise TimeoutError("an entry host was not ready in time")
+        time.sleep(POLL_SECONDS)
 
 
 def _sample(entries: Sequence[entry_processes.EntryProcess]) -> NodeCost:
     def totals() -> tuple[float, float]:
         return (
-            sum(entry.cpu_seconds() for entry in entries),
-            sum(
-                entry.counter("control_bytes_sent")
-                + entry.counter("control_bytes_received")
-                for entry in entries
-            ),
+            sum(node_cost.cpu_seconds(entry) for entry in entries),
+            sum(node_cost.control_bytes(entry) for entry in entries),
         )
 
     started_at = time.monotonic()
@@ -99,7 +109,7 @@
     node_seconds = (time.monotonic() - started_at) * len(entries)
     return NodeCost(
         100 * (cpu_after - cpu_before) / node_seconds,
-        statistics.mean(entry.resident_mb() for entry in entries),
+        statistics.mean(node_cost.resident_mb(entry) for entry in entries),
         (bytes_after - bytes_before) / node_seconds / 1000,
     )
 
@@ -156,6 +166,18 @@
         for size, cost in points
     ]
     rows.append(("large, 2 members", LARGE.hosts, *large))
-    return capacity_page.finish(
-        capacity_page.Measured(site, seed, rows, lines, large), PAGE
+    return report.BenchResult(
+        "capacity",
+        site,
+        seed,
+        ("driver", "size", *NodeCost._fields),
+        rows,
+        large._asdict(),
+        (
+            report.Limit("core_percent", "<=", MAX_CORE_PERCENT),
+            report.Limit("resident_mb", "<=", MAX_RESIDENT_MB),
+            report.Limit(
+                "control_kb_per_second", "<=", MAX_CONTROL_KB_PER_SECOND
+            ),
+        ),
     )
