--- a/bench/peaks.py
+++ b/bench/peaks.py
@@ -16,7 +16,6 @@
 # An eighth of the rates of 50 ms requests, so that the generators and seven
 # entry hosts of one shared machine can drive a peak; all ratios stay.
 WORK_SECONDS = 0.4
-DEADLINE_MS = 4000
 POLICIES = ("independent", "exchanged", "lent")
 
 
@@ -44,24 +43,34 @@
     fleet: request_fleet.RequestFleet, phases: list[Phase]
 ) -> list[load.Stream]:
     return [
-        fleet.stream(
-            name, fleet.mean_rate * factor, phase.begin, phase.end
-        )._replace(deadline_ms=DEADLINE_MS)
+        fleet.stream(name, fleet.mean_rate * factor, phase.begin, phase.end)
         for phase in phases
         for name, factor in zip(fleet.service_names, phase.factors, strict=True)
     ]
 
 
 def _goodput_share(
-    fleet: request_fleet.RequestFleet, outcome: load.Outcome, phase: Phase
+    outcome: load.Outcome,
+    counted: request_fleet.Report,
+    phase: Phase,
 ) -> float:
-    """Share of what the slots can deliver that was answered in the peak."""
-    peaked = fleet.service_names[phase.factors.index(PEAK_FACTOR)]
-    answered = sum(
-        phase.begin <= item.at_seconds + item.seconds < phase.end
-        for item in outcome.of_stream(peaked).answered
+    """Share of the peaked pool's slot time spent on answers in time."""
+    useful = {item.key for item in outcome.answered}
+    first = phase.factors.index(PEAK_FACTOR) * request_fleet.WORKERS
+    begin = outcome.started_at + phase.begin
+    end = outcome.started_at + phase.end
+    spent = sum(
+        max(
+            0.0,
+            min(end, item.started_at + WORK_SECONDS)
+            - max(begin, item.started_at),
+        )
+        for worker in counted.backends[first : first + request_fleet.WORKERS]
+        for item in worker.executions
+        if item.idempotency_key in useful
     )
-    return answered / (fleet.capacity * (phase.end - phase.begin))
+    slots = request_fleet.WORKERS * request_fleet.SLOTS
+    return spent / (slots * (end - begin))
 
 
 def _measure(
@@ -73,7 +82,7 @@
         outcome = fleet.drive(_streams(fleet, phases), seed)
         counted = fleet.report()
         goodput = [
-            _goodput_share(fleet, outcome, phase)
+            _goodput_share(outcome, counted, phase)
             for phase in phases
             if PEAK_FACTOR in phase.factors
         ]
--- /dev/null
+++ b/bench/worker_faults.py
@@ -0,0 +1,104 @@
+"""A third of a pool fails, hangs, truncates or answers late."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import functools
+from typing import Any
+
+from bench import load
+from bench import report
+from bench import request_fleet
+
+FAULTY_WORKERS = (0, 2)
+PHASE_SECONDS = 2.0
+FAULTS: tuple[tuple[str, dict[str, Any]], ...] = (
+    ("fail", {"fail": True}),
+    ("hang", {"hang": True}),
+    ("truncate", {"truncate": "length"}),
+    ("late", {"late_seconds": 3.0}),
+)
+# Then every worker fails for a time, which shows what retries add to a load
+# that they cannot help.
+OUTAGE_BEGIN = PHASE_SECONDS * (len(FAULTS) + 1)
+OUTAGE_SECONDS = 2.0
+END = OUTAGE_BEGIN + OUTAGE_SECONDS + 1.0
+POLICIES = ("budget", "unlimited", "fixed")
+WORK_SECONDS = 0.1
+
+
+def _measure(site: str, seed: int, policy: str) -> dict[str, report.Figure]:
+    variant = request_fleet.Variant(policy, retry_policy=policy)
+    with request_fleet.RequestFleet(site, variant, WORK_SECONDS) as fleet:
+
+        def set_faults(workers: range | tuple[int, ...], **faults: Any) -> None:
+            for index in workers:
+                fleet.set_faults(index, **faults)
+
+        def partial(number: int) -> None:
+            set_faults(FAULTY_WORKERS, **FAULTS[number][1])
+
+        every = range(request_fleet.WORKERS)
+        acts: list[tuple[float, Callable[[], None]]] = [
+            (PHASE_SECONDS * (number + 1), functools.partial(partial, number))
+            for number in range(len(FAULTS))
+        ]
+        acts.append((OUTAGE_BEGIN, lambda: set_faults(every, fail=True)))
+        acts.append((OUTAGE_BEGIN + OUTAGE_SECONDS, lambda: set_faults(every)))
+        service = fleet.service_names[0]
+        stream = fleet.stream(service, fleet.mean_rate, 0, END)
+        outcome = fleet.drive([stream], seed, acts)
+        counted = fleet.report()
+    return _figures(outcome, counted)
+
+
+def _figures(
+    outcome: load.Outcome, counted: request_fleet.Report
+) -> dict[str, report.Figure]:
+    runs = counted.runs_by_key
+    partial = outcome.between(PHASE_SECONDS, OUTAGE_BEGIN)
+    outage = outcome.between(OUTAGE_BEGIN, OUTAGE_BEGIN + OUTAGE_SECONDS)
+    figures: dict[str, report.Figure] = {
+        "requests": len(partial.records),
+        "success_share": len(partial.answered) / len(partial.records),
+        "retry_share": _extra_runs(partial, runs),
+        "p99_ms": partial.percentile_ms(99),
+    }
+    for number, (name, _) in enumerate(FAULTS):
+        begin = PHASE_SECONDS * (number + 1)
+        phase = outcome.between(begin, begin + PHASE_SECONDS)
+        figures[f"{name}_success"] = len(phase.answered) / len(phase.records)
+    figures["outage_runs_per_request"] = 1 + _extra_runs(outage, runs)
+    figures["wrong_answers"] = outcome.counts["wrong"]
+    figures["false_not_executed"] = sum(
+        item.executed == "no" and item.key in runs for item in outcome.records
+    )
+    return figures
+
+
+def _extra_runs(outcome: load.Outcome, runs: dict[str, int]) -> float:
+    extra = sum(max(0, runs.get(item.key, 0) - 1) for item in outcome.records)
+    return extra / len(outcome.records)
+
+
+def run(site: str, seed: int) -> report.BenchResult:
+    """Measures the retry budget and the policies it is compared with."""
+    measured = {policy: _measure(site, seed, policy) for policy in POLICIES}
+    figures = measured[POLICIES[0]]
+    return report.BenchResult(
+        "worker-faults",
+        site,
+        seed,
+        ("variant", *figures),
+        [
+            [policy + (" (kept)" if policy == "budget" else ""), *row.values()]
+            for policy, row in measured.items()
+        ],
+        figures,
+        (
+            report.Limit("success_share", ">=", 0.99),
+            report.Limit("retry_share", "<=", 0.1),
+            report.Limit("wrong_answers", "==", 0),
+            report.Limit("false_not_executed", "==", 0),
+        ),
+    )
--- a/wisteriasill/contracts/slots_lent.py
+++ b/wisteriasill/contracts/slots_lent.py
@@ -19,8 +19,9 @@
 from wisteriasill.zones import site as sites
 
 TICK_SECONDS = 0.05
-# An idle credit goes back after this; a used one at its next release after
-# the term, so that no entry host keeps a slot while others wait.
+# An idle credit goes back after this; a used one above the member's share at
+# its next release after the term, so that no entry host keeps more than its
+# share while others wait.
 IDLE_SECONDS = 0.15
 TERM_SECONDS = 1.0
 CREDITS_PER_REQUEST = 2
@@ -84,6 +85,7 @@
         self._chooser = chooser
         self._clock = clock
         self._lock = threading.RLock()
+        self._site = site
         self._lender = slot_lender.SlotLender(site)
         self._credits: dict[str, Credit] = {}
         self._members = frozenset((self._member_id,))
@@ -121,7 +123,10 @@
             credit = self._credits[host_id]
             credit = credit._replace(in_flight=credit.in_flight - 1)
             now = self._clock.monotonic()
-            over = now - credit.granted_at > TERM_SECONDS
+            over = (
+                now - credit.granted_at > TERM_SECONDS
+                and credit.held > self._share(host_id)
+            )
             outgoing = self._give_back(host_id, credit, int(over))
         self._deliver(outgoing)
 
@@ -175,6 +180,16 @@
                 return chosen
         return None
 
+    def _share(self, host_id: str) -> int:
+        """Returns the slots of a target that each member may always keep.
+
+        Passing these on as well would leave a member short of slots while
+        it waits in the lenders' lines.
+        """
+        known = self._site.snapshot.hosts_by_id.get(host_id)
+        total = known.host.slots if known is not None else 0
+        return total // len(self._members)
+
     def _free(self, host_id: str) -> int:
         credit = self._credits.get(host_id, Credit())
         return credit.held - credit.in_flight
