Offer trial requests to ejected targets that hold no credits

Cause: with lent slots an entry host used any credit it held before it asked for one of a preferred target. At low load it always held some, so an ejected target, whose credits had gone back, never got its trial request, and a nearer zone was not preferred. test_broken_target_is_ejected_and_readmitted showed it.

--- a/wisteriasill/contracts/explanation.py
+++ b/wisteriasill/contracts/explanation.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 from wisteriasill import settings as setting_types
-from wisteriasill.contracts import admission
 from wisteriasill.contracts import consequences
+from wisteriasill.contracts import fair_shares
 from wisteriasill.contracts import retry
 from wisteriasill.contracts import service as services
 from wisteriasill.contracts import wave_limits
@@ -121,7 +121,7 @@
         f"the slots stay full during the peak and up to {_QUEUE_LENGTH} "
         "requests wait at each entry host.",
         "Urgent classes go first, but at least one of "
-        f"{admission.URGENT_GRANTS_IN_A_ROW + 1} freed slots goes to the "
+        f"{fair_shares.URGENT_GRANTS_IN_A_ROW + 1} freed slots goes to the "
         "others; callers share the slots of a class equally.",
     )
 
--- a/wisteriasill/contracts/slots_lent.py
+++ b/wisteriasill/contracts/slots_lent.py
@@ -102,9 +102,19 @@
     def reserve(
         self, groups: slots.Groups, wanted: int = 1
     ) -> hosts.Host | None:
-        """Uses a credit; asks for more if there is none."""
+        """Uses a credit; asks for more if there is none.
+
+        A credit of a less preferred group is used rather than waiting, but
+        the first group is asked as well. Otherwise a target without credits,
+        such as one that waits for its trial request, would never get any
+        while others have some.
+        """
         with self._lock:
             chosen = self._take(groups)
+            ahead: Outgoing = []
+            if chosen is not None and chosen not in groups[0]:
+                ahead = self._ask(groups[:1], 1)
+        self._deliver(ahead)
         # Each round asks targets not asked before, so this ends; only those
         # that this entry host lends itself answer at once.
         while chosen is None:
