--- a/bench/control_site.py
+++ b/bench/control_site.py
@@ -32,6 +32,8 @@
 
     def __init__(self) -> None:
         self.sent: list[peer_messages.Message] = []
+        self.handlers: dict[str, list[peer_messages.Handler]] = {}
+        self.peers: frozenset[str] = frozenset()
 
     def broadcast(self, message: peer_messages.Message) -> None:
         """Keeps the message."""
@@ -45,14 +47,15 @@
     def on_message(
         self, message_type: str, handler: peer_messages.Handler
     ) -> None:
-        """Has no messages to hand over."""
+        """Keeps the handler, for a driver that plays peers."""
+        self.handlers.setdefault(message_type, []).append(handler)
 
     def on_members_changed(self, handler: object) -> None:
         """Has no peers that change."""
 
     def connected_peers(self) -> frozenset[str]:
-        """Returns no peers."""
-        return frozenset()
+        """Returns the peers that a driver plays."""
+        return self.peers
 
 
 class NoTasks:
@@ -151,6 +154,7 @@
 
     def step(self) -> None:
         """Does one round of the balance and of each shard held."""
+        self._controller.observe_demand()
         self.balance()
         for task in self.tasks.values():
             task.step()
--- a/bench/controlled_site.py
+++ b/bench/controlled_site.py
@@ -33,10 +33,12 @@
     Attributes:
         pools: Pools of six hosts, of which four must serve.
         members: Members that control them.
+        spare: The one of them that is the spare pool; empty for none.
     """
 
     pools: tuple[str, ...] = ("quoting", "billing")
     members: tuple[str, ...] = ("m1", "m2")
+    spare: str = ""
 
 
 class ControlledSite:
@@ -59,7 +61,12 @@
         self.site = sites.Site(clock)
         control_site.configure(
             self.site,
-            [control_site.pool_service(name, CONTRACT) for name in shape.pools],
+            [
+                control_site.pool_service(
+                    name, CONTRACT._replace(spare=name == shape.spare)
+                )
+                for name in shape.pools
+            ],
         )
         control_site.known_members(self.site, shape.members)
         sources = control_site.seeded_sources(
--- /dev/null
+++ b/tests/contracts/test_demand.py
@@ -0,0 +1,63 @@
+"""Tests of sustained demand and of lending during peaks."""
+
+from __future__ import annotations
+
+import pytest
+
+from wisteriasill.contracts import demand
+from wisteriasill.contracts import lending
+
+HOUR = demand.HOUR_SECONDS
+
+
+def observed(busy_by_second: list[float]) -> demand.PoolDemand:
+    record = None
+    for second, busy in enumerate([0.0, *busy_by_second]):
+        record = demand.observe(record, busy, float(second), float(second))
+    assert record is not None
+    return record
+
+
+def test_peaks_of_seconds_need_no_hosts() -> None:
+    """Peaks of five times the mean must not look like sustained demand."""
+    peaks = ([40.0] * 5 + [0.4] * 20) * 80
+    record = observed(peaks)
+    assert demand.hosts_for(record.busy_slots, 8) == 2
+    sustained = observed([40.0] * 3600)
+    assert demand.hosts_for(sustained.busy_slots, 8) == 7
+
+
+@pytest.mark.parametrize(
+    ("hour_now", "ahead_hours", "expected"),
+    [(8, 0.5, 1), (8, 1.0, 4), (9, 0.5, 4), (23, 10.0, 4), (10, 3.0, 1)],
+)
+def test_peak_hours_ahead_count(
+    hour_now: int, ahead_hours: float, expected: int
+) -> None:
+    """A wave must leave enough hosts for the busy hour that it runs into."""
+    hourly = tuple(24.0 if hour == 9 else 1.0 for hour in range(24))
+    record = demand.PoolDemand(1.0, 0.0, hourly, hour_now)
+    needed = demand.hosts_needed_ahead(
+        record, 8, hour_now * HOUR, ahead_hours * HOUR
+    )
+    assert needed == expected
+
+
+def test_a_busy_day_is_forgotten() -> None:
+    """One unusual day must not hold maintenance back for weeks."""
+    record = demand.PoolDemand(0.0, 0.0, (24.0,) * 24, 0)
+    for day in range(1, 8):
+        now = day * 24 * HOUR
+        record = demand.observe(record, 0.0, now, now)
+    assert record.hourly[0] < 2.0
+
+
+def test_jobs_lend_during_peaks_only() -> None:
+    """Jobs must lend at once, and not flap when the load dips."""
+    loads = [10, 40, 20, 40, 20, 20, 20, 20, 20, 20, 20]
+    state = lending.Lending()
+    lends = []
+    for second, busy in enumerate(loads):
+        state = lending.next_lending(state, busy, 48, float(second))
+        lends.append(state.lends)
+    assert lends == [False] + [True] * 8 + [False] * 2
--- a/wisteriasill/contracts/moves.py
+++ b/wisteriasill/contracts/moves.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
+import types
 from typing import NamedTuple
 
 from wisteriasill.contracts import configuration as configurations
+from wisteriasill.contracts import demand
 from wisteriasill.contracts import service
 from wisteriasill.links import platform
 from wisteriasill.machines import host as hosts
@@ -16,6 +18,7 @@
 # A pool gives hosts only while it keeps this many above its promise, so that
 # the next failure doesn't reverse the move, unless nobody else has any.
 HYSTERESIS_HOSTS = 1
+NO_DEMAND: Mapping[str, float] = types.MappingProxyType({})
 
 
 class PoolNeed(NamedTuple):
@@ -109,6 +112,7 @@
     hosts_by_pool: Mapping[str, Sequence[hosts.Host]],
     before: Iterable[PoolNeed],
     now: float,
+    busy_slots_by_pool: Mapping[str, float] = NO_DEMAND,
 ) -> tuple[PoolNeed, ...]:
     """Computes what each pool that is not spare has and wants.
 
@@ -117,6 +121,7 @@
         hosts_by_pool: All hosts.
         before: The needs as computed last.
         now: Monotonic seconds.
+        busy_slots_by_pool: Sustained demand of each pool, as known.
 
     Returns:
         The needs, with the time since when a pool has lacked hosts.
@@ -127,17 +132,26 @@
         pool = host.next_pool or host.pool
         if pool in held_by_pool and host.state is not hosts.HostState.DOWN:
             held_by_pool[pool] += 1
+    wanted_by_pool = {
+        name: max(
+            item.pool.hosts,
+            demand.hosts_for(
+                busy_slots_by_pool.get(name, 0.0), item.pool.slots_per_host
+            ),
+        )
+        for name, item in sorted(configuration.services_by_name.items())
+        if not item.pool.spare
+    }
     return tuple(
         PoolNeed(
             name,
-            item.pool.hosts,
+            wanted,
             held_by_pool[name],
             _first(since_by_pool.get(name), now)
-            if held_by_pool[name] < item.pool.hosts
+            if held_by_pool[name] < wanted
             else None,
         )
-        for name, item in sorted(configuration.services_by_name.items())
-        if not item.pool.spare
+        for name, wanted in wanted_by_pool.items()
     )
 
 
--- a/wisteriasill/machines/controller.py
+++ b/wisteriasill/machines/controller.py
@@ -29,6 +29,7 @@
 from wisteriasill.machines import shard_task
 from wisteriasill.machines import site_keeper
 from wisteriasill.machines import write_budget
+from wisteriasill.zones import demand_watch
 from wisteriasill.zones import site as sites
 
 MAX_SHARDS = 64
@@ -100,6 +101,7 @@
             sources.limits,
         )
         self._listing = host_listing.HostListing(platform.host_list, clock)
+        self._demand = demand_watch.DemandWatch(mesh, site, clock)
         self._stopping = threading.Event()
         self._held: dict[str, _Held] = {}
         self._executor: futures.ThreadPoolExecutor | None = None
@@ -143,7 +145,12 @@
         futures.wait([held.future for held in self._held.values()])
         self._held = {}
 
+    def observe_demand(self) -> None:
+        """Takes the present demand into the records of the pools."""
+        self._demand.observe(self._sources.wall_clock())
+
     def _step(self) -> None:
+        self.observe_demand()
         self._held = {
             shard: held
             for shard, held in self._held.items()
@@ -194,6 +201,7 @@
             self._mesh,
             self._clock,
             self._listing,
+            self._demand,
             self._sources.token_source,
             self._sources.wall_clock,
             self._planner,
--- a/wisteriasill/machines/pool_keeper.py
+++ b/wisteriasill/machines/pool_keeper.py
@@ -8,6 +8,7 @@
 from wisteriasill.machines import host_steps
 from wisteriasill.machines import order_keeper
 from wisteriasill.machines import pool_hosts
+from wisteriasill.machines import processor_lender
 from wisteriasill.machines import shard_context
 from wisteriasill.machines import wave_keeper
 from wisteriasill.machines import wave_rows
@@ -29,6 +30,7 @@
         self._orders = order_keeper.OrderKeeper(
             context, self._pool, self._waves, jobs
         )
+        self._lender = processor_lender.ProcessorLender(context, self._pool)
         self._maintenance = wave_keeper.WaveKeeper(
             context, self._pool, self._waves
         )
@@ -49,6 +51,7 @@
             self._orders.step(),
             self._maintenance.step(),
             self._run_jobs(),
+            self._lender.step(),
         )
         return next(
             (
--- a/wisteriasill/machines/shard_context.py
+++ b/wisteriasill/machines/shard_context.py
@@ -15,6 +15,7 @@
 from wisteriasill.links import platform
 from wisteriasill.machines import host as hosts
 from wisteriasill.machines import host_listing
+from wisteriasill.zones import demand_watch
 from wisteriasill.zones import site as sites
 
 
@@ -55,6 +56,7 @@
         mesh: Links to peers.
         clock: This process's clock.
         listing: The platform's list of hosts.
+        demand: Demand of the pools.
         token_source: Makes a new random token at each call.
         wall_clock: Seconds since the epoch, for people to read.
         planner: Plans maintenance waves; the bench compares several.
@@ -67,6 +69,7 @@
     mesh: peer_messages.PeerMesh
     clock: clocks.Clock
     listing: host_listing.HostListing
+    demand: demand_watch.DemandWatch
     token_source: Callable[[], str]
     wall_clock: Callable[[], float]
     planner: wave_plan.Planner = wave_plan.plan
--- a/wisteriasill/machines/site_keeper.py
+++ b/wisteriasill/machines/site_keeper.py
@@ -131,7 +131,11 @@
         snapshot = self._context.site.snapshot
         now = self._context.clock.monotonic()
         self._needs = moves.needs(
-            snapshot.configuration, snapshot.hosts_by_pool, self._needs, now
+            snapshot.configuration,
+            snapshot.hosts_by_pool,
+            self._needs,
+            now,
+            self._sustained(),
         )
         if now - self._moved_at < SECONDS_BETWEEN_MOVES:
             return result.Success(None)
@@ -143,6 +147,17 @@
         self._moved_at = now
         return self._order(move)
 
+    def _sustained(self) -> dict[str, float]:
+        records = {
+            pool: self._context.demand.demand(pool)
+            for pool in self._context.site.snapshot.hosts_by_pool
+        }
+        return {
+            pool: record.busy_slots
+            for pool, record in records.items()
+            if record is not None
+        }
+
     def _order(self, move: moves.Move) -> result.Result[None, errors.Failure]:
         """Orders a move from the holder of the host's pool.
 
--- a/wisteriasill/machines/wave_keeper.py
+++ b/wisteriasill/machines/wave_keeper.py
@@ -7,7 +7,9 @@
 from wisteriasill import errors
 from wisteriasill import events
 from wisteriasill.contracts import availability
+from wisteriasill.contracts import demand
 from wisteriasill.contracts import maintenance
+from wisteriasill.contracts import service
 from wisteriasill.contracts import wave_limits
 from wisteriasill.contracts import wave_plan
 from wisteriasill.machines import host as hosts
@@ -69,7 +71,11 @@
                 self._missing(wave_limits.overdue_seconds(contract)),
                 contract,
                 configuration.site.prefer,
-                availability.budget_of(self._pool.rows.ordered, contract),
+                availability.budget_of(
+                    self._pool.rows.ordered,
+                    contract,
+                    self._needed_ahead(contract),
+                ),
                 self._waves.wave,
                 self._context.wall_clock(),
                 self._canary_waits(configuration.spare_pool),
@@ -81,6 +87,21 @@
             return result.Success(None)
         return self._write(plan.wave, plan)
 
+    def _needed_ahead(self, contract: service.PoolContract) -> int:
+        """Returns the hosts that demand takes while a host is away.
+
+        Demand beyond the pool's size must not hold maintenance back for
+        good, so one host may always leave above the promise.
+        """
+        needed = demand.hosts_needed_ahead(
+            self._context.demand.demand(self._context.shard),
+            contract.slots_per_host,
+            self._context.wall_clock(),
+            contract.maintenance_minutes * 60.0,
+        )
+        most = max(0, len(self._pool.rows.ordered) - 1)
+        return min(needed, most)
+
     def _canary_waits(self, spare_pool: str) -> bool:
         """Tells whether to wait for the spare pool's wave, as last read."""
         now = self._context.clock.monotonic()
