Keep requests near, and let estimates recover

An ejected target of the nearest zone got no trial request while a credit held elsewhere was free; a member now asks the nearest group when it uses a credit of another. A request is rejected as hopeless only after half of its time, so that a typical time that was learned during a slow spell can't reject everything for ever.

--- /dev/null
+++ b/tests/contracts/test_retry.py
@@ -0,0 +1,150 @@
+"""Tests of retries, ejection and routing."""
+
+from __future__ import annotations
+
+import pytest
+from returns import result
+
+from wisteriasill import clock as clocks
+from wisteriasill import errors
+from wisteriasill.contracts import exchange
+from wisteriasill.contracts import retry
+from wisteriasill.contracts import routing
+from wisteriasill.contracts import service as services
+from wisteriasill.machines import target as targets
+
+KINDS = errors.ErrorKind
+FAILED = errors.failure(KINDS.TARGET_FAILED, "x")
+REFUSED = errors.failure(KINDS.TARGET_REFUSED, "x")
+UNREACHABLE = errors.failure(KINDS.TARGET_UNREACHABLE, "x")
+POOL = ["h1", "h2", "h3", "h4"]
+
+
+@pytest.mark.parametrize(
+    ("failure", "repeatable", "allowed"),
+    [
+        (FAILED, True, True),
+        (FAILED, False, False),
+        (REFUSED, False, True),
+        (UNREACHABLE, False, True),
+        (UNREACHABLE._replace(executed=errors.Executed.UNKNOWN), False, False),
+        (errors.failure(KINDS.OVERLOADED, "x"), True, False),
+    ],
+)
+def test_what_may_be_repeated(
+    failure: errors.Failure, repeatable: bool, allowed: bool
+) -> None:
+    """A request that must not be repeated goes out again only unexecuted."""
+    assert retry.may_repeat(failure, repeatable) is allowed
+
+
+def test_budget_limits_retries_to_a_share(
+    manual_clock: clocks.ManualClock,
+) -> None:
+    """When everything fails, retries must not multiply the load."""
+    budget = retry.RetryBudget(manual_clock)
+    allowed = 0
+    for _ in range(1000):
+        manual_clock.advance(0.01)
+        budget.deposit()
+        allowed += budget.withdraw(FAILED)
+    assert 100 <= allowed <= 125
+
+
+@pytest.mark.parametrize(
+    ("rest", "typical", "may_retry", "allowed"),
+    [(2.0, 0.05, True, 1.0), (2.0, 0.05, False, 2.0), (0.4, 0.2, True, 0.4)],
+)
+def test_time_of_an_attempt(
+    rest: float, typical: float, may_retry: bool, allowed: float
+) -> None:
+    """A late attempt needs all its time, or it fails and costs a slot."""
+    end = retry.attempt_deadline(10.0, 10.0 + rest, typical, may_retry)
+    assert end == pytest.approx(10.0 + allowed)
+
+
+def fail(known: targets.Targets, host_id: str, verdict: targets.Verdict) -> int:
+    """Fails attempts until the target is ejected; returns how many."""
+    for number in range(1, 11):
+        known.begin(host_id)
+        known.end(host_id, verdict, POOL)
+        if not known.is_available(host_id, True):
+            return number
+    return 0
+
+
+def test_ejection_and_single_trial(manual_clock: clocks.ManualClock) -> None:
+    """A failing target gets one trial at a time, and returns when it works."""
+    known = targets.Targets(manual_clock)
+    assert fail(known, "h1", targets.Verdict.BROKEN) == 3
+    manual_clock.advance(targets.FIRST_EJECTION_SECONDS)
+    assert not known.is_available("h1", False)
+    assert known.begin("h1")
+    assert not known.begin("h1")
+    known.end("h1", targets.Verdict.BROKEN, POOL)
+    manual_clock.advance(targets.FIRST_EJECTION_SECONDS)
+    assert not known.is_available("h1", True)
+    manual_clock.advance(targets.FIRST_EJECTION_SECONDS)
+    assert known.begin("h1")
+    known.end("h1", targets.Verdict.GOOD, POOL)
+    assert known.is_offered("h1", False)
+
+
+def test_at_most_half_of_a_pool_is_ejected(
+    manual_clock: clocks.ManualClock,
+) -> None:
+    """A poisonous request must not take the whole pool from all callers."""
+    known = targets.Targets(manual_clock)
+    ejected = [fail(known, name, targets.Verdict.BROKEN) for name in POOL]
+    assert ejected == [3, 3, 0, 0]
+    assert fail(known, "h3", targets.Verdict.GONE) == 1
+
+
+def test_refusal_is_honoured_and_capped(
+    manual_clock: clocks.ManualClock,
+) -> None:
+    """A worker's Retry-After must not take it away for hours."""
+    known = targets.Targets(manual_clock)
+    known.refused("h1", 3600)
+    assert not known.is_offered("h1", True)
+    manual_clock.advance(targets.LONGEST_REFUSAL_SECONDS)
+    assert known.is_offered("h1", True)
+
+
+POOL_CONTRACT = services.PoolContract(2, 1, 16, 64, 8, 64)
+SERVICES = {
+    name: services.Service(
+        name,
+        "team",
+        POOL_CONTRACT,
+        prefix,
+        (
+            services.RequestClass("read"),
+            services.RequestClass("order", "/orders", ("POST",)),
+        ),
+    )
+    for name, prefix in (("shop", "/shop"), ("shop-eu", "/shop/eu"))
+}
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "found"),
+    [
+        ("GET", "/shop", "shop read"),
+        ("HEAD", "/shop/a", "shop read"),
+        ("POST", "/shop/orders/1", "shop order"),
+        ("GET", "/shop/orders/1", "shop read"),
+        ("GET", "/shop/eu/x", "shop-eu read"),
+        ("GET", "/shop/europe", "shop read"),
+        ("GET", "/shopping", "unknown-service"),
+        ("DELETE", "/shop", "method-not-allowed"),
+    ],
+)
+def test_route(method: str, path: str, found: str) -> None:
+    """The longest prefix wins, and only whole path segments match."""
+    outcome = routing.find_route(SERVICES, exchange.CallerRequest(method, path))
+    if isinstance(outcome, result.Success):
+        route = outcome.unwrap()
+        assert f"{route.service.name} {route.request_class.name}" == found
+    else:
+        assert outcome.failure().kind == found
--- a/wisteriasill/contracts/admission.py
+++ b/wisteriasill/contracts/admission.py
@@ -36,8 +36,11 @@
 class _Waiter:
     """A ticket in the queue and what has become of it."""
 
-    def __init__(self, ticket: Ticket, reserve: Reserve) -> None:
+    def __init__(
+        self, ticket: Ticket, reserve: Reserve, queued_at: float
+    ) -> None:
         self.ticket = ticket
+        self.allowed_seconds = ticket.deadline_at - queued_at
         self.reserve = reserve
         self.event = threading.Event()
         self.target: hosts.Host | None = None
@@ -76,13 +79,15 @@
             The target whose slot was reserved, or OVERLOADED or
             DEADLINE_EXCEEDED, both not executed.
         """
+        waiter = _Waiter(ticket, reserve, self._clock.monotonic())
         with self._lock:
-            if rejection := self._reject_early(ticket):
+            if ticket.repeated or not self._line:
+                self._offer(waiter)
+            if waiter.target is not None:
+                return result.Success(waiter.target)
+            if rejection := self._reject_early(waiter):
                 return result.Failure(rejection)
-            waiter = _Waiter(ticket, reserve)
             self._line.add(ticket, waiter)
-            if ticket.repeated or len(self._line) == 1:
-                self._grant()
         longest = (
             REFUSED_WAIT_SECONDS if ticket.repeated else LONGEST_WAIT_SECONDS
         )
@@ -97,8 +102,9 @@
 
     def check(self, ticket: Ticket) -> result.Result[None, errors.Failure]:
         """Tells whether a ticket would be rejected at once."""
+        waiter = _Waiter(ticket, lambda _: None, self._clock.monotonic())
         with self._lock:
-            rejection = self._reject_early(ticket)
+            rejection = self._reject_early(waiter) if self._line else None
         return result.Failure(rejection) if rejection else result.Success(None)
 
     def release(self, ticket: Ticket, service_seconds: float | None) -> None:
@@ -171,41 +177,47 @@
         """Gives slots to waiting requests, in fair order, while there are."""
         while self._line:
             waiter = self._line.first()
-            if self._is_hopeless(waiter.ticket, self._clock.monotonic()):
+            if self._is_hopeless(waiter, self._clock.monotonic()):
                 self._evict(waiter, "the deadline is too near")
                 continue
-            target = waiter.reserve(len(self._line))
-            if target is None:
+            if not self._offer(waiter):
                 return
-            self._hand_over(waiter, target)
 
-    def _is_hopeless(self, ticket: Ticket, now: float) -> bool:
-        """Whether an answer would probably come after the deadline."""
-        needed = MARGIN_FACTOR * self.service_seconds(ticket)
-        return now + needed > ticket.deadline_at
+    def _is_hopeless(self, waiter: _Waiter, now: float) -> bool:
+        """Whether an answer would probably come after the deadline.
+
+        Never before half of the time is over: a typical time that is
+        estimated too long must not keep every request from correcting it.
+        """
+        remaining = waiter.ticket.deadline_at - now
+        needed = MARGIN_FACTOR * self.service_seconds(waiter.ticket)
+        return remaining < min(needed, waiter.allowed_seconds / 2)
 
     def _evict(self, waiter: _Waiter, reason: str) -> None:
         self._line.remove(waiter.ticket, waiter)
         waiter.evicted = reason
         waiter.event.set()
 
-    def _hand_over(self, waiter: _Waiter, target: hosts.Host) -> None:
+    def _offer(self, waiter: _Waiter) -> bool:
+        """Reserves a slot for a request; returns whether there was one."""
+        target = waiter.reserve(max(1, len(self._line)))
+        if target is None:
+            return False
         waiter.target = target
         self._line.remove(waiter.ticket, waiter)
         self._line.count_grant(waiter.ticket)
         self._in_use += 1
         self._grants.append(self._clock.monotonic())
         waiter.event.set()
+        return True
 
-    def _reject_early(self, ticket: Ticket) -> errors.Failure | None:
+    def _reject_early(self, waiter: _Waiter) -> errors.Failure | None:
         """Rejects what can't be answered in time; makes room if it can."""
-        now = self._clock.monotonic()
-        if self._is_hopeless(ticket, now):
-            return self._overloaded("the deadline is too near")
-        if ticket.repeated or not self._line:
+        ticket = waiter.ticket
+        if ticket.repeated:
             return None
         wait_seconds = self._line.position(ticket) / self._grants_per_second()
-        if self._is_hopeless(ticket, now + wait_seconds):
+        if self._is_hopeless(waiter, self._clock.monotonic() + wait_seconds):
             return self._overloaded("the queue is too long", wait_seconds)
         if len(self._line) < self._settings.queue_length:
             return None
--- a/wisteriasill/contracts/slot_lender.py
+++ b/wisteriasill/contracts/slot_lender.py
@@ -6,6 +6,7 @@
 import uuid
 
 from wisteriasill.contracts import credit_ledger
+from wisteriasill.contracts import slot_credit
 from wisteriasill.links import peer_messages
 from wisteriasill.zones import site as sites
 
@@ -13,7 +14,7 @@
 # most this often; more often costs more processor time than it yields.
 RECALL_SECONDS = 0.1
 
-Outgoing = list[tuple[str, peer_messages.CreditMessage]]
+Outgoing = slot_credit.Outgoing
 
 
 class SlotLender:
@@ -81,12 +82,9 @@
         if now - self._recalled_at.get(target_id, -math.inf) < RECALL_SECONDS:
             return []
         self._recalled_at[target_id] = now
-        message: peer_messages.CreditMessage = {
-            "type": "credit_request",
-            "target_id": target_id,
-            "count": 0,
-            "incarnation": self._incarnation,
-        }
+        message = slot_credit.message(
+            "credit_request", target_id, 0, self._incarnation
+        )
         holders = self._ledger.holders(target_id) - {denied.member_id}
         return [(holder, message) for holder in sorted(holders)]
 
@@ -97,9 +95,6 @@
     def _grant_message(
         self, grant: credit_ledger.Grant
     ) -> tuple[str, peer_messages.CreditMessage]:
-        return grant.member_id, {
-            "type": "credit_grant",
-            "target_id": grant.target_id,
-            "count": grant.slots,
-            "incarnation": self._incarnation,
-        }
+        return grant.member_id, slot_credit.message(
+            "credit_grant", grant.target_id, grant.slots, self._incarnation
+        )
--- a/wisteriasill/contracts/slots_lent.py
+++ b/wisteriasill/contracts/slots_lent.py
@@ -7,11 +7,12 @@
 import math
 import random
 import threading
-from typing import Any, NamedTuple
+from typing import Any
 
 from wisteriasill import clock as clocks
 from wisteriasill import settings as setting_types
 from wisteriasill.contracts import credit_ledger
+from wisteriasill.contracts import slot_credit
 from wisteriasill.contracts import slot_lender
 from wisteriasill.contracts import slots
 from wisteriasill.links import peer_messages
@@ -34,31 +35,7 @@
 FRESH_SECONDS = 0.02
 
 
-Outgoing = slot_lender.Outgoing
-
-
-class Credit(NamedTuple):
-    """What this entry host holds of one target.
-
-    Attributes:
-        held: Slots held, those in use included.
-        in_flight: Slots in use.
-        lender: Member that lent them.
-        incarnation: Its incarnation.
-        granted_at: Monotonic time of the last grant.
-        used_at: Monotonic time of the last use.
-        asked_at: Monotonic time of a request without an answer.
-        denied_until: Monotonic time before which asking is no use.
-    """
-
-    held: int = 0
-    in_flight: int = 0
-    lender: str = ""
-    incarnation: str = ""
-    granted_at: float = 0.0
-    used_at: float = 0.0
-    asked_at: float = -math.inf
-    denied_until: float = 0.0
+Outgoing = slot_credit.Outgoing
 
 
 class LentSlots:
@@ -87,7 +64,7 @@
         self._lock = threading.RLock()
         self._site = site
         self._lender = slot_lender.SlotLender(site)
-        self._credits: dict[str, Credit] = {}
+        self._credits: dict[str, slot_credit.Credit] = {}
         self._members = frozenset((self._member_id,))
         self._listeners: list[Callable[[], None]] = []
         self._stopping = threading.Event()
@@ -105,8 +82,21 @@
         """Uses a credit; asks for more if there is none."""
         with self._lock:
             chosen = self._take(groups)
-        # Each round asks targets not asked before, so this ends; only those
-        # that this entry host lends itself answer at once.
+        if chosen is None:
+            return self._borrow(groups, wanted)
+        if chosen not in groups[0]:
+            # A credit held far away must not keep requests there for ever.
+            with self._lock:
+                outgoing = self._ask(groups[:1], 1)
+            self._deliver(outgoing)
+        return chosen
+
+    def _borrow(self, groups: slots.Groups, wanted: int) -> hosts.Host | None:
+        """Asks for credits; only own loans come at once.
+
+        Each round asks targets that were not asked before, so it ends.
+        """
+        chosen = None
         while chosen is None:
             with self._lock:
                 outgoing = self._ask(groups, wanted)
@@ -132,7 +122,7 @@
 
     def in_flight(self, host_id: str) -> int:
         """Returns this entry host's own reservations of a target."""
-        return self._credits.get(host_id, Credit()).in_flight
+        return self._credit(host_id).in_flight
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Calls a function when a target may have room again."""
@@ -156,7 +146,7 @@
         with self._lock:
             for host_id, credit in tuple(self._credits.items()):
                 if now - credit.used_at > IDLE_SECONDS:
-                    idle = credit.held - credit.in_flight
+                    idle = credit.idle
                     outgoing += self._give_back(host_id, credit, idle)
             outgoing += self._lender.lapse(now)
         if self._deliver(outgoing):
@@ -167,7 +157,7 @@
             free = [
                 item
                 for item in group
-                if self._free(item.host_id) > 0
+                if self._credit(item.host_id).idle > 0
                 and self._credits[item.host_id].in_flight < item.slots
             ]
             if free:
@@ -180,6 +170,9 @@
                 return chosen
         return None
 
+    def _credit(self, host_id: str) -> slot_credit.Credit:
+        return self._credits.get(host_id, slot_credit.Credit())
+
     def _share(self, host_id: str) -> int:
         """Returns the slots of a target that each member may always keep.
 
@@ -190,17 +183,13 @@
         total = known.host.slots if known is not None else 0
         return total // len(self._members)
 
-    def _free(self, host_id: str) -> int:
-        credit = self._credits.get(host_id, Credit())
-        return credit.held - credit.in_flight
-
     def _ask(self, groups: slots.Groups, wanted: int) -> Outgoing:
         """Asks for the credits that are wanted and not asked for yet."""
         now = self._clock.monotonic()
         outgoing: Outgoing = []
         for group in groups:
             for item in self._chooser.sample(list(group), len(group)):
-                credit = self._credits.get(item.host_id, Credit())
+                credit = self._credit(item.host_id)
                 if credit.denied_until > now:
                     continue
                 if now - credit.asked_at <= ANSWER_SECONDS:
@@ -216,28 +205,22 @@
     def _request(
         self, host_id: str, count: int, now: float
     ) -> tuple[str, peer_messages.CreditMessage]:
-        credit = self._credits.get(host_id, Credit())
+        credit = self._credit(host_id)
         self._credits[host_id] = credit._replace(asked_at=now)
         lender = credit_ledger.lender_of(host_id, self._members)
-        return lender, {
-            "type": "credit_request",
-            "target_id": host_id,
-            "count": count,
-            "incarnation": "",
-        }
-
-    def _give_back(self, host_id: str, credit: Credit, count: int) -> Outgoing:
+        return lender, slot_credit.message("credit_request", host_id, count)
+
+    def _give_back(
+        self, host_id: str, credit: slot_credit.Credit, count: int
+    ) -> Outgoing:
         """Stores a credit less some slots, and builds the message."""
-        count = min(count, credit.held - credit.in_flight)
+        count = min(count, credit.idle)
         self._credits[host_id] = credit._replace(held=credit.held - count)
         if count <= 0 or not credit.lender:
             return []
-        message: peer_messages.CreditMessage = {
-            "type": "credit_return",
-            "target_id": host_id,
-            "count": count,
-            "incarnation": credit.incarnation,
-        }
+        message = slot_credit.message(
+            "credit_return", host_id, count, credit.incarnation
+        )
         return [(credit.lender, message)]
 
     def _deliver(self, outgoing: Outgoing) -> bool:
@@ -272,17 +255,17 @@
 
     def _recalled(self, target_id: str, now: float) -> Outgoing:
         """Returns what idles; credits just granted may be meant for use."""
-        credit = self._credits.get(target_id, Credit())
+        credit = self._credit(target_id)
         if now - credit.granted_at < FRESH_SECONDS:
             return []
-        idle = credit.held - credit.in_flight
+        idle = credit.idle
         return self._give_back(target_id, credit, idle)
 
     def _granted(
         self, member_id: str, message: peer_messages.CreditMessage
     ) -> None:
         target_id = message["target_id"]
-        credit = self._credits.get(target_id, Credit())
+        credit = self._credit(target_id)
         now = self._clock.monotonic()
         if not message["count"]:
             self._credits[target_id] = credit._replace(
@@ -314,7 +297,7 @@
             self._members = members
             for target_id, credit in tuple(self._credits.items()):
                 if credit.lender not in members:
-                    self._credits[target_id] = Credit(
+                    self._credits[target_id] = slot_credit.Credit(
                         held=credit.in_flight, in_flight=credit.in_flight
                     )
             outgoing += self._lender.keep_only(members)
