--- a/wisteriasill/contracts/slot_lender.py
+++ b/wisteriasill/contracts/slot_lender.py
@@ -6,6 +6,7 @@
 import uuid
 
 from wisteriasill.contracts import credit_ledger
+from wisteriasill.contracts import slot_credit
 from wisteriasill.links import peer_messages
 from wisteriasill.zones import site as sites
 
@@ -13,7 +14,7 @@
 # most this often; more often costs more processor time than it yields.
 RECALL_SECONDS = 0.1
 
-Outgoing = list[tuple[str, peer_messages.CreditMessage]]
+Outgoing = slot_credit.Outgoing
 
 
 class SlotLender:
@@ -38,7 +39,7 @@
         target_id = message["target_id"]
         self._ledger.note(member_id, target_id, now)
         grant = self._ledger.request(
-            member_id, target_id, message["count"], self._slots_of(target_id)
+            member_id, target_id, message["count"], self.slots_of(target_id)
         )
         if grant.slots:
             return [self._grant_message(grant)]
@@ -68,7 +69,7 @@
             self._grant_message(grant)
             for target_id in target_ids
             for grant in self._ledger.lend_to_waiting(
-                target_id, self._slots_of(target_id)
+                target_id, self.slots_of(target_id)
             )
         ]
 
@@ -81,25 +82,20 @@
         if now - self._recalled_at.get(target_id, -math.inf) < RECALL_SECONDS:
             return []
         self._recalled_at[target_id] = now
-        message: peer_messages.CreditMessage = {
-            "type": "credit_request",
-            "target_id": target_id,
-            "count": 0,
-            "incarnation": self._incarnation,
-        }
+        message = slot_credit.message(
+            "credit_request", target_id, 0, self._incarnation
+        )
         holders = self._ledger.holders(target_id) - {denied.member_id}
         return [(holder, message) for holder in sorted(holders)]
 
-    def _slots_of(self, target_id: str) -> int:
+    def slots_of(self, target_id: str) -> int:
+        """Returns a target's slots; 0 if it is not known."""
         known = self._site.snapshot.hosts_by_id.get(target_id)
         return known.host.slots if known is not None else 0
 
     def _grant_message(
         self, grant: credit_ledger.Grant
     ) -> tuple[str, peer_messages.CreditMessage]:
-        return grant.member_id, {
-            "type": "credit_grant",
-            "target_id": grant.target_id,
-            "count": grant.slots,
-            "incarnation": self._incarnation,
-        }
+        return grant.member_id, slot_credit.message(
+            "credit_grant", grant.target_id, grant.slots, self._incarnation
+        )
