--- a/wisteriasill/machines/controller.py
+++ b/wisteriasill/machines/controller.py
@@ -96,10 +96,11 @@
         )
         self._budget = write_budget.WriteBudget(
             clock,
-            lambda: len(site.snapshot.members_by_id),
+            self._share_of_shards,
             sources.rng,
             sources.limits,
         )
+        self._leases: dict[str, shard_lease.HeldLease] = {}
         self._listing = host_listing.HostListing(platform.host_list, clock)
         self._demand = demand_watch.DemandWatch(mesh, site, clock)
         self._stopping = threading.Event()
@@ -145,6 +146,12 @@
         futures.wait([held.future for held in self._held.values()])
         self._held = {}
 
+    def _share_of_shards(self) -> float:
+        """Returns this process's part of all shards, at least one shard."""
+        held = sum(not lease.lost for lease in tuple(self._leases.values()))
+        total = len(shard_balance.shards_of(self._site.snapshot))
+        return min(1.0, max(1, held) / total)
+
     def observe_demand(self) -> None:
         """Takes the present demand into the records of the pools."""
         self._demand.observe(self._sources.wall_clock())
@@ -193,6 +200,7 @@
         guarded = guarded_platform.guard(
             self._platform, lease, self._budget, self._clock, stopping
         )
+        self._leases[lease.shard] = lease
         context = shard_context.ShardContext(
             lease.shard,
             lease.epoch_row,
--- a/wisteriasill/machines/write_budget.py
+++ b/wisteriasill/machines/write_budget.py
@@ -32,18 +32,22 @@
 
 
 class WriteBudget:
-    """A token bucket that the shard tasks of one process share."""
+    """A token bucket that the shard tasks of one process share.
+
+    The process gets the part of the site's rate that its shards are of all
+    shards, so that the rates of all members add up to the site's.
+    """
 
     def __init__(
         self,
         clock: clocks.Clock,
-        live_members: Callable[[], int],
+        share: Callable[[], float],
         rng: random.Random,
         limits: WriteLimits = DEFAULT_LIMITS,
     ) -> None:
         self._limits = limits
         self._clock = clock
-        self._live_members = live_members
+        self._share = share
         self._rng = rng
         self._lock = threading.Lock()
         self._tokens = float(limits.burst_rows)
@@ -54,7 +58,7 @@
     @property
     def rows_per_second(self) -> float:
         """This process's share of the site's rate."""
-        return self._limits.site_rows_per_second / max(1, self._live_members())
+        return self._limits.site_rows_per_second * self._share()
 
     def reserve(self, rows: int) -> float:
         """Reserves writes.
