--- a/bench/config_race.py
+++ b/bench/config_race.py
@@ -247,7 +247,7 @@
         rows,
         {
             "changes_accepted": verdict.accepted,
-            "changes_refused": verdict.refused,
+            "changes_unconfirmed": verdict.unconfirmed,
             "conflicts": kept.conflicts,
             "restarts": kept.restarts,
             "changes_lost": verdict.lost,
--- a/bench/race_verdict.py
+++ b/bench/race_verdict.py
@@ -18,7 +18,7 @@
 
     Attributes:
         accepted: Changes that were confirmed to an operator.
-        refused: Changes that gave up.
+        unconfirmed: Changes whose answer was lost; the operator was told so.
         lost: Confirmed changes without effect, or whose effect a colleague
             who did not know of it has undone.
         doubled: Changes that took effect more than once.
@@ -28,7 +28,7 @@
     """
 
     accepted: int
-    refused: int
+    unconfirmed: int
     lost: int
     doubled: int
     reverts: int
@@ -65,7 +65,7 @@
     lives = tuple(lives)
     return Verdict(
         accepted=len(accepted),
-        refused=len(outcomes) - len(accepted),
+        unconfirmed=len(outcomes) - len(accepted),
         lost=undone + sum(not effects[item.author] for item in accepted),
         doubled=sum(count > 1 for count in effects.values()),
         reverts=sum(_reverts(life) for life in lives),
--- a/wisteriasill/machines/entry_host.py
+++ b/wisteriasill/machines/entry_host.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import secrets
 
 from wisteriasill import clock as clocks
@@ -83,10 +84,7 @@
         Raises:
             OSError: A port is in use or an address is not this machine's.
         """
-        self._peers.start()
-        self._dispatcher.start()
-        self._callers.start()
-        self._operators.start()
+        self._bind()
         self.settings = self.settings._replace(
             peer_port=self._peers.port,
             caller_port=self._callers.port,
@@ -103,6 +101,18 @@
             peer_port=self.settings.peer_port,
         )
 
+    def _bind(self) -> None:
+        """Binds all ports or none; threads left behind would block the exit."""
+        with contextlib.ExitStack() as started:
+            self._peers.start()
+            started.callback(self._peers.stop)
+            self._dispatcher.start()
+            started.callback(self._dispatcher.stop)
+            self._callers.start()
+            started.callback(self._callers.stop, 0.0)
+            self._operators.start()
+            started.pop_all()
+
     def _start_site_tasks(self) -> None:
         self._membership = membership.Membership(
             self.settings,
