--- a/bench/capacity_site.py
+++ b/bench/capacity_site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import NamedTuple
 
 from standins import local_platform
@@ -119,7 +120,7 @@
             documents.encode(
                 hosts.from_listed(
                     item, pool_name(size, index), hosts.HostState.SERVING
-                )
+                )._replace(maintained_at=time.time())
             ),
         )
         for index, item in enumerate(listed_hosts(size))
@@ -139,9 +140,7 @@
         ).unwrap()
 
 
-def start_platform(
-    size: Size,
-) -> tuple[platform_state.PlatformState, platform_server.PlatformServer]:
+def start_platform(size: Size) -> platform_server.PlatformServer:
     """Starts a platform that holds a running site of a size."""
     state = platform_state.PlatformState(
         clocks.SystemClock(), listed_hosts(size)
@@ -150,4 +149,4 @@
     write_hosts(state, size)
     server = platform_server.PlatformServer(state)
     server.start()
-    return state, server
+    return server
--- a/wisteriasill/contracts/explanation.py
+++ b/wisteriasill/contracts/explanation.py
@@ -5,11 +5,11 @@
 from typing import NamedTuple
 
 from wisteriasill import settings as setting_types
-from wisteriasill.contracts import admission
 from wisteriasill.contracts import consequences
+from wisteriasill.contracts import fair_shares
 from wisteriasill.contracts import retry
 from wisteriasill.contracts import service as services
-from wisteriasill.contracts import wave_plan
+from wisteriasill.contracts import wave_limits
 
 _QUEUE_LENGTH = setting_types.EntrySettings._field_defaults["queue_length"]
 
@@ -78,7 +78,7 @@
     pool = service.pool
     if not figures.batch_hosts:
         return ("No host may leave, so none is ever maintained.",)
-    lead_days = wave_plan.LEAD_SHARE * pool.maintenance_every_days
+    lead_days = wave_limits.LEAD_SHARE * pool.maintenance_every_days
     drain = consequences.drain_seconds(service)
     total = consequences.format_minutes(figures.round_minutes)
     return (
@@ -91,12 +91,18 @@
         f"A full round takes at least {figures.rounds} batches x "
         f"({pool.maintenance_minutes} min + {drain:g} s to drain) = {total}, "
         "longer if hosts return late or lie in several zones.",
-        "The round stops by itself when more than "
-        f"{wave_plan.missing_limit(pool.hosts)} host has not returned after "
-        f"{wave_plan.overdue_seconds(pool) / 60:g} min.",
+        f"The round stops by itself when {_lost_hosts(pool.hosts)} not "
+        f"returned after {wave_limits.overdue_seconds(pool) / 60:g} min, or "
+        f"when more than {wave_limits.down_limit(pool.hosts)} of the pool's "
+        "hosts are down.",
     )
 
 
+def _lost_hosts(pool_hosts: int) -> str:
+    lost = wave_limits.lost_limit(pool_hosts) + 1
+    return "one of its hosts has" if lost == 1 else f"{lost} of its hosts have"
+
+
 def _peaks(
     service: services.Service, figures: consequences.Figures
 ) -> tuple[str, ...]:
@@ -115,7 +121,7 @@
         f"the slots stay full during the peak and up to {_QUEUE_LENGTH} "
         "requests wait at each entry host.",
         "Urgent classes go first, but at least one of "
-        f"{admission.URGENT_GRANTS_IN_A_ROW + 1} freed slots goes to the "
+        f"{fair_shares.URGENT_GRANTS_IN_A_ROW + 1} freed slots goes to the "
         "others; callers share the slots of a class equally.",
     )
 
