--- a/wisteriasill/contracts/consequences.py
+++ b/wisteriasill/contracts/consequences.py
@@ -7,7 +7,7 @@
 
 from wisteriasill.contracts import availability
 from wisteriasill.contracts import service as services
-from wisteriasill.contracts import wave_plan
+from wisteriasill.contracts import wave_limits
 
 PEAK_FACTOR = 5  # Demand peaks reach about five times their mean.
 
@@ -54,7 +54,7 @@
         The figures.
     """
     pool = service.pool
-    batch = wave_plan.batch_hosts(
+    batch = wave_limits.batch_hosts(
         pool.hosts, pool.hosts_always_usable, pool, prefer
     )
     rounds = _rounds(pool.hosts, batch)
--- a/wisteriasill/contracts/moves.py
+++ b/wisteriasill/contracts/moves.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
+import types
 from typing import NamedTuple
 
 from wisteriasill.contracts import configuration as configurations
+from wisteriasill.contracts import demand
 from wisteriasill.contracts import service
 from wisteriasill.links import platform
 from wisteriasill.machines import host as hosts
@@ -14,8 +16,9 @@
 # drain and a reboot, and peaks last seconds: jobs lend processors for those.
 SUSTAINED_SECONDS = 600.0
 # A pool gives hosts only while it keeps this many above its promise, so that
-# the next failure doesn't reverse the move.
+# the next failure doesn't reverse the move, unless nobody else has any.
 HYSTERESIS_HOSTS = 1
+NO_DEMAND: Mapping[str, float] = types.MappingProxyType({})
 
 
 class PoolNeed(NamedTuple):
@@ -109,6 +112,7 @@
     hosts_by_pool: Mapping[str, Sequence[hosts.Host]],
     before: Iterable[PoolNeed],
     now: float,
+    busy_slots_by_pool: Mapping[str, float] = NO_DEMAND,
 ) -> tuple[PoolNeed, ...]:
     """Computes what each pool that is not spare has and wants.
 
@@ -117,6 +121,7 @@
         hosts_by_pool: All hosts.
         before: The needs as computed last.
         now: Monotonic seconds.
+        busy_slots_by_pool: Sustained demand of each pool, as known.
 
     Returns:
         The needs, with the time since when a pool has lacked hosts.
@@ -127,17 +132,26 @@
         pool = host.next_pool or host.pool
         if pool in held_by_pool and host.state is not hosts.HostState.DOWN:
             held_by_pool[pool] += 1
+    wanted_by_pool = {
+        name: max(
+            item.pool.hosts,
+            demand.hosts_for(
+                busy_slots_by_pool.get(name, 0.0), item.pool.slots_per_host
+            ),
+        )
+        for name, item in sorted(configuration.services_by_name.items())
+        if not item.pool.spare
+    }
     return tuple(
         PoolNeed(
             name,
-            item.pool.hosts,
+            wanted,
             held_by_pool[name],
             _first(since_by_pool.get(name), now)
-            if held_by_pool[name] < item.pool.hosts
+            if held_by_pool[name] < wanted
             else None,
         )
-        for name, item in sorted(configuration.services_by_name.items())
-        if not item.pool.spare
+        for name, wanted in wanted_by_pool.items()
     )
 
 
@@ -211,13 +225,20 @@
     configuration: configurations.Configuration,
     pool_needs: Iterable[PoolNeed],
 ) -> tuple[str, ...]:
-    """Lists pools that may give a host, the spare pool first."""
+    """Lists pools that may give a host, in the order they are asked.
+
+    Pools with hosts to spare beyond the hysteresis come first: hosts that
+    were lent for a failure stay where they are after it, and this brings
+    them to where they are needed without emptying the spare pool.
+    """
     rich = sorted(
-        (need for need in pool_needs if -need.missing > HYSTERESIS_HOSTS),
+        (need for need in pool_needs if need.missing < 0),
         key=lambda need: need.missing,
     )
+    first = [need.pool for need in rich if -need.missing > HYSTERESIS_HOSTS]
+    last = [need.pool for need in rich if -need.missing <= HYSTERESIS_HOSTS]
     spare = configuration.spare_pool
-    return (*([spare] if spare else []), *(need.pool for need in rich))
+    return (*first, *([spare] if spare else []), *last)
 
 
 def _choose_host(
--- a/wisteriasill/contracts/slots_lent.py
+++ b/wisteriasill/contracts/slots_lent.py
@@ -4,55 +4,38 @@
 
 from collections.abc import Callable
 from concurrent import futures
+import math
 import random
 import threading
-from typing import Any, NamedTuple
-import uuid
+from typing import Any
 
 from wisteriasill import clock as clocks
 from wisteriasill import settings as setting_types
 from wisteriasill.contracts import credit_ledger
+from wisteriasill.contracts import slot_credit
+from wisteriasill.contracts import slot_lender
 from wisteriasill.contracts import slots
 from wisteriasill.links import peer_messages
 from wisteriasill.machines import host as hosts
 from wisteriasill.zones import site as sites
 
 TICK_SECONDS = 0.05
-# An idle credit goes back after this; a used one at its next release after
-# the term, so that no entry host keeps a slot while others wait.
+# An idle credit goes back after this; a used one above the member's share at
+# its next release after the term, so that no entry host keeps more than its
+# share while others wait.
 IDLE_SECONDS = 0.15
-TERM_SECONDS = 0.3
+TERM_SECONDS = 1.0
 CREDITS_PER_REQUEST = 2
 # A request that the lender did not answer by then was lost.
 ANSWER_SECONDS = 0.2
-DENIED_SECONDS = 0.05
+# The lender remembers a request that it denied, so asking again is only for
+# the case that the answer was lost.
+DENIED_SECONDS = 1.0
+# A credit granted more recently than this may still be meant for use.
+FRESH_SECONDS = 0.02
 
 
-class Credit(NamedTuple):
-    """What this entry host holds of one target.
-
-    Attributes:
-        held: Slots held, those in use included.
-        in_flight: Slots in use.
-        lender: Member that lent them.
-        incarnation: Its incarnation.
-        granted_at: Monotonic time of the last grant.
-        used_at: Monotonic time of the last use.
-        asked_at: Monotonic time of a request without an answer; 0 for none.
-        denied_until: Monotonic time before which asking is no use.
-    """
-
-    held: int = 0
-    in_flight: int = 0
-    lender: str = ""
-    incarnation: str = ""
-    granted_at: float = 0.0
-    used_at: float = 0.0
-    asked_at: float = 0.0
-    denied_until: float = 0.0
-
-
-Outgoing = list[tuple[str, peer_messages.CreditMessage]]
+Outgoing = slot_credit.Outgoing
 
 
 class LentSlots:
@@ -75,14 +58,12 @@
         clock: clocks.Clock,
     ) -> None:
         self._member_id = settings.member_id
-        self._site = site
         self._mesh = mesh
         self._chooser = chooser
         self._clock = clock
-        self._incarnation = uuid.uuid4().hex
         self._lock = threading.RLock()
-        self._ledger = credit_ledger.CreditLedger()
-        self._credits: dict[str, Credit] = {}
+        self._lender = slot_lender.SlotLender(site)
+        self._credits: dict[str, slot_credit.Credit] = {}
         self._members = frozenset((self._member_id,))
         self._listeners: list[Callable[[], None]] = []
         self._stopping = threading.Event()
@@ -94,16 +75,42 @@
             mesh.on_message(name, self._receive)
         mesh.on_members_changed(self._members_changed)
 
-    def reserve(self, groups: slots.Groups) -> hosts.Host | None:
-        """Uses a credit; asks for more if there is none."""
+    def reserve(
+        self, groups: slots.Groups, wanted: int = 1
+    ) -> hosts.Host | None:
+        """Uses a credit; asks for more if there is none.
+
+        A credit of a less preferred group is used rather than waiting, but
+        the first group is asked as well. Otherwise a target without credits,
+        such as one that waits for its trial request, would never get any
+        while others have some.
+        """
         with self._lock:
             chosen = self._take(groups)
-            if chosen is not None:
-                return chosen
-            outgoing = self._ask(groups)
-        self._deliver(outgoing)
-        with self._lock:
-            return self._take(groups)
+        if chosen is None:
+            return self._borrow(groups, wanted)
+        if chosen not in groups[0]:
+            # A credit held far away must not keep requests there for ever.
+            with self._lock:
+                outgoing = self._ask(groups[:1], 1)
+            self._deliver(outgoing)
+        return chosen
+
+    def _borrow(self, groups: slots.Groups, wanted: int) -> hosts.Host | None:
+        """Asks for credits; only own loans come at once.
+
+        Each round asks targets that were not asked before, so it ends.
+        """
+        chosen = None
+        while chosen is None:
+            with self._lock:
+                outgoing = self._ask(groups, wanted)
+            if not outgoing:
+                return None
+            self._deliver(outgoing)
+            with self._lock:
+                chosen = self._take(groups)
+        return chosen
 
     def release(self, host_id: str) -> None:
         """Ends the use of a credit; returns it if its term is over."""
@@ -111,13 +118,16 @@
             credit = self._credits[host_id]
             credit = credit._replace(in_flight=credit.in_flight - 1)
             now = self._clock.monotonic()
-            over = now - credit.granted_at > TERM_SECONDS
+            over = (
+                now - credit.granted_at > TERM_SECONDS
+                and credit.held > self._share(host_id)
+            )
             outgoing = self._give_back(host_id, credit, int(over))
         self._deliver(outgoing)
 
     def in_flight(self, host_id: str) -> int:
         """Returns this entry host's own reservations of a target."""
-        return self._credits.get(host_id, Credit()).in_flight
+        return self._credit(host_id).in_flight
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Calls a function when a target may have room again."""
@@ -141,9 +151,9 @@
         with self._lock:
             for host_id, credit in tuple(self._credits.items()):
                 if now - credit.used_at > IDLE_SECONDS:
-                    idle = credit.held - credit.in_flight
+                    idle = credit.idle
                     outgoing += self._give_back(host_id, credit, idle)
-            outgoing += self._lend(self._ledger.lapse(now))
+            outgoing += self._lender.lapse(now)
         if self._deliver(outgoing):
             self._notify()
 
@@ -152,7 +162,7 @@
             free = [
                 item
                 for item in group
-                if self._free(item.host_id) > 0
+                if self._credit(item.host_id).idle > 0
                 and self._credits[item.host_id].in_flight < item.slots
             ]
             if free:
@@ -165,56 +175,55 @@
                 return chosen
         return None
 
-    def _free(self, host_id: str) -> int:
-        credit = self._credits.get(host_id, Credit())
-        return credit.held - credit.in_flight
+    def _credit(self, host_id: str) -> slot_credit.Credit:
+        return self._credits.get(host_id, slot_credit.Credit())
+
+    def _share(self, host_id: str) -> int:
+        """Returns the slots of a target that each member may always keep.
+
+        Passing these on as well would leave a member short of slots while
+        it waits in the lenders' lines.
+        """
+        return self._lender.slots_of(host_id) // len(self._members)
 
-    def _ask(self, groups: slots.Groups) -> Outgoing:
-        """Asks the nearest group that has not said no just now."""
+    def _ask(self, groups: slots.Groups, wanted: int) -> Outgoing:
+        """Asks for the credits that are wanted and not asked for yet."""
         now = self._clock.monotonic()
+        outgoing: Outgoing = []
         for group in groups:
-            hopeful = [
-                item.host_id
-                for item in group
-                if self._credits.get(item.host_id, Credit()).denied_until <= now
-            ]
-            if hopeful:
-                return [
-                    self._request(host_id, now)
-                    for host_id in hopeful
-                    if self._may_ask(host_id, now)
-                ]
-        return []
-
-    def _may_ask(self, host_id: str, now: float) -> bool:
-        asked_at = self._credits.get(host_id, Credit()).asked_at
-        return not asked_at or now - asked_at > ANSWER_SECONDS
+            for item in self._chooser.sample(list(group), len(group)):
+                credit = self._credit(item.host_id)
+                if credit.denied_until > now:
+                    continue
+                if now - credit.asked_at <= ANSWER_SECONDS:
+                    wanted -= CREDITS_PER_REQUEST
+                elif wanted > 0:
+                    count = min(wanted, CREDITS_PER_REQUEST)
+                    outgoing.append(self._request(item.host_id, count, now))
+                    wanted -= count
+            if wanted <= 0:
+                break
+        return outgoing
 
     def _request(
-        self, host_id: str, now: float
+        self, host_id: str, count: int, now: float
     ) -> tuple[str, peer_messages.CreditMessage]:
-        credit = self._credits.get(host_id, Credit())
+        credit = self._credit(host_id)
         self._credits[host_id] = credit._replace(asked_at=now)
         lender = credit_ledger.lender_of(host_id, self._members)
-        return lender, {
-            "type": "credit_request",
-            "target_id": host_id,
-            "count": CREDITS_PER_REQUEST,
-            "incarnation": "",
-        }
-
-    def _give_back(self, host_id: str, credit: Credit, count: int) -> Outgoing:
+        return lender, slot_credit.message("credit_request", host_id, count)
+
+    def _give_back(
+        self, host_id: str, credit: slot_credit.Credit, count: int
+    ) -> Outgoing:
         """Stores a credit less some slots, and builds the message."""
-        count = min(count, credit.held - credit.in_flight)
+        count = min(count, credit.idle)
         self._credits[host_id] = credit._replace(held=credit.held - count)
         if count <= 0 or not credit.lender:
             return []
-        message: peer_messages.CreditMessage = {
-            "type": "credit_return",
-            "target_id": host_id,
-            "count": count,
-            "incarnation": credit.incarnation,
-        }
+        message = slot_credit.message(
+            "credit_return", host_id, count, credit.incarnation
+        )
         return [(credit.lender, message)]
 
     def _deliver(self, outgoing: Outgoing) -> bool:
@@ -236,32 +245,34 @@
     def _handle(
         self, member_id: str, message: peer_messages.CreditMessage
     ) -> Outgoing:
-        target_id, count = message["target_id"], message["count"]
         with self._lock:
             if message["type"] == "credit_grant":
                 self._granted(member_id, message)
                 return []
-            self._ledger.note(member_id, target_id, self._clock.monotonic())
-            total = self._slots_of(target_id)
-            if message["type"] == "credit_request":
-                grants = [
-                    self._ledger.request(member_id, target_id, count, total)
-                ]
-            else:
-                if message["incarnation"] == self._incarnation:
-                    self._ledger.give_back(member_id, target_id, count)
-                grants = self._ledger.lend_to_waiting(target_id, total)
-        return [self._grant_message(grant) for grant in grants]
+            now = self._clock.monotonic()
+            if message["type"] == "credit_return":
+                return self._lender.returned(member_id, message, now)
+            if message["incarnation"]:
+                return self._recalled(message["target_id"], now)
+            return self._lender.requested(member_id, message, now)
+
+    def _recalled(self, target_id: str, now: float) -> Outgoing:
+        """Returns what idles; credits just granted may be meant for use."""
+        credit = self._credit(target_id)
+        if now - credit.granted_at < FRESH_SECONDS:
+            return []
+        idle = credit.idle
+        return self._give_back(target_id, credit, idle)
 
     def _granted(
         self, member_id: str, message: peer_messages.CreditMessage
     ) -> None:
         target_id = message["target_id"]
-        credit = self._credits.get(target_id, Credit())
+        credit = self._credit(target_id)
         now = self._clock.monotonic()
         if not message["count"]:
             self._credits[target_id] = credit._replace(
-                asked_at=0.0, denied_until=now + DENIED_SECONDS
+                asked_at=-math.inf, denied_until=now + DENIED_SECONDS
             )
             return
         same = credit.incarnation == message["incarnation"]
@@ -272,20 +283,10 @@
             incarnation=message["incarnation"],
             granted_at=now,
             used_at=now,
-            asked_at=0.0,
+            asked_at=-math.inf,
             denied_until=0.0,
         )
 
-    def _grant_message(
-        self, grant: credit_ledger.Grant
-    ) -> tuple[str, peer_messages.CreditMessage]:
-        return grant.member_id, {
-            "type": "credit_grant",
-            "target_id": grant.target_id,
-            "count": grant.slots,
-            "incarnation": self._incarnation,
-        }
-
     def _receive(self, member_id: str, message: Any) -> None:
         granted = message["type"] == "credit_grant"
         if self._deliver(self._handle(member_id, message)) or granted:
@@ -299,26 +300,13 @@
             self._members = members
             for target_id, credit in tuple(self._credits.items()):
                 if credit.lender not in members:
-                    self._credits[target_id] = Credit(
+                    self._credits[target_id] = slot_credit.Credit(
                         held=credit.in_flight, in_flight=credit.in_flight
                     )
-            outgoing += self._lend(self._ledger.keep_only(members))
+            outgoing += self._lender.keep_only(members)
         self._deliver(outgoing)
         self._notify()
 
-    def _lend(self, target_ids: list[str]) -> Outgoing:
-        return [
-            self._grant_message(grant)
-            for target_id in target_ids
-            for grant in self._ledger.lend_to_waiting(
-                target_id, self._slots_of(target_id)
-            )
-        ]
-
-    def _slots_of(self, target_id: str) -> int:
-        known = self._site.snapshot.hosts_by_id.get(target_id)
-        return known.host.slots if known is not None else 0
-
     def _tick_until_stopped(self) -> None:
         while not self._clock.wait(self._stopping, TICK_SECONDS):
             self.return_idle()
