--- a/tests/machines/job_pool.py
+++ b/tests/machines/job_pool.py
@@ -50,7 +50,7 @@
     def take_over(self) -> job_keeper.JobKeeper:
         """Starts another epoch with a keeper that knows nothing."""
         write = platform.Write("epochs", POOL, {"epoch": self.epoch + 1})
-        self.platform.table.transact([], [write]).unwrap()
+        self.state.transact([], [write])
         self.epoch += 1
         tokens = map(str, itertools.count())
         self.keeper = job_keeper.JobKeeper(
