Skip work of a job step that cannot change anything

Each step summed the holdings of all jobs about eleven times, compared all declarations and searched each host's jobs in the whole list.

--- a/wisteriasill/machines/job_follower.py
+++ b/wisteriasill/machines/job_follower.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import itertools
 import math
 
@@ -155,15 +156,16 @@
 
     def _relieve(self, round_: job_memory.Round) -> Outcome:
         now = self._clock.monotonic()
-        placed = job_schedule.placed(self._rows.jobs_by_id.values())
+        placed_by_host = collections.defaultdict(list)
+        for item in job_schedule.placed(self._rows.jobs_by_id.values()):
+            placed_by_host[item.job.host_id].append(item)
         leaving = []
         for host in round_.hosts:
             relieved_at = self._relieved_at.get(host.host_id, -math.inf)
             if now - relieved_at < job_sizes.CORRECTION_SECONDS:
                 continue
             victim = preemption.overloaded_victim(
-                host,
-                [item for item in placed if item.job.host_id == host.host_id],
+                host, placed_by_host[host.host_id]
             )
             if victim is None:
                 continue
--- a/wisteriasill/machines/job_keeper.py
+++ b/wisteriasill/machines/job_keeper.py
@@ -61,6 +61,7 @@
         self._rows = job_rows.JobRows(platform_, token_source)
         self._tasks = job_tasks.JobTasks(platform_, clock)
         self._round = job_memory.Round((), None, {}, 0.0)
+        self._declared_basis: tuple[services.Service | None, int] = (None, 0)
         self._start_memory()
 
     def step(
@@ -250,7 +251,8 @@
 
     def _declare(self, round_: job_memory.Round) -> Outcome:
         """Brings the rows in line with the service's declared jobs."""
-        if round_.service is None:
+        basis = (round_.service, self._rows.revision)
+        if round_.service is None or basis == self._declared_basis:
             return result.Success(None)
         by_id = self._rows.jobs_by_id
         declared_by_id = {
@@ -260,13 +262,18 @@
             )
         }
         changes = [
-            job_changes.redeclared(by_id.get(job_id, job), job)
+            row
             for job_id, job in declared_by_id.items()
+            if (row := job_changes.redeclared(by_id.get(job_id, job), job))
+            != by_id.get(job_id)
         ]
         changes += [
             job_changes.cancelled(job, job_changes.UNDECLARED)
             for job in self._long_undeclared(frozenset(declared_by_id))
         ]
+        if not changes and not self._memory.undeclared_since:
+            # Nothing can change before the service or a row does.
+            self._declared_basis = basis
         return self._rows.commit(changes, round_.quota_by_team)
 
     def _long_undeclared(self, declared_ids: frozenset[str]) -> list[jobs.Job]:
--- a/wisteriasill/machines/job_rows.py
+++ b/wisteriasill/machines/job_rows.py
@@ -34,6 +34,16 @@
         yield items[first : first + ROWS_PER_TRANSACTION]
 
 
+def _held(pool_jobs: Iterable[jobs.Job]) -> dict[str, quota.Size]:
+    held: dict[str, quota.Size] = {}
+    for job in pool_jobs:
+        if job_schedule.holds_room(job):
+            held[job.team] = held.get(job.team, quota.NOTHING).plus(
+                job_schedule.size_of(job)
+            )
+    return held
+
+
 class JobRows:
     """Cached rows with conditional writes.
 
@@ -54,7 +64,9 @@
         self._is_current = False
         self._versions: dict[str, int] = {}
         self._teams: dict[str, _Versioned] = {}
+        self._held: dict[str, quota.Size] | None = None
         self.jobs_by_id: dict[str, jobs.Job] = {}
+        self.revision = 0  # Grows with each change of the rows.
 
     @property
     def pool(self) -> str:
@@ -110,7 +122,7 @@
             return known
         if not quota_by_team:
             return result.Success({})
-        here = self._held_here(self.jobs_by_id.values())
+        here = self._held_here()
         return result.Success(
             {
                 team: quota.total(
@@ -157,13 +169,15 @@
         chunk: Sequence[jobs.Job],
         quota_by_team: Mapping[str, services.TeamQuota],
     ) -> Outcome:
+        if not chunk and not quota_by_team:
+            return result.Success(None)
         token = self._token_source()
         new_jobs = {job.job_id: job._replace(token=token) for job in chunk}
         after = {**self.jobs_by_id, **new_jobs}
         known = self._know_teams(quota_by_team)
         if isinstance(known, result.Failure):
             return known
-        here = self._held_here(after.values()) if quota_by_team else {}
+        here = self._held_here() if not chunk else _held(after.values())
         new_teams = {
             team: use
             for team in quota_by_team
@@ -199,7 +213,7 @@
         if isinstance(outcome, result.Failure):
             self._note_failed(outcome.failure())
             return outcome
-        self.jobs_by_id = {**self.jobs_by_id, **new_jobs}
+        self._replace_jobs({**self.jobs_by_id, **new_jobs})
         for write, version in zip(writes, outcome.unwrap(), strict=True):
             if write.table == jobs.TABLE:
                 self._versions[write.key] = version
@@ -234,7 +248,7 @@
             )
             if isinstance(checked, result.Failure):
                 return checked
-        self.jobs_by_id = decoded
+        self._replace_jobs(decoded)
         self._versions = {row.key: row.version for row in rows}
         self._teams.clear()
         self._is_current = True
@@ -261,16 +275,15 @@
         self._teams[team] = _Versioned(decoded.unwrap(), row.version)
         return result.Success(None)
 
-    def _held_here(
-        self, pool_jobs: Iterable[jobs.Job]
-    ) -> dict[str, quota.Size]:
-        held: dict[str, quota.Size] = {}
-        for job in pool_jobs:
-            if job_schedule.holds_room(job):
-                held[job.team] = held.get(job.team, quota.NOTHING).plus(
-                    job_schedule.size_of(job)
-                )
-        return held
+    def _replace_jobs(self, by_id: dict[str, jobs.Job]) -> None:
+        self.jobs_by_id = by_id
+        self.revision += 1
+        self._held = None
+
+    def _held_here(self) -> dict[str, quota.Size]:
+        if self._held is None:
+            self._held = _held(self.jobs_by_id.values())
+        return self._held
 
     def _epoch_condition(self) -> platform.Condition:
         row = self._epoch_row
--- a/wisteriasill/machines/job_starts.py
+++ b/wisteriasill/machines/job_starts.py
@@ -52,6 +52,11 @@
             urgent_only: Whether only urgent jobs are considered.
         """
         self._was_refused = False
+        if not any(
+            job.state is jobs.JobState.WAITING
+            for job in self._rows.jobs_by_id.values()
+        ):
+            return result.Success(None)
         held = self._rows.held_by_team(round_.quota_by_team)
         if isinstance(held, result.Failure):
             return held
