--- a/wisteriasill/machines/job_follower.py
+++ b/wisteriasill/machines/job_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Sequence
 import itertools
 import math
 
@@ -19,6 +20,7 @@
 from wisteriasill.contracts import preemption
 from wisteriasill.contracts import quota
 from wisteriasill.links import platform
+from wisteriasill.machines import host as hosts
 from wisteriasill.machines import job_memory
 from wisteriasill.machines import job_rows
 from wisteriasill.machines import job_starts
@@ -53,6 +55,8 @@
         self._runner = platform_.tasks
         self._clock = clock
         self._relieved_at: dict[str, float] = {}
+        self._relief_basis: tuple[Sequence[hosts.Host], int] = ((), 0)
+        self._relief_due_at = 0.0
 
     def renew(self, round_: job_memory.Round) -> Outcome:
         """Renews the leases that are due, the oldest first."""
@@ -156,6 +160,11 @@
 
     def _relieve(self, round_: job_memory.Round) -> Outcome:
         now = self._clock.monotonic()
+        basis = (round_.hosts, self._rows.revision)
+        if basis == self._relief_basis and now < self._relief_due_at:
+            return result.Success(None)
+        self._relief_basis = basis
+        self._relief_due_at = now + job_sizes.CORRECTION_SECONDS
         placed_by_host = collections.defaultdict(list)
         for item in job_schedule.placed(self._rows.jobs_by_id.values()):
             placed_by_host[item.job.host_id].append(item)
