--- a/tests/machines/test_job_keeper_sequences.py
+++ b/tests/machines/test_job_keeper_sequences.py
@@ -92,6 +92,19 @@
         max_size=14,
     )
 )
+@hypothesis.example(
+    # Two hosts that had run tasks properly go bad one after the other.
+    steps=[
+        (_run, 0),
+        (_run, 0),
+        (_run, 0),
+        (_fail_tasks, 3),
+        (_drain, 0),
+        (_go_down, 0),
+        (_run, 0),
+        (_fail_tasks, 5),
+    ]
+)
 def test_sequences(steps: list[tuple[Act, int]]) -> None:
     """No job runs twice at once, and every job reaches its final state."""
     pool = job_pool.Pool(clocks.ManualClock())
--- a/wisteriasill/contracts/job_health.py
+++ b/wisteriasill/contracts/job_health.py
@@ -3,7 +3,7 @@
 The evidence is which job failed on which host, and which hosts have run some
 task properly since. A host is ejected when several jobs that aren't known to
 be broken failed on it and none ran properly; a job is quarantined when it
-failed on hosts that run other jobs properly, or on many hosts.
+failed on hosts that ran other jobs properly afterwards, or on many hosts.
 """
 
 from __future__ import annotations
@@ -50,7 +50,8 @@
 
     Args:
         job_id: The job.
-        failed_hosts: Hosts on which it failed since it last ran properly.
+        failed_hosts: Hosts on which it failed since it last ran properly,
+            each noted in the records.
         records_by_host: What is known of the hosts.
         hosts_total: Hosts of the pool.
 
@@ -60,8 +61,10 @@
     records = (
         records_by_host.get(host_id, NEW_RECORD) for host_id in failed_hosts
     )
+    # A proof clears the failures before it. Earlier proofs don't count: the
+    # hosts may have gone bad since, one after the other.
     healthy = sum(
-        record.proven_at > -math.inf and record.failed_jobs <= {job_id}
+        record.proven_at > -math.inf and job_id not in record.failed_jobs
         for record in records
     )
     if healthy >= HEALTHY_HOSTS_TO_QUARANTINE:
--- a/wisteriasill/machines/job_ends.py
+++ b/wisteriasill/machines/job_ends.py
@@ -119,11 +119,6 @@
         if not self._policy.blames:
             return job_changes.waiting(failed, reason)
         health = self._memory.health
-        if job_health.is_broken(
-            job.job_id, failed_hosts, health.records_by_host, len(round_.hosts)
-        ):
-            health.note_broken(job.job_id)
-            return job_changes.ended(failed, jobs.JobState.QUARANTINED, reason)
         health.note_failure(
             job.job_id,
             job.host_id,
@@ -131,6 +126,11 @@
             len(round_.hosts),
             self._clock.monotonic(),
         )
+        if job_health.is_broken(
+            job.job_id, failed_hosts, health.records_by_host, len(round_.hosts)
+        ):
+            health.note_broken(job.job_id)
+            return job_changes.ended(failed, jobs.JobState.QUARANTINED, reason)
         return job_changes.waiting(failed, reason)
 
     def _quarantined(self) -> list[str]:
