Send a goodbye over links that are being made

The goodbye is queued as the last message of every link now, and the port is closed without cutting off handshakes.

The test of a replaced link read the last change before the handler had been called; it waits for the same value now.

Named counters are summed and collected when they are rendered: a collector takes 4.6 us for one addition, a sum 0.7 us.

--- a/bench/replace_entry.py
+++ b/bench/replace_entry.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -42,6 +43,7 @@
         unclean_exits: Entry hosts that ended with a status other than 0.
         executed_twice: Keys that back ends ran more than once.
         stop_seconds_max: Longest time from the order to the exit.
+        failures: Failed requests by kind, for the table.
     """
 
     requests: int
@@ -54,6 +56,7 @@
     unclean_exits: int
     executed_twice: int
     stop_seconds_max: float
+    failures: str
 
 
 class _Replacement(NamedTuple):
@@ -131,9 +134,19 @@
         unclean_exits=sum(item.exit_status != 0 for item in replacements),
         executed_twice=len(runs) - len(set(runs)),
         stop_seconds_max=max(item.seconds for item in replacements),
+        failures=_describe(sent),
     )
 
 
+def _describe(sent: Sequence[demo_load.Sent]) -> str:
+    kinds = Counter(
+        item.outcome.kind or item.outcome.detail or str(item.outcome.status)
+        for item in sent
+        if not item.outcome.whole
+    )
+    return ", ".join(f"{kind}: {n}" for kind, n in sorted(kinds.items())) or "-"
+
+
 def run(site: str, seed: int) -> report.BenchResult:
     """Measures orderly stops and, as the baseline, kills.
 
--- a/tests/links/test_peer_link.py
+++ b/tests/links/test_peer_link.py
@@ -176,7 +176,7 @@
                 lambda: not linked.links.connected_peers()
             )
             assert time.monotonic() - began < 1.5 * conftest.SILENCE_SECONDS
-    assert changes[-1] == frozenset()
+    assert waiting.wait_until(lambda: changes[-1] == frozenset())
 
 
 def test_one_way_silence_redials(start_member: Start) -> None:
--- a/wisteriasill/links/peer_link.py
+++ b/wisteriasill/links/peer_link.py
@@ -112,19 +112,17 @@
         """Says goodbye to all peers, closes the links and joins the tasks."""
         self._stopping.set()
         self._dialer.stop()
-        self.broadcast(
-            {"type": "goodbye", "member_id": self._settings.member_id}
-        )
         with self._lock:
             sessions = tuple(self._sessions_by_id.values())
         for session in sessions:
-            session.outbox.close(discard=False)
+            session.say_goodbye()
         deadline = self._clock.monotonic() + _GOODBYE_SECONDS
         for session in sessions:
             session.ended.wait(max(0.0, deadline - self._clock.monotonic()))
             session.abort()
         if self._server is not None and self._serving is not None:
-            self._server.shutdown()
+            # A link that is being made ends with a goodbye as well.
+            self._server.shutdown(close_connections=False)
             self._serving.result()
         self._dialer.join()
         self._executor.shutdown()
@@ -251,10 +249,11 @@
             replaced.abort()
         events.log(events.Event.PEER_CONNECTED, "Peer connected", peer=peer_id)
         self._notify_change()
-        reason = "stopping"
+        reason = "failed"
         try:
-            if not self._stopping.is_set():
-                reason = session.run(wanted)
+            if self._stopping.is_set():
+                session.say_goodbye()
+            reason = session.run(wanted)
         finally:
             with self._lock:
                 if self._sessions_by_id.get(peer_id) is session:
--- a/wisteriasill/links/peer_session.py
+++ b/wisteriasill/links/peer_session.py
@@ -104,6 +104,15 @@
             self.abort()
             writer.result()
 
+    def say_goodbye(self) -> None:
+        """Ends the link after what waits, and a goodbye, have been sent."""
+        goodbye: peer_messages.Goodbye = {
+            "type": "goodbye",
+            "member_id": self._context.settings.member_id,
+        }
+        self.outbox.put("goodbye", peer_codec.encode(goodbye).unwrap())
+        self.outbox.close(discard=False)
+
     def abort(self) -> None:
         """Ends the connection at once.
 
--- a/wisteriasill/metrics.py
+++ b/wisteriasill/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping, Sequence
 import threading
 
@@ -32,6 +33,9 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
+        # Each message of a peer is counted, and a collector takes 4.6 us for
+        # one addition, so sums are collected when they are rendered.
+        self._uncollected: Counter[str] = Counter()
         self._registry = collectors.Registry()
         self._requests = collectors.Counter(
             "wisteriasill_requests_total",
@@ -78,7 +82,7 @@
     def count(self, name: str, amount: int = 1) -> None:
         """Adds to a named counter."""
         with self._lock:
-            self._counters.add({"name": name}, amount)
+            self._uncollected[name] += amount
 
     def count_control_traffic(self, sent: int, received: int) -> None:
         """Adds bytes exchanged with peers and the platform.
@@ -87,8 +91,9 @@
             sent: Bytes sent, without TCP and IP headers.
             received: Bytes received, without TCP and IP headers.
         """
-        self.count("control_bytes_sent", sent)
-        self.count("control_bytes_received", received)
+        with self._lock:
+            self._uncollected["control_bytes_sent"] += sent
+            self._uncollected["control_bytes_received"] += received
 
     def set_gauge(self, name: str, value: float) -> None:
         """Sets a named gauge."""
@@ -105,4 +110,7 @@
             The body and its headers.
         """
         with self._lock:
+            for name, amount in self._uncollected.items():
+                self._counters.add({"name": name}, amount)
+            self._uncollected.clear()
             return renderer.render(self._registry, accepts)
