--- a/wisteriasill/machines/site_keeper.py
+++ b/wisteriasill/machines/site_keeper.py
@@ -1,4 +1,4 @@
-"""The work of the `site` shard: new hosts and moves between pools."""
+"""The work of the `site` shard: new hosts, moves, expiry of records."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 from wisteriasill import events
 from wisteriasill.contracts import moves
 from wisteriasill.contracts import orders
+from wisteriasill.contracts import record_expiry
 from wisteriasill.links import platform
 from wisteriasill.machines import host as hosts
 from wisteriasill.machines import host_rows
@@ -31,6 +32,9 @@
         self._context = context
         self._needs: tuple[moves.PoolNeed, ...] = ()
         self._moved_at = -SECONDS_BETWEEN_MOVES
+        self._expiry = record_expiry.RecordExpiry(
+            context.platform, context.clock
+        )
 
     def step(self) -> result.Result[None, errors.Failure]:
         """Does one round.
@@ -44,6 +48,7 @@
             self._register()
             .bind(lambda _: self._move())
             .bind(lambda _: self._reject_orders())
+            .bind(lambda _: self._expiry.step())
         )
 
     def _register(self) -> result.Result[None, errors.Failure]:
