--- a/bench/at_most_once.py
+++ b/bench/at_most_once.py
@@ -125,7 +125,8 @@
                 lambda: self._site.ready(entry_processes.ENTRY_HOSTS),
             )
             time.sleep(_SETTLE_SECONDS)
-            replays = load.replay(self._calls) if self._keeps else []
+            replayed = self._calls if self._keeps else []
+            replays = load.replay(replayed, _KEYS_PER_SECOND)
             load.close()
             reports = self._site.fleet.reports_by_host().values()
             return key_load.count(attempts, replays, self.kills, reports)
