--- /dev/null
+++ b/tests/machines/conftest.py
@@ -0,0 +1,24 @@
+"""Fixtures of the machines' tests: a small site under control."""
+
+from __future__ import annotations
+
+import pytest
+
+from bench import controlled_site
+from wisteriasill import clock as clocks
+from wisteriasill.machines import host as hosts
+
+
+@pytest.fixture
+def controlled(
+    manual_clock: clocks.ManualClock,
+) -> controlled_site.ControlledSite:
+    """Two pools and two members; all hosts serve."""
+    site = controlled_site.ControlledSite(manual_clock, 1)
+    site.run(20)
+    assert all(
+        host.state is hosts.HostState.SERVING
+        for pool in site.shape.pools
+        for host in site.hosts_of(pool)
+    )
+    return site
--- a/wisteriasill/links/http_client.py
+++ b/wisteriasill/links/http_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import enum
 import io
 import queue
@@ -55,6 +55,8 @@
             needs a new connection.
         max_body_bytes: Largest accepted body of the answer.
         connect_timeout_seconds: Longest time to a connection.
+        accept_gzip: Whether the answer may come compressed; its body is
+            then returned in plain form.
     """
 
     method: str
@@ -65,6 +67,7 @@
     fresh: bool = False
     max_body_bytes: int = 64 * 1024 * 1024
     connect_timeout_seconds: float = 1.0
+    accept_gzip: bool = False
 
 
 class HttpAnswer(NamedTuple):
@@ -114,10 +117,20 @@
 
     After a timeout all idle handles are dropped, because connections that
     went silent together would each cost one more timeout.
+
+    Args:
+        idle_seconds: Longest idle time after which a connection is reused.
+        on_traffic: Called with the bytes sent and received by each call,
+            HTTP headers included.
     """
 
-    def __init__(self, idle_seconds: float = 60.0) -> None:
+    def __init__(
+        self,
+        idle_seconds: float = 60.0,
+        on_traffic: Callable[[int, int], None] = lambda sent, received: None,
+    ) -> None:
         self._idle_seconds = max(1, int(idle_seconds))
+        self._on_traffic = on_traffic
         self._idle: queue.LifoQueue[pycurl.Curl] = queue.LifoQueue(IDLE_HANDLES)
 
     def call(self, call: HttpCall) -> result.Result[HttpAnswer, HttpFault]:
@@ -136,10 +149,12 @@
             curl.perform()
         except pycurl.error as error:
             fault = _fault(curl, error, collector)
+            self._note_traffic(curl)
             curl.close()
             if fault.kind is HttpFaultKind.TIMED_OUT:
                 self.close()
             return result.Failure(fault)
+        self._note_traffic(curl)
         answer = collector.answer(curl.getinfo(pycurl.RESPONSE_CODE))
         self._give_back(curl)
         if not _is_framed(call.method, answer):
@@ -160,6 +175,12 @@
             except queue.Empty:
                 return
 
+    def _note_traffic(self, curl: pycurl.Curl) -> None:
+        received = curl.getinfo(pycurl.HEADER_SIZE) + curl.getinfo(
+            pycurl.SIZE_DOWNLOAD_T
+        )
+        self._on_traffic(curl.getinfo(pycurl.REQUEST_SIZE), int(received))
+
     def _take(self) -> pycurl.Curl:
         try:
             return self._idle.get_nowait()
@@ -198,9 +219,14 @@
         ],
         pycurl.HEADERFUNCTION: collector.on_header,
         pycurl.WRITEFUNCTION: collector.on_body,
+        **({pycurl.ACCEPT_ENCODING: "gzip"} if call.accept_gzip else {}),
     }
     for option, value in options.items():
         curl.setopt(option, value)
+    _configure_method(curl, call)
+
+
+def _configure_method(curl: Any, call: HttpCall) -> None:
     if call.body is not None:
         curl.setopt(pycurl.POST, 1)
         curl.setopt(pycurl.POSTFIELDSIZE, len(call.body))
--- a/wisteriasill/links/platform_calls.py
+++ b/wisteriasill/links/platform_calls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 import json
 from typing import Any, TypeVar
 from urllib import parse
@@ -12,6 +12,7 @@
 from wisteriasill import documents
 from wisteriasill import errors
 from wisteriasill import settings as settings_types
+from wisteriasill.links import answer_cache
 from wisteriasill.links import http_client
 
 T = TypeVar("T")
@@ -32,17 +33,34 @@
 class Calls:
     """Calls of the platform, with its faults turned into failures."""
 
-    def __init__(self, settings: settings_types.EntrySettings) -> None:
+    def __init__(
+        self,
+        settings: settings_types.EntrySettings,
+        on_traffic: Callable[[int, int], None],
+    ) -> None:
         self._settings = settings
         self._client = http_client.HttpClient(
-            idle_seconds=settings.idle_connection_seconds
+            settings.idle_connection_seconds, on_traffic
         )
+        self._cache = answer_cache.AnswerCache()
 
     def read(
         self, path: str
     ) -> result.Result[http_client.HttpAnswer, errors.Failure]:
         """Gets a path; a missing answer is STORE_UNAVAILABLE."""
-        return self._call("GET", path, None)
+        for headers in (self._cache.validators(path), ()):
+            outcome = self._call("GET", path, None, headers)
+            if not isinstance(outcome, result.Success):
+                return outcome
+            resolved = self._cache.resolve(path, outcome.unwrap())
+            if resolved is not None:
+                return result.Success(resolved)
+        return result.Failure(
+            errors.failure(
+                errors.ErrorKind.STORE_UNAVAILABLE,
+                f"GET {path}: 304 without If-None-Match",
+            )
+        )
 
     def write(
         self, path: str, body: Mapping[str, Any]
@@ -63,7 +81,11 @@
         return self.write(path, body).bind(expect_success)
 
     def _call(
-        self, method: str, path: str, body: bytes | None
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: http_client.Headers = (),
     ) -> result.Result[http_client.HttpAnswer, errors.Failure]:
         timeout_seconds = self._settings.platform_timeout_seconds
         outcome = self._client.call(
@@ -71,9 +93,11 @@
                 method,
                 self._settings.platform_url.rstrip("/") + path,
                 timeout_seconds,
+                headers,
                 body=body,
                 fresh=body is not None,
                 connect_timeout_seconds=timeout_seconds / 2,
+                accept_gzip=True,
             )
         )
         if isinstance(outcome, result.Failure):
@@ -84,17 +108,19 @@
                     f"{method} {path}: {fault.kind}: {fault.detail}",
                 )
             )
-        answer = outcome.unwrap()
-        if answer.status == 503:
-            return result.Failure(_refusal(answer))
-        if answer.status >= 500:
-            return result.Failure(
-                errors.failure(
-                    _no_answer_kind(body is not None),
-                    f"{method} {path}: status {answer.status}",
-                )
-            )
-        return result.Success(answer)
+        return _check_status(outcome.unwrap(), body is not None)
+
+
+def _check_status(
+    answer: http_client.HttpAnswer, written: bool
+) -> result.Result[http_client.HttpAnswer, errors.Failure]:
+    if answer.status == 503:  # The platform guarantees that it did nothing.
+        return result.Failure(_refusal(answer))
+    if answer.status >= 500:
+        return result.Failure(
+            errors.failure(_no_answer_kind(written), f"status {answer.status}")
+        )
+    return result.Success(answer)
 
 
 def _no_answer_kind(written: bool) -> errors.ErrorKind:
--- a/wisteriasill/machines/controller.py
+++ b/wisteriasill/machines/controller.py
@@ -17,6 +17,7 @@
 from wisteriasill import events
 from wisteriasill import settings as all_settings
 from wisteriasill.contracts import orders
+from wisteriasill.contracts import wave_plan
 from wisteriasill.links import peer_messages
 from wisteriasill.links import platform as platforms
 from wisteriasill.machines import guarded_platform
@@ -28,6 +29,7 @@
 from wisteriasill.machines import shard_task
 from wisteriasill.machines import site_keeper
 from wisteriasill.machines import write_budget
+from wisteriasill.zones import demand_watch
 from wisteriasill.zones import site as sites
 
 MAX_SHARDS = 64
@@ -41,11 +43,13 @@
         token_source: Makes a new random token at each call.
         wall_clock: Seconds since the epoch, for people to read.
         rng: Random numbers for jitter.
+        limits: Bounds on control writes.
     """
 
     token_source: Callable[[], str] = lambda: secrets.token_hex(8)
     wall_clock: Callable[[], float] = time.time
     rng: random.Random = random.Random()
+    limits: write_budget.WriteLimits = write_budget.DEFAULT_LIMITS
 
 
 SYSTEM_SOURCES = Sources()
@@ -71,6 +75,7 @@
         clock: clocks.Clock,
         jobs: shard_context.JobKeeperFactory,
         sources: Sources = SYSTEM_SOURCES,
+        planner: wave_plan.Planner = wave_plan.plan,
     ) -> None:
         self._settings = settings
         self._platform = platform
@@ -79,6 +84,7 @@
         self._clock = clock
         self._jobs = jobs
         self._sources = sources
+        self._planner = planner
         owner = shard_lease.LeaseOwner(
             settings.member_id,
             incarnation,
@@ -89,9 +95,13 @@
             platform.table, site, owner, clock
         )
         self._budget = write_budget.WriteBudget(
-            clock, lambda: len(site.snapshot.members_by_id), sources.rng
+            clock,
+            lambda: len(site.snapshot.members_by_id),
+            sources.rng,
+            sources.limits,
         )
         self._listing = host_listing.HostListing(platform.host_list, clock)
+        self._demand = demand_watch.DemandWatch(mesh, site, clock)
         self._stopping = threading.Event()
         self._held: dict[str, _Held] = {}
         self._executor: futures.ThreadPoolExecutor | None = None
@@ -135,7 +145,12 @@
         futures.wait([held.future for held in self._held.values()])
         self._held = {}
 
+    def observe_demand(self) -> None:
+        """Takes the present demand into the records of the pools."""
+        self._demand.observe(self._sources.wall_clock())
+
     def _step(self) -> None:
+        self.observe_demand()
         self._held = {
             shard: held
             for shard, held in self._held.items()
@@ -186,8 +201,10 @@
             self._mesh,
             self._clock,
             self._listing,
+            self._demand,
             self._sources.token_source,
             self._sources.wall_clock,
+            self._planner,
         )
         if lease.shard == orders.SITE_SHARD:
             return site_keeper.SiteKeeper(context)
--- a/wisteriasill/machines/entry_host.py
+++ b/wisteriasill/machines/entry_host.py
@@ -41,12 +41,14 @@
         self._leaving = False
         self.metrics = metrics_module.Metrics()
         self.site = sites.Site(self._clock)
-        self._platform = platform_link.PlatformLink(settings)
+        self._platform = platform_link.PlatformLink(
+            settings, self.metrics.count_control_traffic
+        )
         self._peers = peer_link.PeerLinks(
             settings, self.site, self._incarnation, self.metrics, self._clock
         )
         self._idempotency = idempotency.IdempotencyRegistry(
-            self._platform, settings, self._clock
+            self._platform, settings, self._clock, self._incarnation
         )
         self._dispatcher = dispatch.Dispatcher(
             settings,
--- a/wisteriasill/machines/shard_context.py
+++ b/wisteriasill/machines/shard_context.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from returns import result
@@ -10,10 +10,12 @@
 from wisteriasill import clock as clocks
 from wisteriasill import errors
 from wisteriasill.contracts import service
+from wisteriasill.contracts import wave_plan
 from wisteriasill.links import peer_messages
 from wisteriasill.links import platform
 from wisteriasill.machines import host as hosts
 from wisteriasill.machines import host_listing
+from wisteriasill.zones import demand_watch
 from wisteriasill.zones import site as sites
 
 
@@ -24,7 +26,7 @@
         self,
         epoch_row: platform.Row,
         hosts: Sequence[hosts.Host],
-        services: Mapping[str, service.Service],
+        services: Sequence[service.Service],
         quotas: Sequence[service.TeamQuota],
     ) -> result.Result[None, errors.Failure]:
         """Starts, renews and ends tasks on the pool's hosts."""
@@ -54,8 +56,10 @@
         mesh: Links to peers.
         clock: This process's clock.
         listing: The platform's list of hosts.
+        demand: Demand of the pools.
         token_source: Makes a new random token at each call.
         wall_clock: Seconds since the epoch, for people to read.
+        planner: Plans maintenance waves; the bench compares several.
     """
 
     shard: str
@@ -65,8 +69,10 @@
     mesh: peer_messages.PeerMesh
     clock: clocks.Clock
     listing: host_listing.HostListing
+    demand: demand_watch.DemandWatch
     token_source: Callable[[], str]
     wall_clock: Callable[[], float]
+    planner: wave_plan.Planner = wave_plan.plan
 
 
 class ShardKeeper(Protocol):
--- a/wisteriasill/machines/wave_keeper.py
+++ b/wisteriasill/machines/wave_keeper.py
@@ -7,14 +7,19 @@
 from wisteriasill import errors
 from wisteriasill import events
 from wisteriasill.contracts import availability
+from wisteriasill.contracts import demand
 from wisteriasill.contracts import maintenance
+from wisteriasill.contracts import service
+from wisteriasill.contracts import wave_limits
 from wisteriasill.contracts import wave_plan
 from wisteriasill.machines import host as hosts
+from wisteriasill.machines import host_rows
 from wisteriasill.machines import pool_hosts
-from wisteriasill.machines import pool_rows
 from wisteriasill.machines import shard_context
 from wisteriasill.machines import wave_rows
 
+# How often a running wave looks at that of the spare pool.
+CANARY_SECONDS = 60.0
 _EVENTS_BY_STATE = {
     maintenance.WaveState.RUNNING: (
         events.Event.WAVE_STARTED,
@@ -47,6 +52,8 @@
         self._context = context
         self._pool = pool
         self._waves = waves
+        self._canary = False
+        self._canary_read_at = -CANARY_SECONDS
 
     def step(self) -> result.Result[None, errors.Failure]:
         """Does the next step of the wave, if there is one."""
@@ -57,16 +64,21 @@
         if owner is None or not self._pool.rows.current:
             return result.Success(None)
         contract = owner.pool
-        plan = wave_plan.plan(
+        plan = self._context.planner(
             wave_plan.WaveView(
                 self._context.shard,
                 self._pool.rows.ordered,
-                self._missing(wave_plan.overdue_seconds(contract)),
+                self._missing(wave_limits.overdue_seconds(contract)),
                 contract,
                 configuration.site.prefer,
-                availability.budget_of(self._pool.rows.ordered, contract),
+                availability.budget_of(
+                    self._pool.rows.ordered,
+                    contract,
+                    self._needed_ahead(contract),
+                ),
                 self._waves.wave,
                 self._context.wall_clock(),
+                self._canary_waits(configuration.spare_pool),
             )
         )
         if plan.wave is None or (
@@ -75,6 +87,46 @@
             return result.Success(None)
         return self._write(plan.wave, plan)
 
+    def _needed_ahead(self, contract: service.PoolContract) -> int:
+        """Returns the hosts that demand takes while a host is away.
+
+        Demand beyond the pool's size must not hold maintenance back for
+        good, so one host may always leave above the promise.
+        """
+        needed = demand.hosts_needed_ahead(
+            self._context.demand.demand(self._context.shard),
+            contract.slots_per_host,
+            self._context.wall_clock(),
+            contract.maintenance_minutes * 60.0,
+        )
+        most = max(0, len(self._pool.rows.ordered) - 1)
+        return min(needed, most)
+
+    def _canary_waits(self, spare_pool: str) -> bool:
+        """Tells whether to wait for the spare pool's wave, as last read."""
+        now = self._context.clock.monotonic()
+        running = (
+            self._waves.wave is not None
+            and self._waves.wave.state is maintenance.WaveState.RUNNING
+        )
+        if not spare_pool or spare_pool == self._context.shard or not running:
+            return False
+        if now - self._canary_read_at >= CANARY_SECONDS:
+            rows = self._context.platform.table.scan(
+                maintenance.TABLE, f"{spare_pool}/"
+            )
+            if isinstance(rows, result.Success):
+                self._canary_read_at = now
+                self._canary = any(
+                    row.value["state"] == maintenance.WaveState.STOPPED
+                    or (
+                        row.value["state"] == maintenance.WaveState.RUNNING
+                        and row.value["hosts_done"] == 0
+                    )
+                    for row in rows.unwrap()[-1:]
+                )
+        return self._canary
+
     def _missing(self, overdue_seconds: float) -> frozenset[str]:
         now = self._context.clock.monotonic()
         return frozenset(
@@ -89,7 +141,7 @@
         self, wave: maintenance.Wave, plan: wave_plan.WavePlan
     ) -> result.Result[None, errors.Failure]:
         before = self._waves.wave
-        leaving = plan.leaving[: pool_rows.BATCH_ROWS]
+        leaving = plan.leaving[: host_rows.BATCH_ROWS]
         if leaving:
             extra = self._waves.extra(wave)
             self._waves.forget()
@@ -105,7 +157,7 @@
                 ),
             ).bind(lambda _: self._waves.refresh())
         else:
-            written = self._waves.write(wave, pool_rows.Extra())
+            written = self._waves.write(wave, host_rows.Extra())
         if isinstance(written, result.Success) and (
             before is None or before.state is not wave.state
         ):
