--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -13,7 +13,7 @@
 from bench import node_cost
 from bench import report
 
-SETTLE_SECONDS = 8.0
+SETTLE_SECONDS = 30.0  # A new holder looks at all hosts first.
 SAMPLE_SECONDS = 12.0
 READY_SECONDS = 60.0
 POLL_SECONDS = 0.2
