Test the daemon where it is now, and stop a test run from becoming it

Since the entry command replaces its process by wisteriasill.daemon, the tests of the entry command turned the test run itself into a daemon and never ended. They call daemon.main now; a third test checks the command that is executed and the settings it passes on.

--- a/tests/commands/test_entry.py
+++ b/tests/commands/test_entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent import futures
 import os
 import signal
@@ -16,6 +16,8 @@
 from standins import platform_state
 from tests.commands import conftest
 from wisteriasill import clock as clocks
+from wisteriasill import daemon
+from wisteriasill import entry_settings
 from wisteriasill.links import operator_client
 
 
@@ -43,31 +45,47 @@
         signal.signal(number, handler)
 
 
-def flags(platform_url: str, operator_port: int) -> list[str]:
-    return [
-        *("entry", "--member-id", "entry-1", "--availability-zone", "zone-a"),
-        *("--platform-url", platform_url),
-        *("--operator-port", str(operator_port)),
-        *("--set", "drain_notice_seconds=0", "--set", "caller_threads=2"),
-    ]
+@pytest.fixture
+def start(
+    platform_url: str,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> Callable[[int], tuple[int, str]]:
+    """Runs the daemon in this process; returns its status and its log."""
+
+    def call(operator_port: int) -> tuple[int, str]:
+        for name, value in {
+            "MEMBER_ID": "entry-1",
+            "AVAILABILITY_ZONE": "zone-a",
+            "PLATFORM_URL": platform_url,
+            "OPERATOR_PORT": str(operator_port),
+            "OPERATOR_TOKEN": "t",
+            "DRAIN_NOTICE_SECONDS": "0",
+            "CALLER_THREADS": "2",
+        }.items():
+            monkeypatch.setenv(entry_settings.PREFIX + name, value)
+        status = daemon.main([])
+        return status, capsys.readouterr().err
+
+    return call
 
 
 def test_port_in_use_is_one_line_and_ends(
-    run: conftest.Run, platform_url: str
+    start: Callable[[int], tuple[int, str]],
 ) -> None:
     """Threads of the ports that were bound must not keep the process up."""
     before = threading.active_count()
     with socket.create_server(("127.0.0.1", 0)) as taken:
         port = taken.getsockname()[1]
-        outcome = run(*flags(platform_url, port))
-    assert outcome.status == 1
-    assert str(port) in outcome.errors.splitlines()[-1]
-    assert "Traceback" not in outcome.errors
+        status, log = start(port)
+    assert status == 1
+    assert str(port) in log.splitlines()[-1]
+    assert "Traceback" not in log
     assert threading.active_count() <= before
 
 
 def test_sigterm_ends_the_daemon_in_order(
-    run: conftest.Run, platform_url: str
+    start: Callable[[int], tuple[int, str]],
 ) -> None:
     """A replaced entry host must leave by itself with status 0."""
     with socket.create_server(("127.0.0.1", 0)) as free:
@@ -85,7 +103,30 @@
 
     with futures.ThreadPoolExecutor(1) as executor:
         terminating = executor.submit(terminate)
-        outcome = run(*flags(platform_url, port), "--set", "operator_token=t")
+        status, log = start(port)
     assert terminating.result()
-    assert outcome.status == 0
-    assert "entry host stopped" in outcome.errors
+    assert status == 0
+    assert "entry host stopped" in log
+
+
+def test_entry_becomes_the_daemon_with_its_settings(
+    run: conftest.Run, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The daemon must get the settings that the flags name, and no others."""
+    calls: list[tuple[list[str], dict[str, str]]] = []
+
+    def replace(path: str, words: list[str], variables: dict[str, str]) -> None:
+        calls.append((words, variables))
+        raise SystemExit(0)
+
+    monkeypatch.setattr(os, "execve", replace)
+    monkeypatch.setenv("WISTERIASILL_MEMBER_ID", "from-variable")
+    run(
+        *("entry", "--member-id", "entry-1", "--availability-zone", "zone-a"),
+        *("--platform-url", "http://127.0.0.1:1", "--set", "lease_seconds=5"),
+    )
+    words, variables = calls[0]
+    assert words[1:] == ["-m", "wisteriasill.daemon"]
+    settings = entry_settings.build_settings({}, variables).unwrap()
+    assert settings.member_id == "entry-1"
+    assert settings.lease_seconds == 5
--- a/tests/contracts/test_configuration_store.py
+++ b/tests/contracts/test_configuration_store.py
@@ -166,6 +166,27 @@
     assert kind_of(publish(mandacaru, 1)) is errors.ErrorKind.CONFLICT
 
 
+def test_publish_goes_on_from_the_newest_known_configuration(
+    scripted: scripted_platform.ScriptedPlatform,
+    publish: Publish,
+    mandacaru: Documents,
+    manual_clock: clocks.ManualClock,
+) -> None:
+    """Old reads must not stop a publish that knows a newer generation."""
+    old_rows = dict(scripted.rows)
+    publish(edited(mandacaru, "quoting", maintenance_minutes=45), 1)
+    newest = in_force(scripted)
+    scripted.stale_rows = old_rows
+    change = store.Change(
+        edited(mandacaru, "billing", maintenance_minutes=45), "bia", 1
+    )
+    manifest = store.publish(
+        scripted, change, lambda: newest, manual_clock
+    ).unwrap()
+    assert manifest.generation == 3
+    assert manifest.entries["quoting"].generation == 2
+
+
 def test_store_that_is_down_reports_nothing_written(
     scripted: scripted_platform.ScriptedPlatform,
     publish: Publish,
--- a/wisteriasill/commands/order_arguments.py
+++ b/wisteriasill/commands/order_arguments.py
@@ -130,7 +130,7 @@
     )
 
 
-@cappa.command(description=arguments.example("cancel cutting.stock-count.0"))
+@cappa.command(description=arguments.example("cancel cutting.stock-count.1"))
 def cancel(
     job: Annotated[str, cappa.Arg(value_name="JOB", help="Job id.")],
     entry: arguments.Entry = "",
