--- a/wisteriasill/links/operator_link.py
+++ b/wisteriasill/links/operator_link.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from concurrent import futures
 import hmac
 import ipaddress
@@ -31,7 +31,8 @@
 
 # Half of them may wait for events, see operator_pages.MAX_EVENT_WAITERS.
 OPERATOR_THREADS = 8
-MAX_BODY_BYTES = 1024 * 1024
+# Beyond this the connection is cut; see operator_pages.MAX_BODY_BYTES.
+MAX_READ_BYTES = 4 * 1024 * 1024
 # Operators' tools need few headers.
 MAX_HEADER_BYTES = 8 * 1024
 
@@ -93,7 +94,7 @@
             settings._replace(
                 caller_port=settings.operator_port,
                 caller_threads=OPERATOR_THREADS,
-                max_body_bytes=MAX_BODY_BYTES,
+                max_body_bytes=MAX_READ_BYTES,
                 max_header_bytes=MAX_HEADER_BYTES,
             ),
             self._application,
@@ -177,7 +178,9 @@
             return self._refuse(
                 request, errors.failure(errors.ErrorKind.NOT_FOUND, detail)
             )
-        page: operator_pages.Page = getattr(self._pages, name)
+        page: Callable[..., operator_pages.Document] = getattr(
+            self._pages, name
+        )
         match page(request, **arguments):
             case result.Success(document):
                 return wrappers.Response(
--- a/wisteriasill/links/operator_pages.py
+++ b/wisteriasill/links/operator_pages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 import json
 import threading
 import time
@@ -30,6 +30,7 @@
 T = TypeVar("T")
 Document = result.Result[dict[str, Any], errors.Failure]
 
+MAX_BODY_BYTES = 1024 * 1024
 MAX_EVENT_WAIT_SECONDS = 20.0
 # The others keep answering while these wait for events.
 MAX_EVENT_WAITERS = 4
@@ -274,8 +275,18 @@
 def _body(
     request: wrappers.Request, kind: type[T]
 ) -> result.Result[T, errors.Failure]:
+    # A larger body is read all the same, up to the server's own bound: an
+    # answer to an unread body may be lost when the connection closes.
+    body = request.get_data(cache=False)
+    if len(body) > MAX_BODY_BYTES:
+        return result.Failure(
+            errors.failure(
+                errors.ErrorKind.BODY_TOO_LARGE,
+                f"the body has {len(body)} bytes; {MAX_BODY_BYTES} are allowed",
+            )
+        )
     try:
-        plain = json.loads(request.get_data(cache=False))
+        plain = json.loads(body)
     except (ValueError, RecursionError) as error:
         return _malformed(f"the body is not JSON: {error}")
     if not isinstance(plain, dict):
@@ -285,6 +296,3 @@
 
 def _malformed(detail: str) -> result.Result[Any, errors.Failure]:
     return result.Failure(errors.failure(errors.ErrorKind.BAD_REQUEST, detail))
-
-
-Page = Callable[..., Document]
