--- a/wisteriasill/contracts/service_checks.py
+++ b/wisteriasill/contracts/service_checks.py
@@ -192,6 +192,12 @@
                 "is not an HTTP method in capitals"
                 + nearest(method.upper(), METHODS),
             )
+    yield from _check_repeat(name, index, request)
+
+
+def _check_repeat(
+    name: str, index: int, request: services.RequestClass
+) -> Iterator[Finding]:
     reading = READING_METHODS.intersection(request.methods)
     if request.repeat is services.Repeat.NEVER and reading:
         yield Finding(
