Write log lines to the standard error of the moment

Cause: tests that configure logging left a sink on a closed captured stream; loguru printed a traceback for each later event. Change: the sink looks sys.stderr up at each line. Conclusion: a redirected standard error is followed as well.

--- a/wisteriasill/events.py
+++ b/wisteriasill/events.py
@@ -143,6 +143,11 @@
 )
 
 
+def _write(line: str) -> None:
+    # Looked up at each call, so that a redirected stderr is followed.
+    sys.stderr.write(line)
+
+
 def configure(level: str = "INFO", as_json: bool = False) -> None:
     """Sends log events to standard error.
 
@@ -153,7 +158,7 @@
     loguru.logger.remove()
     loguru.logger.configure(extra={"event": 0, "fields": ""})
     loguru.logger.add(
-        sys.stderr,
+        _write,
         level=level,
         serialize=as_json,
         format=_TEXT_FORMAT,
