--- a/wisteriasill/contracts/slots_lent.py
+++ b/wisteriasill/contracts/slots_lent.py
@@ -78,13 +78,7 @@
     def reserve(
         self, groups: slots.Groups, wanted: int = 1
     ) -> hosts.Host | None:
-        """Uses a credit; asks for more if there is none.
-
-        A credit of a less preferred group is used rather than waiting, but
-        the first group is asked as well. Otherwise a target without credits,
-        such as one that waits for its trial request, would never get any
-        while others have some.
-        """
+        """Uses a credit; asks for more if there is none."""
         with self._lock:
             chosen = self._take(groups)
         if chosen is None:
--- a/wisteriasill/machines/job_follower.py
+++ b/wisteriasill/machines/job_follower.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+from collections.abc import Sequence
 import itertools
 import math
 
@@ -16,7 +18,9 @@
 from wisteriasill.contracts import jobs
 from wisteriasill.contracts import placement
 from wisteriasill.contracts import preemption
+from wisteriasill.contracts import quota
 from wisteriasill.links import platform
+from wisteriasill.machines import host as hosts
 from wisteriasill.machines import job_memory
 from wisteriasill.machines import job_rows
 from wisteriasill.machines import job_starts
@@ -51,6 +55,8 @@
         self._runner = platform_.tasks
         self._clock = clock
         self._relieved_at: dict[str, float] = {}
+        self._relief_basis: tuple[Sequence[hosts.Host], int] = ((), 0)
+        self._relief_due_at = 0.0
 
     def renew(self, round_: job_memory.Round) -> Outcome:
         """Renews the leases that are due, the oldest first."""
@@ -100,7 +106,9 @@
                 break
             reports = self._runner.list_tasks(host.host_id)
             if isinstance(reports, result.Success):
-                self._memory.take_reports(host, reports.unwrap())
+                self._memory.take_reports(
+                    host, reports.unwrap(), self._held_on(host.host_id)
+                )
 
     def checkpoint(self, round_: job_memory.Round) -> Outcome:
         """Makes the periodic checkpoints that are due."""
@@ -152,15 +160,21 @@
 
     def _relieve(self, round_: job_memory.Round) -> Outcome:
         now = self._clock.monotonic()
-        placed = job_schedule.placed(self._rows.jobs_by_id.values())
+        basis = (round_.hosts, self._rows.revision)
+        if basis == self._relief_basis and now < self._relief_due_at:
+            return result.Success(None)
+        self._relief_basis = basis
+        self._relief_due_at = now + job_sizes.CORRECTION_SECONDS
+        placed_by_host = collections.defaultdict(list)
+        for item in job_schedule.placed(self._rows.jobs_by_id.values()):
+            placed_by_host[item.job.host_id].append(item)
         leaving = []
         for host in round_.hosts:
             relieved_at = self._relieved_at.get(host.host_id, -math.inf)
             if now - relieved_at < job_sizes.CORRECTION_SECONDS:
                 continue
             victim = preemption.overloaded_victim(
-                host,
-                [item for item in placed if item.job.host_id == host.host_id],
+                host, placed_by_host[host.host_id]
             )
             if victim is None:
                 continue
@@ -173,6 +187,13 @@
             )
         return self._rows.commit(leaving, round_.quota_by_team)
 
+    def _held_on(self, host_id: str) -> quota.Size:
+        return quota.total(
+            job_schedule.size_of(job)
+            for job in self._rows.running()
+            if job.host_id == host_id
+        )
+
     def _read_at(self, host_id: str) -> float:
         known = self._memory.reports_by_host.get(host_id)
         return -math.inf if known is None else known.read_at
