Rotate surplus slots faster and answer a full server in full

Cause: with a term of 1 s an entry host that lacked slots of a worker waited about a second for one, and others' requests waited with it; a connection for which there was no thread got a plain 503 without X-Executed. Change: a term of 0.3 s for what a member holds above its share; the 503 is a problem document with executed: no.

--- a/tests/links/test_caller_link.py
+++ b/tests/links/test_caller_link.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 from concurrent import futures
+import contextlib
 import json
 import socket
 import time
@@ -15,6 +16,7 @@
 from tests.links import request_fixtures
 from wisteriasill import metrics as metric_types
 from wisteriasill.links import caller_link
+from wisteriasill.links import caller_server
 from wisteriasill.links import dispatch
 
 
@@ -124,3 +126,27 @@
     """Balancer and monitoring must find their pages."""
     for path in ("/healthz", "/readyz", "/metrics"):
         assert converse(link.port, get(path)).startswith(b"HTTP/1.1 200")
+
+
+def test_full_server_says_not_executed(
+    dispatcher: dispatch.Dispatcher,
+) -> None:
+    """A connection without a thread must get a problem, not plain text."""
+    small = caller_link.CallerLink(
+        request_fixtures.SETTINGS._replace(caller_threads=1),
+        dispatcher,
+        AlwaysReady(),
+        metric_types.Metrics(),
+    )
+    small.start()
+    with contextlib.ExitStack() as silent:
+        silent.callback(small.stop, 3.0)
+        for _ in range(1 + caller_server.ACCEPTED_QUEUE):
+            silent.enter_context(
+                socket.create_connection(("127.0.0.1", small.port), 2.0)
+            )
+            time.sleep(0.05)
+        head, _, body = converse(small.port, b"").partition(b"\r\n\r\n")
+    assert b" 503 " in head.splitlines()[0]
+    assert b"Retry-After: 1" in head
+    assert json.loads(body)["executed"] == "no"
--- a/wisteriasill/contracts/slots_lent.py
+++ b/wisteriasill/contracts/slots_lent.py
@@ -24,7 +24,7 @@
 # its next release after the term, so that no entry host keeps more than its
 # share while others wait.
 IDLE_SECONDS = 0.15
-TERM_SECONDS = 1.0
+TERM_SECONDS = 0.3
 CREDITS_PER_REQUEST = 2
 # A request that the lender did not answer by then was lost.
 ANSWER_SECONDS = 0.2
--- a/wisteriasill/links/caller_server.py
+++ b/wisteriasill/links/caller_server.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import queue
 import socket
 import threading
 import time
@@ -99,6 +101,8 @@
             kind = errors.ErrorKind.BODY_TOO_LARGE
         elif code == 500:
             kind = errors.ErrorKind.INTERNAL
+        elif code == 503:
+            kind = errors.ErrorKind.OVERLOADED
         failure = errors.failure(kind, msg or text[4:])
         body = json.dumps(problem.document(failure) | {"status": code}) + "\n"
         lines = (
@@ -107,6 +111,11 @@
             f"Content-Length: {len(body)}",
             f"{exchange.EXECUTED_HEADER}: {failure.executed}",
             "Connection: close",
+            *(
+                [f"Retry-After: {failure.retry_after_seconds}"]
+                if failure.retry_after_seconds is not None
+                else []
+            ),
         )
         self.close_connection = True
         self.sent_headers = True
@@ -167,3 +176,18 @@
         return not self.stopping_event.is_set() and bool(
             super().can_add_keepalive_connection
         )
+
+    def process_conn(self, conn: server.HTTPConnection) -> None:
+        """Hands a connection to a thread, or turns it away unread."""
+        try:
+            self.requests.put(conn)
+        except queue.Full:
+            with contextlib.suppress(OSError):
+                _Request(self, conn).simple_response(
+                    "503 Service Unavailable", "all threads are busy"
+                )
+                # Closing at once with the request unread would reset the
+                # connection, and the caller could lose the answer.
+                conn.socket.shutdown(socket.SHUT_WR)
+            conn.linger = True
+            conn.close()
