--- a/standins/balancer.py
+++ b/standins/balancer.py
@@ -13,6 +13,7 @@
 from wisteriasill import clock as clocks
 from wisteriasill.contracts import exchange
 
+PROBLEM_TYPE = "application/problem+json"
 CHECK_SECONDS = 0.2
 CHECK_TIMEOUT_SECONDS = 1.0
 CLIENT_MARGIN_SECONDS = 2.0  # Wait beyond the deadline that the caller sets.
@@ -140,23 +141,32 @@
         return Outcome(0, False, "", "unknown", seconds, repr(error))
     finally:
         connection.close()
-    seconds = clock.monotonic() - started_at
-    if answer.headers.get_content_type() == "application/problem+json":
-        problem = json.loads(body)
-        return Outcome(
-            answer.status,
-            False,
-            problem["kind"],
-            problem["executed"],
-            seconds,
-            problem.get("detail", ""),
-        )
+    is_problem = answer.headers.get_content_type() == PROBLEM_TYPE
+    judge = _refused if is_problem else _answered
+    return judge(call, answer.status, body, clock.monotonic() - started_at)
+
+
+def _refused(call: Call, status: int, body: bytes, seconds: float) -> Outcome:
+    """Reads an answer that the product made itself."""
+    problem = json.loads(body)
+    return Outcome(
+        status,
+        False,
+        problem["kind"],
+        problem["executed"],
+        seconds,
+        problem.get("detail", ""),
+    )
+
+
+def _answered(call: Call, status: int, body: bytes, seconds: float) -> Outcome:
+    """Compares a back end's answer with the one that the request must get."""
     expected = http_wire.answer_body(
         call.method, call.path, call.caller, call.body
     )
     whole = body == expected
     return Outcome(
-        answer.status, whole, "", "yes", seconds, "" if whole else repr(body)
+        status, whole, "", "yes", seconds, "" if whole else repr(body)
     )
 
 
