Fail a test that uses parts of the platform it must not use

Cause: the scripted platform raised NotImplementedError for three services, which reads like unfinished code. Change: an assertion that names the service.

--- a/tests/scripted_platform.py
+++ b/tests/scripted_platform.py
@@ -48,18 +48,18 @@
 
     @property
     def host_list(self) -> platform.HostList:
-        """Not scripted."""
-        raise NotImplementedError
+        """Fails the test: nothing here may use it."""
+        raise AssertionError("host_list must not be used")
 
     @property
     def tasks(self) -> platform.TaskRunner:
-        """Not scripted."""
-        raise NotImplementedError
+        """Fails the test: nothing here may use it."""
+        raise AssertionError("tasks must not be used")
 
     @property
     def host_control(self) -> platform.HostControl:
-        """Not scripted."""
-        raise NotImplementedError
+        """Fails the test: nothing here may use it."""
+        raise AssertionError("host_control must not be used")
 
     def set_row(self, table: str, key: str, value: Mapping[str, Any]) -> None:
         """Writes a row as another process would."""
