Run jobs on the users' platform: adapter, shards, pools, workers

Cause: nothing of the product ran on the platform; its own jobs have one task each and its control assumes peers and a store without versions a part. Each service is a shard with one holder, fenced by the version of its owner row. Jobs are accepted by one insert; starts and ends are stored in groups before they are sent or forgotten.

--- /dev/null
+++ b/wisteriasill/contracts/job_spec.py
@@ -0,0 +1,178 @@
+"""What a caller hands in: a job of steps, each of equal tasks."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+
+class Room(NamedTuple):
+    """Capacity of a worker or need of a task.
+
+    Attributes:
+        cpu: Thousandths of a core.
+    """
+
+    cpu: int
+    memory_mb: int
+    accelerators: int
+
+    def holds(self, need: Room) -> bool:
+        """Tells whether a need fits."""
+        return (
+            need.cpu <= self.cpu
+            and need.memory_mb <= self.memory_mb
+            and need.accelerators <= self.accelerators
+        )
+
+
+class StepKey(NamedTuple):
+    """Names one step of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+
+class TaskKey(NamedTuple):
+    """Names one task."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    index: int
+
+
+class StepSpec(NamedTuple):
+    """A step.
+
+    Attributes:
+        count: Number of its tasks.
+        need: What each task reserves on its worker.
+        estimate_seconds: Declared time of a task, often far off.
+        after: Numbers of the steps that must be done first.
+        saves: Whether tasks write checkpoints.
+        gang: Whether the tasks run only all together.
+        same_rack: Whether a gang is slower on more than one rack.
+        label: Label that a worker must have, or empty.
+        data_rack: Rack where the data is, or empty.
+        most_per_worker: Largest number of its tasks on a worker; 0 for any.
+        copies: Whether copies of a task may run side by side.
+        lasting: Whether tasks run until the job is cancelled.
+        image: What the tasks run.
+        target_ms: Bound of a task's response times; 0 for none.
+        fills: Whether tasks use only what other tasks leave.
+        may_be_away: Tasks that planned acts may take away at a time; 0 where
+            the step has no such bound.
+    """
+
+    count: int
+    need: Room
+    estimate_seconds: float
+    after: tuple[int, ...] = ()
+    saves: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    data_rack: str = ""
+    most_per_worker: int = 0
+    copies: bool = False
+    lasting: bool = False
+    image: str = ""
+    target_ms: int = 0
+    fills: bool = False
+    may_be_away: int = 0
+
+
+class JobSpec(NamedTuple):
+    """A job as it was handed in.
+
+    Attributes:
+        payload: Text passed to each task.
+        first_due_ms: Unix time of the first occurrence.
+        occurrences: Number of times the steps run; 0 for a job without times,
+            which runs once at once.
+    """
+
+    payload: str
+    steps: tuple[StepSpec, ...]
+    first_due_ms: int = 0
+    interval_ms: int = 0
+    occurrences: int = 0
+
+    @property
+    def lasting(self) -> bool:
+        """Whether some step runs until the job is cancelled."""
+        return any(step.lasting for step in self.steps)
+
+    @property
+    def rounds(self) -> int:
+        """Number of times the steps run."""
+        return max(1, self.occurrences)
+
+    def due_ms(self, occurrence: int) -> int:
+        """Unix time at which an occurrence may start; 0 for at once."""
+        if not self.occurrences:
+            return 0
+        return self.first_due_ms + occurrence * self.interval_ms
+
+
+class JobRecord(NamedTuple):
+    """An accepted job as the store keeps it."""
+
+    queue: str
+    accepted_ms: int
+    cancelled: bool
+    spec: JobSpec
+
+
+def encode(record: JobRecord) -> dict[str, Any]:
+    """Turns a record into plain data."""
+    spec = record.spec
+    return {
+        "queue": record.queue,
+        "accepted_ms": record.accepted_ms,
+        "cancelled": record.cancelled,
+        "payload": spec.payload,
+        "times": [spec.first_due_ms, spec.interval_ms, spec.occurrences],
+        "steps": [_changed_fields(step) for step in spec.steps],
+    }
+
+
+def decode(data: dict[str, Any]) -> JobRecord:
+    """Reads what `encode` made."""
+    first_due_ms, interval_ms, occurrences = data["times"]
+    steps = tuple(_step(fields) for fields in data["steps"])
+    return JobRecord(
+        data["queue"],
+        data["accepted_ms"],
+        data["cancelled"],
+        JobSpec(data["payload"], steps, first_due_ms, interval_ms, occurrences),
+    )
+
+
+def _changed_fields(step: StepSpec) -> dict[str, Any]:
+    defaults = StepSpec._field_defaults
+    return {
+        name: list(value) if isinstance(value, tuple) else value
+        for name, value in step._asdict().items()
+        if name not in defaults or defaults[name] != value
+    }
+
+
+def _step(fields: dict[str, Any]) -> StepSpec:
+    return StepSpec(
+        **{
+            **fields,
+            "need": Room(*fields["need"]),
+            "after": tuple(fields.get("after", ())),
+        }
+    )
+
+
+def chain_seconds(steps: tuple[StepSpec, ...]) -> float:
+    """Returns the declared time of the longest chain of steps."""
+    ends: list[float] = []
+    for step in steps:
+        start = max((ends[i] for i in step.after if i < len(ends)), default=0.0)
+        ends.append(start + step.estimate_seconds)
+    return max(ends, default=0.0)
--- /dev/null
+++ b/wisteriasill/contracts/worker_choice.py
@@ -0,0 +1,97 @@
+"""Choice of the worker for a task."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Mapping
+from typing import NamedTuple, Protocol, TypeVar
+
+from wisteriasill.contracts import job_spec
+
+
+class Candidate(Protocol):
+    """A worker that takes tasks, with what no run reserves on it."""
+
+    free_cpu: int
+    free_memory_mb: int
+    free_accelerators: int
+
+    @property
+    def worker_id(self) -> str:
+        """The worker's id."""
+
+    @property
+    def rack(self) -> str:
+        """Rack of its host."""
+
+    @property
+    def labels(self) -> tuple[str, ...]:
+        """Its labels."""
+
+
+class Need(NamedTuple):
+    """What limits the choice for one task.
+
+    Attributes:
+        used: Tasks of the same step by worker.
+        avoided: Workers on which the task failed.
+        permitted: Workers that the queue's policy allows; None for any.
+    """
+
+    step: job_spec.StepSpec
+    used: Mapping[str, int]
+    avoided: Collection[str] = ()
+    permitted: Collection[str] | None = None
+
+
+def fits(candidate: Candidate, need: Need) -> bool:
+    """Tells whether a worker may take the task now."""
+    step = need.step
+    room = step.need
+    return (
+        room.memory_mb <= candidate.free_memory_mb
+        and room.accelerators <= candidate.free_accelerators
+        and (step.fills or room.cpu <= candidate.free_cpu)
+        and (not step.label or step.label in candidate.labels)
+        and (
+            not step.most_per_worker
+            or need.used.get(candidate.worker_id, 0) < step.most_per_worker
+        )
+        and (need.permitted is None or candidate.worker_id in need.permitted)
+    )
+
+
+AnyCandidate = TypeVar("AnyCandidate", bound=Candidate)
+
+
+def choose(
+    candidates: Iterable[AnyCandidate], need: Need
+) -> AnyCandidate | None:
+    """Chooses a worker.
+
+    Lasting tasks spread over the emptiest workers, so that a lost worker
+    takes few of a step. Others fill the fullest worker that still has room,
+    which keeps room for wide tasks.
+
+    Args:
+        candidates: Workers that take tasks.
+        need: The task.
+
+    Returns:
+        The worker, or None if none has room.
+    """
+    step = need.step
+
+    def badness(candidate: AnyCandidate) -> tuple[float, ...]:
+        used = need.used.get(candidate.worker_id, 0)
+        return (
+            candidate.worker_id in need.avoided,
+            bool(step.data_rack) and candidate.rack != step.data_rack,
+            used if step.lasting else 0,
+            -candidate.free_cpu if step.lasting else candidate.free_cpu,
+        )
+
+    return min(
+        (one for one in candidates if fits(one, need)),
+        key=badness,
+        default=None,
+    )
--- a/wisteriasill/errors.py
+++ b/wisteriasill/errors.py
@@ -35,6 +35,7 @@
     KEY_REUSED = "idempotency-key-reused"
     SHUTTING_DOWN = "shutting-down"
     NOT_READY = "not-ready"
+    NO_SUCH_JOB = "no-such-job"
     # Operators' requests and files.
     UNAUTHORIZED = "unauthorized"
     NOT_FOUND = "not-found"
@@ -120,6 +121,7 @@
     ErrorKind.NOT_READY: Answer(
         503, "This entry host is not ready", retry_after_seconds=1
     ),
+    ErrorKind.NO_SUCH_JOB: Answer(410, "No such job exists"),
     ErrorKind.UNAUTHORIZED: Answer(401, "A valid bearer token is required"),
     ErrorKind.NOT_FOUND: Answer(404, "The resource does not exist"),
     ErrorKind.METHOD_NOT_ALLOWED: Answer(405, "The method is not allowed"),
--- a/wisteriasill/events.py
+++ b/wisteriasill/events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 import enum
 import sys
 import threading
@@ -46,12 +47,30 @@
     WAVE_STOPPED = 506
     WAVE_FINISHED = 507
     ORDER_REJECTED = 508
+    WORKER_JOINED = 510
+    WORKER_LOST = 511
+    WORKER_DOUBTED = 512
+    WORKER_TRUSTED = 513
+    WORKER_SILENT = 514
+    HOST_RELEASED = 515
+    HOST_ORDERED = 516
     JOB_STARTED = 600
     JOB_CHECKPOINTED = 601
     JOB_STOPPED = 602
     JOB_WAITING = 603
     JOB_FAILED = 604
     PROCESSORS_LENT = 605
+    JOB_ACCEPTED = 610
+    JOB_REFUSED = 611
+    TASKS_PLACED = 612
+    TASKS_NOT_PLACED = 613
+    START_REJECTED = 614
+    START_UNKNOWN = 615
+    RUN_ENDED = 616
+    RUN_LOST = 617
+    JOB_ENDED = 618
+    JOB_CANCELLED = 619
+    TASKS_PACED = 620
     STORE_FAILED = 700
     STORE_RECOVERED = 701
     HOST_LIST_FAILED = 702
@@ -137,6 +156,8 @@
 
 RECENT = Ring()
 
+_IMPORTANT_LEVEL = 30  # WARNING; such lines are dropped last.
+
 _TEXT_FORMAT = (
     "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level:<7} "
     "{extra[event]:>3} {message} {extra[fields]}"
@@ -166,6 +187,39 @@
     )
 
 
+def configure_writer(put: Callable[[bool, dict[str, Any]], None]) -> None:
+    """Sends log events to a writer that never blocks.
+
+    Args:
+        put: Takes whether a line is important, and its fields.
+    """
+
+    def write(message: Any) -> None:
+        record = message.record
+        extra = {
+            key: value
+            for key, value in record["extra"].items()
+            if key not in ("fields", "event")
+        }
+        number = record["extra"]["event"]
+        put(
+            record["level"].no >= _IMPORTANT_LEVEL,
+            {
+                "at": round(record["time"].timestamp(), 3),
+                "steady": round(time.monotonic(), 3),
+                "level": record["level"].name,
+                "event": number,
+                "name": Event(number).name if number else "",
+                "message": record["message"],
+                **extra,
+            },
+        )
+
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"event": 0, "fields": ""})
+    loguru.logger.add(write, level="INFO", format="{message}", catch=True)
+
+
 def log(event: Event, message: str, level: str = "INFO", **fields: Any) -> None:
     """Logs one numbered event.
 
--- /dev/null
+++ b/wisteriasill/links/job_desk.py
@@ -0,0 +1,190 @@
+"""What an entry host answers to callers who hand in and follow jobs."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import cbor2
+from returns import result
+
+from wisteriasill import errors
+from wisteriasill import events
+from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_job
+from wisteriasill.machines import batch_keeper
+from wisteriasill.zones import shard_ledger
+
+Outcome = result.Result[batch_job.JobState, errors.Failure]
+
+# Bound of one call to the store; a slow store takes 0.4 s a transaction.
+CALL_SECONDS = 1.2
+# Time kept back from a caller's deadline for the answer's way.
+ANSWER_SECONDS = 0.15
+RETRY_SECONDS = 0.05
+PENDING_CACHE_SECONDS = 1.0  # The pages allow 2 s.
+
+
+class JobDesk:
+    """Takes, shows and cancels jobs; all that lasts is in the store.
+
+    Args:
+        store: The platform's store.
+    """
+
+    def __init__(self, store: cluster.RowStore) -> None:
+        self._store = store
+        self._pending_by_service: dict[str, tuple[float, dict[str, Any]]] = {}
+
+    def submit(
+        self,
+        queue: queues.Queue,
+        job_id: str,
+        spec: job_spec.JobSpec,
+        deadline: float,
+    ) -> Outcome:
+        """Accepts a job; handing it in again finds the same job.
+
+        Args:
+            queue: The queue.
+            job_id: The caller's id for the job.
+            spec: The job.
+            deadline: Steady time up to which the caller waits.
+
+        Returns:
+            The job's state, or why it was not accepted or is not known to be.
+        """
+        record = job_spec.JobRecord(
+            queue.name, int(time.time() * 1000), False, spec
+        )
+        table = batch_keeper.jobs_table(queue.service)
+        value = cbor2.dumps(job_spec.encode(record))
+        in_doubt = False
+        while True:
+            left = deadline - ANSWER_SECONDS - time.monotonic()
+            if left <= 0:
+                break
+            written = self._store.transact(
+                queue.service,
+                [cluster.RowVersion(table, job_id, 0)],
+                [cluster.RowWrite(table, job_id, value)],
+                min(left, CALL_SECONDS),
+            )
+            if isinstance(written, result.Success):
+                return result.Success(batch_job.JobState.QUEUED)
+            fault = written.failure()
+            if fault.kind is cluster.StoreFaultKind.CONFLICT:
+                return result.Success(batch_job.JobState.QUEUED)
+            if fault.kind is cluster.StoreFaultKind.OUTCOME_UNKNOWN:
+                in_doubt = True
+            elif not in_doubt:
+                break
+            time.sleep(RETRY_SECONDS)
+        kind = (
+            errors.ErrorKind.OUTCOME_UNKNOWN
+            if in_doubt
+            else errors.ErrorKind.STORE_UNAVAILABLE
+        )
+        return result.Failure(
+            errors.failure(kind, f"job {job_id} could not be stored")
+        )
+
+    def state(self, queue: queues.Queue, job_id: str) -> Outcome:
+        """Reads the state of a job."""
+        progress = self._read_row(
+            batch_keeper.progress_table(queue.service), queue.service, job_id
+        )
+        if not isinstance(progress, result.Success):
+            return result.Failure(progress.failure())
+        row = progress.unwrap()
+        if row is not None and row.value is not None:
+            return result.Success(batch_job.decode_state(row.value))
+        accepted = self._read_row(
+            batch_keeper.jobs_table(queue.service), queue.service, job_id
+        )
+        return accepted.bind(_queued)
+
+    def cancel(
+        self, queue: queues.Queue, job_id: str, deadline: float
+    ) -> Outcome:
+        """Marks a job as cancelled; repeating it changes nothing."""
+        table = batch_keeper.jobs_table(queue.service)
+        while True:
+            read = self._read_row(table, queue.service, job_id)
+            if not isinstance(read, result.Success):
+                return result.Failure(read.failure())
+            row = read.unwrap()
+            if row is None or row.value is None:
+                return result.Failure(_no_such_job(job_id))
+            record = job_spec.decode(cbor2.loads(row.value))
+            if record.cancelled:
+                return result.Success(batch_job.JobState.CANCELLED)
+            marked = record._replace(cancelled=True)
+            written = self._store.transact(
+                queue.service,
+                [cluster.RowVersion(table, job_id, row.version)],
+                [
+                    cluster.RowWrite(
+                        table, job_id, cbor2.dumps(job_spec.encode(marked))
+                    )
+                ],
+                CALL_SECONDS,
+            )
+            if isinstance(written, result.Success):
+                events.log(
+                    events.Event.JOB_CANCELLED,
+                    "A caller cancelled a job",
+                    job=job_id,
+                    queue=queue.name,
+                )
+                return result.Success(batch_job.JobState.CANCELLED)
+            if time.monotonic() > deadline - CALL_SECONDS:
+                return result.Failure(
+                    errors.failure(
+                        errors.ErrorKind.OUTCOME_UNKNOWN,
+                        f"the cancellation of job {job_id} may not be stored",
+                    )
+                )
+            time.sleep(RETRY_SECONDS)
+
+    def pending(
+        self, queue: queues.Queue
+    ) -> result.Result[int, errors.Failure]:
+        """Returns how many of a queue's jobs have not begun."""
+        cached = self._pending_by_service.get(queue.service)
+        now = time.monotonic()
+        if cached is None or now - cached[0] > PENDING_CACHE_SECONDS:
+            read = shard_ledger.read_state(self._store, queue.service)
+            if not isinstance(read, result.Success):
+                return result.Failure(_unavailable(read.failure()))
+            counts: Any = read.unwrap().beat.get("pending", {})
+            cached = now, counts
+            self._pending_by_service[queue.service] = cached
+        return result.Success(int(cached[1].get(queue.name, 0)))
+
+    def _read_row(
+        self, table: str, part: str, key: str
+    ) -> result.Result[cluster.StoredRow | None, errors.Failure]:
+        return (
+            self._store.read(table, part, key, key + "\0", CALL_SECONDS)
+            .map(lambda page: page.rows[0] if page.rows else None)
+            .alt(_unavailable)
+        )
+
+
+def _queued(row: cluster.StoredRow | None) -> Outcome:
+    if row is None or row.value is None:
+        return result.Failure(_no_such_job("") if row is None else _no_such_job(row.key))
+    return result.Success(batch_job.JobState.QUEUED)
+
+
+def _no_such_job(job_id: str) -> errors.Failure:
+    return errors.failure(
+        errors.ErrorKind.NO_SUCH_JOB, f"job {job_id} does not exist"
+    )
+
+
+def _unavailable(fault: cluster.StoreFault) -> errors.Failure:
+    return errors.failure(errors.ErrorKind.STORE_UNAVAILABLE, fault.detail)
--- /dev/null
+++ b/wisteriasill/machines/batch_keeper.py
@@ -0,0 +1,340 @@
+"""The tasks that keep one pool: planning, storing, and news from the store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import threading
+import time
+from typing import NamedTuple
+
+import cbor2
+from returns import result
+
+from wisteriasill import events
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_job
+from wisteriasill.machines import batch_pool
+from wisteriasill.machines import worker as workers
+from wisteriasill.zones import shard_ledger
+
+BEAT_SECONDS = 0.5  # A quarter of the silence after which others take over.
+TURN_SECONDS = 0.25  # Longest wait between two turns of the planner.
+FOLLOW_SECONDS = 2.0  # Wait of one call for changes.
+RETRY_SECONDS = 0.25  # Pause after a failed call to the store.
+# Ended jobs stay readable for twice the `status_s` of the platform's pages.
+KEPT_SECONDS = 240.0
+DELETES_PER_TURN = 20  # Keeps clean-up small beside a turn's other writes.
+
+
+def jobs_table(service: str) -> str:
+    """Name of the table of a service's accepted jobs."""
+    return f"jobs.{service}"
+
+
+def progress_table(service: str) -> str:
+    """Name of the table of the progress of a service's jobs."""
+    return f"progress.{service}"
+
+
+class Cluster(NamedTuple):
+    """All that a node reaches on the platform."""
+
+    store: cluster.RowStore
+    registry: cluster.WorkerRegistry
+    operators: cluster.OperatorOrders
+    hosts: cluster.HostControl
+    advice: cluster.AdviceLink | None
+    open_worker: Callable[[cluster.WorkerEntry], cluster.WorkerLink]
+
+
+class BatchKeeper:
+    """Keeps one pool for as long as this node owns its shard.
+
+    Args:
+        links: The platform.
+        ledger: The shard, already claimed.
+        configuration: The configuration in force.
+    """
+
+    def __init__(
+        self,
+        links: Cluster,
+        ledger: shard_ledger.ShardLedger,
+        configuration: queues.SiteConfiguration,
+    ) -> None:
+        self._links = links
+        self._ledger = ledger
+        self._service = ledger.shard
+        self._changed = threading.Event()
+        self._closing = threading.Event()
+        self._jobs_version = 0
+        self._beat_at = 0.0
+        self.pool = batch_pool.BatchPool(
+            ledger.shard, ledger.epoch, time.monotonic(), self._changed
+        )
+        self.pool.configure(configuration)
+        self.lost = False
+        self._threads = [
+            threading.Thread(target=target, daemon=True)
+            for target in (
+                self._keep,
+                self._follow_jobs,
+                self._follow_workers,
+                self._ask_advice,
+            )
+        ]
+
+    @property
+    def shard(self) -> str:
+        """Name of the shard."""
+        return self._service
+
+    def open(self) -> bool:
+        """Reads the pool's rows and starts its tasks.
+
+        Returns:
+            Whether the rows could be read.
+        """
+        rows = self._read_rows()
+        if rows is None:
+            return False
+        self._ledger.adopt(rows.progress)
+        self.pool.load(rows)
+        for thread in self._threads:
+            thread.start()
+        return True
+
+    def close(self, release: bool) -> None:
+        """Ends the tasks; optionally hands the shard over at once."""
+        self._closing.set()
+        self._changed.set()
+        self._threads[0].join(2.0)
+        if release and not self.lost:
+            self._ledger.release()
+        with self.pool.lock:
+            for worker in self.pool.worker_by_id.values():
+                worker.close()
+
+    def _read_rows(self) -> batch_pool.LoadedPool | None:
+        records = read_all(
+            self._links.store, jobs_table(self._service), self._service
+        )
+        progress = read_all(
+            self._links.store, progress_table(self._service), self._service
+        )
+        if records is None or progress is None:
+            return None
+        self._jobs_version = records.version
+        return batch_pool.LoadedPool(records.rows, progress.rows)
+
+    def _keep(self) -> None:
+        while not self._closing.is_set():
+            self._changed.wait(TURN_SECONDS)
+            self._changed.clear()
+            try:
+                self._turn()
+            except Exception as error:  # The pool must outlive a faulty turn.
+                events.log(
+                    events.Event.TASK_FAILED,
+                    "A turn of a pool's keeper failed",
+                    level="ERROR",
+                    shard=self._service,
+                    error=repr(error),
+                )
+
+    def _turn(self) -> None:
+        pool = self.pool
+        now = time.monotonic()
+        pool.expire(now)
+        pool.plan(now)
+        with pool.lock:
+            planned, pool.planned = pool.planned, []
+            dirty, pool.dirty = pool.dirty, {}
+            noted_by_worker = {
+                worker: worker.noted for worker in pool.worker_by_id.values()
+            }
+            table = progress_table(self._service)
+            writes = [
+                cluster.RowWrite(
+                    table, job.job_id, batch_job.encode_progress(job)
+                )
+                for job in dirty.values()
+            ]
+            writes += self._deletions(now)
+        beat = None
+        if now - self._beat_at >= BEAT_SECONDS:
+            self._beat_at = now
+            beat = cbor2.dumps({"pending": pool.pending_by_queue()})
+        if writes or beat:
+            outcome = self._ledger.commit(writes, beat)
+            if outcome is not shard_ledger.CommitOutcome.STORED:
+                self._lose(outcome)
+                return
+            pool.stored_at = time.monotonic()
+        self._send(planned, noted_by_worker)
+
+    def _deletions(self, now: float) -> list[cluster.RowWrite]:
+        """Deletes the rows of jobs that ended long ago."""
+        writes: list[cluster.RowWrite] = []
+        ended = self.pool.ended_at_by_id
+        while ended and len(writes) < 2 * DELETES_PER_TURN:
+            job_id, ended_at = next(iter(ended.items()))
+            if now - ended_at < KEPT_SECONDS:
+                break
+            del ended[job_id]
+            writes.append(
+                cluster.RowWrite(progress_table(self._service), job_id, None)
+            )
+        return writes
+
+    def _send(
+        self,
+        planned: list[batch_job.Run],
+        noted_by_worker: dict[workers.Worker, int],
+    ) -> None:
+        """Sends the orders that are now stored."""
+        with self.pool.lock:
+            for run in planned:
+                if run.state is batch_job.RunState.PLANNED:
+                    run.state = batch_job.RunState.ORDERED
+                    run.worker.send(workers.OrderKind("start", run))
+        for worker, noted in noted_by_worker.items():
+            if noted > worker.stored:
+                worker.stored = noted
+                worker.wake()
+
+    def _lose(self, outcome: shard_ledger.CommitOutcome) -> None:
+        self.lost = outcome is shard_ledger.CommitOutcome.LOST
+        self._closing.set()
+        if self.lost:
+            events.log(
+                events.Event.SHARD_LOST,
+                "Another node owns the shard",
+                level="WARNING",
+                shard=self._service,
+                epoch=self._ledger.epoch,
+            )
+
+    def _follow_jobs(self) -> None:
+        store, table = self._links.store, jobs_table(self._service)
+        version = self._jobs_version
+        while not self._closing.is_set():
+            page = store.follow(table, version, FOLLOW_SECONDS)
+            if not isinstance(page, result.Success):
+                if page.failure().kind is cluster.StoreFaultKind.HISTORY_LOST:
+                    whole = read_all(store, table, self._service)
+                    if whole is not None:
+                        self._take_records(whole.rows)
+                        version = whole.version
+                        continue
+                self._closing.wait(RETRY_SECONDS)
+                continue
+            self._take_records(page.unwrap().rows)
+            version = max(version, page.unwrap().version)
+
+    def _take_records(self, rows: tuple[cluster.StoredRow, ...]) -> None:
+        for row in rows:
+            self.pool.on_record(row)
+
+    def _follow_workers(self) -> None:
+        registry = self._links.registry
+        version: int | None = None
+        while not self._closing.is_set():
+            page = (
+                registry.read()
+                if version is None
+                else registry.follow(version, FOLLOW_SECONDS)
+            )
+            if not isinstance(page, result.Success):
+                if page.failure().kind is cluster.StoreFaultKind.HISTORY_LOST:
+                    version = None
+                    continue
+                self._closing.wait(RETRY_SECONDS)
+                continue
+            self._take_entries(page.unwrap())
+            version = page.unwrap().version
+
+    def _take_entries(self, page: cluster.RegistryPage) -> None:
+        pool = self.pool
+        entry_by_id = {
+            entry.worker_id: entry
+            for entry in page.entries
+            if entry.service == self._service
+        }
+        gone = set(page.gone) | {
+            entry.worker_id
+            for entry in page.entries
+            if entry.service != self._service
+        }
+        if page.whole:
+            gone |= pool.worker_by_id.keys() - entry_by_id.keys()
+        for worker_id in gone & pool.worker_by_id.keys():
+            pool.worker_by_id[worker_id].listed = False
+        for entry in entry_by_id.values():
+            self._take_entry(entry)
+        self._changed.set()
+
+    def _take_entry(self, entry: cluster.WorkerEntry) -> None:
+        pool = self.pool
+        known = pool.worker_by_id.get(entry.worker_id)
+        if known and known.entry.born_ms == entry.born_ms:
+            known.listed = True
+            if known.entry.address == entry.address:
+                known.entry = entry
+                return
+        if known:
+            pool.remove_worker(known, "registered as a new life")
+        worker = workers.Worker(
+            entry,
+            self._links.open_worker(entry),
+            pool,
+            pool.claimed_at
+            + batch_pool.STORELESS_SECONDS
+            + workers.LEASE_SECONDS,
+        )
+        pool.add_worker(worker)
+        worker.open()
+        events.log(
+            events.Event.WORKER_JOINED,
+            "A worker joined the pool",
+            service=self._service,
+            worker=entry.worker_id,
+            rack=entry.rack,
+            cpu=entry.room.cpu,
+        )
+
+    def _ask_advice(self) -> None:
+        """Asks which workers may run the steps that wait for advice."""
+        advice = self._links.advice
+        while advice and not self._closing.wait(RETRY_SECONDS / 5):
+            for step, worker_ids in self.pool.steps_without_advice():
+                if self._closing.is_set():
+                    return
+                answer = advice.advise(step, worker_ids)
+                if answer is not None:
+                    self.pool.on_advice(step, answer)
+
+
+def read_all(
+    store: cluster.RowStore, table: str, part: str
+) -> cluster.RowPage | None:
+    """Reads all rows of a part of a table, page by page.
+
+    Returns:
+        The rows with the version of the first page, so that following from
+        there misses nothing; None if a page can't be read.
+    """
+    rows: list[cluster.StoredRow] = []
+    version: int | None = None
+    first = ""
+    while True:
+        page = store.read(table, part, first)
+        if not isinstance(page, result.Success):
+            return None
+        found = page.unwrap()
+        version = found.version if version is None else version
+        rows.extend(found.rows)
+        if found.complete or not found.rows:
+            return cluster.RowPage(tuple(rows), True, version)
+        first = found.rows[-1].key + "\0"
--- /dev/null
+++ b/wisteriasill/machines/site_node.py
@@ -0,0 +1,139 @@
+"""A node of the site: an entry for callers that also keeps shards."""
+
+from __future__ import annotations
+
+import threading
+from typing import NamedTuple
+
+from returns import result
+
+from wisteriasill import events
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+from wisteriasill.links import job_desk
+from wisteriasill.machines import batch_keeper
+from wisteriasill.zones import shard_claims
+from wisteriasill.zones import shard_ledger
+
+FOLLOW_SECONDS = 1.0  # Half of the time in which a change must be in force.
+RETRY_SECONDS = 0.2
+
+
+class NodeSettings(NamedTuple):
+    """What a node is told at its start.
+
+    Attributes:
+        name: Name of the node.
+        availability_zone: Where it runs.
+        grace_seconds: Time from SIGTERM to SIGKILL.
+    """
+
+    name: str
+    availability_zone: str
+    grace_seconds: float
+
+
+class SiteNode:
+    """Follows the configuration, answers callers, and keeps shards.
+
+    Args:
+        settings: The node's settings.
+        links: The platform.
+    """
+
+    def __init__(
+        self, settings: NodeSettings, links: batch_keeper.Cluster
+    ) -> None:
+        self._links = links
+        self.desk = job_desk.JobDesk(links.store)
+        self.configuration: queues.SiteConfiguration | None = None
+        self.wave_by_number: dict[int, queues.WaveOrder] = {}
+        self._stopping = threading.Event()
+        self._claims = shard_claims.ShardClaims(
+            links.store, settings.name, self._make_keeper
+        )
+        self._threads = [
+            threading.Thread(target=target, daemon=True)
+            for target in (self._follow_operators, self._claim_shards)
+        ]
+
+    @property
+    def ready(self) -> bool:
+        """Whether new connections are welcome."""
+        return self.configuration is not None and not self._stopping.is_set()
+
+    def start(self) -> None:
+        """Starts the node's tasks."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Hands all shards over; callers are still answered."""
+        self._stopping.set()
+        self._claims.stop()
+
+    def _make_keeper(
+        self, ledger: shard_ledger.ShardLedger
+    ) -> shard_claims.Keeper:
+        assert self.configuration is not None
+        return batch_keeper.BatchKeeper(
+            self._links, ledger, self.configuration
+        )
+
+    def _claim_shards(self) -> None:
+        while not self._stopping.wait(shard_claims.POLL_SECONDS):
+            configuration = self.configuration
+            if configuration is None:
+                continue
+            services = sorted(
+                {
+                    queue.service
+                    for queue in configuration.queue_by_name.values()
+                }
+            )
+            try:
+                self._claims.turn(services)
+            except Exception as error:  # Claims must go on.
+                events.log(
+                    events.Event.TASK_FAILED,
+                    "Looking at shards failed",
+                    level="ERROR",
+                    error=repr(error),
+                )
+
+    def _follow_operators(self) -> None:
+        operators = self._links.operators
+        version: int | None = None
+        while not self._stopping.is_set():
+            page = (
+                operators.read()
+                if version is None
+                else operators.follow(version, FOLLOW_SECONDS)
+            )
+            if not isinstance(page, result.Success):
+                # Reading anew also covers changes that a cut call missed.
+                version = None
+                self._stopping.wait(RETRY_SECONDS)
+                continue
+            self._adopt(page.unwrap())
+            version = page.unwrap().version
+
+    def _adopt(self, page: cluster.OperatorPage) -> None:
+        self.wave_by_number.update((wave.number, wave) for wave in page.waves)
+        found = page.configuration
+        if found is None:
+            return
+        current = self.configuration
+        if current is not None and found.version <= current.version:
+            return
+        self.configuration = found
+        events.log(
+            events.Event.CONFIGURATION_ADOPTED,
+            "A configuration is in force at this node",
+            version=found.version,
+            former=current.version if current else 0,
+            queues=len(found.queue_by_name),
+        )
+        for keeper in [*self._claims.keeper_by_shard.values()]:
+            if isinstance(keeper, batch_keeper.BatchKeeper):
+                keeper.pool.configure(found)
--- /dev/null
+++ b/wisteriasill/zones/shard_ledger.py
@@ -0,0 +1,249 @@
+"""The rows that one holder of a shard may write, guarded by its ownership."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import enum
+import itertools
+import threading
+import time
+from typing import NamedTuple
+
+import cbor2
+from returns import result
+
+from wisteriasill import events
+from wisteriasill.links import cluster
+
+TABLE = "shards"
+OWNER = "owner"
+BEAT = "beat"
+
+# Writes of a transaction; with as many conditions and the owner's two rows
+# it stays under the platform's 100 entries.
+WRITES_PER_TRANSACTION = 48
+# Bytes of a transaction; the platform takes 1 MB of base64 text.
+BYTES_PER_TRANSACTION = 500_000
+
+TRANSACTION_TIMEOUT_SECONDS = 1.5  # A slow store takes 0.4 s a transaction.
+RETRY_SECONDS = (0.05, 0.1, 0.2, 0.4)  # Doubles until a store is seen as down.
+
+
+class CommitOutcome(enum.Enum):
+    """What became of a commit."""
+
+    STORED = enum.auto()
+    LOST = enum.auto()
+    STOPPED = enum.auto()
+
+
+class ShardState(NamedTuple):
+    """A shard's rows as they were read.
+
+    Attributes:
+        holder: Node that holds the shard; empty if none does.
+        epoch: Version of the owner row, the holder's fencing number.
+        beat_version: Version of the row that the holder keeps writing.
+        beat: What the holder last published.
+    """
+
+    holder: str
+    epoch: int
+    beat_version: int
+    beat: dict[str, object]
+
+
+VACANT = ShardState("", 0, 0, {})
+
+
+def read_state(
+    store: cluster.RowStore, shard: str
+) -> result.Result[ShardState, cluster.StoreFault]:
+    """Reads who holds a shard."""
+    return store.read(TABLE, shard).map(lambda page: state_of(page.rows))
+
+
+def state_of(rows: Sequence[cluster.StoredRow]) -> ShardState:
+    """Builds a shard's state from its rows."""
+    row_by_key = {row.key: row for row in rows if row.value is not None}
+    owner = row_by_key.get(OWNER)
+    beat = row_by_key.get(BEAT)
+    return ShardState(
+        owner.value.decode() if owner and owner.value else "",
+        owner.version if owner else 0,
+        beat.version if beat else 0,
+        cbor2.loads(beat.value) if beat and beat.value else {},
+    )
+
+
+class ShardLedger:
+    """Writes a shard's rows as long as this node owns it.
+
+    Each transaction requires the owner row's version and that of each row it
+    writes. So neither a former holder nor a transaction that the store
+    carries out late can overwrite what came after it.
+
+    Args:
+        store: The platform's store.
+        shard: Name of the shard; all its rows are in the part of that name.
+        node: Name of this node.
+        stopping: Ends waits for the store.
+    """
+
+    def __init__(
+        self,
+        store: cluster.RowStore,
+        shard: str,
+        node: str,
+        stopping: threading.Event,
+    ) -> None:
+        self._store = store
+        self.shard = shard
+        self._node = node
+        self._stopping = stopping
+        self.epoch = 0
+        self._version_by_row: dict[tuple[str, str], int] = {}
+        self.stored_at = 0.0
+
+    def claim(self, seen: ShardState) -> bool:
+        """Takes the shard over if it is still as it was seen."""
+        written = self._store.transact(
+            self.shard,
+            [
+                cluster.RowVersion(TABLE, OWNER, seen.epoch),
+                cluster.RowVersion(TABLE, BEAT, seen.beat_version),
+            ],
+            [
+                cluster.RowWrite(TABLE, OWNER, self._node.encode()),
+                cluster.RowWrite(TABLE, BEAT, cbor2.dumps(seen.beat)),
+            ],
+            TRANSACTION_TIMEOUT_SECONDS,
+        )
+        if not isinstance(written, result.Success):
+            return False
+        self.epoch = written.unwrap()
+        self._version_by_row = {(TABLE, BEAT): self.epoch}
+        self.stored_at = time.monotonic()
+        return True
+
+    def adopt(self, rows: Sequence[cluster.StoredRow]) -> None:
+        """Notes the versions of rows that were read after the claim."""
+        for row in rows:
+            self._version_by_row[row.table, row.key] = row.version
+
+    def commit(
+        self, writes: Sequence[cluster.RowWrite], beat: bytes | None = None
+    ) -> CommitOutcome:
+        """Stores rows, repeating until the outcome is known.
+
+        Args:
+            writes: Rows to write, each at most once.
+            beat: Also renews the ownership, with what others may read.
+
+        Returns:
+            Whether all is stored, the shard was lost, or the node stops.
+        """
+        if beat is not None:
+            writes = [cluster.RowWrite(TABLE, BEAT, beat), *writes]
+        for batch in batches(writes):
+            outcome = self._store_batch(batch)
+            if outcome is not CommitOutcome.STORED:
+                return outcome
+        return CommitOutcome.STORED
+
+    def release(self) -> None:
+        """Gives the shard up, so that another node takes it at once."""
+        self._store.transact(
+            self.shard,
+            [cluster.RowVersion(TABLE, OWNER, self.epoch)],
+            [cluster.RowWrite(TABLE, OWNER, b"")],
+            TRANSACTION_TIMEOUT_SECONDS,
+        )
+
+    def _store_batch(self, batch: Sequence[cluster.RowWrite]) -> CommitOutcome:
+        required = [
+            cluster.RowVersion(TABLE, OWNER, self.epoch),
+            *(
+                cluster.RowVersion(
+                    write.table,
+                    write.key,
+                    self._version_by_row.get((write.table, write.key), 0),
+                )
+                for write in batch
+            ),
+        ]
+        last = RETRY_SECONDS[-1]
+        for wait_seconds in itertools.chain(
+            RETRY_SECONDS, itertools.repeat(last)
+        ):
+            written = self._store.transact(
+                self.shard, required, batch, TRANSACTION_TIMEOUT_SECONDS
+            )
+            if isinstance(written, result.Success):
+                self._note(batch, written.unwrap())
+                return CommitOutcome.STORED
+            fault = written.failure()
+            if fault.kind is cluster.StoreFaultKind.CONFLICT:
+                return self._resolve_conflict(batch, fault)
+            events.log(
+                events.Event.STORE_FAILED,
+                "A transaction was not stored; it is repeated",
+                level="WARNING",
+                shard=self.shard,
+                fault=fault.kind,
+                detail=fault.detail,
+            )
+            if self._stopping.wait(wait_seconds):
+                return CommitOutcome.STOPPED
+        return CommitOutcome.STOPPED
+
+    def _resolve_conflict(
+        self, batch: Sequence[cluster.RowWrite], fault: cluster.StoreFault
+    ) -> CommitOutcome:
+        """Tells an earlier try that was stored after all from a lost shard."""
+        row_by_key = {(row.table, row.key): row for row in fault.rows}
+        owner = row_by_key.get((TABLE, OWNER))
+        if owner is None or owner.version != self.epoch:
+            return CommitOutcome.LOST
+        stored = all(
+            (found := row_by_key.get((write.table, write.key))) is not None
+            and found.value == write.value
+            if write.value is not None
+            else (found := row_by_key.get((write.table, write.key))) is None
+            or found.value is None
+            for write in batch
+        )
+        if not stored:
+            return CommitOutcome.LOST
+        for write in batch:
+            found = row_by_key.get((write.table, write.key))
+            self._note([write], found.version if found else 0)
+        return CommitOutcome.STORED
+
+    def _note(self, batch: Sequence[cluster.RowWrite], version: int) -> None:
+        self.stored_at = time.monotonic()
+        for write in batch:
+            if write.value is None:
+                self._version_by_row.pop((write.table, write.key), None)
+            else:
+                self._version_by_row[write.table, write.key] = version
+
+
+def batches(
+    writes: Sequence[cluster.RowWrite],
+) -> list[list[cluster.RowWrite]]:
+    """Splits writes into transactions that the store accepts."""
+    result_batches: list[list[cluster.RowWrite]] = []
+    size = 0
+    for write in writes:
+        length = len(write.value or b"")
+        if (
+            not result_batches
+            or len(result_batches[-1]) >= WRITES_PER_TRANSACTION
+            or size + length > BYTES_PER_TRANSACTION
+        ):
+            result_batches.append([])
+            size = 0
+        result_batches[-1].append(write)
+        size += length
+    return result_batches
