Move and maintain hosts: one keeper for the fleet

Ruled out: upkeep by each pool's holder, as a wave's bound on hosts at a time spans pools. Change: the shard :fleet asks pools to empty workers (table fleet), sees them empty in the pools' beats, and only then moves or maintains their hosts.

--- /dev/null
+++ b/wisteriasill/contracts/host_moves.py
@@ -0,0 +1,212 @@
+"""Which hosts move between pools, and which are maintained next.
+
+The load pattern it answers: queues ask for five times their mean by turns,
+for seconds at a time, so hosts follow the demand and rest in standby between.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Mapping, Sequence
+import itertools
+import math
+from typing import Any, NamedTuple
+
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+
+# A move costs as much as a host that idles for about this time, by the
+# prices of both sites (1.1 s at Mandacaru, 1.2 s at Kochi).
+IDLE_SECONDS = 1.2
+# Hosts that a pool keeps without demand, so that a crash leaves one.
+LEAST_HOSTS = 2
+# Hosts of one pool that are emptied for a wave at the same time.
+EMPTYING_PER_POOL = 2
+
+
+class WorkerLoad(NamedTuple):
+    """Load of a worker as its pool's holder sees it.
+
+    Attributes:
+        lasting: Lasting tasks on it.
+        finite: Other tasks on it.
+        idle_seconds: Time since its last run ended; 0 while it has runs.
+        released: Whether it is empty and kept empty for an order.
+    """
+
+    lasting: int
+    finite: int
+    idle_seconds: float
+    released: bool
+
+
+class PoolLoad(NamedTuple):
+    """Load of a pool.
+
+    Attributes:
+        waiting_hosts: Hosts that the waiting tasks would fill.
+        load_by_worker: Load of each worker.
+    """
+
+    waiting_hosts: float
+    load_by_worker: Mapping[str, WorkerLoad]
+
+
+class Ask(NamedTuple):
+    """A host that is to be emptied for an order.
+
+    Attributes:
+        service: Pool that it moves to; empty for upkeep.
+        wave: Wave that it is maintained for; 0 for a move.
+    """
+
+    host_id: str
+    worker_id: str
+    service: str
+    wave: int
+
+
+def encode_load(load: PoolLoad) -> list[Any]:
+    """Turns a load into plain data."""
+    return [
+        round(load.waiting_hosts, 3),
+        {key: [*one] for key, one in load.load_by_worker.items()},
+    ]
+
+
+def decode_load(data: Sequence[Any]) -> PoolLoad:
+    """Reads what `encode_load` made."""
+    waiting_hosts, by_worker = data
+    return PoolLoad(
+        waiting_hosts,
+        {key: WorkerLoad(*one) for key, one in by_worker.items()},
+    )
+
+
+def plan_moves(
+    hosts: Iterable[cluster.HostRecord],
+    load_by_service: Mapping[str, PoolLoad],
+    standby: Collection[str],
+    busy_host_ids: Collection[str],
+    arriving_by_service: Mapping[str, int],
+) -> list[Ask]:
+    """Chooses moves to pools with waiting tasks, and of idle hosts to standby.
+
+    Args:
+        hosts: All hosts.
+        load_by_service: Load of each pool that has a holder.
+        standby: Services whose hosts are off.
+        busy_host_ids: Hosts with an order or about to get one.
+        arriving_by_service: Hosts that are on their way to a pool.
+
+    Returns:
+        The hosts to empty, with where they go.
+    """
+    movable = [
+        host
+        for host in hosts
+        if host.state is cluster.HostState.UP
+        and host.host_id not in busy_host_ids
+    ]
+    resting = [host for host in movable if host.service in standby]
+    idle = _idle_hosts(movable, load_by_service)
+    sources = iter([*resting, *idle])
+    moves: list[Ask] = []
+    for service, load in sorted(
+        load_by_service.items(), key=lambda item: -item[1].waiting_hosts
+    ):
+        wanted = math.ceil(load.waiting_hosts) - arriving_by_service.get(
+            service, 0
+        )
+        candidates = (one for one in sources if one.service != service)
+        moves += [
+            Ask(host.host_id, host.worker_id, service, 0)
+            for host in itertools.islice(candidates, max(0, wanted))
+        ]
+    taken = {move.host_id for move in moves}
+    rest_service = next(iter(sorted(standby)), None)
+    if rest_service is None:
+        return moves
+    return moves + [
+        Ask(host.host_id, host.worker_id, rest_service, 0)
+        for host in idle
+        if host.host_id not in taken
+    ]
+
+
+def _idle_hosts(
+    movable: Sequence[cluster.HostRecord],
+    load_by_service: Mapping[str, PoolLoad],
+) -> list[cluster.HostRecord]:
+    """Returns hosts that their pools do not need now."""
+    idle: list[cluster.HostRecord] = []
+    for service, load in load_by_service.items():
+        if load.waiting_hosts:
+            continue
+        own = [host for host in movable if host.service == service]
+        free = [
+            host
+            for host in own
+            if (one := load.load_by_worker.get(host.worker_id))
+            and one.idle_seconds >= IDLE_SECONDS
+            and not one.released
+        ]
+        idle += free[: max(0, len(own) - LEAST_HOSTS)]
+    return idle
+
+
+def plan_upkeep(
+    wave: queues.WaveOrder,
+    hosts: Iterable[cluster.HostRecord],
+    load_by_service: Mapping[str, PoolLoad],
+    done: Collection[str],
+    asks: Iterable[Ask],
+    down: int,
+) -> list[Ask]:
+    """Chooses the hosts that a wave empties next.
+
+    Hosts without runs come first, then those with the fewest lasting tasks,
+    as each of these has to find another worker before.
+
+    Args:
+        wave: The operators' order.
+        hosts: All hosts.
+        load_by_service: Load of each pool that has a holder.
+        done: Hosts of the wave whose upkeep has begun.
+        asks: Hosts that are being emptied.
+        down: Hosts of the wave in upkeep now.
+
+    Returns:
+        The hosts to empty.
+    """
+    asked = [*asks]
+    asked_ids = {ask.host_id for ask in asked}
+    due = [
+        host
+        for host in hosts
+        if host.host_id in wave.host_ids
+        and host.host_id not in done
+        and host.host_id not in asked_ids
+        and host.state is cluster.HostState.UP
+    ]
+    service_by_worker = {host.worker_id: host.service for host in hosts}
+    emptying: dict[str, int] = {}
+    for ask in asked:
+        service = service_by_worker.get(ask.worker_id, "")
+        emptying[service] = emptying.get(service, 0) + 1
+    room = wave.most_at_once - down - sum(ask.wave > 0 for ask in asked)
+
+    def effort(host: cluster.HostRecord) -> tuple[int, int]:
+        load = load_by_service.get(host.service)
+        one = load.load_by_worker.get(host.worker_id) if load else None
+        return (one.lasting, one.finite) if one else (0, 0)
+
+    chosen: list[Ask] = []
+    for host in sorted(due, key=effort):
+        if len(chosen) >= room:
+            break
+        if host.service in load_by_service:
+            if emptying.get(host.service, 0) >= EMPTYING_PER_POOL:
+                continue
+            emptying[host.service] = emptying.get(host.service, 0) + 1
+        chosen.append(Ask(host.host_id, host.worker_id, "", wave.number))
+    return chosen
--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -11,10 +11,12 @@
 from returns import result
 
 from wisteriasill import events
+from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_pool
+from wisteriasill.machines import fleet_rows
 from wisteriasill.machines import worker as workers
 from wisteriasill.zones import shard_ledger
 
@@ -69,7 +71,10 @@
         self._changed = threading.Event()
         self._closing = threading.Event()
         self._jobs_version = 0
+        self._asks_version = 0
         self._beat_at = 0.0
+        self._released: set[str] = set()
+        self._short = False
         self.pool = batch_pool.BatchPool(
             ledger.shard, ledger.epoch, time.monotonic(), self._changed
         )
@@ -82,6 +87,7 @@
                 self._follow_jobs,
                 self._follow_workers,
                 self._ask_advice,
+                self._follow_asks,
             )
         ]
 
@@ -101,6 +107,7 @@
             return False
         self._ledger.adopt(rows.progress)
         self.pool.load(rows)
+        self._asks_version = self._read_asks()
         for thread in self._threads:
             thread.start()
         return True
@@ -147,6 +154,7 @@
         pool = self.pool
         now = time.monotonic()
         pool.expire(now)
+        pool.empty_workers(now)
         pool.plan(now)
         with pool.lock:
             planned, pool.planned = pool.planned, []
@@ -162,10 +170,7 @@
                 for job in dirty.values()
             ]
             writes += self._deletions(now)
-        beat = None
-        if now - self._beat_at >= BEAT_SECONDS:
-            self._beat_at = now
-            beat = cbor2.dumps({"pending": pool.pending_by_queue()})
+        beat = self._beat(now)
         if writes or beat:
             outcome = self._ledger.commit(writes, beat)
             if outcome is not shard_ledger.CommitOutcome.STORED:
@@ -174,6 +179,31 @@
             pool.stored_at = time.monotonic()
         self._send(planned, noted_by_worker)
 
+    def _beat(self, now: float) -> bytes | None:
+        """Returns what the beat row is to say, if it is due."""
+        load = self.pool.load_now(now)
+        released = {
+            worker_id
+            for worker_id, one in load.load_by_worker.items()
+            if one.released
+        }
+        short = bool(load.waiting_hosts)
+        if (
+            now - self._beat_at < BEAT_SECONDS
+            and released <= self._released
+            and short <= self._short
+        ):
+            return None
+        self._beat_at = now
+        self._released = released
+        self._short = short
+        return cbor2.dumps(
+            {
+                "pending": self.pool.pending_by_queue(),
+                "load": host_moves.encode_load(load),
+            }
+        )
+
     def _deletions(self, now: float) -> list[cluster.RowWrite]:
         """Deletes the rows of jobs that ended long ago."""
         writes: list[cluster.RowWrite] = []
@@ -304,6 +334,36 @@
             cpu=entry.room.cpu,
         )
 
+    def _read_asks(self) -> int:
+        page = self._links.store.read(
+            fleet_rows.TABLE, fleet_rows.SHARD, fleet_rows.ASKS_KEY
+        )
+        if not isinstance(page, result.Success):
+            return 0
+        self._take_asks(page.unwrap().rows)
+        return page.unwrap().version
+
+    def _take_asks(self, rows: tuple[cluster.StoredRow, ...]) -> None:
+        for row in rows:
+            if row.key == fleet_rows.ASKS_KEY and row.value is not None:
+                self.pool.set_leaving(
+                    {ask.worker_id for ask in fleet_rows.decode_asks(row.value)}
+                )
+
+    def _follow_asks(self) -> None:
+        """Follows which workers the fleet's keeper wants emptied."""
+        version = self._asks_version
+        while not self._closing.is_set():
+            page = self._links.store.follow(
+                fleet_rows.TABLE, version, FOLLOW_SECONDS
+            )
+            if not isinstance(page, result.Success):
+                self._closing.wait(RETRY_SECONDS)
+                version = self._read_asks()
+                continue
+            self._take_asks(page.unwrap().rows)
+            version = max(version, page.unwrap().version)
+
     def _ask_advice(self) -> None:
         """Asks which workers may run the steps that wait for advice."""
         advice = self._links.advice
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -12,6 +12,7 @@
 import cbor2
 
 from wisteriasill import events
+from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import pacing
 from wisteriasill.contracts import queue as queues
@@ -87,6 +88,7 @@
         self._fence = fence
         self.claimed_at = claimed_at
         self._changed = changed
+        self._leaving_ids: set[str] = set()
         self._unplaced: dict[str, list[LostRun]] = {}
         self._queue_by_name: Mapping[str, queues.Queue] = {}
         self._mean_work_by_queue: dict[str, float] = {}
@@ -209,6 +211,7 @@
         with self.lock:
             worker_id = worker.worker_id
             self.worker_by_id[worker_id] = worker
+            worker.leaving = worker_id in self._leaving_ids
             lost = self._unplaced.pop(worker_id, [])
             for unit, stored in lost:
                 if stored.born_ms != worker.entry.born_ms:
@@ -282,6 +285,76 @@
                     unit.job.make_ready_again(unit)
                 self._unplaced.clear()
 
+    # -- Workers that are to be emptied -----------------------------------
+
+    def set_leaving(self, worker_ids: set[str]) -> None:
+        """Takes which workers the fleet's keeper wants emptied."""
+        with self.lock:
+            for worker in self.worker_by_id.values():
+                leaving = worker.worker_id in worker_ids
+                if leaving and not worker.leaving:
+                    worker.leaving_since = time.monotonic()
+                worker.leaving = leaving
+            self._leaving_ids = worker_ids
+        self._changed.set()
+
+    def empty_workers(self, now: float) -> None:
+        """Stops lasting tasks on workers that leave, as their steps allow."""
+        with self.lock:
+            for worker in self.worker_by_id.values():
+                draining = worker.entry.state is cluster.WorkerState.DRAINING
+                if not worker.leaving and not draining:
+                    continue
+                for run in [*worker.run_by_task.values()]:
+                    if run.unit.step.lasting and (
+                        draining or self._may_take_away(run)
+                    ):
+                        self._stop_run(run)
+
+    def _may_take_away(self, run: batch_job.Run) -> bool:
+        """Whether a step can spare one more task for a planned act."""
+        unit = run.unit
+        if run.stopping or run.state is not batch_job.RunState.RUNNING:
+            return False
+        away = sum(
+            not any(_at_work(other_run) for other_run in other.runs)
+            for other in unit.job.units_by_step[
+                unit.occurrence, unit.step_number
+            ]
+            if other is not unit
+        )
+        return away < max(1, unit.step.may_be_away)
+
+    def load_now(self, now: float) -> host_moves.PoolLoad:
+        """Returns the pool's load for the fleet's keeper."""
+        with self.lock:
+            size = self._usual_room()
+            waiting = sum(
+                max(
+                    unit.step.need.cpu / size.cpu,
+                    unit.step.need.memory_mb / size.memory_mb,
+                )
+                * len(unit.indexes)
+                for job in self.job_by_id.values()
+                for unit in job.ready.values()
+                if now >= unit.retry_at
+            )
+            return host_moves.PoolLoad(
+                waiting,
+                {
+                    worker.worker_id: _worker_load(worker, now)
+                    for worker in self.worker_by_id.values()
+                },
+            )
+
+    def _usual_room(self) -> job_spec.Room:
+        rooms = [worker.entry.room for worker in self.worker_by_id.values()]
+        return job_spec.Room(
+            max((room.cpu for room in rooms), default=0) or 1,
+            max((room.memory_mb for room in rooms), default=0) or 1,
+            0,
+        )
+
     # -- What workers say -------------------------------------------------
 
     @property
@@ -492,6 +565,7 @@
         if run.worker.run_by_task.get(run.task) is run:
             del run.worker.run_by_task[run.task]
             run.worker.free(unit.step.need, unit.step.fills)
+            run.worker.idle_since = time.monotonic()
         if run.checkpoint:
             unit.checkpoint = unit.checkpoint or run.checkpoint
         if not unit.job.finished:
@@ -813,6 +887,29 @@
             )
 
 
+def _at_work(run: batch_job.Run) -> bool:
+    return (
+        run.state is batch_job.RunState.RUNNING
+        and not run.stopping
+        and bool(run.at_work_at)
+    )
+
+
+def _worker_load(
+    worker: workers.Worker, now: float
+) -> host_moves.WorkerLoad:
+    lasting = sum(
+        run.unit.step.lasting for run in worker.run_by_task.values()
+    )
+    count = len(worker.run_by_task)
+    return host_moves.WorkerLoad(
+        lasting,
+        count - lasting,
+        0.0 if count else round(now - worker.idle_since, 2),
+        worker.leaving and not count,
+    )
+
+
 def core_seconds(steps: Iterable[job_spec.StepSpec]) -> float:
     """Returns the declared processor time of steps."""
     return sum(
--- /dev/null
+++ b/wisteriasill/machines/fleet_keeper.py
@@ -0,0 +1,386 @@
+"""The tasks that keep the fleet: moves of hosts and waves of upkeep."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+import threading
+import time
+from typing import Any, NamedTuple
+
+import cbor2
+from returns import result
+
+from wisteriasill import events
+from wisteriasill.contracts import host_moves
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_keeper
+from wisteriasill.machines import fleet_rows
+from wisteriasill.zones import shard_ledger
+
+BEAT_SECONDS = 0.5
+TURN_SECONDS = 0.25
+FOLLOW_SECONDS = 1.0
+# The feed of beats wakes at each of them; several are taken at a time.
+FOLLOW_PAUSE_SECONDS = 0.15
+RETRY_SECONDS = 0.25
+# Age of the host list that is good enough without and with work to do.
+LIST_SECONDS = 2.0
+BUSY_LIST_SECONDS = 0.4
+# `lease_ms` of the platform's pages: holders that take turns on a host within
+# it are a fault, so a new holder waits it out.
+TAKE_OVER_SECONDS = 3.2
+# A pool's load that is older says nothing about its present.
+STALE_LOAD_SECONDS = 3.0
+# An ask that its pool can't meet is withdrawn so that others get their turn.
+ASK_SECONDS = 8.0
+# Time after which an order whose effect never showed counts as without one.
+ORDER_SECONDS = 12.0
+
+
+class OrderedHost(NamedTuple):
+    """A host with an order that has been given.
+
+    Attributes:
+        worker_id: Its worker before the order.
+        at: Steady time of the order.
+    """
+
+    ask: host_moves.Ask
+    worker_id: str
+    at: float
+
+
+class SeenLoad(NamedTuple):
+    """A pool's load and when it was read."""
+
+    load: host_moves.PoolLoad
+    at: float
+
+
+class FleetKeeper:
+    """Moves and maintains hosts for as long as this node owns the shard.
+
+    Args:
+        links: The platform.
+        ledger: The shard, already claimed.
+        site: Returns the configuration in force and the operators' waves.
+    """
+
+    def __init__(
+        self,
+        links: batch_keeper.Cluster,
+        ledger: shard_ledger.ShardLedger,
+        site: Callable[
+            [], tuple[queues.SiteConfiguration, Mapping[int, queues.WaveOrder]]
+        ],
+    ) -> None:
+        self._links = links
+        self._ledger = ledger
+        self._site = site
+        self._closing = threading.Event()
+        self._changed = threading.Event()
+        self._claimed_at = time.monotonic()
+        self._beat_at = 0.0
+        self._listed_at = 0.0
+        self._hosts: tuple[cluster.HostRecord, ...] = ()
+        self._load_by_service: dict[str, SeenLoad] = {}
+        self._ask_by_host: dict[str, host_moves.Ask] = {}
+        self._asked_at: dict[str, float] = {}
+        self._stored_asks: dict[str, host_moves.Ask] = {}
+        self._ordered: dict[str, OrderedHost] = {}
+        self._done_by_wave: dict[int, set[str]] = {}
+        self._reported: dict[int, bool] = {}
+        self.lost = False
+        self._threads = [
+            threading.Thread(target=target, daemon=True)
+            for target in (self._keep, self._follow_loads)
+        ]
+
+    def open(self) -> bool:
+        """Reads what the former holder stored and starts the tasks."""
+        page = batch_keeper.read_all(self._links.store, fleet_rows.TABLE, fleet_rows.SHARD)
+        if page is None:
+            return False
+        self._ledger.adopt(page.rows)
+        for row in page.rows:
+            if row.value is None:
+                continue
+            if row.key == fleet_rows.ASKS_KEY:
+                self._ask_by_host = {
+                    ask.host_id: ask for ask in fleet_rows.decode_asks(row.value)
+                }
+                self._stored_asks = dict(self._ask_by_host)
+                now = time.monotonic()
+                self._asked_at = dict.fromkeys(self._ask_by_host, now)
+            else:
+                self._done_by_wave[int(row.key)] = set(cbor2.loads(row.value))
+        for thread in self._threads:
+            thread.start()
+        return True
+
+    def close(self, release: bool) -> None:
+        """Ends the tasks; optionally hands the shard over at once."""
+        self._closing.set()
+        self._changed.set()
+        self._threads[0].join(2.0)
+        if release and not self.lost:
+            self._ledger.release()
+
+    def _follow_loads(self) -> None:
+        store = self._links.store
+        version = 0
+        while not self._closing.wait(FOLLOW_PAUSE_SECONDS):
+            page = store.follow(shard_ledger.TABLE, version, FOLLOW_SECONDS)
+            if not isinstance(page, result.Success):
+                if page.failure().kind is cluster.StoreFaultKind.HISTORY_LOST:
+                    version = self._newest_version(version)
+                self._closing.wait(RETRY_SECONDS)
+                continue
+            for row in page.unwrap().rows:
+                if row.key == shard_ledger.BEAT and row.value is not None:
+                    self._take_load(row.part, cbor2.loads(row.value))
+            version = max(version, page.unwrap().version)
+            self._changed.set()
+
+    def _newest_version(self, version: int) -> int:
+        page = self._links.store.read(shard_ledger.TABLE, fleet_rows.SHARD)
+        return page.unwrap().version if isinstance(page, result.Success) else version
+
+    def _take_load(self, service: str, beat: dict[str, Any]) -> None:
+        if "load" in beat:
+            self._load_by_service[service] = SeenLoad(
+                host_moves.decode_load(beat["load"]), time.monotonic()
+            )
+
+    def _keep(self) -> None:
+        while not self._closing.is_set():
+            self._changed.wait(TURN_SECONDS)
+            self._changed.clear()
+            try:
+                self._turn()
+            except Exception as error:  # The fleet must outlive a faulty turn.
+                events.log(
+                    events.Event.TASK_FAILED,
+                    "A turn of the fleet's keeper failed",
+                    level="ERROR",
+                    error=repr(error),
+                )
+
+    def _turn(self) -> None:
+        now = time.monotonic()
+        configuration, wave_by_number = self._site()
+        if now - self._claimed_at >= TAKE_OVER_SECONDS:
+            self._refresh_hosts(now, wave_by_number)
+            if self._listed_at:
+                self._settle_orders(now)
+                self._withdraw_asks(now)
+                self._plan(now, configuration, wave_by_number)
+        if not self._store(now):
+            return
+        if now - self._claimed_at >= TAKE_OVER_SECONDS and self._listed_at:
+            self._give_orders(now, configuration)
+            self._report_waves(wave_by_number)
+
+    def _refresh_hosts(
+        self, now: float, wave_by_number: Mapping[int, queues.WaveOrder]
+    ) -> None:
+        busy = bool(
+            self._ordered
+            or self._ask_by_host
+            or any(not self._reported.get(one) for one in wave_by_number)
+        )
+        if now - self._listed_at < (BUSY_LIST_SECONDS if busy else LIST_SECONDS):
+            return
+        hosts = self._links.hosts.list_hosts()
+        if hosts is not None:
+            self._hosts = hosts
+            self._listed_at = now
+
+    def _settle_orders(self, now: float) -> None:
+        """Drops orders whose hosts are up again with another worker."""
+        host_by_id = {host.host_id: host for host in self._hosts}
+        for host_id, ordered in [*self._ordered.items()]:
+            host = host_by_id.get(host_id)
+            returned = (
+                host is not None
+                and self._listed_at > ordered.at
+                and host.state is cluster.HostState.UP
+                and host.worker_id != ordered.worker_id
+            )
+            if returned or now - ordered.at > ORDER_SECONDS:
+                del self._ordered[host_id]
+
+    def _withdraw_asks(self, now: float) -> None:
+        """Withdraws asks that are outdated or can't be met."""
+        host_by_id = {host.host_id: host for host in self._hosts}
+        for host_id, ask in [*self._ask_by_host.items()]:
+            host = host_by_id.get(host_id)
+            if (
+                host is None
+                or host.worker_id != ask.worker_id
+                or now - self._asked_at[host_id] > ASK_SECONDS
+            ):
+                del self._ask_by_host[host_id]
+
+    def _loads(self, now: float) -> dict[str, host_moves.PoolLoad]:
+        return {
+            service: seen.load
+            for service, seen in self._load_by_service.items()
+            if now - seen.at < STALE_LOAD_SECONDS
+        }
+
+    def _plan(
+        self,
+        now: float,
+        configuration: queues.SiteConfiguration,
+        wave_by_number: Mapping[int, queues.WaveOrder],
+    ) -> None:
+        loads = self._loads(now)
+        new: list[host_moves.Ask] = []
+        for number, wave in sorted(wave_by_number.items()):
+            if self._reported.get(number):
+                continue
+            down = sum(
+                ordered.ask.wave == number for ordered in self._ordered.values()
+            )
+            new += host_moves.plan_upkeep(
+                wave,
+                [one for one in self._hosts if one.host_id not in self._ordered],
+                loads,
+                self._done_by_wave.get(number, set()),
+                [*self._ask_by_host.values(), *new],
+                down,
+            )
+        standby = {
+            pool.name
+            for pool in configuration.service_by_name.values()
+            if pool.standby
+        }
+        arriving: dict[str, int] = {}
+        for ask in (
+            *self._ask_by_host.values(),
+            *(ordered.ask for ordered in self._ordered.values()),
+        ):
+            if ask.service:
+                arriving[ask.service] = arriving.get(ask.service, 0) + 1
+        new += host_moves.plan_moves(
+            self._hosts,
+            loads,
+            standby,
+            {*self._ask_by_host, *self._ordered, *(one.host_id for one in new)},
+            arriving,
+        )
+        for ask in new:
+            self._ask_by_host[ask.host_id] = ask
+            self._asked_at[ask.host_id] = now
+
+    def _store(self, now: float) -> bool:
+        """Stores asks and waves; orders follow only when they are stored."""
+        writes = []
+        if self._ask_by_host != self._stored_asks:
+            writes.append(
+                cluster.RowWrite(
+                    fleet_rows.TABLE, fleet_rows.ASKS_KEY, fleet_rows.encode_asks(self._ask_by_host)
+                )
+            )
+        beat = None
+        if now - self._beat_at >= BEAT_SECONDS:
+            beat = cbor2.dumps({})
+            self._beat_at = now
+        if not writes and beat is None:
+            return True
+        return self._commit(writes, beat)
+
+    def _commit(
+        self, writes: list[cluster.RowWrite], beat: bytes | None = None
+    ) -> bool:
+        outcome = self._ledger.commit(writes, beat)
+        if outcome is shard_ledger.CommitOutcome.STORED:
+            self._stored_asks = dict(self._ask_by_host)
+            return True
+        self.lost = outcome is shard_ledger.CommitOutcome.LOST
+        self._closing.set()
+        return False
+
+    def _give_orders(
+        self, now: float, configuration: queues.SiteConfiguration
+    ) -> None:
+        """Gives the orders whose hosts are empty."""
+        loads = self._loads(now)
+        service_by_host = {host.host_id: host.service for host in self._hosts}
+        for ask in [*self._ask_by_host.values()]:
+            service = service_by_host.get(ask.host_id, "")
+            pool = configuration.service_by_name.get(service)
+            load = loads.get(service)
+            worker = load.load_by_worker.get(ask.worker_id) if load else None
+            resting = pool is not None and pool.standby
+            if resting or (worker is not None and worker.released):
+                self._order(ask)
+
+    def _order(self, ask: host_moves.Ask) -> None:
+        now = time.monotonic()
+        fence = self._ledger.epoch
+        outcome = (
+            self._links.hosts.maintain(ask.host_id, ask.wave, fence)
+            if ask.wave
+            else self._links.hosts.move(ask.host_id, ask.service, fence)
+        )
+        events.log(
+            events.Event.HOST_ORDERED,
+            "A host got an order",
+            host=ask.host_id,
+            worker=ask.worker_id,
+            to=ask.service,
+            wave=ask.wave,
+            outcome=outcome.value,
+            list_age_seconds=round(now - self._listed_at, 3),
+        )
+        if outcome is cluster.HostOrderOutcome.DONE:
+            self._ordered[ask.host_id] = OrderedHost(ask, ask.worker_id, now)
+            del self._ask_by_host[ask.host_id]
+            if ask.wave:
+                done = self._done_by_wave.setdefault(ask.wave, set())
+                done.add(ask.host_id)
+                self._commit(
+                    [
+                        cluster.RowWrite(
+                            fleet_rows.TABLE, str(ask.wave), cbor2.dumps(sorted(done))
+                        )
+                    ]
+                )
+        elif outcome in (
+            cluster.HostOrderOutcome.BUSY,
+            cluster.HostOrderOutcome.INVALID,
+            cluster.HostOrderOutcome.NOT_OF_WAVE,
+        ):
+            del self._ask_by_host[ask.host_id]
+
+    def _report_waves(
+        self, wave_by_number: Mapping[int, queues.WaveOrder]
+    ) -> None:
+        listed = {host.host_id for host in self._hosts}
+        for number, wave in wave_by_number.items():
+            if self._reported.get(number):
+                continue
+            left = (
+                listed & set(wave.host_ids)
+            ) - self._done_by_wave.get(number, set())
+            finished = not left
+            if self._reported.get(number) == finished:
+                continue
+            if isinstance(
+                self._links.operators.report_wave(number, finished),
+                result.Success,
+            ):
+                self._reported[number] = finished
+                events.log(
+                    events.Event.WAVE_FINISHED
+                    if finished
+                    else events.Event.WAVE_STARTED,
+                    "A wave was reported",
+                    wave=number,
+                    left=len(left),
+                    hosts=len(wave.host_ids),
+                )
+
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -12,6 +12,8 @@
 from wisteriasill.links import cluster
 from wisteriasill.links import job_desk
 from wisteriasill.machines import batch_keeper
+from wisteriasill.machines import fleet_keeper
+from wisteriasill.machines import fleet_rows
 from wisteriasill.zones import shard_claims
 from wisteriasill.zones import shard_ledger
 
@@ -76,10 +78,18 @@
         self, ledger: shard_ledger.ShardLedger
     ) -> shard_claims.Keeper:
         assert self.configuration is not None
+        if ledger.shard == fleet_rows.SHARD:
+            return fleet_keeper.FleetKeeper(self._links, ledger, self._site)
         return batch_keeper.BatchKeeper(
             self._links, ledger, self.configuration
         )
 
+    def _site(
+        self,
+    ) -> tuple[queues.SiteConfiguration, dict[int, queues.WaveOrder]]:
+        assert self.configuration is not None
+        return self.configuration, dict(self.wave_by_number)
+
     def _claim_shards(self) -> None:
         while not self._stopping.wait(shard_claims.POLL_SECONDS):
             configuration = self.configuration
@@ -92,7 +102,7 @@
                 }
             )
             try:
-                self._claims.turn(services)
+                self._claims.turn([*services, fleet_rows.SHARD])
             except Exception as error:  # Claims must go on.
                 events.log(
                     events.Event.TASK_FAILED,
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -119,6 +119,8 @@
         self.reached = False
         self.silent_since = 0.0
         self.leaving = False
+        self.leaving_since = 0.0
+        self.idle_since = time.monotonic()
         self.listed = True
         self.dead = False
         self.full_until = 0.0
