Let a silent worker's lease end, and count away tasks by recent reports

Ruled out: late transactions (no conflict logged), the feed (workers were listed as gone in time). Change: an earlier holder's lease is assumed until proven; a silent worker is looked at without a new lease; tasks count as at work only by a report of the last 1.6 s.

--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -316,8 +316,9 @@
         unit = run.unit
         if run.stopping or run.state is not batch_job.RunState.RUNNING:
             return False
+        now = time.monotonic()
         away = sum(
-            not any(_at_work(other_run) for other_run in other.runs)
+            not any(_at_work(other_run, now) for other_run in other.runs)
             for other in unit.job.units_by_step[
                 unit.occurrence, unit.step_number
             ]
@@ -887,9 +888,10 @@
             )
 
 
-def _at_work(run: batch_job.Run) -> bool:
+def _at_work(run: batch_job.Run, now: float) -> bool:
     return (
-        run.state is batch_job.RunState.RUNNING
+        run.worker.answers(now)
+        and run.state is batch_job.RunState.RUNNING
         and not run.stopping
         and bool(run.at_work_at)
     )
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -23,6 +23,8 @@
 WATCHFUL_LOOK_SECONDS = 0.4  # Where tasks that fill may disturb others.
 IDLE_LOOK_SECONDS = 20.0  # A worker without runs needs no lease.
 STORE_WAIT_SECONDS = 0.5  # Longest wait until reported ends are stored.
+# A look that waits ends within 1 s; an older report may hide a crash.
+RECENT_REPORT_SECONDS = 1.6
 SILENT_RETRY_SECONDS = 0.25  # Pause after a look without an answer.
 # An order that waited longer is planned anew, as its reasons are outdated.
 STALE_ORDER_SECONDS = 1.5
@@ -190,6 +192,13 @@
         self.free_memory_mb += need.memory_mb
         self.free_accelerators += need.accelerators
 
+    def answers(self, now: float) -> bool:
+        """Whether what is known of its runs is recent."""
+        return (
+            not self.silent_since
+            and now - self._clock_at < RECENT_REPORT_SECONDS
+        )
+
     def lapsed(self, now: float) -> bool:
         """Whether every lease on the worker has certainly ended."""
         if not self._clock_at:
@@ -202,6 +211,9 @@
 
     def note_clock(self, clock_ms: int, received_at: float) -> None:
         """Takes a reading of the worker's clock."""
+        if not self._clock_at:
+            # An earlier holder may have given a lease until just now.
+            self._lease_until_ms = clock_ms + int(LEASE_SECONDS * 1000)
         if clock_ms and clock_ms >= self._clock_ms:
             self._clock_ms = clock_ms
             self._clock_at = received_at
@@ -215,10 +227,12 @@
     def _watch(self) -> None:
         while not self._closing.is_set():
             sent_at = time.monotonic()
-            renews = bool(self._clock_at) and self._owner.may_renew()
-            if self._clock_at and not renews:
+            if not self._owner.may_renew():
                 self._closing.wait(SILENT_RETRY_SECONDS)
                 continue
+            # A silent worker's lease must end, so that its runs can start
+            # elsewhere; it is extended again after an answer.
+            renews = bool(self._clock_at) and not self.silent_since
             answer = self.link.look(
                 self._owner.fence,
                 self.stored,
@@ -272,7 +286,7 @@
 
     def _start(self, run: batch_job.Run) -> None:
         stale = time.monotonic() - run.planned_at > STALE_ORDER_SECONDS
-        if stale or not self._owner.may_start(run):
+        if stale or self.silent_since or not self._owner.may_start(run):
             self._owner.on_start_answer(
                 run, cluster.OrderAnswer(cluster.OrderOutcome.LEASE_TOO_OLD)
             )
