Follow demand with hosts and keep ordered hosts closed

Change: a pool tells the hosts that its arrival rate needs, over 0.5 s and 1.5 s; orders are given in parallel; a worker stays closed until its host is seen with another one; runs lapse only after their start was sent.

--- /dev/null
+++ b/wisteriasill/contracts/arrival_rate.py
@@ -0,0 +1,44 @@
+"""Rate at which work arrives, as an exponentially weighted mean.
+
+The load pattern it answers: a queue's demand rises eightyfold within a second
+when its turn comes, long before its pool is full.
+"""
+
+from __future__ import annotations
+
+import math
+
+# A rise shows in half of this time, a fall in all of it.
+STEADY_SECONDS = 1.5
+FAST_SECONDS = 0.5
+
+
+class ArrivalRate:
+    """Sums amounts of work that fade with time.
+
+    Args:
+        span_seconds: Time in which an arrival fades to a third.
+    """
+
+    def __init__(self, span_seconds: float) -> None:
+        self._span_seconds = span_seconds
+        self._amount = 0.0
+        self._at = 0.0
+
+    def add(self, amount: float, now: float) -> None:
+        """Takes an arrival.
+
+        Args:
+            amount: Work in any unit.
+            now: Steady time in seconds.
+        """
+        self._amount = self._faded(now) + amount
+        self._at = now
+
+    def per_second(self, now: float) -> float:
+        """Returns the rate in units of work a second."""
+        return self._faded(now) / self._span_seconds
+
+    def _faded(self, now: float) -> float:
+        age_seconds = max(0.0, now - self._at)
+        return self._amount * math.exp(-age_seconds / self._span_seconds)
--- a/wisteriasill/contracts/host_moves.py
+++ b/wisteriasill/contracts/host_moves.py
@@ -16,9 +16,11 @@
 
 # A move costs as much as a host that idles for about this time, by the
 # prices of both sites (1.1 s at Mandacaru, 1.2 s at Kochi).
-IDLE_SECONDS = 1.2
+REST_SECONDS = 1.2
+# Idle time after which a host may help another pool.
+SPARE_SECONDS = 0.3
 # Hosts that a pool keeps without demand, so that a crash leaves one.
-LEAST_HOSTS = 2
+LEAST_HOSTS = 3
 # Hosts of one pool that are emptied for a wave at the same time.
 EMPTYING_PER_POOL = 2
 
@@ -43,11 +45,12 @@
     """Load of a pool.
 
     Attributes:
-        waiting_hosts: Hosts that the waiting tasks would fill.
+        needed_hosts: Hosts that running, waiting and soon arriving tasks
+            fill.
         load_by_worker: Load of each worker.
     """
 
-    waiting_hosts: float
+    needed_hosts: float
     load_by_worker: Mapping[str, WorkerLoad]
 
 
@@ -68,16 +71,16 @@
 def encode_load(load: PoolLoad) -> list[Any]:
     """Turns a load into plain data."""
     return [
-        round(load.waiting_hosts, 3),
+        round(load.needed_hosts, 3),
         {key: [*one] for key, one in load.load_by_worker.items()},
     ]
 
 
 def decode_load(data: Sequence[Any]) -> PoolLoad:
     """Reads what `encode_load` made."""
-    waiting_hosts, by_worker = data
+    needed_hosts, by_worker = data
     return PoolLoad(
-        waiting_hosts,
+        needed_hosts,
         {key: WorkerLoad(*one) for key, one in by_worker.items()},
     )
 
@@ -107,20 +110,26 @@
         if host.state is cluster.HostState.UP
         and host.host_id not in busy_host_ids
     ]
+    surplus_by_service = {
+        service: _surplus_hosts(service, load, movable)
+        for service, load in load_by_service.items()
+    }
+    spare = [
+        host
+        for surplus in surplus_by_service.values()
+        for host in surplus
+        if _idle_seconds(host, load_by_service) >= SPARE_SECONDS
+    ]
     resting = [host for host in movable if host.service in standby]
-    idle = _idle_hosts(movable, load_by_service)
-    sources = iter([*resting, *idle])
+    sources = iter([*resting, *spare])
     moves: list[Ask] = []
-    for service, load in sorted(
-        load_by_service.items(), key=lambda item: -item[1].waiting_hosts
+    for service, wanted in _wanted_hosts(
+        movable, load_by_service, arriving_by_service
     ):
-        wanted = math.ceil(load.waiting_hosts) - arriving_by_service.get(
-            service, 0
-        )
         candidates = (one for one in sources if one.service != service)
         moves += [
             Ask(host.host_id, host.worker_id, service, 0)
-            for host in itertools.islice(candidates, max(0, wanted))
+            for host in itertools.islice(candidates, wanted)
         ]
     taken = {move.host_id for move in moves}
     rest_service = next(iter(sorted(standby)), None)
@@ -128,30 +137,54 @@
         return moves
     return moves + [
         Ask(host.host_id, host.worker_id, rest_service, 0)
-        for host in idle
+        for host in spare
         if host.host_id not in taken
+        and _idle_seconds(host, load_by_service) >= REST_SECONDS
     ]
 
 
-def _idle_hosts(
+def _wanted_hosts(
     movable: Sequence[cluster.HostRecord],
     load_by_service: Mapping[str, PoolLoad],
+    arriving_by_service: Mapping[str, int],
+) -> list[tuple[str, int]]:
+    """Returns how many hosts each short pool wants, the shortest first."""
+    wanted = [
+        (
+            service,
+            math.ceil(load.needed_hosts)
+            - sum(host.service == service for host in movable)
+            - arriving_by_service.get(service, 0),
+        )
+        for service, load in load_by_service.items()
+    ]
+    return sorted(
+        ((service, count) for service, count in wanted if count > 0),
+        key=lambda item: -item[1],
+    )
+
+
+def _idle_seconds(
+    host: cluster.HostRecord, load_by_service: Mapping[str, PoolLoad]
+) -> float:
+    load = load_by_service[host.service].load_by_worker.get(host.worker_id)
+    return load.idle_seconds if load and not load.released else 0.0
+
+
+def _surplus_hosts(
+    service: str, load: PoolLoad, movable: Sequence[cluster.HostRecord]
 ) -> list[cluster.HostRecord]:
-    """Returns hosts that their pools do not need now."""
-    idle: list[cluster.HostRecord] = []
-    for service, load in load_by_service.items():
-        if load.waiting_hosts:
-            continue
-        own = [host for host in movable if host.service == service]
-        free = [
-            host
-            for host in own
-            if (one := load.load_by_worker.get(host.worker_id))
-            and one.idle_seconds >= IDLE_SECONDS
-            and not one.released
-        ]
-        idle += free[: max(0, len(own) - LEAST_HOSTS)]
-    return idle
+    """Returns idle hosts beyond what a pool needs."""
+    own = [host for host in movable if host.service == service]
+    kept = max(LEAST_HOSTS, math.ceil(load.needed_hosts))
+    idle = [
+        host
+        for host in own
+        if (one := load.load_by_worker.get(host.worker_id))
+        and one.idle_seconds
+        and not one.released
+    ]
+    return idle[: max(0, len(own) - kept)]
 
 
 def plan_upkeep(
--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -21,6 +21,8 @@
 from wisteriasill.zones import shard_ledger
 
 BEAT_SECONDS = 0.5  # A quarter of the silence after which others take over.
+# Rise of the needed hosts that the fleet's keeper learns of at once.
+NEWS_HOSTS = 0.7
 TURN_SECONDS = 0.25  # Longest wait between two turns of the planner.
 FOLLOW_SECONDS = 2.0  # Wait of one call for changes.
 RETRY_SECONDS = 0.25  # Pause after a failed call to the store.
@@ -74,7 +76,7 @@
         self._asks_version = 0
         self._beat_at = 0.0
         self._released: set[str] = set()
-        self._short = False
+        self._needed_hosts = 0.0
         self.pool = batch_pool.BatchPool(
             ledger.shard, ledger.epoch, time.monotonic(), self._changed
         )
@@ -187,16 +189,15 @@
             for worker_id, one in load.load_by_worker.items()
             if one.released
         }
-        short = bool(load.waiting_hosts)
         if (
             now - self._beat_at < BEAT_SECONDS
             and released <= self._released
-            and short <= self._short
+            and load.needed_hosts < self._needed_hosts + NEWS_HOSTS
         ):
             return None
         self._beat_at = now
         self._released = released
-        self._short = short
+        self._needed_hosts = load.needed_hosts
         return cbor2.dumps(
             {
                 "pending": self.pool.pending_by_queue(),
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -12,6 +12,7 @@
 import cbor2
 
 from wisteriasill import events
+from wisteriasill.contracts import arrival_rate
 from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import pacing
@@ -36,6 +37,9 @@
 # A worker without room gets no starts until reports have caught up.
 FULL_SECONDS = 0.25
 MOST_ADVISED_WORKERS = 100  # The platform's bound for one question.
+# Hosts for each host-second of work that arrives in a second: tasks do not
+# fill hosts to the brim.
+ARRIVAL_HEADROOM = 1.2
 # Weight of the newest job in the mean work of its queue.
 MEAN_WEIGHT = 0.05
 
@@ -91,6 +95,10 @@
         self._leaving_ids: set[str] = set()
         self._unplaced: dict[str, list[LostRun]] = {}
         self._queue_by_name: Mapping[str, queues.Queue] = {}
+        self._arrivals = [
+            arrival_rate.ArrivalRate(arrival_rate.STEADY_SECONDS),
+            arrival_rate.ArrivalRate(arrival_rate.FAST_SECONDS),
+        ]
         self._mean_work_by_queue: dict[str, float] = {}
 
     # -- Configuration and jobs ------------------------------------------
@@ -143,6 +151,14 @@
         job = batch_job.Job(row.key, record, time.monotonic() - age_seconds)
         self.job_by_id[row.key] = job
         self._learn_work(job)
+        if not progress and not record.spec.lasting:
+            size = self._usual_room()
+            work = sum(
+                step.count * step.estimate_seconds * _host_share(step, size)
+                for step in record.spec.steps
+            )
+            for rate in self._arrivals:
+                rate.add(work, time.monotonic())
         if progress:
             self._restore(job, progress)
         if record.cancelled:
@@ -241,7 +257,7 @@
                 return
             del self.worker_by_id[worker.worker_id]
             worker.dead = True
-            self._lose_runs(worker, reason)
+            self._lose_runs(worker, [*worker.run_by_task.values()], reason)
         worker.close()
         events.log(
             events.Event.WORKER_LOST,
@@ -252,8 +268,13 @@
         )
         self._changed.set()
 
-    def _lose_runs(self, worker: workers.Worker, reason: str) -> None:
-        for run in [*worker.run_by_task.values()]:
+    def _lose_runs(
+        self,
+        worker: workers.Worker,
+        runs: Iterable[batch_job.Run],
+        reason: str,
+    ) -> None:
+        for run in runs:
             events.log(
                 events.Event.RUN_LOST,
                 "A run ended with its worker",
@@ -270,11 +291,15 @@
         """Ends the runs whose leases have certainly lapsed."""
         with self.lock:
             for worker in [*self.worker_by_id.values()]:
-                if worker.run_by_task and worker.lapsed(now):
-                    self._lose_runs(worker, "lease lapsed")
-                    if not worker.listed:
-                        self.remove_worker(worker, "not listed any more")
-                elif not worker.run_by_task and not worker.listed:
+                sent = [
+                    run
+                    for run in worker.run_by_task.values()
+                    if run.ordered_at
+                    or run.state is batch_job.RunState.UNCERTAIN
+                ]
+                if sent and worker.lapsed(now):
+                    self._lose_runs(worker, sent, "lease lapsed")
+                if not worker.run_by_task and not worker.listed:
                     self.remove_worker(worker, "not listed any more")
             if now - self.claimed_at > STORELESS_SECONDS + (
                 workers.LEASE_SECONDS
@@ -331,17 +356,23 @@
         with self.lock:
             size = self._usual_room()
             waiting = sum(
-                max(
-                    unit.step.need.cpu / size.cpu,
-                    unit.step.need.memory_mb / size.memory_mb,
-                )
-                * len(unit.indexes)
+                _host_share(unit.step, size) * len(unit.indexes)
                 for job in self.job_by_id.values()
                 for unit in job.ready.values()
-                if now >= unit.retry_at
+            )
+            lasting = running = 0.0
+            for worker in self.worker_by_id.values():
+                for run in worker.run_by_task.values():
+                    share = _host_share(run.unit.step, size)
+                    if run.unit.step.lasting:
+                        lasting += share
+                    else:
+                        running += share
+            coming = ARRIVAL_HEADROOM * max(
+                rate.per_second(now) for rate in self._arrivals
             )
             return host_moves.PoolLoad(
-                waiting,
+                lasting + max(coming, running + waiting),
                 {
                     worker.worker_id: _worker_load(worker, now)
                     for worker in self.worker_by_id.values()
@@ -632,6 +663,7 @@
                 return
             if outcome is cluster.OrderOutcome.UNKNOWN:
                 self._doubt_start(run)
+                run.worker.wake()
                 return
             self._reject_start(run, outcome)
         self._changed.set()
@@ -669,8 +701,12 @@
             worker.full_until = now + FULL_SECONDS
         elif outcome is cluster.OrderOutcome.UNHEALTHY:
             worker_trust.doubt(worker, now, "refused a start as unhealthy")
-        elif outcome is cluster.OrderOutcome.OTHER_WORKER:
-            worker.reached = False
+        elif outcome in (
+            cluster.OrderOutcome.OTHER_WORKER,
+            cluster.OrderOutcome.UNREACHABLE,
+        ):
+            worker.reached = False  # Until a look has an answer.
+            worker.wake()
         elif outcome is cluster.OrderOutcome.NO_TICKET:
             self.tickets.pop(run.unit.step_key, None)
         elif outcome is cluster.OrderOutcome.FENCED:
@@ -888,6 +924,12 @@
             )
 
 
+def _host_share(step: job_spec.StepSpec, size: job_spec.Room) -> float:
+    """Returns the share of a host of the usual size that a task fills."""
+    cpu = 0 if step.fills else step.need.cpu / size.cpu
+    return max(cpu, step.need.memory_mb / size.memory_mb)
+
+
 def _at_work(run: batch_job.Run, now: float) -> bool:
     return (
         run.worker.answers(now)
--- a/wisteriasill/machines/fleet_keeper.py
+++ b/wisteriasill/machines/fleet_keeper.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+import collections
+from collections.abc import Callable, Iterable, Mapping
+from concurrent import futures
 import threading
 import time
 from typing import Any, NamedTuple
@@ -22,8 +24,11 @@
 TURN_SECONDS = 0.25
 FOLLOW_SECONDS = 1.0
 # The feed of beats wakes at each of them; several are taken at a time.
-FOLLOW_PAUSE_SECONDS = 0.15
+FOLLOW_PAUSE_SECONDS = 0.05
 RETRY_SECONDS = 0.25
+# The platform takes 64 orders a second; each takes about 10 ms.
+ORDERS_AT_ONCE = 8
+LOG_SECONDS = 1.0
 # Age of the host list that is good enough without and with work to do.
 LIST_SECONDS = 2.0
 BUSY_LIST_SECONDS = 0.4
@@ -80,9 +85,11 @@
         self._site = site
         self._closing = threading.Event()
         self._changed = threading.Event()
+        self._executor = futures.ThreadPoolExecutor(ORDERS_AT_ONCE)
         self._claimed_at = time.monotonic()
         self._beat_at = 0.0
         self._listed_at = 0.0
+        self._logged_at = 0.0
         self._hosts: tuple[cluster.HostRecord, ...] = ()
         self._load_by_service: dict[str, SeenLoad] = {}
         self._ask_by_host: dict[str, host_moves.Ask] = {}
@@ -124,6 +131,7 @@
         self._closing.set()
         self._changed.set()
         self._threads[0].join(2.0)
+        self._executor.shutdown(wait=False, cancel_futures=True)
         if release and not self.lost:
             self._ledger.release()
 
@@ -274,16 +282,53 @@
         for ask in new:
             self._ask_by_host[ask.host_id] = ask
             self._asked_at[ask.host_id] = now
+        self._log_pools(now, loads)
+
+    def _log_pools(
+        self, now: float, loads: Mapping[str, host_moves.PoolLoad]
+    ) -> None:
+        """Logs once a second what the moves were decided by."""
+        if now - self._logged_at < LOG_SECONDS:
+            return
+        self._logged_at = now
+        hosts = collections.Counter(host.service for host in self._hosts)
+        events.log(
+            events.Event.POOLS_COUNTED,
+            "Hosts and needs of all pools",
+            hosts=dict(hosts),
+            needed={
+                service: round(load.needed_hosts, 2)
+                for service, load in loads.items()
+            },
+            idle={
+                service: sum(
+                    one.idle_seconds >= host_moves.SPARE_SECONDS
+                    for one in load.load_by_worker.values()
+                )
+                for service, load in loads.items()
+            },
+            asked=len(self._ask_by_host),
+            ordered=len(self._ordered),
+            list_age_seconds=round(now - self._listed_at, 3),
+        )
 
     def _store(self, now: float) -> bool:
         """Stores asks and waves; orders follow only when they are stored."""
         writes = []
-        if self._ask_by_host != self._stored_asks:
+        # Workers whose hosts got an order take no tasks until they are gone.
+        asks = {
+            **self._ask_by_host,
+            **{key: one.ask for key, one in self._ordered.items()},
+        }
+        if asks != self._stored_asks:
             writes.append(
                 cluster.RowWrite(
-                    fleet_rows.TABLE, fleet_rows.ASKS_KEY, fleet_rows.encode_asks(self._ask_by_host)
+                    fleet_rows.TABLE,
+                    fleet_rows.ASKS_KEY,
+                    fleet_rows.encode_asks(asks),
                 )
             )
+            self._stored_asks = asks
         beat = None
         if now - self._beat_at >= BEAT_SECONDS:
             beat = cbor2.dumps({})
@@ -297,7 +342,6 @@
     ) -> bool:
         outcome = self._ledger.commit(writes, beat)
         if outcome is shard_ledger.CommitOutcome.STORED:
-            self._stored_asks = dict(self._ask_by_host)
             return True
         self.lost = outcome is shard_ledger.CommitOutcome.LOST
         self._closing.set()
@@ -309,23 +353,33 @@
         """Gives the orders whose hosts are empty."""
         loads = self._loads(now)
         service_by_host = {host.host_id: host.service for host in self._hosts}
-        for ask in [*self._ask_by_host.values()]:
+        due: list[host_moves.Ask] = []
+        for ask in self._ask_by_host.values():
             service = service_by_host.get(ask.host_id, "")
             pool = configuration.service_by_name.get(service)
             load = loads.get(service)
             worker = load.load_by_worker.get(ask.worker_id) if load else None
             resting = pool is not None and pool.standby
             if resting or (worker is not None and worker.released):
-                self._order(ask)
+                due.append(ask)
+        for ask, outcome in zip(
+            due, self._executor.map(self._order, due), strict=True
+        ):
+            self._note_order(ask, outcome, now)
+        self._store_waves(due)
 
-    def _order(self, ask: host_moves.Ask) -> None:
-        now = time.monotonic()
+    def _order(self, ask: host_moves.Ask) -> cluster.HostOrderOutcome:
         fence = self._ledger.epoch
-        outcome = (
-            self._links.hosts.maintain(ask.host_id, ask.wave, fence)
-            if ask.wave
-            else self._links.hosts.move(ask.host_id, ask.service, fence)
-        )
+        if ask.wave:
+            return self._links.hosts.maintain(ask.host_id, ask.wave, fence)
+        return self._links.hosts.move(ask.host_id, ask.service, fence)
+
+    def _note_order(
+        self,
+        ask: host_moves.Ask,
+        outcome: cluster.HostOrderOutcome,
+        now: float,
+    ) -> None:
         events.log(
             events.Event.HOST_ORDERED,
             "A host got an order",
@@ -342,13 +396,6 @@
             if ask.wave:
                 done = self._done_by_wave.setdefault(ask.wave, set())
                 done.add(ask.host_id)
-                self._commit(
-                    [
-                        cluster.RowWrite(
-                            fleet_rows.TABLE, str(ask.wave), cbor2.dumps(sorted(done))
-                        )
-                    ]
-                )
         elif outcome in (
             cluster.HostOrderOutcome.BUSY,
             cluster.HostOrderOutcome.INVALID,
@@ -356,6 +403,18 @@
         ):
             del self._ask_by_host[ask.host_id]
 
+    def _store_waves(self, asks: Iterable[host_moves.Ask]) -> None:
+        writes = [
+            cluster.RowWrite(
+                fleet_rows.TABLE,
+                str(number),
+                cbor2.dumps(sorted(self._done_by_wave.get(number, set()))),
+            )
+            for number in {ask.wave for ask in asks if ask.wave}
+        ]
+        if writes:
+            self._commit(writes)
+
     def _report_waves(
         self, wave_by_number: Mapping[int, queues.WaveOrder]
     ) -> None:
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -292,13 +292,16 @@
             )
             return
         payload, ticket = self._owner.payload(run)
+        # The lease is noted before the run counts as sent, so that no check
+        # takes the run as lapsed by an older lease.
+        lease_until_ms = self._lease_end_ms()
         run.ordered_at = time.monotonic()
         answer = self.link.start(
             cluster.StartOrder(
                 run.task,
                 run.number,
                 payload,
-                self._lease_end_ms(),
+                lease_until_ms,
                 self._owner.fence,
                 run.checkpoint,
                 ticket,
