--- /dev/null
+++ b/standins/row_store.py
@@ -0,0 +1,162 @@
+"""An in-memory store of versioned rows with switches for its faults."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import threading
+
+from returns import result
+
+from wisteriasill.links import cluster
+
+UNAVAILABLE = cluster.StoreFault(
+    cluster.StoreFaultKind.UNAVAILABLE, "switched off"
+)
+UNKNOWN = cluster.StoreFault(
+    cluster.StoreFaultKind.OUTCOME_UNKNOWN, "the answer is lost"
+)
+
+
+class Transaction(tuple[str, tuple[cluster.RowVersion, ...], tuple[cluster.RowWrite, ...]]):
+    """A transaction that was delayed: part, versions, writes."""
+
+
+class MemoryRowStore:
+    """Implements `cluster.RowStore` in memory.
+
+    Attributes:
+        down: Whether calls are refused.
+        lost_answers: How many of the next writes are done but not answered.
+        delayed_writes: How many of the next writes are kept back unanswered
+            until `deliver_delayed`.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.lost_answers = 0
+        self.delayed_writes = 0
+        self.history_from = 0
+        self._version = 0
+        self._row_by_name: dict[tuple[str, str, str], cluster.StoredRow] = {}
+        self._changes: list[cluster.StoredRow] = []
+        self._delayed: list[Transaction] = []
+        self._changed = threading.Condition()
+
+    def transact(
+        self,
+        part: str,
+        required: Sequence[cluster.RowVersion],
+        writes: Sequence[cluster.RowWrite],
+        timeout_seconds: float,
+    ) -> result.Result[int, cluster.StoreFault]:
+        """Writes all rows if all versions hold, else none."""
+        with self._changed:
+            if self.down:
+                return result.Failure(UNAVAILABLE)
+            if self.delayed_writes:
+                self.delayed_writes -= 1
+                self._delayed.append(
+                    Transaction((part, tuple(required), tuple(writes)))
+                )
+                return result.Failure(UNKNOWN)
+            outcome = self._apply(part, required, writes)
+            if self.lost_answers:
+                self.lost_answers -= 1
+                return result.Failure(UNKNOWN)
+            return outcome
+
+    def deliver_delayed(
+        self,
+    ) -> list[result.Result[int, cluster.StoreFault]]:
+        """Carries out the writes that were kept back."""
+        with self._changed:
+            delayed, self._delayed = self._delayed, []
+            return [self._apply(*one) for one in delayed]
+
+    def _apply(
+        self,
+        part: str,
+        required: Sequence[cluster.RowVersion],
+        writes: Sequence[cluster.RowWrite],
+    ) -> result.Result[int, cluster.StoreFault]:
+        found = {
+            one: self._row_by_name.get((one.table, part, one.key))
+            for one in required
+        }
+        if any(
+            (row.version if row else 0) != one.version
+            for one, row in found.items()
+        ):
+            return result.Failure(
+                cluster.StoreFault(
+                    cluster.StoreFaultKind.CONFLICT,
+                    "another version",
+                    tuple(row for row in found.values() if row),
+                )
+            )
+        self._version += 1
+        for write in writes:
+            name = write.table, part, write.key
+            row = cluster.StoredRow(*name, write.value, self._version)
+            self._changes.append(row)
+            if write.value is None:
+                self._row_by_name.pop(name, None)
+            else:
+                self._row_by_name[name] = row
+        self._changed.notify_all()
+        return result.Success(self._version)
+
+    def read(
+        self,
+        table: str,
+        part: str,
+        first: str = "",
+        end: str = "",
+        timeout_seconds: float = 1.0,
+    ) -> result.Result[cluster.RowPage, cluster.StoreFault]:
+        """Reads rows in order of keys."""
+        with self._changed:
+            if self.down:
+                return result.Failure(UNAVAILABLE)
+            rows = sorted(
+                row
+                for (of_table, of_part, key), row in self._row_by_name.items()
+                if (of_table, of_part) == (table, part)
+                and key >= first
+                and (not end or key < end)
+            )
+            return result.Success(
+                cluster.RowPage(tuple(rows), True, self._version)
+            )
+
+    def follow(
+        self, table: str, after: int, wait_seconds: float
+    ) -> result.Result[cluster.RowPage, cluster.StoreFault]:
+        """Waits for changes of a table."""
+        with self._changed:
+            if self.down:
+                return result.Failure(UNAVAILABLE)
+            if after < self.history_from:
+                return result.Failure(
+                    cluster.StoreFault(
+                        cluster.StoreFaultKind.HISTORY_LOST, "dropped"
+                    )
+                )
+            rows = self._since(table, after)
+            if not rows:
+                self._changed.wait(wait_seconds)
+                rows = self._since(table, after)
+            return result.Success(cluster.RowPage(rows, True, self._version))
+
+    def drop_history(self) -> None:
+        """Forgets all changes so far."""
+        with self._changed:
+            self.history_from = self._version + 1
+            self._changes.clear()
+
+    def _since(self, table: str, after: int) -> tuple[cluster.StoredRow, ...]:
+        return tuple(
+            row
+            for row in self._changes
+            if row.table == table and row.version > after
+        )
--- /dev/null
+++ b/tests/adapter/conftest.py
@@ -0,0 +1,10 @@
+"""Makes the adapter's modules importable, as its start script does."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+ADAPTER = pathlib.Path(__file__).parents[2] / "platform"
+
+sys.path.append(str(ADAPTER))
--- /dev/null
+++ b/tests/adapter/test_decoding.py
@@ -0,0 +1,171 @@
+"""Tests of what the adapter decodes."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+import settings_file
+import wire_callers
+import wire_operators
+import wire_workers
+
+from wisteriasill.contracts import job_spec
+from wisteriasill.links import cluster
+
+ENTRY: dict[str, Any] = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "mem_mb": 32768},
+    "labels": ["a", "r1-3"],
+    "born": 17,
+}
+JOB: dict[str, Any] = {
+    "spec": "text",
+    "steps": [
+        {"count": 4, "cpu": 500, "est_runtime_ms": 900, "affinity": "r1-3"},
+        {"count": 2, "after": [0], "checkpointing": True, "may_miss": 1},
+    ],
+}
+SETTINGS: dict[str, Any] = {
+    "node_name": "front-1",
+    "ip": "10.1.0.9",
+    "zone": "z",
+    "listen": {"front": "10.1.0.9:8624", "ready": "10.1.0.9:8622"},
+    "port_range": [7060, 7075],
+    "platform": {"address": "10.200.1.7:8621"},
+}
+
+
+def row(value: object) -> cluster.StoredRow:
+    content = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return cluster.StoredRow("servers", "", "i-1", content, 3)
+
+
+def test_the_standard_library_keeps_its_platform_module() -> None:
+    root = pathlib.Path(__file__).parents[2]
+    code = "import platform; print(platform.python_implementation())"
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        cwd=root,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert done.stdout.strip() == "CPython"
+
+
+def test_a_register_entry() -> None:
+    entry = wire_workers._entry(row(ENTRY))
+    assert entry == cluster.WorkerEntry(
+        "i-1",
+        17,
+        "s",
+        "10.0.0.1:80",
+        "z",
+        cluster.WorkerState.READY,
+        job_spec.Room(16000, 32768, 0),
+        ("a", "r1-3"),
+    )
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\x00",
+        b"[]",
+        b"{}",
+        ENTRY | {"state": "resting"},
+        ENTRY | {"service": 7},
+        ENTRY | {"capacity": {"cpu": "many"}},
+        {key: value for key, value in ENTRY.items() if key != "address"},
+    ],
+)
+def test_an_unreadable_register_entry_names_no_worker(value: object) -> None:
+    assert wire_workers._entry(row(value)) is None
+
+
+def test_a_job() -> None:
+    spec = wire_callers.decode_job(json.dumps(JOB).encode())
+    first, second = spec.steps
+    assert (first.count, first.need.cpu, first.data_rack) == (4, 500, "r1-3")
+    assert (second.after, second.saves, second.may_be_away) == ((0,), True, 1)
+    assert job_spec.decode(
+        job_spec.encode(job_spec.JobRecord("q", 1, False, spec))
+    ).spec == spec
+
+
+@pytest.mark.parametrize(
+    ("body", "named"),
+    [
+        (b"{", "JSON"),
+        (b"[]", "object"),
+        (json.dumps(JOB | {"steps": []}).encode(), "steps"),
+        (json.dumps(JOB | {"spec": 5}).encode(), "spec"),
+        (json.dumps(JOB | {"spec": "x" * 4001}).encode(), "4000"),
+        (json.dumps(JOB | {"steps": [{"after": [0]}]}).encode(), "after"),
+        (json.dumps(JOB | {"steps": [{"count": -1}]}).encode(), "count"),
+        (json.dumps(JOB | {"steps": [{"cpu": "x"}]}).encode(), "cpu"),
+        (json.dumps(JOB | {"repeat_count": 10_000}).encode(), "10000"),
+    ],
+)
+def test_a_bad_job_is_named(body: bytes, named: str) -> None:
+    with pytest.raises(ValueError, match=named):
+        wire_callers.decode_job(body)
+
+
+def test_a_configuration() -> None:
+    configuration = wire_operators.decode_configuration(
+        {
+            "version": 7,
+            "routes": [
+                {
+                    "name": "r",
+                    "host": "a.example",
+                    "prefix": "/q/",
+                    "service": "s",
+                    "max_attempts": 3,
+                    "stretch": 1.6,
+                    "target_latency_ms": 600,
+                },
+                {
+                    "name": "longer",
+                    "host": "a.example",
+                    "prefix": "/q/r/",
+                    "service": "s",
+                },
+            ],
+            "services": [{"name": "s", "standby": True}],
+        }
+    )
+    selected = configuration.select("a.example", "/q/r/1")
+    assert selected is not None
+    assert selected.name == "longer"
+    assert configuration.select("b.example", "/q/1") is None
+    assert configuration.queue_by_name["r"].target_latency_seconds == 0.6
+    assert configuration.service_by_name["s"].standby
+
+
+def test_task_names_are_read_back() -> None:
+    key = job_spec.TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
+    assert wire_workers.task_key(wire_workers.task_name(key)) == key
+    assert wire_workers.task_key("no.task") is None
+
+
+def test_settings() -> None:
+    settings = settings_file.decode(SETTINGS)
+    assert settings.callers_address == ("10.1.0.9", 8624)
+    assert settings.store_address == "10.200.1.7:8621"
+
+
+@pytest.mark.parametrize("key", ["node_name", "listen", "platform", "zone"])
+def test_a_missing_setting_is_named(key: str) -> None:
+    data = {name: value for name, value in SETTINGS.items() if name != key}
+    with pytest.raises(ValueError, match=key):
+        settings_file.decode(data)
--- /dev/null
+++ b/tests/contracts/test_host_moves.py
@@ -0,0 +1,86 @@
+"""Tests of which hosts move and which are maintained next."""
+
+from __future__ import annotations
+
+from wisteriasill.contracts import host_moves
+from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+
+BUSY = host_moves.WorkerLoad(0, 4, 0.0, False)
+LASTING = host_moves.WorkerLoad(2, 0, 0.0, False)
+IDLE = host_moves.WorkerLoad(0, 0, 5.0, False)
+
+
+def host(number: int, service: str) -> cluster.HostRecord:
+    return cluster.HostRecord(
+        f"m{number}",
+        service,
+        cluster.HostState.UP,
+        "zone",
+        job_spec.Room(16_000, 64_000, 0),
+        "r1",
+        f"w{number}",
+    )
+
+
+def pool(
+    needed_hosts: float, loads: dict[int, host_moves.WorkerLoad]
+) -> host_moves.PoolLoad:
+    return host_moves.PoolLoad(
+        needed_hosts, {f"w{number}": load for number, load in loads.items()}
+    )
+
+
+def test_a_peak_takes_resting_hosts_first_and_then_idle_ones() -> None:
+    hosts = [host(1, "a"), host(2, "rest")] + [
+        host(number, "b") for number in range(3, 8)
+    ]
+    loads = {
+        "a": pool(3.5, {1: BUSY}),
+        "b": pool(0.2, {number: IDLE for number in range(3, 8)}),
+    }
+    moves = host_moves.plan_moves(hosts, loads, {"rest"}, (), {})
+    assert [move.host_id for move in moves if move.service == "a"] == [
+        "m2",
+        "m3",
+        "m4",
+    ]
+
+
+def test_hosts_on_their_way_count() -> None:
+    hosts = [host(1, "a"), host(2, "rest")]
+    loads = {"a": pool(2.0, {1: BUSY})}
+    assert not host_moves.plan_moves(hosts, loads, {"rest"}, (), {"a": 1})
+
+
+def test_idle_hosts_rest_but_the_pool_keeps_its_least() -> None:
+    hosts = [host(number, "a") for number in range(6)]
+    loads = {"a": pool(0.0, {number: IDLE for number in range(6)})}
+    moves = host_moves.plan_moves(hosts, loads, {"rest"}, (), {})
+    assert {move.service for move in moves} == {"rest"}
+    assert len(moves) == 6 - host_moves.LEAST_HOSTS
+
+
+def test_hosts_with_runs_stay() -> None:
+    hosts = [host(number, "a") for number in range(6)]
+    loads = {"a": pool(0.0, {number: LASTING for number in range(6)})}
+    assert not host_moves.plan_moves(hosts, loads, {"rest"}, (), {})
+
+
+def test_without_a_standby_service_nothing_rests() -> None:
+    hosts = [host(number, "a") for number in range(6)]
+    loads = {"a": pool(0.0, {number: IDLE for number in range(6)})}
+    assert not host_moves.plan_moves(hosts, loads, (), (), {})
+
+
+def test_a_wave_keeps_its_bound_and_begins_with_empty_hosts() -> None:
+    hosts = [host(number, "a") for number in range(5)]
+    wave = queues.WaveOrder(1, tuple(one.host_id for one in hosts), 20, 2)
+    loads = {
+        "a": pool(1.0, {0: LASTING, 1: BUSY, 2: IDLE, 3: IDLE, 4: BUSY})
+    }
+    asks = host_moves.plan_upkeep(wave, hosts, loads, {"m2"}, (), 0)
+    assert [ask.host_id for ask in asks] == ["m3", "m1"]
+    assert not host_moves.plan_upkeep(wave, hosts, loads, (), (), 2)
+    assert not host_moves.plan_upkeep(wave, hosts, loads, (), asks, 0)
--- /dev/null
+++ b/tests/contracts/test_job_placement.py
@@ -0,0 +1,141 @@
+"""Tests of the order of waiting work, the choice of workers, and pacing."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import pytest
+
+from wisteriasill.contracts import arrival_rate
+from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import pacing
+from wisteriasill.contracts import work_order
+from wisteriasill.contracts import worker_choice
+
+WORK = work_order.WaitingWork(
+    priority=1,
+    lasting=False,
+    age_seconds=0.5,
+    objective_seconds=3.0,
+    chain_seconds=1.0,
+    core_seconds=10.0,
+    total_core_seconds=10.0,
+)
+
+
+class Candidate(NamedTuple):
+    """A worker for the choice."""
+
+    worker_id: str
+    free_cpu: int = 4000
+    free_memory_mb: int = 1000
+    free_accelerators: int = 0
+    rack: str = "r1"
+    labels: tuple[str, ...] = ("a", "r1")
+
+
+def need(**fields: object) -> worker_choice.Need:
+    step = job_spec.StepSpec(
+        1, job_spec.Room(2000, 100, 0), 1.0, **fields  # type: ignore[arg-type]
+    )
+    return worker_choice.Need(step, {})
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        (WORK._replace(lasting=True), WORK._replace(priority=0)),
+        (WORK._replace(priority=0), WORK),
+        (WORK, WORK._replace(age_seconds=2.5)),
+        (WORK._replace(core_seconds=2.0), WORK),
+        (
+            WORK._replace(age_seconds=9.0),
+            WORK._replace(age_seconds=8.0),
+        ),
+    ],
+    ids=["lasting", "priority", "in time", "little left", "oldest late"],
+)
+def test_order_of_two_jobs(
+    first: work_order.WaitingWork, second: work_order.WaitingWork
+) -> None:
+    assert work_order.place(first, 10.0) < work_order.place(second, 10.0)
+
+
+def test_a_peak_serves_more_in_time_than_first_come() -> None:
+    """Twenty jobs for one core in the time of five: the small ones fit."""
+    jobs = [
+        WORK._replace(core_seconds=size, total_core_seconds=size, age_seconds=0)
+        for size in (2.0, 0.2) * 10
+    ]
+
+    def in_time(order: list[work_order.WaitingWork]) -> int:
+        done_at, count = 0.0, 0
+        for job in order:
+            done_at += job.core_seconds
+            count += done_at <= job.objective_seconds
+        return count
+
+    ranked = sorted(jobs, key=lambda job: work_order.place(job, 1.1))
+    assert in_time(ranked) >= 4 * in_time(jobs)
+
+
+@pytest.mark.parametrize(
+    ("candidate", "fits"),
+    [
+        (Candidate("w"), True),
+        (Candidate("w", free_cpu=1999), False),
+        (Candidate("w", free_memory_mb=99), False),
+        (Candidate("w", labels=("b", "r1")), False),
+    ],
+)
+def test_what_fits(candidate: Candidate, fits: bool) -> None:
+    assert worker_choice.fits(candidate, need(label="a")) is fits
+
+
+def test_a_task_that_fills_needs_memory_only() -> None:
+    full = Candidate("w", free_cpu=0)
+    assert worker_choice.fits(full, need(fills=True))
+
+
+def test_short_tasks_fill_the_fullest_worker() -> None:
+    pair = [Candidate("w1", 4000), Candidate("w2", 2500)]
+    chosen = worker_choice.choose(pair, need())
+    assert chosen is not None
+    assert chosen.worker_id == "w2"
+
+
+def test_data_comes_before_packing() -> None:
+    pair = [Candidate("w1", 4000, rack="r2"), Candidate("w2", 2500)]
+    chosen = worker_choice.choose(pair, need(data_rack="r2"))
+    assert chosen is not None
+    assert chosen.worker_id == "w1"
+
+
+def test_a_bound_for_each_worker_holds() -> None:
+    step = need(most_per_worker=1).step
+    full = worker_choice.Need(step, {"w": 1})
+    assert worker_choice.choose([Candidate("w")], full) is None
+
+
+@pytest.mark.parametrize(
+    ("percent", "tails", "next_percent"),
+    [
+        (100, [], 100),
+        (40, [0.3], 55),
+        (80, [0.9], 40),
+        (80, [0.7, 0.2], 80),
+        (80, [1.1], 0),
+    ],
+)
+def test_pace_of_fillers(
+    percent: int, tails: list[float], next_percent: int
+) -> None:
+    assert pacing.next_percent(percent, tails) == next_percent
+
+
+def test_a_rise_shows_within_half_a_second() -> None:
+    rate = arrival_rate.ArrivalRate(arrival_rate.FAST_SECONDS)
+    for tick in range(10):
+        rate.add(1.0, tick * 0.05)
+    assert rate.per_second(0.5) > 10
+    assert rate.per_second(5.0) < 0.1
--- /dev/null
+++ b/tests/machines/batch_site.py
@@ -0,0 +1,132 @@
+"""A pool on stand-ins whose calls are made by hand, without threads."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+import threading
+import time
+
+import cbor2
+
+from standins import batch_worker
+from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_job
+from wisteriasill.machines import batch_pool
+from wisteriasill.machines import worker as workers
+
+SERVICE = "bench"
+ROOM = job_spec.Room(16_000, 64_000, 0)
+QUEUE = queues.Queue("r-1", "a.example", "/q/", SERVICE, 0, 3, 1.6, 0.6, 3.0)
+CONFIGURATION = queues.SiteConfiguration(
+    1,
+    {QUEUE.name: QUEUE},
+    {SERVICE: queues.ServicePool(SERVICE, True, False)},
+    100_000,
+)
+
+
+def step(count: int = 1, cpu: int = 1000, **fields: object) -> job_spec.StepSpec:
+    """Builds a step of tasks that take one core for a second."""
+    return job_spec.StepSpec(
+        count, job_spec.Room(cpu, 100, 0), 1.0, **fields  # type: ignore[arg-type]
+    )
+
+
+def job_row(
+    job_id: str,
+    steps: Sequence[job_spec.StepSpec],
+    cancelled: bool = False,
+    version: int = 1,
+) -> cluster.StoredRow:
+    """Builds the row of an accepted job."""
+    record = job_spec.JobRecord(
+        QUEUE.name,
+        int(time.time() * 1000),
+        cancelled,
+        job_spec.JobSpec("payload", tuple(steps)),
+    )
+    return cluster.StoredRow(
+        f"jobs.{SERVICE}",
+        SERVICE,
+        job_id,
+        cbor2.dumps(job_spec.encode(record)),
+        version,
+    )
+
+
+class HandDrivenPool:
+    """A pool whose keeper's and workers' tasks the test carries out."""
+
+    def __init__(
+        self,
+        fence: int = 1,
+        records: Sequence[cluster.StoredRow] = (),
+        progress: Sequence[cluster.StoredRow] = (),
+    ) -> None:
+        self.pool = batch_pool.BatchPool(
+            SERVICE, fence, time.monotonic(), threading.Event()
+        )
+        self.pool.configure(CONFIGURATION)
+        self.pool.load(batch_pool.LoadedPool(tuple(records), tuple(progress)))
+        self.progress_by_id: dict[str, bytes] = {}
+        self.orders: collections.deque[workers.OrderKind] = collections.deque()
+
+    def add_worker(
+        self,
+        worker_id: str,
+        link: batch_worker.MemoryWorker,
+        rack: str = "r1",
+    ) -> workers.Worker:
+        """Registers a worker; its own tasks are not started."""
+        entry = cluster.WorkerEntry(
+            worker_id,
+            link.born_ms,
+            SERVICE,
+            "10.0.0.1:1",
+            "zone",
+            cluster.WorkerState.READY,
+            link.room,
+            ("a", rack),
+        )
+        worker = workers.Worker(
+            entry, link, self.pool, self.pool.claimed_at + 1000
+        )
+        self.pool.add_worker(worker)
+        return worker
+
+    def look(self, worker: workers.Worker) -> None:
+        """Makes one look at a worker, as its task does."""
+        worker.look_once()
+
+    def turn(self, now: float | None = None) -> list[batch_job.Run]:
+        """Makes one turn of the keeper and returns the runs to start."""
+        moment = time.monotonic() if now is None else now
+        self.pool.expire(moment)
+        self.pool.empty_workers(moment)
+        self.pool.plan(moment)
+        planned, self.pool.planned = self.pool.planned, []
+        for job in self.pool.dirty.values():
+            self.progress_by_id[job.job_id] = batch_job.encode_progress(job)
+        self.pool.dirty = {}
+        for worker in self.pool.worker_by_id.values():
+            worker.stored = worker.noted
+        for run in planned:
+            if run.state is batch_job.RunState.PLANNED:
+                run.state = batch_job.RunState.ORDERED
+                run.worker.send(workers.OrderKind("start", run))
+        return planned
+
+    def deliver(self, worker: workers.Worker) -> None:
+        """Sends the orders that wait for a worker."""
+        while worker.send_once():
+            pass
+
+    def progress_rows(self) -> list[cluster.StoredRow]:
+        """Returns the stored progress as a successor reads it."""
+        return [
+            cluster.StoredRow(f"progress.{SERVICE}", SERVICE, key, value, 9)
+            for key, value in self.progress_by_id.items()
+        ]
--- /dev/null
+++ b/tests/machines/test_batch_pool.py
@@ -0,0 +1,298 @@
+"""Tests of what a pool decides, with the faults that its days bring."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import time
+
+import pytest
+
+from standins import batch_worker
+from tests.machines import batch_site
+from wisteriasill.contracts import job_spec
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_job
+from wisteriasill.machines import worker as workers
+
+TASK = job_spec.TaskKey("j1", 0, 0, 0)
+
+
+@pytest.fixture
+def link() -> batch_worker.MemoryWorker:
+    return batch_worker.MemoryWorker(batch_site.ROOM)
+
+
+@pytest.fixture
+def other_link() -> batch_worker.MemoryWorker:
+    return batch_worker.MemoryWorker(batch_site.ROOM)
+
+
+@pytest.fixture
+def site() -> batch_site.HandDrivenPool:
+    return batch_site.HandDrivenPool()
+
+
+@pytest.fixture
+def started(
+    site: batch_site.HandDrivenPool, link: batch_worker.MemoryWorker
+) -> Callable[..., workers.Worker]:
+    """Starts the tasks of a job on one worker."""
+
+    def start(*steps: job_spec.StepSpec) -> workers.Worker:
+        worker = site.add_worker("w1", link)
+        site.look(worker)
+        site.pool.on_record(batch_site.job_row("j1", steps))
+        site.turn()
+        site.deliver(worker)
+        site.look(worker)
+        return worker
+
+    return start
+
+
+def test_a_job_is_completed_step_by_step(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    worker = started(batch_site.step(2), batch_site.step(1, after=(0,)))
+    assert len(link.running) == 2
+    for task in [*link.running]:
+        link.finish(task)
+    site.look(worker)
+    site.turn()
+    site.deliver(worker)
+    assert [*link.running] == [job_spec.TaskKey("j1", 0, 1, 0)]
+    link.finish(job_spec.TaskKey("j1", 0, 1, 0))
+    site.look(worker)
+    site.turn()
+    assert (
+        batch_job.decode_state(site.progress_by_id["j1"])
+        is batch_job.JobState.COMPLETED
+    )
+
+
+def test_a_successor_leaves_runs_where_they_are(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """Trouble-2 at Mandacaru: a first look made each old lease look ended."""
+    started(batch_site.step(1, lasting=True))
+    successor = batch_site.HandDrivenPool(
+        2,
+        [batch_site.job_row("j1", [batch_site.step(1, lasting=True)])],
+        site.progress_rows(),
+    )
+    worker = successor.add_worker("w1", link)
+    other = successor.add_worker("w2", other_link)
+    for one in (worker, other):
+        successor.look(one)
+    successor.turn()
+    successor.deliver(other)
+    assert link.running == {TASK: 1}
+    assert not other_link.starts
+
+
+def test_runs_of_a_silent_worker_start_elsewhere_after_its_lease(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """Trouble-1: each unanswered look extended the lease of a dead worker."""
+    worker = started(batch_site.step(1, lasting=True))
+    other = site.add_worker("w2", other_link)
+    site.look(other)
+    link.cut = True
+    began = time.monotonic()
+    for _ in range(3):
+        site.look(worker)
+    before = began + workers.LEASE_SECONDS - 0.5
+    site.turn(before)
+    site.deliver(other)
+    assert not other_link.starts
+    after = began + workers.LEASE_SECONDS / workers.SLOWEST_CLOCK + 0.5
+    site.turn(after)
+    site.turn(after + 1)
+    site.deliver(other)
+    assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
+
+
+def test_a_planned_run_outlives_the_old_lease_of_an_idle_worker(
+    site: batch_site.HandDrivenPool, link: batch_worker.MemoryWorker
+) -> None:
+    """quiet-1: 295 runs were given up before their start was sent."""
+    worker = site.add_worker("w1", link)
+    site.look(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    idle_until = time.monotonic() + 60
+    site.turn(idle_until)
+    site.pool.expire(idle_until)
+    assert TASK in worker.run_by_task
+
+
+def test_a_start_without_an_answer_is_barred_before_the_next(
+    site: batch_site.HandDrivenPool, link: batch_worker.MemoryWorker
+) -> None:
+    worker = site.add_worker("w1", link)
+    site.look(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    link.cut = True
+    site.turn()
+    assert worker.send_once()
+    link.cut = False
+    site.deliver(worker)
+    run = worker.run_by_task[TASK]
+    assert run.state is batch_job.RunState.UNCERTAIN
+    late = cluster.StartOrder(TASK, 1, "", 99_999, 1)
+    assert link.start(late).outcome is cluster.OrderOutcome.RUN_TOO_OLD
+    run.barred_at -= 1
+    site.look(worker)
+    site.turn(time.monotonic() + 1)
+    site.deliver(worker)
+    assert link.running == {TASK: 2}
+
+
+@pytest.mark.parametrize(
+    ("failures", "state"),
+    [(2, batch_job.JobState.RUNNING), (3, batch_job.JobState.FAILED)],
+)
+def test_a_job_fails_after_its_attempts(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+    failures: int,
+    state: batch_job.JobState,
+) -> None:
+    worker = started(batch_site.step(1))
+    for number in range(failures):
+        link.finish(TASK, cluster.RunEndKind.FAILED)
+        site.look(worker)
+        site.turn(time.monotonic() + 10 * (number + 1))
+        site.deliver(worker)
+    site.turn()
+    assert batch_job.decode_state(site.progress_by_id["j1"]) is state
+
+
+def test_lasting_tasks_start_again_however_often_they_fail(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    worker = started(batch_site.step(1, lasting=True))
+    for number in range(6):
+        link.finish(TASK, cluster.RunEndKind.FAILED)
+        site.look(worker)
+        site.turn(time.monotonic() + 10 * (number + 1))
+        site.deliver(worker)
+    assert TASK in link.running
+
+
+def test_a_cancelled_job_is_stopped_and_not_started_again(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    worker = started(batch_site.step(2))
+    site.pool.on_record(
+        batch_site.job_row("j1", [batch_site.step(2)], cancelled=True)
+    )
+    site.turn()
+    site.deliver(worker)
+    assert not link.running
+    site.look(worker)
+    site.turn()
+    site.deliver(worker)
+    assert not link.running
+    assert (
+        batch_job.decode_state(site.progress_by_id["j1"])
+        is batch_job.JobState.CANCELLED
+    )
+
+
+def test_a_worker_that_leaves_is_emptied_one_task_of_a_step_at_a_time(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    lasting = batch_site.step(3, lasting=True, may_be_away=1)
+    worker = started(lasting)
+    other = site.add_worker("w2", other_link)
+    site.look(other)
+    site.pool.set_leaving({"w1"})
+    for left in (2, 1, 0):
+        site.pool.empty_workers(time.monotonic())
+        site.pool.empty_workers(time.monotonic())
+        site.deliver(worker)
+        assert len(link.running) == left
+        site.look(worker)
+        site.turn(time.monotonic() + 1)
+        site.deliver(other)
+        site.look(other)
+    assert len(other_link.running) == 3
+    load = site.pool.load_now(time.monotonic())
+    assert load.load_by_worker["w1"].released
+
+
+def test_no_task_is_taken_away_while_another_does_not_answer(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+) -> None:
+    """AVAIL at trouble-1: tasks on a crashed worker counted as at work."""
+    pair = [site.add_worker("w1", link), site.add_worker("w2", other_link)]
+    for worker in pair:
+        site.look(worker)
+    lasting = batch_site.step(
+        2, lasting=True, may_be_away=1, most_per_worker=1
+    )
+    site.pool.on_record(batch_site.job_row("j1", [lasting]))
+    site.turn()
+    for worker in pair:
+        site.deliver(worker)
+        site.look(worker)
+    link.cut = True
+    site.look(pair[0])
+    site.pool.set_leaving({"w2"})
+    site.pool.empty_workers(time.monotonic())
+    site.deliver(pair[1])
+    assert len(other_link.running) == 1
+
+
+def test_a_gang_starts_whole_or_not_at_all(
+    site: batch_site.HandDrivenPool, link: batch_worker.MemoryWorker
+) -> None:
+    worker = site.add_worker("w1", link)
+    site.look(worker)
+    site.pool.on_record(
+        batch_site.job_row("j1", [batch_site.step(3, 6000, gang=True)])
+    )
+    assert not site.turn()
+    assert worker.free_cpu == batch_site.ROOM.cpu
+    other = site.add_worker(
+        "w2", batch_worker.MemoryWorker(batch_site.ROOM)
+    )
+    site.look(other)
+    assert len(site.turn()) == 3
+
+
+def test_a_worker_that_fails_jobs_gets_single_trials(
+    site: batch_site.HandDrivenPool, link: batch_worker.MemoryWorker
+) -> None:
+    worker = site.add_worker("w1", link)
+    site.look(worker)
+    for number in range(3):
+        site.pool.on_record(
+            batch_site.job_row(f"j{number}", [batch_site.step(1)])
+        )
+    site.turn()
+    site.deliver(worker)
+    for task in [*link.running]:
+        link.finish(task, cluster.RunEndKind.FAILED)
+    site.look(worker)
+    now = time.monotonic()
+    assert not site.turn(now + 1)
+    assert len(site.turn(now + 3)) == 1
--- /dev/null
+++ b/tests/zones/test_shard_ledger.py
@@ -0,0 +1,105 @@
+"""Tests of writes that ownership of a shard guards."""
+
+from __future__ import annotations
+
+import threading
+
+import pytest
+from returns import result
+
+from standins import row_store
+from wisteriasill.links import cluster
+from wisteriasill.zones import shard_ledger
+
+STORED = shard_ledger.CommitOutcome.STORED
+LOST = shard_ledger.CommitOutcome.LOST
+
+
+@pytest.fixture
+def store() -> row_store.MemoryRowStore:
+    return row_store.MemoryRowStore()
+
+
+def claim(store: row_store.MemoryRowStore, node: str) -> shard_ledger.ShardLedger:
+    ledger = shard_ledger.ShardLedger(store, "s", node, threading.Event())
+    assert ledger.claim(shard_ledger.read_state(store, "s").unwrap())
+    return ledger
+
+
+def value_of(store: row_store.MemoryRowStore, key: str) -> bytes | None:
+    rows = store.read("t", "s", key, key + "\0").unwrap().rows
+    return rows[0].value if rows else None
+
+
+def test_a_former_holder_can_store_nothing(
+    store: row_store.MemoryRowStore,
+) -> None:
+    former = claim(store, "n1")
+    claim(store, "n2")
+    assert former.commit([cluster.RowWrite("t", "k", b"1")]) is LOST
+    assert value_of(store, "k") is None
+
+
+def test_of_two_claims_of_the_same_state_one_holds(
+    store: row_store.MemoryRowStore,
+) -> None:
+    seen = shard_ledger.read_state(store, "s").unwrap()
+    claims = [
+        shard_ledger.ShardLedger(store, "s", node, threading.Event()).claim(seen)
+        for node in ("n1", "n2")
+    ]
+    assert claims == [True, False]
+
+
+def test_a_beat_bars_a_claim_that_saw_the_one_before(
+    store: row_store.MemoryRowStore,
+) -> None:
+    holder = claim(store, "n1")
+    seen = shard_ledger.read_state(store, "s").unwrap()
+    assert holder.commit([], b"\xa0") is STORED
+    other = shard_ledger.ShardLedger(store, "s", "n2", threading.Event())
+    assert not other.claim(seen)
+
+
+def test_a_write_with_a_lost_answer_is_recognized(
+    store: row_store.MemoryRowStore,
+) -> None:
+    ledger = claim(store, "n1")
+    store.lost_answers = 1
+    assert ledger.commit([cluster.RowWrite("t", "k", b"1")]) is STORED
+    assert ledger.commit([cluster.RowWrite("t", "k", b"2")]) is STORED
+    assert value_of(store, "k") == b"2"
+
+
+def test_a_late_write_does_not_undo_a_newer_one(
+    store: row_store.MemoryRowStore,
+) -> None:
+    ledger = claim(store, "n1")
+    store.delayed_writes = 1
+    assert ledger.commit([cluster.RowWrite("t", "k", b"1")]) is STORED
+    assert ledger.commit([cluster.RowWrite("t", "k", b"2")]) is STORED
+    late = store.deliver_delayed()
+    assert not isinstance(late[0], result.Success)
+    assert value_of(store, "k") == b"2"
+
+
+def test_large_commits_are_split() -> None:
+    writes = [
+        cluster.RowWrite("t", str(number), bytes(20_000))
+        for number in range(60)
+    ]
+    sizes = [len(batch) for batch in shard_ledger.batches(writes)]
+    assert sum(sizes) == 60
+    assert max(sizes) * 20_000 <= shard_ledger.BYTES_PER_TRANSACTION
+
+
+def test_a_commit_ends_when_the_node_stops(
+    store: row_store.MemoryRowStore,
+) -> None:
+    stopping = threading.Event()
+    ledger = shard_ledger.ShardLedger(store, "s", "n1", stopping)
+    assert ledger.claim(shard_ledger.VACANT)
+    store.down = True
+    stopping.set()
+    outcome = ledger.commit([cluster.RowWrite("t", "k", b"1")])
+    assert outcome is shard_ledger.CommitOutcome.STOPPED
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -226,30 +226,37 @@
 
     def _watch(self) -> None:
         while not self._closing.is_set():
-            sent_at = time.monotonic()
-            if not self._owner.may_renew():
+            if not self._owner.may_renew() or not self.look_once():
                 self._closing.wait(SILENT_RETRY_SECONDS)
                 continue
-            # A silent worker's lease must end, so that its runs can start
-            # elsewhere; it is extended again after an answer.
-            renews = bool(self._clock_at) and not self.silent_since
-            answer = self.link.look(
-                self._owner.fence,
-                self.stored,
-                self._lease_end_ms() if renews else None,
-                self._look_seconds() if renews else 0.0,
-            )
-            if self._closing.is_set():
-                break
-            if isinstance(answer, cluster.OrderOutcome):
-                self._owner.on_silence(self, answer)
-                self._closing.wait(SILENT_RETRY_SECONDS)
-                continue
-            self.note_clock(answer.clock_ms, time.monotonic())
-            self._owner.on_report(self, sent_at, answer)
             self._pause()
         self.link.close()
 
+    def look_once(self) -> bool:
+        """Looks at the worker and renews its lease.
+
+        Returns:
+            Whether it answered.
+        """
+        sent_at = time.monotonic()
+        # A silent worker's lease must end, so that its runs can start
+        # elsewhere; it is extended again after an answer.
+        renews = bool(self._clock_at) and not self.silent_since
+        answer = self.link.look(
+            self._owner.fence,
+            self.stored,
+            self._lease_end_ms() if renews else None,
+            self._look_seconds() if renews else 0.0,
+        )
+        if self._closing.is_set():
+            return False
+        if isinstance(answer, cluster.OrderOutcome):
+            self._owner.on_silence(self, answer)
+            return False
+        self.note_clock(answer.clock_ms, time.monotonic())
+        self._owner.on_report(self, sent_at, answer)
+        return True
+
     def _look_seconds(self) -> float:
         fills = any(run.unit.step.fills for run in [*self.run_by_task.values()])
         return WATCHFUL_LOOK_SECONDS if fills else LOOK_WAIT_SECONDS
@@ -274,15 +281,26 @@
             self._order_ready.acquire()
             if self._closing.is_set():
                 return
-            order = self._orders.popleft()
-            if order.run.state is batch_job.RunState.OVER or self.dead:
-                continue
-            if order.verb == "start":
-                self._start(order.run)
-            elif order.verb == "stop":
-                self._stop(order.run)
-            else:
-                self._pace(order.run, order.percent)
+            self.send_once()
+
+    def send_once(self) -> bool:
+        """Sends the order that waits longest.
+
+        Returns:
+            Whether there was one.
+        """
+        if not self._orders:
+            return False
+        order = self._orders.popleft()
+        if order.run.state is batch_job.RunState.OVER or self.dead:
+            return True
+        if order.verb == "start":
+            self._start(order.run)
+        elif order.verb == "stop":
+            self._stop(order.run)
+        else:
+            self._pace(order.run, order.percent)
+        return True
 
     def _start(self, run: batch_job.Run) -> None:
         stale = time.monotonic() - run.planned_at > STALE_ORDER_SECONDS
