End restored runs of silent workers; free standby hosts after upkeep

A host in standby has no worker id, so its upkeep counted as unfinished for 12 s. Ruled out: the feed of workers (the host's worker was silent at 10.0 s). Change: a run may be on its worker when it was ordered, seen or restored; an order to a host without a worker ends when the list shows it up after 1 s. Test: a successor ends runs of a worker that falls silent (failed before).

--- a/tests/machines/test_batch_pool.py
+++ b/tests/machines/test_batch_pool.py
@@ -296,3 +296,28 @@
     now = time.monotonic()
     assert not site.turn(now + 1)
     assert len(site.turn(now + 3)) == 1
+
+
+def test_a_successor_ends_runs_of_a_worker_that_falls_silent(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """Trouble-1 at Mandacaru: a restored run that was seen never lapsed."""
+    lasting = batch_site.step(1, lasting=True)
+    started(lasting)
+    successor = batch_site.HandDrivenPool(
+        2, [batch_site.job_row("j1", [lasting])], site.progress_rows()
+    )
+    worker = successor.add_worker("w1", link)
+    other = successor.add_worker("w2", other_link)
+    for one in (worker, other, worker):
+        successor.look(one)
+    link.cut = True
+    successor.look(worker)
+    after = time.monotonic() + workers.LEASE_SECONDS + 1
+    successor.turn(after)
+    successor.turn(after + 1)
+    successor.deliver(other)
+    assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -86,6 +86,14 @@
         # When the worker confirmed that this run can't start any more.
         self.barred_at = 0.0
 
+    @property
+    def may_be_there(self) -> bool:
+        """Whether the worker may have got the start, from whomever."""
+        return self.ordered_at > 0 or self.state in (
+            RunState.UNCERTAIN,
+            RunState.RUNNING,
+        )
+
     @property
     def task(self) -> job_spec.TaskKey:
         """Name of the task."""
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -294,8 +294,7 @@
                 sent = [
                     run
                     for run in worker.run_by_task.values()
-                    if run.ordered_at
-                    or run.state is batch_job.RunState.UNCERTAIN
+                    if run.may_be_there
                 ]
                 if sent and worker.lapsed(now):
                     self._lose_runs(worker, sent, "lease lapsed")
--- a/wisteriasill/machines/fleet_keeper.py
+++ b/wisteriasill/machines/fleet_keeper.py
@@ -39,6 +39,8 @@
 STALE_LOAD_SECONDS = 3.0
 # An ask that its pool can't meet is withdrawn so that others get their turn.
 ASK_SECONDS = 8.0
+# Time in which the list shows that a host without a worker got an order.
+RESTING_SECONDS = 1.0
 # Time after which an order whose effect never showed counts as without one.
 ORDER_SECONDS = 12.0
 
@@ -210,11 +212,16 @@
         host_by_id = {host.host_id: host for host in self._hosts}
         for host_id, ordered in [*self._ordered.items()]:
             host = host_by_id.get(host_id)
+            # A host in standby has no worker before or after.
+            renewed = host is not None and (
+                host.worker_id != ordered.worker_id
+                or (not host.worker_id and now - ordered.at > RESTING_SECONDS)
+            )
             returned = (
                 host is not None
                 and self._listed_at > ordered.at
                 and host.state is cluster.HostState.UP
-                and host.worker_id != ordered.worker_id
+                and renewed
             )
             if returned or now - ordered.at > ORDER_SECONDS:
                 del self._ordered[host_id]
