Give host orders at once after a take-over, and tell needs in processors

Ruled out: the platform's rate of orders (64 a second, 12 used). Change: only hosts in the stored asks wait out lease_ms; silence counts after 1.5 s; needs are told in processors and memory; a node that has not reached the store for 2.5 s is not ready; lasting tasks spread over racks.

--- a/tests/contracts/test_host_moves.py
+++ b/tests/contracts/test_host_moves.py
@@ -7,6 +7,7 @@
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 
+ROOM = job_spec.Room(16_000, 64_000, 0)
 BUSY = host_moves.WorkerLoad(0, 4, 0.0, False)
 LASTING = host_moves.WorkerLoad(2, 0, 0.0, False)
 IDLE = host_moves.WorkerLoad(0, 0, 5.0, False)
@@ -18,7 +19,7 @@
         service,
         cluster.HostState.UP,
         "zone",
-        job_spec.Room(16_000, 64_000, 0),
+        ROOM,
         "r1",
         f"w{number}",
     )
@@ -28,7 +29,8 @@
     needed_hosts: float, loads: dict[int, host_moves.WorkerLoad]
 ) -> host_moves.PoolLoad:
     return host_moves.PoolLoad(
-        needed_hosts, {f"w{number}": load for number, load in loads.items()}
+        job_spec.Room(int(needed_hosts * ROOM.cpu), 0, 0),
+        {f"w{number}": load for number, load in loads.items()},
     )
 
 
--- a/tests/contracts/test_job_placement.py
+++ b/tests/contracts/test_job_placement.py
@@ -38,7 +38,7 @@
     step = job_spec.StepSpec(
         1, job_spec.Room(2000, 100, 0), 1.0, **fields  # type: ignore[arg-type]
     )
-    return worker_choice.Need(step, {})
+    return worker_choice.Need(step, {}, {})
 
 
 @pytest.mark.parametrize(
@@ -113,7 +113,7 @@
 
 def test_a_bound_for_each_worker_holds() -> None:
     step = need(most_per_worker=1).step
-    full = worker_choice.Need(step, {"w": 1})
+    full = worker_choice.Need(step, {"w": 1}, {})
     assert worker_choice.choose([Candidate("w")], full) is None
 
 
--- a/wisteriasill/contracts/arrival_rate.py
+++ b/wisteriasill/contracts/arrival_rate.py
@@ -42,3 +42,8 @@
     def _faded(self, now: float) -> float:
         age_seconds = max(0.0, now - self._at)
         return self._amount * math.exp(-age_seconds / self._span_seconds)
+
+
+def pair() -> tuple[ArrivalRate, ArrivalRate]:
+    """Returns a rate that shows rises and one that is steady."""
+    return ArrivalRate(FAST_SECONDS), ArrivalRate(STEADY_SECONDS)
--- a/wisteriasill/contracts/host_moves.py
+++ b/wisteriasill/contracts/host_moves.py
@@ -11,6 +11,7 @@
 import math
 from typing import Any, NamedTuple
 
+from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 
@@ -45,12 +46,11 @@
     """Load of a pool.
 
     Attributes:
-        needed_hosts: Hosts that running, waiting and soon arriving tasks
-            fill.
+        needed: Room that running, waiting and soon arriving tasks fill.
         load_by_worker: Load of each worker.
     """
 
-    needed_hosts: float
+    needed: job_spec.Room
     load_by_worker: Mapping[str, WorkerLoad]
 
 
@@ -71,20 +71,34 @@
 def encode_load(load: PoolLoad) -> list[Any]:
     """Turns a load into plain data."""
     return [
-        round(load.needed_hosts, 3),
+        [*load.needed],
         {key: [*one] for key, one in load.load_by_worker.items()},
     ]
 
 
 def decode_load(data: Sequence[Any]) -> PoolLoad:
     """Reads what `encode_load` made."""
-    needed_hosts, by_worker = data
+    needed, by_worker = data
     return PoolLoad(
-        needed_hosts,
+        job_spec.Room(*needed),
         {key: WorkerLoad(*one) for key, one in by_worker.items()},
     )
 
 
+def needed_hosts(
+    load: PoolLoad, hosts: Iterable[cluster.HostRecord]
+) -> int:
+    """Returns how many hosts of the largest size a pool's needs fill."""
+    rooms = [host.room for host in hosts]
+    cpu = max((room.cpu for room in rooms), default=0)
+    memory_mb = max((room.memory_mb for room in rooms), default=0)
+    if not cpu or not memory_mb:
+        return 0
+    return math.ceil(
+        max(load.needed.cpu / cpu, load.needed.memory_mb / memory_mb)
+    )
+
+
 def plan_moves(
     hosts: Iterable[cluster.HostRecord],
     load_by_service: Mapping[str, PoolLoad],
@@ -152,7 +166,7 @@
     wanted = [
         (
             service,
-            math.ceil(load.needed_hosts)
+            needed_hosts(load, movable)
             - sum(host.service == service for host in movable)
             - arriving_by_service.get(service, 0),
         )
@@ -176,7 +190,7 @@
 ) -> list[cluster.HostRecord]:
     """Returns idle hosts beyond what a pool needs."""
     own = [host for host in movable if host.service == service]
-    kept = max(LEAST_HOSTS, math.ceil(load.needed_hosts))
+    kept = max(LEAST_HOSTS, needed_hosts(load, movable))
     idle = [
         host
         for host in own
--- a/wisteriasill/contracts/worker_choice.py
+++ b/wisteriasill/contracts/worker_choice.py
@@ -33,12 +33,14 @@
 
     Attributes:
         used: Tasks of the same step by worker.
+        used_racks: Tasks of the same step by rack.
         avoided: Workers on which the task failed.
         permitted: Workers that the queue's policy allows; None for any.
     """
 
     step: job_spec.StepSpec
     used: Mapping[str, int]
+    used_racks: Mapping[str, int]
     avoided: Collection[str] = ()
     permitted: Collection[str] | None = None
 
@@ -68,8 +70,8 @@
 ) -> AnyCandidate | None:
     """Chooses a worker.
 
-    Lasting tasks spread over the emptiest workers, so that a lost worker
-    takes few of a step. Others fill the fullest worker that still has room,
+    Lasting tasks spread over racks and the emptiest workers, so that a lost
+    rack takes few of a step. Others fill the fullest worker that still has room,
     which keeps room for wide tasks.
 
     Args:
@@ -86,6 +88,7 @@
         return (
             candidate.worker_id in need.avoided,
             bool(step.data_rack) and candidate.rack != step.data_rack,
+            need.used_racks.get(candidate.rack, 0) if step.lasting else 0,
             used if step.lasting else 0,
             -candidate.free_cpu if step.lasting else candidate.free_cpu,
         )
--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -21,8 +21,6 @@
 from wisteriasill.zones import shard_ledger
 
 BEAT_SECONDS = 0.5  # A quarter of the silence after which others take over.
-# Rise of the needed hosts that the fleet's keeper learns of at once.
-NEWS_HOSTS = 0.7
 TURN_SECONDS = 0.25  # Longest wait between two turns of the planner.
 FOLLOW_SECONDS = 2.0  # Wait of one call for changes.
 RETRY_SECONDS = 0.25  # Pause after a failed call to the store.
@@ -76,7 +74,7 @@
         self._asks_version = 0
         self._beat_at = 0.0
         self._released: set[str] = set()
-        self._needed_hosts = 0.0
+        self._needed_cpu = 0
         self.pool = batch_pool.BatchPool(
             ledger.shard, ledger.epoch, time.monotonic(), self._changed
         )
@@ -192,12 +190,12 @@
         if (
             now - self._beat_at < BEAT_SECONDS
             and released <= self._released
-            and load.needed_hosts < self._needed_hosts + NEWS_HOSTS
+            and load.needed.cpu < self._needed_cpu + self.pool.news_cpu()
         ):
             return None
         self._beat_at = now
         self._released = released
-        self._needed_hosts = load.needed_hosts
+        self._needed_cpu = load.needed.cpu
         return cbor2.dumps(
             {
                 "pending": self.pool.pending_by_queue(),
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -36,6 +36,7 @@
 REJECTED_RESTART_SECONDS = 0.3
 # A worker without room gets no starts until reports have caught up.
 FULL_SECONDS = 0.25
+NEWS_HOSTS = 0.7  # A rise by most of a host is worth a beat of its own.
 MOST_ADVISED_WORKERS = 100  # The platform's bound for one question.
 # Hosts for each host-second of work that arrives in a second: tasks do not
 # fill hosts to the brim.
@@ -95,10 +96,8 @@
         self._leaving_ids: set[str] = set()
         self._unplaced: dict[str, list[LostRun]] = {}
         self._queue_by_name: Mapping[str, queues.Queue] = {}
-        self._arrivals = [
-            arrival_rate.ArrivalRate(arrival_rate.STEADY_SECONDS),
-            arrival_rate.ArrivalRate(arrival_rate.FAST_SECONDS),
-        ]
+        self._cpu_arrivals = arrival_rate.pair()
+        self._memory_arrivals = arrival_rate.pair()
         self._mean_work_by_queue: dict[str, float] = {}
 
     # -- Configuration and jobs ------------------------------------------
@@ -151,14 +150,9 @@
         job = batch_job.Job(row.key, record, time.monotonic() - age_seconds)
         self.job_by_id[row.key] = job
         self._learn_work(job)
-        if not progress and not record.spec.lasting:
-            size = self._usual_room()
-            work = sum(
-                step.count * step.estimate_seconds * _host_share(step, size)
-                for step in record.spec.steps
-            )
-            for rate in self._arrivals:
-                rate.add(work, time.monotonic())
+        fresh = age_seconds < arrival_rate.STEADY_SECONDS
+        if fresh and not progress and not record.spec.lasting:
+            self._note_arrival(record.spec)
         if progress:
             self._restore(job, progress)
         if record.cancelled:
@@ -166,6 +160,15 @@
             return
         job.open_due_rounds(time.time() * 1000, 0)
 
+    def _note_arrival(self, spec: job_spec.JobSpec) -> None:
+        now = time.monotonic()
+        for step in spec.steps:
+            task_seconds = step.count * step.estimate_seconds
+            for rate in self._cpu_arrivals:
+                rate.add(task_seconds * step.need.cpu, now)
+            for rate in self._memory_arrivals:
+                rate.add(task_seconds * step.need.memory_mb, now)
+
     def _learn_work(self, job: batch_job.Job) -> None:
         work = core_seconds(job.record.spec.steps)
         name = job.record.queue
@@ -353,38 +356,46 @@
     def load_now(self, now: float) -> host_moves.PoolLoad:
         """Returns the pool's load for the fleet's keeper."""
         with self.lock:
-            size = self._usual_room()
-            waiting = sum(
-                _host_share(unit.step, size) * len(unit.indexes)
-                for job in self.job_by_id.values()
-                for unit in job.ready.values()
-            )
-            lasting = running = 0.0
+            fixed, moving = [0, 0], [0.0, 0.0]
             for worker in self.worker_by_id.values():
                 for run in worker.run_by_task.values():
-                    share = _host_share(run.unit.step, size)
-                    if run.unit.step.lasting:
-                        lasting += share
-                    else:
-                        running += share
-            coming = ARRIVAL_HEADROOM * max(
-                rate.per_second(now) for rate in self._arrivals
+                    step = run.unit.step
+                    total = fixed if step.lasting else moving
+                    total[0] += 0 if step.fills else step.need.cpu
+                    total[1] += step.need.memory_mb
+            for job in self.job_by_id.values():
+                for unit in job.ready.values():
+                    count = len(unit.indexes)
+                    moving[0] += count * unit.step.need.cpu
+                    moving[1] += count * unit.step.need.memory_mb
+            coming = [
+                ARRIVAL_HEADROOM * max(rate.per_second(now) for rate in rates)
+                for rates in (self._cpu_arrivals, self._memory_arrivals)
+            ]
+            cpu, memory_mb = (
+                int(base + max(soon, present))
+                for base, soon, present in zip(
+                    fixed, coming, moving, strict=True
+                )
             )
             return host_moves.PoolLoad(
-                lasting + max(coming, running + waiting),
+                job_spec.Room(cpu, memory_mb, 0),
                 {
                     worker.worker_id: _worker_load(worker, now)
                     for worker in self.worker_by_id.values()
                 },
             )
 
-    def _usual_room(self) -> job_spec.Room:
-        rooms = [worker.entry.room for worker in self.worker_by_id.values()]
-        return job_spec.Room(
-            max((room.cpu for room in rooms), default=0) or 1,
-            max((room.memory_mb for room in rooms), default=0) or 1,
-            0,
-        )
+    def news_cpu(self) -> float:
+        """Rise of the needed processors that can't wait for the next beat."""
+        with self.lock:
+            return NEWS_HOSTS * max(
+                (
+                    worker.entry.room.cpu
+                    for worker in self.worker_by_id.values()
+                ),
+                default=0,
+            )
 
     # -- What workers say -------------------------------------------------
 
@@ -854,6 +865,13 @@
             ]
             for run in other.runs
         )
+        used_racks = collections.Counter(
+            run.worker.rack
+            for other in unit.job.units_by_step[
+                unit.occurrence, unit.step_number
+            ]
+            for run in other.runs
+        )
         permitted = None
         queue = self._queue_by_name.get(unit.job.record.queue)
         if queue and queue.advice:
@@ -865,7 +883,9 @@
         for index in unit.indexes:
             worker = worker_choice.choose(
                 candidates,
-                worker_choice.Need(unit.step, used, unit.avoided, permitted),
+                worker_choice.Need(
+                    unit.step, used, used_racks, unit.avoided, permitted
+                ),
             )
             if worker is None:
                 for _, taken in chosen:
@@ -873,6 +893,7 @@
                 return False
             worker.reserve(unit.step.need, unit.step.fills)
             used[worker.worker_id] += 1
+            used_racks[worker.rack] += 1
             chosen.append((index, worker))
         unit.last_run += 1
         for index, worker in chosen:
@@ -923,12 +944,6 @@
             )
 
 
-def _host_share(step: job_spec.StepSpec, size: job_spec.Room) -> float:
-    """Returns the share of a host of the usual size that a task fills."""
-    cpu = 0 if step.fills else step.need.cpu / size.cpu
-    return max(cpu, step.need.memory_mb / size.memory_mb)
-
-
 def _at_work(run: batch_job.Run, now: float) -> bool:
     return (
         run.worker.answers(now)
--- a/wisteriasill/machines/fleet_keeper.py
+++ b/wisteriasill/machines/fleet_keeper.py
@@ -32,9 +32,10 @@
 # Age of the host list that is good enough without and with work to do.
 LIST_SECONDS = 2.0
 BUSY_LIST_SECONDS = 0.4
-# `lease_ms` of the platform's pages: holders that take turns on a host within
-# it are a fault, so a new holder waits it out.
-TAKE_OVER_SECONDS = 3.2
+# `lease_ms` of the platform's pages, with some slack: two holders must not
+# give orders to one host within it. So a host stays among the stored asks for
+# as long after its order, and a new holder waits as long with those.
+TURN_LEASE_SECONDS = 3.2
 # A pool's load that is older says nothing about its present.
 STALE_LOAD_SECONDS = 3.0
 # An ask that its pool can't meet is withdrawn so that others get their turn.
@@ -116,12 +117,15 @@
             if row.value is None:
                 continue
             if row.key == fleet_rows.ASKS_KEY:
-                self._ask_by_host = {
-                    ask.host_id: ask for ask in fleet_rows.decode_asks(row.value)
+                # The former holder may have ordered just these hosts.
+                self._stored_asks = {
+                    ask.host_id: ask
+                    for ask in fleet_rows.decode_asks(row.value)
+                }
+                self._ordered = {
+                    host_id: OrderedHost(ask, ask.worker_id, self._claimed_at)
+                    for host_id, ask in self._stored_asks.items()
                 }
-                self._stored_asks = dict(self._ask_by_host)
-                now = time.monotonic()
-                self._asked_at = dict.fromkeys(self._ask_by_host, now)
             else:
                 self._done_by_wave[int(row.key)] = set(cbor2.loads(row.value))
         for thread in self._threads:
@@ -180,15 +184,14 @@
     def _turn(self) -> None:
         now = time.monotonic()
         configuration, wave_by_number = self._site()
-        if now - self._claimed_at >= TAKE_OVER_SECONDS:
-            self._refresh_hosts(now, wave_by_number)
-            if self._listed_at:
-                self._settle_orders(now)
-                self._withdraw_asks(now)
-                self._plan(now, configuration, wave_by_number)
+        self._refresh_hosts(now, wave_by_number)
+        if self._listed_at:
+            self._settle_orders(now)
+            self._withdraw_asks(now)
+            self._plan(now, configuration, wave_by_number)
         if not self._store(now):
             return
-        if now - self._claimed_at >= TAKE_OVER_SECONDS and self._listed_at:
+        if self._listed_at:
             self._give_orders(now, configuration)
             self._report_waves(wave_by_number)
 
@@ -223,7 +226,13 @@
                 and host.state is cluster.HostState.UP
                 and renewed
             )
-            if returned or now - ordered.at > ORDER_SECONDS:
+            # An order of a former holder may never have been given.
+            inherited = ordered.at == self._claimed_at
+            patience = TURN_LEASE_SECONDS if inherited else ORDER_SECONDS
+            age_seconds = now - ordered.at
+            if age_seconds > patience or (
+                returned and age_seconds > TURN_LEASE_SECONDS
+            ):
                 del self._ordered[host_id]
 
     def _withdraw_asks(self, now: float) -> None:
@@ -304,7 +313,7 @@
             "Hosts and needs of all pools",
             hosts=dict(hosts),
             needed={
-                service: round(load.needed_hosts, 2)
+                service: host_moves.needed_hosts(load, self._hosts)
                 for service, load in loads.items()
             },
             idle={
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from typing import NamedTuple
 
 from returns import result
@@ -19,6 +20,8 @@
 
 FOLLOW_SECONDS = 1.0  # Half of the time in which a change must be in force.
 RETRY_SECONDS = 0.2
+# A following call ends within 1.7 s; a slow store adds half a second.
+STORE_SILENCE_SECONDS = 2.5
 
 
 class NodeSettings(NamedTuple):
@@ -51,6 +54,7 @@
         self.configuration: queues.SiteConfiguration | None = None
         self.wave_by_number: dict[int, queues.WaveOrder] = {}
         self._stopping = threading.Event()
+        self._store_seen_at = 0.0
         self._claims = shard_claims.ShardClaims(
             links.store, settings.name, self._make_keeper
         )
@@ -61,8 +65,12 @@
 
     @property
     def ready(self) -> bool:
-        """Whether new connections are welcome."""
-        return self.configuration is not None and not self._stopping.is_set()
+        """Whether new connections are welcome: this node can accept jobs."""
+        return (
+            self.configuration is not None
+            and not self._stopping.is_set()
+            and time.monotonic() - self._store_seen_at < STORE_SILENCE_SECONDS
+        )
 
     def start(self) -> None:
         """Starts the node's tasks."""
@@ -125,6 +133,7 @@
                 version = None
                 self._stopping.wait(RETRY_SECONDS)
                 continue
+            self._store_seen_at = time.monotonic()
             self._adopt(page.unwrap())
             version = page.unwrap().version
 
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -15,8 +15,9 @@
 from wisteriasill.zones import shard_ledger
 
 POLL_SECONDS = 0.4
-# Four beats; a claim reads the rows again, so it never ends a live holder.
-SILENCE_SECONDS = 2.0
+# Three beats, or one and a transaction of a slow store; a claim of a shard
+# whose holder lives after all costs time but no rule.
+SILENCE_SECONDS = 1.5
 # Spreads the claims of nodes that see a vacant shard at the same time.
 STAGGER_SECONDS = 0.5
 # Further wait for each shard that a node keeps already.
