--- a/standins/batch_worker.py
+++ b/standins/batch_worker.py
@@ -124,9 +124,7 @@
                 self.clock_ms,
                 self.born_ms,
                 tuple(
-                    cluster.RunReport(
-                        task, run, "", self.percent, self.measure
-                    )
+                    cluster.RunReport(task, run, "", self.percent, self.measure)
                     for task, run in self._run_by_task.items()
                 ),
                 tuple(self._ends),
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -17,7 +17,9 @@
 )
 
 
-class Transaction(tuple[str, tuple[cluster.RowVersion, ...], tuple[cluster.RowWrite, ...]]):
+class Transaction(
+    tuple[str, tuple[cluster.RowVersion, ...], tuple[cluster.RowWrite, ...]]
+):
     """A transaction that was delayed: part, versions, writes."""
 
 
--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -94,11 +94,14 @@
 def test_a_job() -> None:
     spec = wire_callers.decode_job(json.dumps(JOB).encode())
     first, second = spec.steps
-    assert (first.count, first.need.cpu, first.data_rack) == (4, 500, "r1-3")
+    assert (first.tasks, first.need.cpu, first.data_rack) == (4, 500, "r1-3")
     assert (second.after, second.saves, second.may_be_away) == ((0,), True, 1)
-    assert job_spec.decode(
-        job_spec.encode(job_spec.JobRecord("q", 1, False, spec))
-    ).spec == spec
+    assert (
+        job_spec.decode(
+            job_spec.encode(job_spec.JobRecord("q", 1, False, spec))
+        ).spec
+        == spec
+    )
 
 
 @pytest.mark.parametrize(
--- a/tests/contracts/test_job_placement.py
+++ b/tests/contracts/test_job_placement.py
@@ -36,7 +36,10 @@
 
 def need(**fields: object) -> worker_choice.Need:
     step = job_spec.StepSpec(
-        1, job_spec.Room(2000, 100, 0), 1.0, **fields  # type: ignore[arg-type]
+        1,
+        job_spec.Room(2000, 100, 0),
+        1.0,
+        **fields,  # type: ignore[arg-type]
     )
     return worker_choice.Need(step, {}, {})
 
--- a/tests/machines/batch_site.py
+++ b/tests/machines/batch_site.py
@@ -28,10 +28,15 @@
 )
 
 
-def step(count: int = 1, cpu: int = 1000, **fields: object) -> job_spec.StepSpec:
+def step(
+    count: int = 1, cpu: int = 1000, **fields: object
+) -> job_spec.StepSpec:
     """Builds a step of tasks that take one core for a second."""
     return job_spec.StepSpec(
-        count, job_spec.Room(cpu, 100, 0), 1.0, **fields  # type: ignore[arg-type]
+        count,
+        job_spec.Room(cpu, 100, 0),
+        1.0,
+        **fields,  # type: ignore[arg-type]
     )
 
 
--- a/tests/machines/test_batch_pool.py
+++ b/tests/machines/test_batch_pool.py
@@ -246,9 +246,7 @@
     pair = [site.add_worker("w1", link), site.add_worker("w2", other_link)]
     for worker in pair:
         site.look(worker)
-    lasting = batch_site.step(
-        2, lasting=True, may_be_away=1, most_per_worker=1
-    )
+    lasting = batch_site.step(2, lasting=True, may_be_away=1, most_per_worker=1)
     site.pool.on_record(batch_site.job_row("j1", [lasting]))
     site.turn()
     for worker in pair:
@@ -272,9 +270,7 @@
     )
     assert not site.turn()
     assert worker.free_cpu == batch_site.ROOM.cpu
-    other = site.add_worker(
-        "w2", batch_worker.MemoryWorker(batch_site.ROOM)
-    )
+    other = site.add_worker("w2", batch_worker.MemoryWorker(batch_site.ROOM))
     site.look(other)
     assert len(site.turn()) == 3
 
--- a/tests/test_log_writer.py
+++ b/tests/test_log_writer.py
@@ -20,6 +20,7 @@
         self.released = threading.Event()
 
     def write(self, text: str) -> int:
+        """Waits for the reader."""
         self.released.wait(5.0)
         return super().write(text)
 
--- a/tests/zones/test_shard_ledger.py
+++ b/tests/zones/test_shard_ledger.py
@@ -20,7 +20,9 @@
     return row_store.MemoryRowStore()
 
 
-def claim(store: row_store.MemoryRowStore, node: str) -> shard_ledger.ShardLedger:
+def claim(
+    store: row_store.MemoryRowStore, node: str
+) -> shard_ledger.ShardLedger:
     ledger = shard_ledger.ShardLedger(store, "s", node, threading.Event())
     assert ledger.claim(shard_ledger.read_state(store, "s").unwrap())
     return ledger
@@ -45,7 +47,9 @@
 ) -> None:
     seen = shard_ledger.read_state(store, "s").unwrap()
     claims = [
-        shard_ledger.ShardLedger(store, "s", node, threading.Event()).claim(seen)
+        shard_ledger.ShardLedger(store, "s", node, threading.Event()).claim(
+            seen
+        )
         for node in ("n1", "n2")
     ]
     assert claims == [True, False]
--- a/wisteriasill/contracts/host_moves.py
+++ b/wisteriasill/contracts/host_moves.py
@@ -85,9 +85,7 @@
     )
 
 
-def needed_hosts(
-    load: PoolLoad, hosts: Iterable[cluster.HostRecord]
-) -> int:
+def needed_hosts(load: PoolLoad, hosts: Iterable[cluster.HostRecord]) -> int:
     """Returns how many hosts of the largest size a pool's needs fill."""
     rooms = [host.room for host in hosts]
     cpu = max((room.cpu for room in rooms), default=0)
--- a/wisteriasill/contracts/job_spec.py
+++ b/wisteriasill/contracts/job_spec.py
@@ -39,14 +39,14 @@
     job_id: str
     occurrence: int
     step: int
-    index: int
+    position: int
 
 
 class StepSpec(NamedTuple):
     """A step.
 
     Attributes:
-        count: Number of its tasks.
+        tasks: Number of its tasks.
         need: What each task reserves on its worker.
         estimate_seconds: Declared time of a task, often far off.
         after: Numbers of the steps that must be done first.
@@ -65,7 +65,7 @@
             the step has no such bound.
     """
 
-    count: int
+    tasks: int
     need: Room
     estimate_seconds: float
     after: tuple[int, ...] = ()
--- a/wisteriasill/contracts/worker_choice.py
+++ b/wisteriasill/contracts/worker_choice.py
@@ -11,9 +11,17 @@
 class Candidate(Protocol):
     """A worker that takes tasks, with what no run reserves on it."""
 
-    free_cpu: int
-    free_memory_mb: int
-    free_accelerators: int
+    @property
+    def free_cpu(self) -> int:
+        """Thousandths of a core that no run reserves."""
+
+    @property
+    def free_memory_mb(self) -> int:
+        """Memory that no run reserves."""
+
+    @property
+    def free_accelerators(self) -> int:
+        """Accelerators that no run reserves."""
 
     @property
     def worker_id(self) -> str:
@@ -71,8 +79,8 @@
     """Chooses a worker.
 
     Lasting tasks spread over racks and the emptiest workers, so that a lost
-    rack takes few of a step. Others fill the fullest worker that still has room,
-    which keeps room for wide tasks.
+    rack takes few of a step. Others fill the fullest worker that still has
+    room, which keeps room for wide tasks.
 
     Args:
         candidates: Workers that take tasks.
--- a/wisteriasill/links/job_desk.py
+++ b/wisteriasill/links/job_desk.py
@@ -176,7 +176,9 @@
 
 def _queued(row: cluster.StoredRow | None) -> Outcome:
     if row is None or row.value is None:
-        return result.Failure(_no_such_job("") if row is None else _no_such_job(row.key))
+        return result.Failure(
+            _no_such_job("") if row is None else _no_such_job(row.key)
+        )
     return result.Success(batch_job.JobState.QUEUED)
 
 
--- a/wisteriasill/log_writer.py
+++ b/wisteriasill/log_writer.py
@@ -90,7 +90,8 @@
             if dropped:
                 lines.append(
                     LogLine(
-                        True, {"message": "Lines were dropped", "lines": dropped}
+                        True,
+                        {"message": "Lines were dropped", "lines": dropped},
                     )
                 )
             if lines:
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 import enum
 import itertools
-from typing import Any, NamedTuple, TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import cbor2
 
@@ -194,6 +194,7 @@
         self.left_by_step: dict[tuple[int, int], int] = {}
         self.ready: dict[UnitKey, Unit] = {}
         self.rounds_open = 0
+        self.waiting_logged_at = learnt_at
         self.steps_left = len(record.spec.steps) * record.spec.rounds
 
     @property
@@ -226,9 +227,9 @@
         self.rounds_open = max(self.rounds_open, occurrence + 1)
         for number, step in enumerate(self.record.spec.steps):
             groups: Iterator[tuple[int, ...]] = (
-                iter((tuple(range(step.count)),))
+                iter((tuple(range(step.tasks)),))
                 if step.gang
-                else ((index,) for index in range(step.count))
+                else ((index,) for index in range(step.tasks))
             )
             units = [
                 Unit(self, occurrence, number, indexes) for indexes in groups
@@ -278,7 +279,7 @@
 class StoredRun(NamedTuple):
     """A run as the store keeps it."""
 
-    index: int
+    position: int
     number: int
     worker_id: str
     born_ms: int
@@ -315,7 +316,12 @@
             unit.done,
             unit.checkpoint,
             [
-                [run.index, run.number, run.worker.entry.worker_id, run.worker.entry.born_ms]
+                [
+                    run.index,
+                    run.number,
+                    run.worker.entry.worker_id,
+                    run.worker.entry.born_ms,
+                ]
                 for run in unit.runs
             ],
         ]
@@ -333,11 +339,23 @@
         rounds_open,
         tuple(
             StoredUnit(
-                UnitKey(*unit[:3]),
-                *unit[3:7],
-                tuple(StoredRun(*run) for run in unit[7]),
+                UnitKey(occurrence, step, first),
+                last_run,
+                failures,
+                done,
+                checkpoint,
+                tuple(StoredRun(*run) for run in runs),
             )
-            for unit in units
+            for (
+                occurrence,
+                step,
+                first,
+                last_run,
+                failures,
+                done,
+                checkpoint,
+                runs,
+            ) in units
         ),
     )
 
--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -193,6 +193,13 @@
             and load.needed.cpu < self._needed_cpu + self.pool.news_cpu()
         ):
             return None
+        for worker_id in released - self._released:
+            events.log(
+                events.Event.HOST_RELEASED,
+                "A worker that was to be emptied has no runs left",
+                service=self._service,
+                worker=worker_id,
+            )
         self._beat_at = now
         self._released = released
         self._needed_cpu = load.needed.cpu
@@ -339,8 +346,9 @@
         )
         if not isinstance(page, result.Success):
             return 0
-        self._take_asks(page.unwrap().rows)
-        return page.unwrap().version
+        found: cluster.RowPage = page.unwrap()
+        self._take_asks(found.rows)
+        return found.version
 
     def _take_asks(self, rows: tuple[cluster.StoredRow, ...]) -> None:
         for row in rows:
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -36,6 +36,7 @@
 REJECTED_RESTART_SECONDS = 0.3
 # A worker without room gets no starts until reports have caught up.
 FULL_SECONDS = 0.25
+WAITING_LOG_SECONDS = 1.0
 NEWS_HOSTS = 0.7  # A rise by most of a host is worth a beat of its own.
 MOST_ADVISED_WORKERS = 100  # The platform's bound for one question.
 # Hosts for each host-second of work that arrives in a second: tasks do not
@@ -163,7 +164,7 @@
     def _note_arrival(self, spec: job_spec.JobSpec) -> None:
         now = time.monotonic()
         for step in spec.steps:
-            task_seconds = step.count * step.estimate_seconds
+            task_seconds = step.tasks * step.estimate_seconds
             for rate in self._cpu_arrivals:
                 rate.add(task_seconds * step.need.cpu, now)
             for rate in self._memory_arrivals:
@@ -245,7 +246,7 @@
         unit: batch_job.Unit,
         stored: batch_job.StoredRun,
     ) -> None:
-        run = batch_job.Run(unit, stored.index, stored.number, worker)
+        run = batch_job.Run(unit, stored.position, stored.number, worker)
         run.state = batch_job.RunState.UNCERTAIN
         unit.runs.append(run)
         worker.run_by_task[run.task] = run
@@ -319,8 +320,6 @@
         with self.lock:
             for worker in self.worker_by_id.values():
                 leaving = worker.worker_id in worker_ids
-                if leaving and not worker.leaving:
-                    worker.leaving_since = time.monotonic()
                 worker.leaving = leaving
             self._leaving_ids = worker_ids
         self._changed.set()
@@ -356,7 +355,7 @@
     def load_now(self, now: float) -> host_moves.PoolLoad:
         """Returns the pool's load for the fleet's keeper."""
         with self.lock:
-            fixed, moving = [0, 0], [0.0, 0.0]
+            fixed, moving = [0, 0], [0, 0]
             for worker in self.worker_by_id.values():
                 for run in worker.run_by_task.values():
                     step = run.unit.step
@@ -478,14 +477,14 @@
         """Stops a run that no row explains, such as one that was given up."""
         job = self.job_by_id.get(seen.task.job_id)
         key = batch_job.UnitKey(
-            seen.task.occurrence, seen.task.step, seen.task.index
+            seen.task.occurrence, seen.task.step, seen.task.position
         )
         unit = job.unit_by_key.get(key) if job else None
         if unit is None:
             stand_in = batch_job.Job(seen.task.job_id, _NO_RECORD, 0.0)
             unit = batch_job.Unit(stand_in, 0, 0, (0,))
             unit.occurrence, unit.step_number = key.occurrence, key.step
-        run = batch_job.Run(unit, seen.task.index, seen.run, worker)
+        run = batch_job.Run(unit, seen.task.position, seen.run, worker)
         run.state = batch_job.RunState.RUNNING
         worker.send(workers.OrderKind("stop", run))
 
@@ -504,7 +503,9 @@
                 known_at = run.acked_at
             elif run.barred_at:
                 known_at = run.barred_at
-            elif run.state is batch_job.RunState.UNCERTAIN and not run.ordered_at:
+            elif (
+                run.state is batch_job.RunState.UNCERTAIN and not run.ordered_at
+            ):
                 known_at = self.claimed_at  # The fence bars the old order.
             else:
                 continue
@@ -531,9 +532,7 @@
         if ended.checkpoint:
             unit.checkpoint = ended.checkpoint
         self._end_run(run)
-        worker_trust.note_outcome(
-            worker, ended.kind, ended.task.job_id, now
-        )
+        worker_trust.note_outcome(worker, ended.kind, ended.task.job_id, now)
         if ended.kind is cluster.RunEndKind.DONE:
             self._note_done(unit)
             return
@@ -558,7 +557,7 @@
         if job is None or ended.kind is not cluster.RunEndKind.DONE:
             return
         key = batch_job.UnitKey(
-            ended.task.occurrence, ended.task.step, ended.task.index
+            ended.task.occurrence, ended.task.step, ended.task.position
         )
         if unit := job.unit_by_key.get(key):
             self._note_done(unit)
@@ -575,9 +574,7 @@
         if not job.steps_left:
             self._finish(job, batch_job.JobState.COMPLETED, "all tasks done")
 
-    def _note_failed(
-        self, unit: batch_job.Unit, run: batch_job.Run
-    ) -> None:
+    def _note_failed(self, unit: batch_job.Unit, run: batch_job.Run) -> None:
         job = unit.job
         unit.avoided.add(run.worker.worker_id)
         if unit.failed_run >= run.number:
@@ -753,6 +750,16 @@
             if run.unit.step.target_ms
         ]
         percent = pacing.next_percent(fillers[0].pace, tails)
+        if percent != fillers[0].pace:
+            events.log(
+                events.Event.TASKS_PACED,
+                "The speed of tasks that fill was changed",
+                worker=worker.worker_id,
+                percent=percent,
+                former=fillers[0].pace,
+                worst_share=round(max(tails, default=0.0), 3),
+                jobs=[run.task.job_id for run in fillers],
+            )
         for run in fillers:
             if run.pace != percent or run.percent != percent:
                 run.pace = percent
@@ -837,6 +844,7 @@
             else:
                 full_steps.add(step_id)
         if not placed:
+            self._log_waiting(job, candidates, now)
             return
         if job.state is batch_job.JobState.QUEUED:
             job.state = batch_job.JobState.RUNNING
@@ -852,6 +860,29 @@
             age_seconds=round(now - job.learnt_at, 3),
         )
 
+    def _log_waiting(
+        self, job: batch_job.Job, candidates: list[workers.Worker], now: float
+    ) -> None:
+        """Logs once a second what keeps a job waiting."""
+        if now - job.waiting_logged_at < WAITING_LOG_SECONDS or not job.ready:
+            return
+        job.waiting_logged_at = now
+        unit = next(iter(job.ready.values()))
+        events.log(
+            events.Event.TASKS_NOT_PLACED,
+            "A waiting job got no worker",
+            job=job.job_id,
+            queue=job.record.queue,
+            waiting=len(job.ready),
+            need=[*unit.step.need],
+            binding="workers" if not candidates else "room",
+            workers=len(candidates),
+            largest_free_cpu=max(
+                (worker.free_cpu for worker in candidates), default=0
+            ),
+            age_seconds=round(now - job.learnt_at, 3),
+        )
+
     def _plan_unit(
         self,
         unit: batch_job.Unit,
@@ -924,9 +955,7 @@
             }
         return [(step, worker_ids) for step in sorted(steps)]
 
-    def on_advice(
-        self, step: job_spec.StepKey, advice: cluster.Advice
-    ) -> None:
+    def on_advice(self, step: job_spec.StepKey, advice: cluster.Advice) -> None:
         """Takes which workers may run a step."""
         with self.lock:
             self.tickets[step] = advice
@@ -953,12 +982,8 @@
     )
 
 
-def _worker_load(
-    worker: workers.Worker, now: float
-) -> host_moves.WorkerLoad:
-    lasting = sum(
-        run.unit.step.lasting for run in worker.run_by_task.values()
-    )
+def _worker_load(worker: workers.Worker, now: float) -> host_moves.WorkerLoad:
+    lasting = sum(run.unit.step.lasting for run in worker.run_by_task.values())
     count = len(worker.run_by_task)
     return host_moves.WorkerLoad(
         lasting,
@@ -971,7 +996,7 @@
 def core_seconds(steps: Iterable[job_spec.StepSpec]) -> float:
     """Returns the declared processor time of steps."""
     return sum(
-        step.count * step.need.cpu / 1000 * step.estimate_seconds
+        step.tasks * step.need.cpu / 1000 * step.estimate_seconds
         for step in steps
     )
 
@@ -980,7 +1005,5 @@
     "",
     0,
     True,
-    job_spec.JobSpec(
-        "", (job_spec.StepSpec(1, job_spec.Room(0, 0, 0), 0.0),)
-    ),
+    job_spec.JobSpec("", (job_spec.StepSpec(1, job_spec.Room(0, 0, 0), 0.0),)),
 )
--- a/wisteriasill/machines/fleet_keeper.py
+++ b/wisteriasill/machines/fleet_keeper.py
@@ -109,7 +109,9 @@
 
     def open(self) -> bool:
         """Reads what the former holder stored and starts the tasks."""
-        page = batch_keeper.read_all(self._links.store, fleet_rows.TABLE, fleet_rows.SHARD)
+        page = batch_keeper.read_all(
+            self._links.store, fleet_rows.TABLE, fleet_rows.SHARD
+        )
         if page is None:
             return False
         self._ledger.adopt(page.rows)
@@ -159,7 +161,11 @@
 
     def _newest_version(self, version: int) -> int:
         page = self._links.store.read(shard_ledger.TABLE, fleet_rows.SHARD)
-        return page.unwrap().version if isinstance(page, result.Success) else version
+        return (
+            page.unwrap().version
+            if isinstance(page, result.Success)
+            else version
+        )
 
     def _take_load(self, service: str, beat: dict[str, Any]) -> None:
         if "load" in beat:
@@ -203,7 +209,9 @@
             or self._ask_by_host
             or any(not self._reported.get(one) for one in wave_by_number)
         )
-        if now - self._listed_at < (BUSY_LIST_SECONDS if busy else LIST_SECONDS):
+        if now - self._listed_at < (
+            BUSY_LIST_SECONDS if busy else LIST_SECONDS
+        ):
             return
         hosts = self._links.hosts.list_hosts()
         if hosts is not None:
@@ -270,7 +278,11 @@
             )
             new += host_moves.plan_upkeep(
                 wave,
-                [one for one in self._hosts if one.host_id not in self._ordered],
+                [
+                    one
+                    for one in self._hosts
+                    if one.host_id not in self._ordered
+                ],
                 loads,
                 self._done_by_wave.get(number, set()),
                 [*self._ask_by_host.values(), *new],
@@ -438,9 +450,9 @@
         for number, wave in wave_by_number.items():
             if self._reported.get(number):
                 continue
-            left = (
-                listed & set(wave.host_ids)
-            ) - self._done_by_wave.get(number, set())
+            left = (listed & set(wave.host_ids)) - self._done_by_wave.get(
+                number, set()
+            )
             finished = not left
             if self._reported.get(number) == finished:
                 continue
@@ -458,4 +470,3 @@
                     left=len(left),
                     hosts=len(wave.host_ids),
                 )
-
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -88,9 +88,7 @@
         assert self.configuration is not None
         if ledger.shard == fleet_rows.SHARD:
             return fleet_keeper.FleetKeeper(self._links, ledger, self._site)
-        return batch_keeper.BatchKeeper(
-            self._links, ledger, self.configuration
-        )
+        return batch_keeper.BatchKeeper(self._links, ledger, self.configuration)
 
     def _site(
         self,
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -71,9 +71,7 @@
     ) -> None:
         """Takes what a worker runs and what ended on it."""
 
-    def on_silence(
-        self, worker: Worker, outcome: cluster.OrderOutcome
-    ) -> None:
+    def on_silence(self, worker: Worker, outcome: cluster.OrderOutcome) -> None:
         """Takes that a look had no success."""
 
     def on_start_answer(
@@ -121,7 +119,6 @@
         self.reached = False
         self.silent_since = 0.0
         self.leaving = False
-        self.leaving_since = 0.0
         self.idle_since = time.monotonic()
         self.listed = True
         self.dead = False
@@ -205,8 +202,7 @@
             return now >= self._lapse_unknown_until
         elapsed_ms = (now - self._clock_at) * 1000 * SLOWEST_CLOCK
         return (
-            self._clock_ms + elapsed_ms - CLOCK_SLACK_MS
-            >= self._lease_until_ms
+            self._clock_ms + elapsed_ms - CLOCK_SLACK_MS >= self._lease_until_ms
         )
 
     def note_clock(self, clock_ms: int, received_at: float) -> None:
--- a/wisteriasill/machines/worker_trust.py
+++ b/wisteriasill/machines/worker_trust.py
@@ -35,7 +35,9 @@
             )
     elif kind is cluster.RunEndKind.FAILED:
         worker.outcomes.append((now, False, job_id))
-        recent = [one for one in worker.outcomes if now - one[0] < RECENT_SECONDS]
+        recent = [
+            one for one in worker.outcomes if now - one[0] < RECENT_SECONDS
+        ]
         failed = [one for one in recent if not one[1]]
         jobs = {job for _, _, job in failed}
         if len(jobs) >= DOUBT_JOBS and len(failed) >= DOUBT_SHARE * len(recent):
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -80,7 +80,10 @@
                 del self.keeper_by_shard[shard]
                 self._sighting_by_shard.pop(shard, None)
         for shard in shards:
-            if shard not in self.keeper_by_shard and not self._stopping.is_set():
+            if (
+                shard not in self.keeper_by_shard
+                and not self._stopping.is_set()
+            ):
                 self._look(shard)
 
     def _look(self, shard: str) -> None:
@@ -102,9 +105,7 @@
             self._claim(shard, state, now - seen.since)
 
     def _stagger(self, shard: str) -> float:
-        digest = xxhash.xxh32_intdigest(
-            f"{self._node}/{shard}".encode()
-        )
+        digest = xxhash.xxh32_intdigest(f"{self._node}/{shard}".encode())
         return STAGGER_SECONDS * digest / 2**32
 
     def _claim(
