--- a/wisteriasill/__main__.py
+++ b/wisteriasill/__main__.py
@@ -19,6 +19,7 @@
 from wisteriasill.commands import plan
 from wisteriasill.commands import publish
 from wisteriasill.commands import status
+from wisteriasill.commands import trace
 from wisteriasill.commands import waves
 
 
@@ -42,6 +43,24 @@
         """Reads the files of a site and lists all errors and warnings."""
         return check.run(directory, as_json)
 
+    @cappa.command(
+        description=arguments.example("trace 5c0e7a21d94b36f8 node-*.log")
+    )
+    def trace(
+        self,
+        request_id: Annotated[str, cappa.Arg(help="Id of the request.")],
+        files: Annotated[
+            tuple[str, ...],
+            cappa.Arg(
+                help="Log files of all nodes; - for standard input.",
+                num_args=-1,
+            ),
+        ] = (),
+        as_json: arguments.Json = False,
+    ) -> int:
+        """Tells the story of one request from the logs of all nodes."""
+        return trace.run(request_id, files, as_json)
+
     @cappa.command(
         description=arguments.example("explain examples/malabar/bench-tilt")
     )
