Take crashed hosts from the platform's list of machines

Change: the fleet's keeper reads the list each 0.4 s and stores which workers' hosts are down; pools drop them at once. A successor of a holder that released its shard waits one lease only. Leases are renewed for 6 s without the store. Tests: 3 more.

--- a/tests/machines/batch_site.py
+++ b/tests/machines/batch_site.py
@@ -72,7 +72,11 @@
         progress: Sequence[cluster.StoredRow] = (),
     ) -> None:
         self.pool = batch_pool.BatchPool(
-            SERVICE, fence, time.monotonic(), threading.Event()
+            SERVICE,
+            fence,
+            time.monotonic(),
+            time.monotonic() + 1000,
+            threading.Event(),
         )
         self.pool.configure(CONFIGURATION)
         self.pool.load(batch_pool.LoadedPool(tuple(records), tuple(progress)))
@@ -97,7 +101,7 @@
             ("a", rack),
         )
         worker = workers.Worker(
-            entry, link, self.pool, self.pool.claimed_at + 1000
+            entry, link, self.pool, self.pool.lapse_unknown_until
         )
         self.pool.add_worker(worker)
         return worker
--- a/tests/machines/test_batch_pool.py
+++ b/tests/machines/test_batch_pool.py
@@ -317,3 +317,51 @@
     successor.turn(after + 1)
     successor.deliver(other)
     assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
+
+
+def test_tasks_of_a_host_that_is_down_start_elsewhere_at_once(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """srv_crash: 4.6 s passed until the lease of a crashed worker ended."""
+    started(batch_site.step(1, lasting=True))
+    other = site.add_worker("w2", other_link)
+    site.look(other)
+    link.cut = True
+    site.pool.set_down({"w1"})
+    site.turn(time.monotonic() + 0.1)
+    site.deliver(other)
+    assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
+
+
+def test_a_worker_that_registers_after_its_host_was_down_is_kept(
+    site: batch_site.HandDrivenPool, link: batch_worker.MemoryWorker
+) -> None:
+    site.pool.set_down({"w1"})
+    worker = site.add_worker("w1", link)
+    site.pool.set_down({"w1", "w9"})
+    assert site.pool.worker_by_id["w1"] is worker
+
+
+def test_a_successor_starts_stored_runs_of_a_host_that_is_down(
+    site: batch_site.HandDrivenPool,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """LOST at trouble-2 of Kochi: each take-over waited 14.5 s anew."""
+    lasting = batch_site.step(1, lasting=True)
+    started(lasting)
+    successor = batch_site.HandDrivenPool(
+        2, [batch_site.job_row("j1", [lasting])], site.progress_rows()
+    )
+    other = successor.add_worker("w2", other_link)
+    successor.look(other)
+    successor.turn()
+    successor.deliver(other)
+    assert not other_link.starts
+    successor.pool.set_down({"w1"})
+    successor.turn()
+    successor.deliver(other)
+    assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -76,7 +76,11 @@
         self._released: set[str] = set()
         self._needed_cpu = 0
         self.pool = batch_pool.BatchPool(
-            ledger.shard, ledger.epoch, time.monotonic(), self._changed
+            ledger.shard,
+            ledger.epoch,
+            ledger.stored_at,
+            ledger.stored_at + former_lease_seconds(ledger.was_released),
+            self._changed,
         )
         self.pool.configure(configuration)
         self.lost = False
@@ -117,11 +121,12 @@
         self._closing.set()
         self._changed.set()
         self._threads[0].join(2.0)
-        if release and not self.lost:
-            self._ledger.release()
         with self.pool.lock:
             for worker in self.pool.worker_by_id.values():
                 worker.close()
+        # A successor counts on it that no lease is renewed after this.
+        if release and not self.lost:
+            self._ledger.release()
 
     def _read_rows(self) -> batch_pool.LoadedPool | None:
         records = read_all(
@@ -325,9 +330,7 @@
             entry,
             self._links.open_worker(entry),
             pool,
-            pool.claimed_at
-            + batch_pool.STORELESS_SECONDS
-            + workers.LEASE_SECONDS,
+            pool.lapse_unknown_until,
         )
         pool.add_worker(worker)
         worker.open()
@@ -341,9 +344,7 @@
         )
 
     def _read_asks(self) -> int:
-        page = self._links.store.read(
-            fleet_rows.TABLE, fleet_rows.SHARD, fleet_rows.ASKS_KEY
-        )
+        page = self._links.store.read(fleet_rows.TABLE, fleet_rows.SHARD)
         if not isinstance(page, result.Success):
             return 0
         found: cluster.RowPage = page.unwrap()
@@ -356,6 +357,9 @@
                 self.pool.set_leaving(
                     {ask.worker_id for ask in fleet_rows.decode_asks(row.value)}
                 )
+            elif row.key == fleet_rows.DOWN_KEY and row.value is not None:
+                down = fleet_rows.decode_down(row.value)
+                self.pool.set_down(set(down.values()))
 
     def _follow_asks(self) -> None:
         """Follows which workers the fleet's keeper wants emptied."""
@@ -383,6 +387,18 @@
                     self.pool.on_advice(step, answer)
 
 
+def former_lease_seconds(was_released: bool) -> float:
+    """Returns how long leases of a shard's former holder may last.
+
+    One that released the shard renews nothing after; another one may renew
+    without the store for a while.
+    """
+    lease_seconds = workers.LEASE_SECONDS / workers.SLOWEST_CLOCK
+    if was_released:
+        return lease_seconds
+    return lease_seconds + batch_pool.STORELESS_SECONDS
+
+
 def read_all(
     store: cluster.RowStore, table: str, part: str
 ) -> cluster.RowPage | None:
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -27,7 +27,7 @@
 # Longest time without the store during which leases are still renewed, so
 # that running work outlives an outage; a successor that can't reach a worker
 # waits as long before it starts the worker's tasks elsewhere.
-STORELESS_SECONDS = 10.0
+STORELESS_SECONDS = 6.0
 # Time after which a run that no report shows counts as not there.
 REPORT_LAG_SECONDS = 0.05
 # Pause before a unit is started again, so that a fault does not repeat at the
@@ -69,6 +69,8 @@
         service: Name of the service.
         fence: Fencing number of this holder.
         claimed_at: Steady time at which this holder took the pool over.
+        lapse_unknown_until: Steady time after which no lease of the former
+            holder is left.
         changed: Set when there is something to plan or store.
     """
 
@@ -77,6 +79,7 @@
         service: str,
         fence: int,
         claimed_at: float,
+        lapse_unknown_until: float,
         changed: threading.Event,
     ) -> None:
         self.service = service
@@ -93,8 +96,10 @@
         self.fenced = False
         self._fence = fence
         self.claimed_at = claimed_at
+        self.lapse_unknown_until = lapse_unknown_until
         self._changed = changed
         self._leaving_ids: set[str] = set()
+        self._down_ids: set[str] = set()
         self._unplaced: dict[str, list[LostRun]] = {}
         self._queue_by_name: Mapping[str, queues.Queue] = {}
         self._cpu_arrivals = arrival_rate.pair()
@@ -291,6 +296,22 @@
             )
             self._end_run(run)
 
+    def set_down(self, worker_ids: set[str]) -> None:
+        """Takes which workers' hosts are down, by the platform's list.
+
+        The list tells a crash from a cut connection, so nothing waits for the
+        end of a lease. A worker that is still in the set but registered
+        again since is another life.
+        """
+        with self.lock:
+            for worker_id in worker_ids - self._down_ids:
+                if worker := self.worker_by_id.get(worker_id):
+                    self.remove_worker(worker, "its host is down")
+                for unit, _ in self._unplaced.pop(worker_id, []):
+                    unit.job.make_ready_again(unit)
+            self._down_ids = worker_ids
+        self._changed.set()
+
     def expire(self, now: float) -> None:
         """Ends the runs whose leases have certainly lapsed."""
         with self.lock:
@@ -304,9 +325,7 @@
                     self._lose_runs(worker, sent, "lease lapsed")
                 if not worker.run_by_task and not worker.listed:
                     self.remove_worker(worker, "not listed any more")
-            if now - self.claimed_at > STORELESS_SECONDS + (
-                workers.LEASE_SECONDS
-            ):
+            if now >= self.lapse_unknown_until:
                 for unit, _ in itertools.chain.from_iterable(
                     self._unplaced.values()
                 ):
--- a/wisteriasill/machines/fleet_keeper.py
+++ b/wisteriasill/machines/fleet_keeper.py
@@ -29,9 +29,9 @@
 # The platform takes 64 orders a second; each takes about 10 ms.
 ORDERS_AT_ONCE = 8
 LOG_SECONDS = 1.0
-# Age of the host list that is good enough without and with work to do.
-LIST_SECONDS = 2.0
-BUSY_LIST_SECONDS = 0.4
+# Age of the host list that is good enough: a host that goes down shows in it
+# seconds before its lease ends. A reading costs a thousandth of a start.
+LIST_SECONDS = 0.4
 # `lease_ms` of the platform's pages, with some slack: two holders must not
 # give orders to one host within it. So a host stays among the stored asks for
 # as long after its order, and a new holder waits as long with those.
@@ -100,6 +100,8 @@
         self._stored_asks: dict[str, host_moves.Ask] = {}
         self._ordered: dict[str, OrderedHost] = {}
         self._done_by_wave: dict[int, set[str]] = {}
+        self._down_by_host: dict[str, str] = {}
+        self._stored_down: dict[str, str] = {}
         self._reported: dict[int, bool] = {}
         self.lost = False
         self._threads = [
@@ -128,6 +130,9 @@
                     host_id: OrderedHost(ask, ask.worker_id, self._claimed_at)
                     for host_id, ask in self._stored_asks.items()
                 }
+            elif row.key == fleet_rows.DOWN_KEY:
+                self._down_by_host = fleet_rows.decode_down(row.value)
+                self._stored_down = dict(self._down_by_host)
             else:
                 self._done_by_wave[int(row.key)] = set(cbor2.loads(row.value))
         for thread in self._threads:
@@ -190,7 +195,7 @@
     def _turn(self) -> None:
         now = time.monotonic()
         configuration, wave_by_number = self._site()
-        self._refresh_hosts(now, wave_by_number)
+        self._refresh_hosts(now)
         if self._listed_at:
             self._settle_orders(now)
             self._withdraw_asks(now)
@@ -201,23 +206,38 @@
             self._give_orders(now, configuration)
             self._report_waves(wave_by_number)
 
-    def _refresh_hosts(
-        self, now: float, wave_by_number: Mapping[int, queues.WaveOrder]
-    ) -> None:
-        busy = bool(
-            self._ordered
-            or self._ask_by_host
-            or any(not self._reported.get(one) for one in wave_by_number)
-        )
-        if now - self._listed_at < (
-            BUSY_LIST_SECONDS if busy else LIST_SECONDS
-        ):
+    def _refresh_hosts(self, now: float) -> None:
+        if now - self._listed_at < LIST_SECONDS:
             return
         hosts = self._links.hosts.list_hosts()
         if hosts is not None:
+            self._note_down(hosts)
             self._hosts = hosts
             self._listed_at = now
 
+    def _note_down(self, hosts: tuple[cluster.HostRecord, ...]) -> None:
+        """Notes workers whose hosts went down, until these are up again."""
+        host_by_id = {host.host_id: host for host in hosts}
+        self._down_by_host = {
+            host_id: worker_id
+            for host_id, worker_id in self._down_by_host.items()
+            if (host := host_by_id.get(host_id)) is None
+            or host.state is cluster.HostState.DOWN
+        }
+        for former in self._hosts:
+            host = host_by_id.get(former.host_id)
+            if former.worker_id and (
+                host is None or host.state is cluster.HostState.DOWN
+            ):
+                self._down_by_host[former.host_id] = former.worker_id
+                events.log(
+                    events.Event.HOST_STATE_CHANGED,
+                    "A host is down or was taken away",
+                    host=former.host_id,
+                    worker=former.worker_id,
+                    state=host.state.value if host else "gone",
+                )
+
     def _settle_orders(self, now: float) -> None:
         """Drops orders whose hosts are up again with another worker."""
         host_by_id = {host.host_id: host for host in self._hosts}
@@ -357,6 +377,15 @@
                 )
             )
             self._stored_asks = asks
+        if self._down_by_host != self._stored_down:
+            self._stored_down = dict(self._down_by_host)
+            writes.append(
+                cluster.RowWrite(
+                    fleet_rows.TABLE,
+                    fleet_rows.DOWN_KEY,
+                    fleet_rows.encode_down(self._stored_down),
+                )
+            )
         beat = None
         if now - self._beat_at >= BEAT_SECONDS:
             beat = cbor2.dumps({})
--- a/wisteriasill/machines/fleet_rows.py
+++ b/wisteriasill/machines/fleet_rows.py
@@ -1,4 +1,4 @@
-"""The rows by which the fleet's keeper asks pools to empty workers."""
+"""The rows by which the fleet's keeper speaks to pools."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 SHARD = ":fleet"  # No service has this name, as ours have no colon.
 TABLE = "fleet"
 ASKS_KEY = "asks"
+DOWN_KEY = "down"
 
 
 def encode_asks(ask_by_host: Mapping[str, host_moves.Ask]) -> bytes:
@@ -21,3 +22,13 @@
 def decode_asks(value: bytes) -> list[host_moves.Ask]:
     """Reads what `encode_asks` made."""
     return [host_moves.Ask(*fields) for fields in cbor2.loads(value)]
+
+
+def encode_down(worker_by_host: Mapping[str, str]) -> bytes:
+    """Encodes the workers of hosts that are down."""
+    return cbor2.dumps(dict(worker_by_host))
+
+
+def decode_down(value: bytes) -> dict[str, str]:
+    """Reads what `encode_down` made."""
+    return dict(cbor2.loads(value))
--- a/wisteriasill/zones/shard_ledger.py
+++ b/wisteriasill/zones/shard_ledger.py
@@ -102,6 +102,7 @@
         self._node = node
         self._stopping = stopping
         self.epoch = 0
+        self.was_released = False
         self._version_by_row: dict[tuple[str, str], int] = {}
         self.stored_at = 0.0
 
@@ -122,6 +123,7 @@
         if not isinstance(written, result.Success):
             return False
         self.epoch = written.unwrap()
+        self.was_released = not seen.holder
         self._version_by_row = {(TABLE, BEAT): self.epoch}
         self.stored_at = time.monotonic()
         return True
