--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from wisteriasill import events
+from wisteriasill import metrics
 from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
@@ -60,6 +61,7 @@
     hosts: cluster.HostControl
     advice: cluster.AdviceLink | None
     open_worker: Callable[[cluster.WorkerEntry], cluster.WorkerLink]
+    metrics: metrics.Metrics
 
 
 class BatchKeeper:
@@ -212,6 +214,8 @@
                 self._lose(outcome)
                 return
             pool.stored_at = time.monotonic()
+            self._links.metrics.count("pool_commits")
+            self._links.metrics.count("pool_rows_written", len(writes))
         self._send(planned, noted_by_worker)
 
     def _beat(self, now: float) -> bytes | None:
@@ -235,6 +239,7 @@
                 service=self._service,
                 worker=worker_id,
             )
+        self._measure(load, now)
         self._beat_at = now
         self._released = released
         self._needed_cpu = load.needed.cpu
@@ -245,6 +250,18 @@
             }
         )
 
+    def _measure(self, load: host_moves.PoolLoad, now: float) -> None:
+        """Sets the gauges of the pool."""
+        service, measures = self._service, self._links.metrics
+        pending = sum(self.pool.pending_by_queue().values())
+        workers_seen = len(load.load_by_worker)
+        measures.set_gauge(f"pool_pending_jobs/{service}", pending)
+        measures.set_gauge(f"pool_workers/{service}", workers_seen)
+        measures.set_gauge(f"pool_needed_millicores/{service}", load.needed.cpu)
+        measures.set_gauge(
+            f"shard_store_age_seconds/{service}", now - self.pool.stored_at
+        )
+
     def _deletions(self, now: float) -> list[cluster.RowWrite]:
         """Deletes the rows of jobs that ended long ago."""
         writes: list[cluster.RowWrite] = []
