Count a pool's load ten times a second and look queues up by address

Cause: each turn of a keeper summed all units of all waiting jobs and all runs; with 200 waiting jobs that is 2 ms a turn, a hundred turns a second. Queues were found by a scan, which a configuration of a thousand routes would show. Change: jobs keep their remaining work; the load is counted each 0.1 s; a turn takes 10 ms at least; queues are found by host and prefix.

--- a/tests/machines/batch_site.py
+++ b/tests/machines/batch_site.py
@@ -20,11 +20,8 @@
 SERVICE = "bench"
 ROOM = job_spec.Room(16_000, 64_000, 0)
 QUEUE = queues.Queue("r-1", "a.example", "/q/", SERVICE, 0, 3, 1.6, 0.6, 3.0)
-CONFIGURATION = queues.SiteConfiguration(
-    1,
-    {QUEUE.name: QUEUE},
-    {SERVICE: queues.ServicePool(SERVICE, True, False)},
-    100_000,
+CONFIGURATION = queues.configuration(
+    1, [QUEUE], [queues.ServicePool(SERVICE, True, False)], 100_000
 )
 
 
--- a/wisteriasill/contracts/job_spec.py
+++ b/wisteriasill/contracts/job_spec.py
@@ -82,6 +82,11 @@
     fills: bool = False
     may_be_away: int = 0
 
+    @property
+    def core_seconds(self) -> float:
+        """Declared processor time of one task."""
+        return self.need.cpu / 1000 * self.estimate_seconds
+
 
 class JobSpec(NamedTuple):
     """A job as it was handed in.
@@ -176,3 +181,8 @@
         start = max((ends[i] for i in step.after if i < len(ends)), default=0.0)
         ends.append(start + step.estimate_seconds)
     return max(ends, default=0.0)
+
+
+def core_seconds(steps: tuple[StepSpec, ...]) -> float:
+    """Returns the declared processor time of steps."""
+    return sum(step.tasks * step.core_seconds for step in steps)
--- a/wisteriasill/contracts/queue.py
+++ b/wisteriasill/contracts/queue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 
@@ -56,18 +56,37 @@
     queue_by_name: Mapping[str, Queue]
     service_by_name: Mapping[str, ServicePool]
     most_body_bytes: int
+    queue_by_address: Mapping[tuple[str, str], Queue]
 
     def select(self, host: str, path: str) -> Queue | None:
-        """Returns the queue with the longest matching prefix."""
-        return max(
-            (
-                queue
-                for queue in self.queue_by_name.values()
-                if queue.host == host and path.startswith(queue.prefix)
-            ),
-            key=lambda queue: len(queue.prefix),
-            default=None,
-        )
+        """Returns the queue with the longest matching prefix.
+
+        Prefixes end with a slash, so only as many are looked up as the path
+        has segments, however many queues there are.
+        """
+        for end in range(len(path), 0, -1):
+            if path[end - 1] == "/":
+                queue = self.queue_by_address.get((host, path[:end]))
+                if queue is not None:
+                    return queue
+        return None
+
+
+def configuration(
+    version: int,
+    queues: Iterable[Queue],
+    services: Iterable[ServicePool],
+    most_body_bytes: int,
+) -> SiteConfiguration:
+    """Builds a configuration with its indexes."""
+    queue_by_name = {queue.name: queue for queue in queues}
+    return SiteConfiguration(
+        version,
+        queue_by_name,
+        {service.name: service for service in services},
+        most_body_bytes,
+        {(one.host, one.prefix): one for one in queue_by_name.values()},
+    )
 
 
 class WaveOrder(NamedTuple):
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -179,7 +179,7 @@
         learnt_at: Steady time at which this holder learnt of the job, put
             back by the age that its acceptance time shows.
         ready: Units that wait for a worker.
-        first_start_at: Steady time of its first start; 0 before.
+        core_seconds_left: Declared processor time of what is not done.
     """
 
     def __init__(
@@ -196,6 +196,9 @@
         self.ready: dict[UnitKey, Unit] = {}
         self.rounds_open = 0
         self.waiting_logged_at = learnt_at
+        self.chain_seconds = job_spec.chain_seconds(record.spec.steps)
+        self.core_seconds = job_spec.core_seconds(record.spec.steps)
+        self.core_seconds_left = self.core_seconds
         self.steps_left = len(record.spec.steps) * record.spec.rounds
 
     @property
@@ -248,6 +251,7 @@
             return
         unit.done = True
         self.ready.pop(unit.key, None)
+        self.core_seconds_left -= len(unit.indexes) * unit.step.core_seconds
         step_key = unit.occurrence, unit.step_number
         self.left_by_step[step_key] -= 1
         if self.left_by_step[step_key]:
--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -23,6 +23,8 @@
 from wisteriasill.zones import shard_ledger
 
 BEAT_SECONDS = 0.5  # A quarter of the silence after which others take over.
+COUNT_SECONDS = 0.1  # Pause between two counts of the pool's load.
+SHORTEST_TURN_SECONDS = 0.01  # As long as a transaction takes.
 TURN_SECONDS = 0.25  # Longest wait between two turns of the planner.
 FOLLOW_SECONDS = 2.0  # Wait of one call for changes.
 RETRY_SECONDS = 0.25  # Pause after a failed call to the store.
@@ -87,6 +89,7 @@
         self._jobs_version = 0
         self._asks_version = 0
         self._beat_at = 0.0
+        self._counted_at = 0.0
         self._released: set[str] = set()
         self._needed_cpu = 0
         self.pool = batch_pool.BatchPool(
@@ -175,6 +178,7 @@
         while not self._closing.is_set():
             self._changed.wait(TURN_SECONDS)
             self._changed.clear()
+            began = time.monotonic()
             try:
                 self._turn()
             except Exception as error:  # The pool must outlive a faulty turn.
@@ -185,6 +189,9 @@
                     shard=self._service,
                     error=repr(error),
                 )
+            spent = time.monotonic() - began
+            if spent < SHORTEST_TURN_SECONDS:
+                self._closing.wait(SHORTEST_TURN_SECONDS - spent)
 
     def _turn(self) -> None:
         pool = self.pool
@@ -220,6 +227,9 @@
 
     def _beat(self, now: float) -> bytes | None:
         """Returns what the beat row is to say, if it is due."""
+        if now - self._counted_at < COUNT_SECONDS:
+            return None
+        self._counted_at = now
         load = self.pool.load_now(now)
         released = {
             worker_id
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -191,7 +191,7 @@
                 rate.add(task_seconds * step.need.memory_mb, now)
 
     def _learn_work(self, job: batch_job.Job) -> None:
-        work = core_seconds(job.record.spec.steps)
+        work = job.core_seconds
         name = job.record.queue
         mean = self._mean_work_by_queue.get(name, work)
         self._mean_work_by_queue[name] = mean + MEAN_WEIGHT * (work - mean)
@@ -907,31 +907,24 @@
 
     def _place(self, job: batch_job.Job, now: float) -> work_order.Place:
         queue = self._queue_by_name.get(job.record.queue)
-        spec = job.record.spec
-        total = core_seconds(spec.steps)
-        remaining = sum(
-            unit.step.need.cpu / 1000 * unit.step.estimate_seconds
-            for unit in job.unit_by_key.values()
-            if not unit.done
-        )
-        chain = job_spec.chain_seconds(spec.steps)
-        share = remaining / total if total else 1.0
+        left = job.core_seconds_left
+        share = left / job.core_seconds if job.core_seconds else 1.0
         objective = (
-            chain * queue.stretch + queue.target_latency_seconds
+            job.chain_seconds * queue.stretch + queue.target_latency_seconds
             if queue
-            else chain
+            else job.chain_seconds
         )
         return work_order.place(
             work_order.WaitingWork(
                 queue.priority if queue else 0,
-                spec.lasting,
+                job.record.spec.lasting,
                 now - job.learnt_at,
                 objective,
-                chain * min(1.0, share),
-                remaining,
-                total,
+                job.chain_seconds * min(1.0, share),
+                left,
+                job.core_seconds,
             ),
-            self._mean_work_by_queue.get(job.record.queue, total),
+            self._mean_work_by_queue.get(job.record.queue, job.core_seconds),
         )
 
     def _plan_job(
@@ -1100,14 +1093,6 @@
     )
 
 
-def core_seconds(steps: Iterable[job_spec.StepSpec]) -> float:
-    """Returns the declared processor time of steps."""
-    return sum(
-        step.tasks * step.need.cpu / 1000 * step.estimate_seconds
-        for step in steps
-    )
-
-
 _NO_RECORD = job_spec.JobRecord(
     "",
     0,
