Follow shards by one feed and tell loads in a table of their own

Ruled out: a longer poll of the shards (take-over time). Change: nodes follow the table of shards, whose beats are small now, and read a shard's rows only before a claim; pools tell their loads in the table loads, which only the fleet's keeper follows; the feed of workers is read each 0.15 s.

--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -27,6 +27,7 @@
 SHORTEST_TURN_SECONDS = 0.01  # As long as a transaction takes.
 TURN_SECONDS = 0.25  # Longest wait between two turns of the planner.
 FOLLOW_SECONDS = 2.0  # Wait of one call for changes.
+REGISTRY_PAUSE_SECONDS = 0.15
 RETRY_SECONDS = 0.25  # Pause after a failed call to the store.
 # Ended jobs stay readable for twice the `status_s` of the platform's pages.
 KEPT_SECONDS = 240.0
@@ -127,6 +128,12 @@
         if rows is None:
             return False
         self._ledger.adopt(rows.progress)
+        load = read_all(
+            self._links.store, fleet_rows.LOADS_TABLE, self._service
+        )
+        if load is None:
+            return False
+        self._ledger.adopt(load.rows)
         self.pool.load(rows)
         self._asks_version = self._read_asks()
         for thread in self._threads:
@@ -214,7 +221,8 @@
                 for job in dirty.values()
             ]
             writes += self._deletions(now)
-        beat = self._beat(now)
+        beat, load_writes = self._beat(now)
+        writes += load_writes
         if writes or beat:
             outcome = self._ledger.commit(writes, beat)
             if outcome is not shard_ledger.CommitOutcome.STORED:
@@ -225,10 +233,14 @@
             self._links.metrics.count("pool_rows_written", len(writes))
         self._send(planned, noted_by_worker)
 
-    def _beat(self, now: float) -> bytes | None:
-        """Returns what the beat row is to say, if it is due."""
+    def _beat(self, now: float) -> tuple[bytes | None, list[cluster.RowWrite]]:
+        """Returns the beat and the row of the pool's load, if they are due.
+
+        Every node follows the beats, so they hold little; only the fleet's
+        keeper follows the loads.
+        """
         if now - self._counted_at < COUNT_SECONDS:
-            return None
+            return None, []
         self._counted_at = now
         load = self.pool.load_now(now)
         released = {
@@ -241,7 +253,7 @@
             and released <= self._released
             and load.needed.cpu < self._needed_cpu + self.pool.news_cpu()
         ):
-            return None
+            return None, []
         for worker_id in released - self._released:
             events.log(
                 events.Event.HOST_RELEASED,
@@ -253,12 +265,13 @@
         self._beat_at = now
         self._released = released
         self._needed_cpu = load.needed.cpu
-        return cbor2.dumps(
-            {
-                "pending": self.pool.pending_by_queue(),
-                "load": host_moves.encode_load(load),
-            }
-        )
+        return cbor2.dumps({"pending": self.pool.pending_by_queue()}), [
+            cluster.RowWrite(
+                fleet_rows.LOADS_TABLE,
+                fleet_rows.LOAD_KEY,
+                cbor2.dumps(host_moves.encode_load(load)),
+            )
+        ]
 
     def _measure(self, load: host_moves.PoolLoad, now: float) -> None:
         """Sets the gauges of the pool."""
@@ -352,6 +365,8 @@
                 continue
             self._take_entries(page.unwrap())
             version = page.unwrap().version
+            # Heartbeats of all workers wake the feed; several come at a time.
+            self._closing.wait(REGISTRY_PAUSE_SECONDS)
 
     def _take_entries(self, page: cluster.RegistryPage) -> None:
         pool = self.pool
--- a/wisteriasill/machines/fleet_keeper.py
+++ b/wisteriasill/machines/fleet_keeper.py
@@ -7,7 +7,7 @@
 from concurrent import futures
 import threading
 import time
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import cbor2
 from returns import result
@@ -150,34 +150,31 @@
 
     def _follow_loads(self) -> None:
         store = self._links.store
-        version = 0
+        version = self._newest_version(0)
         while not self._closing.wait(FOLLOW_PAUSE_SECONDS):
-            page = store.follow(shard_ledger.TABLE, version, FOLLOW_SECONDS)
+            page = store.follow(fleet_rows.LOADS_TABLE, version, FOLLOW_SECONDS)
             if not isinstance(page, result.Success):
                 if page.failure().kind is cluster.StoreFaultKind.HISTORY_LOST:
                     version = self._newest_version(version)
                 self._closing.wait(RETRY_SECONDS)
                 continue
             for row in page.unwrap().rows:
-                if row.key == shard_ledger.BEAT and row.value is not None:
-                    self._take_load(row.part, cbor2.loads(row.value))
+                if row.value is not None:
+                    self._load_by_service[row.part] = SeenLoad(
+                        host_moves.decode_load(cbor2.loads(row.value)),
+                        time.monotonic(),
+                    )
             version = max(version, page.unwrap().version)
             self._changed.set()
 
     def _newest_version(self, version: int) -> int:
-        page = self._links.store.read(shard_ledger.TABLE, fleet_rows.SHARD)
+        page = self._links.store.read(fleet_rows.LOADS_TABLE, fleet_rows.SHARD)
         return (
             page.unwrap().version
             if isinstance(page, result.Success)
             else version
         )
 
-    def _take_load(self, service: str, beat: dict[str, Any]) -> None:
-        if "load" in beat:
-            self._load_by_service[service] = SeenLoad(
-                host_moves.decode_load(beat["load"]), time.monotonic()
-            )
-
     def _keep(self) -> None:
         while not self._closing.is_set():
             self._changed.wait(TURN_SECONDS)
--- a/wisteriasill/machines/fleet_rows.py
+++ b/wisteriasill/machines/fleet_rows.py
@@ -1,4 +1,4 @@
-"""The rows by which the fleet's keeper speaks to pools."""
+"""The rows by which the fleet's keeper and pools speak to each other."""
 
 from __future__ import annotations
 
@@ -12,6 +12,8 @@
 TABLE = "fleet"
 ASKS_KEY = "asks"
 DOWN_KEY = "down"
+LOADS_TABLE = "loads"
+LOAD_KEY = "load"
 
 
 def encode_asks(ask_by_host: Mapping[str, host_moves.Ask]) -> bytes:
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 import threading
 import time
 from typing import NamedTuple, Protocol
@@ -62,6 +62,8 @@
         self._node = node
         self._make_keeper = make_keeper
         self._sighting_by_shard: dict[str, Sighting] = {}
+        self._row_by_name: dict[tuple[str, str], cluster.StoredRow] = {}
+        self._version: int | None = None
         self.keeper_by_shard: dict[str, Keeper] = {}
         self._stopping = threading.Event()
 
@@ -72,13 +74,17 @@
             keeper.close(release=True)
         self.keeper_by_shard.clear()
 
-    def turn(self, shards: Iterable[str]) -> None:
+    def turn(self, shards: Collection[str]) -> None:
         """Looks at each shard once and claims those without a holder."""
         for shard, keeper in [*self.keeper_by_shard.items()]:
             if keeper.lost:
                 keeper.close(release=False)
                 del self.keeper_by_shard[shard]
                 self._sighting_by_shard.pop(shard, None)
+        if not self._refresh(shards):
+            self._sighting_by_shard.clear()
+            self._version = None
+            return
         for shard in shards:
             if (
                 shard not in self.keeper_by_shard
@@ -86,12 +92,42 @@
             ):
                 self._look(shard)
 
+    def _refresh(self, shards: Collection[str]) -> bool:
+        """Brings the states up to date.
+
+        Returns:
+            Whether the store answered.
+        """
+        if self._version is None or not self._row_by_name:
+            return self._read_all(shards)
+        page = self._store.follow(shard_ledger.TABLE, self._version, 0.0)
+        if not isinstance(page, result.Success):
+            return False
+        self._note(page.unwrap().rows)
+        self._version = max(self._version, page.unwrap().version)
+        return True
+
+    def _read_all(self, shards: Collection[str]) -> bool:
+        versions: list[int] = []
+        for shard in shards:
+            page = self._store.read(shard_ledger.TABLE, shard)
+            if not isinstance(page, result.Success):
+                return False
+            self._note(page.unwrap().rows)
+            versions.append(page.unwrap().version)
+        self._version = min(versions, default=None)
+        return True
+
+    def _note(self, rows: Iterable[cluster.StoredRow]) -> None:
+        self._row_by_name.update(((row.part, row.key), row) for row in rows)
+
     def _look(self, shard: str) -> None:
-        read = shard_ledger.read_state(self._store, shard)
-        if not isinstance(read, result.Success):
-            self._sighting_by_shard.pop(shard, None)
-            return
-        state, now = read.unwrap(), time.monotonic()
+        rows = [
+            row
+            for key in (shard_ledger.OWNER, shard_ledger.BEAT)
+            if (row := self._row_by_name.get((shard, key)))
+        ]
+        state, now = shard_ledger.state_of(rows), time.monotonic()
         seen = self._sighting_by_shard.get(shard)
         if seen is None or seen.state != state:
             seen = Sighting(state, now)
@@ -101,8 +137,14 @@
         )
         if state.holder and state.holder != self._node:
             patience += SILENCE_SECONDS
-        if now - seen.since >= patience:
+        if now - seen.since < patience:
+            return
+        # The feed may lag; a claim needs the rows as they are.
+        read = shard_ledger.read_state(self._store, shard)
+        if isinstance(read, result.Success) and read.unwrap() == state:
             self._claim(shard, state, now - seen.since)
+        else:
+            self._version = None
 
     def _stagger(self, shard: str) -> float:
         digest = xxhash.xxh32_intdigest(f"{self._node}/{shard}".encode())
