Keep track of starts that reach a worker's next life

A start reached its new life, but counted as lost with the old one, and a look with the old life's number acknowledged ends of the new one; done tasks started again.

--- a/tests/machines/test_batch_pool.py
+++ b/tests/machines/test_batch_pool.py
@@ -412,3 +412,59 @@
     site.turn(later + 1)
     site.deliver(other)
     assert other_link.running == {TASK: 2}
+
+
+def test_a_start_that_reached_the_next_life_is_not_given_up(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+) -> None:
+    """Soak seeds 6, 30, 45: a run of the new life counted as ended."""
+    worker = site.add_worker("w1", link)
+    site.look(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    site.turn()
+    reborn = batch_worker.MemoryWorker(batch_site.ROOM, born_ms=2)
+    worker.link = reborn
+    site.deliver(worker)
+    assert reborn.running == {TASK: 1}
+    site.look(worker)
+    other = site.add_worker("w2", other_link)
+    site.look(other)
+    site.turn(time.monotonic() + 1)
+    site.deliver(other)
+    assert not other_link.starts
+    again = site.add_worker("w1", reborn)
+    site.look(again)
+    site.deliver(again)
+    site.look(again)
+    site.turn(time.monotonic() + 1)
+    site.deliver(other)
+    site.deliver(again)
+    starts = [*other_link.starts, *reborn.starts]
+    assert len(starts) == 2
+    assert len(other_link.running) + len(reborn.running) == 1
+
+
+def test_ends_are_acknowledged_to_the_same_life_only(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """Soak seed 45: an old number acknowledged ends of the next life."""
+    worker = started(batch_site.step(1))
+    link.finish(TASK)
+    site.look(worker)
+    site.turn()
+    assert worker.stored == 1
+    link.cut = True
+    site.look(worker)
+    link.cut = False
+    reborn = batch_worker.MemoryWorker(batch_site.ROOM, born_ms=2)
+    reborn.start(cluster.StartOrder(TASK, 1, "", 99_999, 1))
+    reborn.finish(TASK)
+    worker.link = reborn
+    site.look(worker)
+    report = reborn.look(1, 0, None, 0.0)
+    assert isinstance(report, cluster.WorkerReport)
+    assert len(report.ends) == 1
--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -397,7 +397,7 @@
                 known.entry = entry
                 return
         if known:
-            pool.remove_worker(known, "registered as a new life")
+            pool.remove_worker(known, "registered as a new life", reborn=True)
         worker = workers.Worker(
             entry,
             self._links.open_worker(entry),
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -103,6 +103,7 @@
         self._changed = changed
         self._leaving_ids: set[str] = set()
         self._down_ids: set[str] = set()
+        self._orphans_by_worker: dict[str, list[batch_job.Run]] = {}
         self._unplaced: dict[str, list[LostRun]] = {}
         self._queue_by_name: Mapping[str, queues.Queue] = {}
         self._cpu_arrivals = arrival_rate.pair()
@@ -252,6 +253,8 @@
             worker_id = worker.worker_id
             self.worker_by_id[worker_id] = worker
             worker.leaving = worker_id in self._leaving_ids
+            for run in self._orphans_by_worker.pop(worker_id, []):
+                self._adopt_orphan(worker, run)
             lost = self._unplaced.pop(worker_id, [])
             for unit, stored in lost:
                 if stored.born_ms != worker.entry.born_ms:
@@ -260,6 +263,15 @@
                 self._add_uncertain_run(worker, unit, stored)
         self._changed.set()
 
+    def _adopt_orphan(self, worker: workers.Worker, run: batch_job.Run) -> None:
+        """Bars a run that may have started in a worker's next life."""
+        run.worker = worker
+        run.state = batch_job.RunState.UNCERTAIN
+        run.stopping = True
+        worker.run_by_task[run.task] = run
+        worker.reserve(run.unit.step.need, run.unit.step.fills)
+        worker.send(workers.OrderKind("stop", run))
+
     def _add_uncertain_run(
         self,
         worker: workers.Worker,
@@ -274,14 +286,38 @@
         if unit.done or unit.job.finished:
             self._stop_run(run)
 
-    def remove_worker(self, worker: workers.Worker, reason: str) -> None:
-        """Drops a worker whose life is certainly over, and its runs."""
+    def remove_worker(
+        self, worker: workers.Worker, reason: str, reborn: bool = False
+    ) -> None:
+        """Drops a worker whose life is certainly over, and its runs.
+
+        Args:
+            worker: The worker.
+            reason: Why its life is over.
+            reborn: Whether a next life may have its id; starts that were sent
+                since the last look may have reached that.
+        """
         with self.lock:
             if self.worker_by_id.get(worker.worker_id) is not worker:
                 return
             del self.worker_by_id[worker.worker_id]
             worker.dead = True
-            self._lose_runs(worker, [*worker.run_by_task.values()], reason)
+            orphans = [
+                run
+                for run in worker.run_by_task.values()
+                if reborn and run.ordered_at > worker.looked_at
+            ]
+            if orphans:
+                self._orphans_by_worker[worker.worker_id] = orphans
+            self._lose_runs(
+                worker,
+                [
+                    run
+                    for run in worker.run_by_task.values()
+                    if run not in orphans
+                ],
+                reason,
+            )
         worker.close()
         events.log(
             events.Event.WORKER_LOST,
@@ -289,6 +325,7 @@
             service=self.service,
             worker=worker.worker_id,
             reason=reason,
+            uncertain_runs=len(orphans),
         )
         self._changed.set()
 
@@ -340,6 +377,11 @@
                     self._lose_runs(worker, sent, "lease lapsed")
                 if not worker.run_by_task and not worker.listed:
                     self.remove_worker(worker, "not listed any more")
+            for orphans in self._orphans_by_worker.values():
+                for run in [*orphans]:
+                    if now - run.ordered_at > _ORPHAN_SECONDS:
+                        orphans.remove(run)
+                        self._end_run(run)
             if now >= self.lapse_unknown_until:
                 for unit, _ in itertools.chain.from_iterable(
                     self._unplaced.values()
@@ -469,7 +511,7 @@
     ) -> None:
         """Takes what a worker runs and what ended on it."""
         if report.born_ms not in (None, worker.entry.born_ms):
-            self.remove_worker(worker, "started again")
+            self.remove_worker(worker, "started again", reborn=True)
             return
         with self.lock:
             if worker.dead:
@@ -1093,6 +1135,7 @@
     )
 
 
+_ORPHAN_SECONDS = workers.LONGEST_LEASE_SECONDS / workers.SLOWEST_CLOCK
 _NO_RECORD = job_spec.JobRecord(
     "",
     0,
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -14,6 +14,9 @@
 # A lease outlives a pause of the holder and a take-over of its shard
 # (2 s of silence, 1 s to read the rows), and ends soon on a lost worker.
 LEASE_SECONDS = 4.5
+# The platform's longest `max_hold_ms`: bounds a lease whose end was given on
+# the clock of another life.
+LONGEST_LEASE_SECONDS = 10.0
 # The platform's pages: a worker's clock may be 2% slow.
 SLOWEST_CLOCK = 0.975
 # Bounds the time by which an answer's clock lags what its worker reads.
@@ -98,6 +101,7 @@
         stored: Number of the last end that is stored.
         leaving: Whether it is to be emptied.
         listed: Whether the platform still lists it.
+        looked_at: Steady time at which the last answered look was sent.
     """
 
     def __init__(
@@ -118,6 +122,7 @@
         self.stored = 0
         self.reached = False
         self.silent_since = 0.0
+        self.looked_at = 0.0
         self.leaving = False
         self.idle_since = time.monotonic()
         self.listed = True
@@ -238,9 +243,15 @@
         # A silent worker's lease must end, so that its runs can start
         # elsewhere; it is extended again after an answer.
         renews = bool(self._clock_at) and not self.silent_since
+        # A next life under the same id numbers its ends anew; an old number
+        # would acknowledge ends that nobody has seen.
+        same_life = (
+            not self.silent_since
+            and sent_at - self.looked_at < RECENT_REPORT_SECONDS
+        )
         answer = self.link.look(
             self._owner.fence,
-            self.stored,
+            self.stored if same_life else 0,
             self._lease_end_ms() if renews else None,
             self._look_seconds() if renews else 0.0,
         )
@@ -251,6 +262,8 @@
             return False
         self.note_clock(answer.clock_ms, time.monotonic())
         self._owner.on_report(self, sent_at, answer)
+        if not self.dead:
+            self.looked_at = sent_at
         return True
 
     def _look_seconds(self) -> float:
