Keep a shard while its rows are read, and leave shards to stronger nodes

Ruled out: the store's rate (7 of 200 transactions a second in that part). Change: the last beat is repeated while a new holder reads; silence counts after 2.0 s again; nodes under 0.9 cores or 100 Mbit/s wait 1 s longer; records of ended jobs are shortened, so a successor reads live jobs only.

--- a/tests/links/test_job_desk.py
+++ b/tests/links/test_job_desk.py
@@ -138,3 +138,26 @@
     failure = desk.state(batch_site.QUEUE, JOB).failure()
     assert failure.kind is errors.ErrorKind.STORE_UNAVAILABLE
     assert failure.retry_after_seconds
+
+
+def test_an_ended_job_bars_another_of_its_id(
+    desk: job_desk.JobDesk, store: row_store.MemoryRowStore
+) -> None:
+    submit(desk)
+    table = batch_keeper.jobs_table(batch_site.SERVICE)
+    part = batch_keeper.jobs_part(batch_site.SERVICE, JOB)
+    store.transact(
+        part,
+        [],
+        [cluster.RowWrite(table, JOB, job_spec.ENDED_RECORD)],
+        1.0,
+    )
+    rows = stored_rows(store)
+    assert isinstance(submit(desk), result.Success)
+    assert stored_rows(store) == rows
+    gone = desk.cancel(batch_site.QUEUE, JOB, time.monotonic() + 1)
+    assert kind_of(gone) is errors.ErrorKind.NO_SUCH_JOB
+    row = store.read(table, part).unwrap().rows[0]
+    site = batch_site.HandDrivenPool(records=[row])
+    site.pool.on_record(row)
+    assert not site.pool.job_by_id
--- a/wisteriasill/contracts/job_spec.py
+++ b/wisteriasill/contracts/job_spec.py
@@ -130,6 +130,11 @@
     spec: JobSpec
 
 
+# What is left of the record of a job that ended: it bars another job of the
+# same id, and a successor reads it in no time.
+ENDED_RECORD = b"-"
+
+
 def encode(record: JobRecord) -> dict[str, Any]:
     """Turns a record into plain data."""
     spec = record.spec
--- a/wisteriasill/links/job_desk.py
+++ b/wisteriasill/links/job_desk.py
@@ -120,8 +120,9 @@
             if not isinstance(read, result.Success):
                 return result.Failure(read.failure())
             row = read.unwrap()
-            if row is None or row.value is None:
+            if row is None or row.value in (None, job_spec.ENDED_RECORD):
                 return result.Failure(_no_such_job(job_id))
+            assert row.value is not None
             record = job_spec.decode(cbor2.loads(row.value))
             if record.cancelled:
                 return result.Success(batch_job.JobState.CANCELLED)
@@ -179,10 +180,8 @@
 
 
 def _queued(row: cluster.StoredRow | None) -> Outcome:
-    if row is None or row.value is None:
-        return result.Failure(
-            _no_such_job("") if row is None else _no_such_job(row.key)
-        )
+    if row is None or row.value in (None, job_spec.ENDED_RECORD):
+        return result.Failure(_no_such_job(row.key if row else "asked for"))
     return result.Success(batch_job.JobState.QUEUED)
 
 
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -178,6 +178,7 @@
     Attributes:
         learnt_at: Steady time at which this holder learnt of the job, put
             back by the age that its acceptance time shows.
+        record_version: Version of the job's record in the store.
         ready: Units that wait for a worker.
         core_seconds_left: Declared processor time of what is not done.
     """
@@ -189,6 +190,7 @@
         self.record = record
         self.learnt_at = learnt_at
         self.state = JobState.QUEUED
+        self.record_version = 0
         self.unit_by_key: dict[UnitKey, Unit] = {}
         self.units_by_step: dict[tuple[int, int], list[Unit]] = {}
         self.left_by_step: dict[tuple[int, int], int] = {}
--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import itertools
 import threading
 import time
 from typing import NamedTuple
@@ -14,6 +15,7 @@
 from wisteriasill import events
 from wisteriasill import metrics
 from wisteriasill.contracts import host_moves
+from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
@@ -31,6 +33,7 @@
 RETRY_SECONDS = 0.25  # Pause after a failed call to the store.
 # Ended jobs stay readable for twice the `status_s` of the platform's pages.
 KEPT_SECONDS = 240.0
+SHORTEN_SECONDS = 2.0  # Groups the ended jobs of a part.
 JOB_PARTS = 8  # At 0.4 s a transaction, 20 jobs a second of one service.
 DELETES_PER_TURN = 20  # Keeps clean-up small beside a turn's other writes.
 
@@ -110,6 +113,7 @@
                 self._follow_workers,
                 self._ask_advice,
                 self._follow_asks,
+                self._shorten_records,
             )
         ]
 
@@ -124,20 +128,23 @@
         Returns:
             Whether the rows could be read.
         """
+        with self._ledger.kept_alive():
+            if not self._load():
+                return False
+        for thread in self._threads:
+            thread.start()
+        return True
+
+    def _load(self) -> bool:
         rows = self._read_rows()
-        if rows is None:
-            return False
-        self._ledger.adopt(rows.progress)
         load = read_all(
             self._links.store, fleet_rows.LOADS_TABLE, self._service
         )
-        if load is None:
+        if rows is None or load is None:
             return False
-        self._ledger.adopt(load.rows)
+        self._ledger.adopt((*rows.progress, *load.rows))
         self.pool.load(rows)
         self._asks_version = self._read_asks()
-        for thread in self._threads:
-            thread.start()
         return True
 
     def close(self, release: bool) -> None:
@@ -285,6 +292,45 @@
             f"shard_store_age_seconds/{service}", now - self.pool.stored_at
         )
 
+    def _shorten_records(self) -> None:
+        """Shortens the records of ended jobs once their ends are stored."""
+        pool = self.pool
+        while not self._closing.wait(SHORTEN_SECONDS):
+            with pool.lock:
+                ended = [
+                    one
+                    for one in pool.ended_records
+                    if one[0] not in pool.dirty
+                ]
+                pool.ended_records = [
+                    one for one in pool.ended_records if one not in ended
+                ]
+            ended.sort(key=lambda one: jobs_part(self._service, one[0]))
+            for part, group in itertools.groupby(
+                ended, key=lambda one: jobs_part(self._service, one[0])
+            ):
+                self._shorten(part, [*group])
+
+    def _shorten(self, part: str, ended: list[tuple[str, int]]) -> None:
+        """Shortens records of one part; one that changed meanwhile stays."""
+        table = jobs_table(self._service)
+        for first in range(0, len(ended), shard_ledger.WRITES_PER_TRANSACTION):
+            batch = ended[first : first + shard_ledger.WRITES_PER_TRANSACTION]
+            stored = self._links.store.transact(
+                part,
+                [
+                    cluster.RowVersion(table, job_id, version)
+                    for job_id, version in batch
+                ],
+                [
+                    cluster.RowWrite(table, job_id, job_spec.ENDED_RECORD)
+                    for job_id, _ in batch
+                ],
+                shard_ledger.TRANSACTION_TIMEOUT_SECONDS,
+            )
+            if not isinstance(stored, result.Success):
+                self._links.metrics.count("records_not_shortened", len(batch))
+
     def _deletions(self, now: float) -> list[cluster.RowWrite]:
         """Deletes the rows of jobs that ended long ago."""
         writes: list[cluster.RowWrite] = []
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -94,6 +94,7 @@
         self.ended_at_by_id: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        self.ended_records: list[tuple[str, int]] = []
         self.tickets = {}  # type: dict[job_spec.StepKey, cluster.Advice]
         self.stored_at = claimed_at
         self.fenced = False
@@ -137,14 +138,16 @@
     def on_record(self, row: cluster.StoredRow) -> None:
         """Takes a job's row: a new job, or the mark of its cancellation."""
         with self.lock:
-            if row.value is None:
+            if row.value in (None, job_spec.ENDED_RECORD):
                 return
+            assert row.value is not None
             job = self.job_by_id.get(row.key)
             if job is None:
                 if row.key not in self.ended_at_by_id:
                     self._add_job(row, None, news=True)
             else:
                 record = job_spec.decode(cbor2.loads(row.value))
+                job.record_version = row.version
                 if record.cancelled and not job.record.cancelled:
                     job.record = record
                     self._cancel(job)
@@ -159,6 +162,8 @@
         if progress and progress.state in batch_job.FINAL_STATES:
             self.ended_at_by_id[row.key] = time.monotonic()
             return
+        if row.value in (None, job_spec.ENDED_RECORD):
+            return
         assert row.value is not None
         record = job_spec.decode(cbor2.loads(row.value))
         # The time of day jumps by seconds; news is milliseconds old.
@@ -171,6 +176,7 @@
             )
         )
         job = batch_job.Job(row.key, record, time.monotonic() - age_seconds)
+        job.record_version = row.version
         self.job_by_id[row.key] = job
         self._learn_work(job)
         if news and not record.spec.lasting:
@@ -235,6 +241,7 @@
         self.job_by_id.pop(job.job_id, None)
         now = time.monotonic()
         self.ended_at_by_id[job.job_id] = now
+        self.ended_records.append((job.job_id, job.record_version))
         events.log(
             events.Event.JOB_ENDED,
             "A job ended",
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -20,6 +20,11 @@
 
 FOLLOW_SECONDS = 1.0  # Half of the time in which a change must be in force.
 RETRY_SECONDS = 0.2
+# A keeper of 40 workers uses half a core at its peak, and reads 2 MB to begin,
+# which takes 2 s at 10 Mbit/s.
+STRONG_CORES = 0.9
+STRONG_LINK_MBPS = 100.0
+WEAK_SECONDS = 1.0  # Stronger nodes claim within the stagger of 0.5 s.
 # A following call ends within 1.7 s; a slow store adds half a second.
 STORE_SILENCE_SECONDS = 2.5
 
@@ -31,11 +36,24 @@
         name: Name of the node.
         availability_zone: Where it runs.
         grace_seconds: Time from SIGTERM to SIGKILL.
+        cores: Processor that the node may use.
+        link_mbps: Bandwidth of its link.
     """
 
     name: str
     availability_zone: str
     grace_seconds: float
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+
+
+def handicap_seconds(settings: NodeSettings) -> float:
+    """Returns how long a node leaves a vacant shard to stronger ones."""
+    strong = (
+        settings.cores >= STRONG_CORES
+        and settings.link_mbps >= STRONG_LINK_MBPS
+    )
+    return 0.0 if strong else WEAK_SECONDS
 
 
 class SiteNode:
@@ -56,7 +74,10 @@
         self._stopping = threading.Event()
         self._store_seen_at = 0.0
         self._claims = shard_claims.ShardClaims(
-            links.store, settings.name, self._make_keeper
+            links.store,
+            settings.name,
+            self._make_keeper,
+            handicap_seconds(settings),
         )
         self._threads = [
             threading.Thread(target=target, daemon=True)
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -15,9 +15,9 @@
 from wisteriasill.zones import shard_ledger
 
 POLL_SECONDS = 0.4
-# Three beats, or one and a transaction of a slow store; a claim of a shard
-# whose holder lives after all costs time but no rule.
-SILENCE_SECONDS = 1.5
+# Four beats, or one and a transaction of a slow store. A claim of a shard whose
+# holder lives after all breaks nothing, but its successor reads all rows.
+SILENCE_SECONDS = 2.0
 # Spreads the claims of nodes that see a vacant shard at the same time.
 STAGGER_SECONDS = 0.5
 # Further wait for each shard that a node keeps already.
@@ -50,6 +50,7 @@
         store: The platform's store.
         node: Name of this node.
         make_keeper: Builds the tasks for a claimed shard.
+        handicap_seconds: Further wait of a node that is slower than others.
     """
 
     def __init__(
@@ -57,10 +58,12 @@
         store: cluster.RowStore,
         node: str,
         make_keeper: Callable[[shard_ledger.ShardLedger], Keeper],
+        handicap_seconds: float = 0.0,
     ) -> None:
         self._store = store
         self._node = node
         self._make_keeper = make_keeper
+        self._handicap_seconds = handicap_seconds
         self._sighting_by_shard: dict[str, Sighting] = {}
         self._row_by_name: dict[tuple[str, str], cluster.StoredRow] = {}
         self._version: int | None = None
@@ -132,8 +135,10 @@
         if seen is None or seen.state != state:
             seen = Sighting(state, now)
             self._sighting_by_shard[shard] = seen
-        patience = self._stagger(shard) + LOAD_SECONDS * len(
-            self.keeper_by_shard
+        patience = (
+            self._stagger(shard)
+            + self._handicap_seconds
+            + LOAD_SECONDS * len(self.keeper_by_shard)
         )
         if state.holder and state.holder != self._node:
             patience += SILENCE_SECONDS
--- a/wisteriasill/zones/shard_ledger.py
+++ b/wisteriasill/zones/shard_ledger.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
+import contextlib
 import enum
 import itertools
 import threading
@@ -26,6 +27,7 @@
 BYTES_PER_TRANSACTION = 500_000
 
 TRANSACTION_TIMEOUT_SECONDS = 1.5  # A slow store takes 0.4 s a transaction.
+KEPT_BEAT_SECONDS = 0.5  # As often as a keeper at work.
 RETRY_SECONDS = (0.05, 0.1, 0.2, 0.4)  # Doubles until a store is seen as down.
 
 
@@ -103,6 +105,7 @@
         self._stopping = stopping
         self.epoch = 0
         self.was_released = False
+        self._last_beat = b""
         self._version_by_row: dict[tuple[str, str], int] = {}
         self.stored_at = 0.0
 
@@ -123,6 +126,7 @@
         if not isinstance(written, result.Success):
             return False
         self.epoch = written.unwrap()
+        self._last_beat = cbor2.dumps(seen.beat)
         self.was_released = not seen.holder
         self._version_by_row = {(TABLE, BEAT): self.epoch}
         self.stored_at = time.monotonic()
@@ -146,6 +150,7 @@
             Whether all is stored, the shard was lost, or the node stops.
         """
         if beat is not None:
+            self._last_beat = beat
             writes = [cluster.RowWrite(TABLE, BEAT, beat), *writes]
         for batch in batches(writes):
             outcome = self._store_batch(batch)
@@ -153,6 +158,28 @@
                 return outcome
         return CommitOutcome.STORED
 
+    @contextlib.contextmanager
+    def kept_alive(self) -> Iterator[None]:
+        """Repeats the last beat while the new holder reads its rows.
+
+        A node with a slow link needs seconds for them, and others would take
+        the shard over. Nothing else is stored meanwhile.
+        """
+        done = threading.Event()
+
+        def beat() -> None:
+            while not done.wait(KEPT_BEAT_SECONDS):
+                if self.commit([], self._last_beat) is not CommitOutcome.STORED:
+                    return
+
+        task = threading.Thread(target=beat, daemon=True)
+        task.start()
+        try:
+            yield
+        finally:
+            done.set()
+            task.join()
+
     def release(self) -> None:
         """Gives the shard up, so that another node takes it at once."""
         self._store.transact(
