Log when the store is regained

Cause: the logs told each failed transaction and no return of the store. Change: one line when a transaction is stored after failures, with the time.

--- a/wisteriasill/zones/shard_ledger.py
+++ b/wisteriasill/zones/shard_ledger.py
@@ -202,6 +202,7 @@
             ),
         ]
         last = RETRY_SECONDS[-1]
+        failed_at = 0.0
         for wait_seconds in itertools.chain(
             RETRY_SECONDS, itertools.repeat(last)
         ):
@@ -209,8 +210,16 @@
                 self.shard, required, batch, TRANSACTION_TIMEOUT_SECONDS
             )
             if isinstance(written, result.Success):
+                if failed_at:
+                    events.log(
+                        events.Event.STORE_RECOVERED,
+                        "A transaction was stored again",
+                        shard=self.shard,
+                        after_seconds=round(time.monotonic() - failed_at, 3),
+                    )
                 self._note(batch, written.unwrap())
                 return CommitOutcome.STORED
+            failed_at = failed_at or time.monotonic()
             fault = written.failure()
             if fault.kind is cluster.StoreFaultKind.CONFLICT:
                 return self._resolve_conflict(batch, fault)
