Doubt a worker's life when its clock goes back

Ruled out: lost transactions (no turn failed), foreign ends. Change: a start whose answer has an older clock, or none, stops acknowledging and starting until a look tells the life.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,26 +18,29 @@
 def kill_node(site: sites.Site, draw: random.Random) -> str:
     """Kills a node and starts it again."""
     node = draw.choice(site.nodes)
-    node.stop(signal.SIGKILL)
-    time.sleep(draw.choice(PAUSES_SECONDS[:2]))
-    node.start()
+    with node.lock:
+        node.stop(signal.SIGKILL)
+        time.sleep(draw.choice(PAUSES_SECONDS[:2]))
+        node.start()
     return f"killed {node.name}"
 
 
 def stop_node(site: sites.Site, draw: random.Random) -> str:
     """Stops a node in order and starts it again."""
     node = draw.choice(site.nodes)
-    node.stop(signal.SIGTERM)
-    node.start()
+    with node.lock:
+        node.stop(signal.SIGTERM)
+        node.start()
     return f"stopped {node.name}"
 
 
 def pause_node(site: sites.Site, draw: random.Random) -> str:
     """Pauses a node, so that its shards pass on while it believes in them."""
     node = draw.choice(site.nodes)
-    node.send(signal.SIGSTOP)
-    time.sleep(draw.choice(PAUSES_SECONDS))
-    node.send(signal.SIGCONT)
+    with node.lock:
+        node.send(signal.SIGSTOP)
+        time.sleep(draw.choice(PAUSES_SECONDS))
+        node.send(signal.SIGCONT)
     return f"paused {node.name}"
 
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -84,6 +84,8 @@
             )
         )
         self._process: subprocess.Popen[bytes] | None = None
+        # Two series of faults may choose the same node; one waits.
+        self.lock = threading.Lock()
 
     def start(self) -> None:
         """Starts the process."""
@@ -166,7 +168,7 @@
     def _register(self) -> None:
         while not self._closing.is_set():
             for service in self._services:
-                if not service.worker.cut:
+                if not (service.worker.cut or service.worker.down):
                     self._write(
                         "servers", service.worker.worker_id, service.entry()
                     )
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -180,6 +180,8 @@
         """Answers one call."""
         while self.worker.cut:
             time.sleep(timed_worker.POLL_SECONDS)
+        if self.worker.down:
+            return 500, {}  # Stands for a connection that was reset.
         named = request.headers.get("Wisteriasill-Expect-Instance")
         if named not in (None, self.worker.worker_id):
             return 421, {}
--- a/tests/machines/test_batch_pool.py
+++ b/tests/machines/test_batch_pool.py
@@ -468,3 +468,26 @@
     report = reborn.look(1, 0, None, 0.0)
     assert isinstance(report, cluster.WorkerReport)
     assert len(report.ends) == 1
+
+
+def test_a_clock_that_goes_back_stops_acknowledging(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """Soak seed 45: a start reached the next life between two looks."""
+    link.clock_ms = 50_000
+    worker = started(batch_site.step(1))
+    link.finish(TASK)
+    site.look(worker)
+    site.turn()
+    reborn = batch_worker.MemoryWorker(batch_site.ROOM, born_ms=2)
+    worker.link = reborn
+    site.pool.on_record(batch_site.job_row("j2", [batch_site.step(1)]))
+    site.turn()
+    site.deliver(worker)
+    reborn.finish(job_spec.TaskKey("j2", 0, 0, 0))
+    site.look(worker)
+    report = reborn.look(1, 0, None, 0.0)
+    assert isinstance(report, cluster.WorkerReport)
+    assert len(report.ends) == 1
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -334,9 +334,23 @@
                 ticket,
             )
         )
+        self._check_life(answer)
         self.note_clock(answer.clock_ms, time.monotonic())
         self._owner.on_start_answer(run, answer)
 
+    def _check_life(self, answer: cluster.OrderAnswer) -> None:
+        """Doubts that the worker's life goes on, until a look tells.
+
+        A clock that went back, or a call without an answer, may mean that a
+        next life has the worker's id. Until a look confirms the life, nothing
+        is acknowledged and nothing more is started.
+        """
+        went_back = 0 < answer.clock_ms < self._clock_ms - CLOCK_SLACK_MS
+        if (went_back or answer.outcome in _UNANSWERED) and (
+            not self.silent_since
+        ):
+            self.silent_since = time.monotonic()
+
     def _stop(self, run: batch_job.Run) -> None:
         answer = self.link.stop(run.task, run.number, self._owner.fence)
         if answer.outcome in _UNANSWERED:
