Keep gangs in one rack and renew advice

Cause: a gang with same_rack was placed without regard to racks, and advice was asked for once however long its tickets hold; a timed job's objective counted from its hand-in. Change: each rack is tried whole before several; advice is asked for again when its tickets end; the objective counts from the due time.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -23,6 +23,7 @@
 
     Attributes:
         statuses: Status of each attempt; 0 for none.
+        cancelled: Whether its cancellation was sent, answered or not.
     """
 
     job_id: str
@@ -82,11 +83,9 @@
             if statuses[-1] == 200:
                 break
             time.sleep(ATTEMPT_PAUSE_SECONDS)
-        cancelled = (
-            statuses[-1] == 200
-            and self._draw.random() < 0.1
-            and self.call("DELETE", job_id)[0] == 200
-        )
+        cancelled = statuses[-1] == 200 and self._draw.random() < 0.1
+        if cancelled:
+            self.call("DELETE", job_id)
         return Submitted(job_id, tasks + 1, tuple(statuses), cancelled)
 
     def call(
--- a/tests/machines/test_batch_pool.py
+++ b/tests/machines/test_batch_pool.py
@@ -10,6 +10,7 @@
 from standins import batch_worker
 from tests.machines import batch_site
 from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import worker as workers
@@ -491,3 +492,30 @@
     report = reborn.look(1, 0, None, 0.0)
     assert isinstance(report, cluster.WorkerReport)
     assert len(report.ends) == 1
+
+
+def test_a_gang_prefers_one_rack(site: batch_site.HandDrivenPool) -> None:
+    for number, rack in enumerate(("r1", "r2", "r2")):
+        link = batch_worker.MemoryWorker(batch_site.ROOM)
+        site.look(site.add_worker(f"w{number}", link, rack))
+    gang = batch_site.step(2, 9000, gang=True, same_rack=True)
+    site.pool.on_record(batch_site.job_row("j1", [gang]))
+    assert {run.worker.rack for run in site.turn()} == {"r2"}
+
+
+def test_a_restricted_step_waits_for_advice_and_asks_again(
+    site: batch_site.HandDrivenPool, link: batch_worker.MemoryWorker
+) -> None:
+    rule = queues.AdviceRule(0.01, 0.001, 5.0)
+    queue = batch_site.QUEUE._replace(advice=rule)
+    site.pool.configure(queues.configuration(2, [queue], [], 1000))
+    site.look(site.add_worker("w1", link))
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    assert not site.turn()
+    ((step, worker_ids),) = site.pool.steps_without_advice()
+    assert worker_ids == ["w1"]
+    site.pool.on_advice(step, cluster.Advice({}, -1.0))
+    assert site.pool.steps_without_advice()
+    site.pool.on_advice(step, cluster.Advice({"w1": "ticket"}, 5.0))
+    (run,) = site.turn()
+    assert site.pool.payload(run) == ("payload", "ticket")
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -56,6 +56,13 @@
     progress: tuple[cluster.StoredRow, ...]
 
 
+class Permits(NamedTuple):
+    """Workers that may run a step, and until when their tickets hold."""
+
+    advice: cluster.Advice
+    until: float
+
+
 class LostRun(NamedTuple):
     """A stored run whose worker has not been seen by this holder yet."""
 
@@ -95,7 +102,7 @@
             collections.OrderedDict()
         )
         self.ended_records: list[tuple[str, int]] = []
-        self.tickets = {}  # type: dict[job_spec.StepKey, cluster.Advice]
+        self.permits_by_step: dict[job_spec.StepKey, Permits] = {}
         self.stored_at = claimed_at
         self.fenced = False
         self._fence = fence
@@ -504,10 +511,11 @@
 
     def payload(self, run: batch_job.Run) -> tuple[str, str]:
         """Returns the text and the ticket of a run."""
-        advice = self.tickets.get(run.unit.step_key)
+        permits = self.permits_by_step.get(run.unit.step_key)
         ticket = ""
-        if advice:
-            ticket = advice.ticket_by_worker.get(run.worker.worker_id, "")
+        if permits:
+            tickets = permits.advice.ticket_by_worker
+            ticket = tickets.get(run.worker.worker_id, "")
         return run.unit.job.record.spec.payload, ticket
 
     def on_report(
@@ -813,7 +821,7 @@
             worker.reached = False  # Until a look has an answer.
             worker.wake()
         elif outcome is cluster.OrderOutcome.NO_TICKET:
-            self.tickets.pop(run.unit.step_key, None)
+            self.permits_by_step.pop(run.unit.step_key, None)
         elif outcome is cluster.OrderOutcome.FENCED:
             self._note_fenced(worker)
         self._end_run(run)
@@ -873,6 +881,7 @@
                 if job.record.spec.occurrences and job.open_due_rounds(
                     unix_ms, 0
                 ):
+                    job.learnt_at = now  # Its objective counts from here.
                     self.dirty[job.job_id] = job
             waiting = [job for job in self.job_by_id.values() if job.ready]
             if not waiting:
@@ -1055,26 +1064,18 @@
         permitted = None
         queue = self._queue_by_name.get(unit.job.record.queue)
         if queue and queue.advice:
-            advice = self.tickets.get(unit.step_key)
-            if advice is None:
-                return False
-            permitted = advice.ticket_by_worker.keys()
-        chosen: list[tuple[int, workers.Worker]] = []
-        for index in unit.indexes:
-            worker = worker_choice.choose(
-                candidates,
-                worker_choice.Need(
-                    unit.step, used, used_racks, unit.avoided, permitted
-                ),
-            )
-            if worker is None:
-                for _, taken in chosen:
-                    taken.free(unit.step.need, unit.step.fills)
+            permits = self.permits_by_step.get(unit.step_key)
+            if permits is None or now >= permits.until:
                 return False
-            worker.reserve(unit.step.need, unit.step.fills)
-            used[worker.worker_id] += 1
-            used_racks[worker.rack] += 1
-            chosen.append((index, worker))
+            permitted = permits.advice.ticket_by_worker.keys()
+        need = worker_choice.Need(
+            unit.step, used, used_racks, unit.avoided, permitted
+        )
+        chosen = self._choose_in_one_rack(unit, candidates, need) or (
+            _choose_all(unit, candidates, need)
+        )
+        if not chosen:
+            return False
         unit.last_run += 1
         for index, worker in chosen:
             run = batch_job.Run(unit, index, unit.last_run, worker)
@@ -1088,10 +1089,29 @@
         unit.job.ready.pop(unit.key, None)
         return True
 
+    def _choose_in_one_rack(
+        self,
+        unit: batch_job.Unit,
+        candidates: list[workers.Worker],
+        need: worker_choice.Need,
+    ) -> list[tuple[int, workers.Worker]]:
+        """Chooses workers of one rack for a gang that is slower on several."""
+        if not (unit.step.gang and unit.step.same_rack):
+            return []
+        racks = sorted({worker.rack for worker in candidates})
+        choices = (
+            _choose_all(
+                unit, [one for one in candidates if one.rack == rack], need
+            )
+            for rack in racks
+        )
+        return next((chosen for chosen in choices if chosen), [])
+
     def steps_without_advice(
         self,
     ) -> list[tuple[job_spec.StepKey, list[str]]]:
         """Returns waiting steps of restricted queues and workers to ask for."""
+        now = time.monotonic()
         with self.lock:
             worker_ids = [*self.worker_by_id][:MOST_ADVISED_WORKERS]
             steps = {
@@ -1100,14 +1120,19 @@
                 for unit in job.ready.values()
                 if (queue := self._queue_by_name.get(job.record.queue))
                 and queue.advice
-                and unit.step_key not in self.tickets
+                and (
+                    (permits := self.permits_by_step.get(unit.step_key)) is None
+                    or now >= permits.until
+                )
             }
         return [(step, worker_ids) for step in sorted(steps)]
 
     def on_advice(self, step: job_spec.StepKey, advice: cluster.Advice) -> None:
         """Takes which workers may run a step."""
         with self.lock:
-            self.tickets[step] = advice
+            self.permits_by_step[step] = Permits(
+                advice, time.monotonic() + advice.valid_seconds
+            )
         self._changed.set()
 
     def pending_by_queue(self) -> dict[str, int]:
@@ -1122,6 +1147,29 @@
             )
 
 
+def _choose_all(
+    unit: batch_job.Unit,
+    candidates: list[workers.Worker],
+    need: worker_choice.Need,
+) -> list[tuple[int, workers.Worker]]:
+    """Reserves a worker for each task of a unit, or none at all."""
+    used = collections.Counter(need.used)
+    used_racks = collections.Counter(need.used_racks)
+    need = need._replace(used=used, used_racks=used_racks)
+    chosen: list[tuple[int, workers.Worker]] = []
+    for index in unit.indexes:
+        worker = worker_choice.choose(candidates, need)
+        if worker is None:
+            for _, taken in chosen:
+                taken.free(unit.step.need, unit.step.fills)
+            return []
+        worker.reserve(unit.step.need, unit.step.fills)
+        used[worker.worker_id] += 1
+        used_racks[worker.rack] += 1
+        chosen.append((index, worker))
+    return chosen
+
+
 def _at_work(run: batch_job.Run, now: float) -> bool:
     return (
         run.worker.answers(now)
