Split the pool and its keeper into modules by what they hold

Change: a pool is built in layers (runs, records, workers, reports, planning); news from the store, tables and links have modules of their own. Ruled out: mixins without an order; each layer uses those below it alone.

--- a/tests/links/test_job_desk.py
+++ b/tests/links/test_job_desk.py
@@ -14,7 +14,7 @@
 from wisteriasill.links import cluster
 from wisteriasill.links import job_desk
 from wisteriasill.machines import batch_job
-from wisteriasill.machines import batch_keeper
+from wisteriasill.machines import batch_tables
 
 JOB = "5c0e7a21d94b36f8"
 SPEC = job_spec.JobSpec("text", (batch_site.step(2),))
@@ -40,7 +40,7 @@
 
 def stored_rows(store: row_store.MemoryRowStore) -> int:
     return len(
-        store.follow(batch_keeper.jobs_table(batch_site.SERVICE), 0, 0.0)
+        store.follow(batch_tables.jobs_table(batch_site.SERVICE), 0, 0.0)
         .unwrap()
         .rows
     )
@@ -107,7 +107,7 @@
         [],
         [
             cluster.RowWrite(
-                batch_keeper.progress_table(batch_site.SERVICE),
+                batch_tables.progress_table(batch_site.SERVICE),
                 JOB,
                 batch_job.encode_progress(job),
             )
@@ -144,8 +144,8 @@
     desk: job_desk.JobDesk, store: row_store.MemoryRowStore
 ) -> None:
     submit(desk)
-    table = batch_keeper.jobs_table(batch_site.SERVICE)
-    part = batch_keeper.jobs_part(batch_site.SERVICE, JOB)
+    table = batch_tables.jobs_table(batch_site.SERVICE)
+    part = batch_tables.jobs_part(batch_site.SERVICE, JOB)
     store.transact(
         part,
         [],
--- a/tests/machines/batch_site.py
+++ b/tests/machines/batch_site.py
@@ -15,6 +15,7 @@
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_pool
+from wisteriasill.machines import batch_records
 from wisteriasill.machines import worker as workers
 
 SERVICE = "bench"
@@ -76,7 +77,9 @@
             threading.Event(),
         )
         self.pool.configure(CONFIGURATION)
-        self.pool.load(batch_pool.LoadedPool(tuple(records), tuple(progress)))
+        self.pool.load(
+            batch_records.LoadedPool(tuple(records), tuple(progress))
+        )
         self.progress_by_id: dict[str, bytes] = {}
         self.orders: collections.deque[workers.OrderKind] = collections.deque()
 
--- a/wisteriasill/links/job_desk.py
+++ b/wisteriasill/links/job_desk.py
@@ -14,7 +14,7 @@
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
-from wisteriasill.machines import batch_keeper
+from wisteriasill.machines import batch_tables
 from wisteriasill.zones import shard_ledger
 
 Outcome = result.Result[batch_job.JobState, errors.Failure]
@@ -59,7 +59,7 @@
         record = job_spec.JobRecord(
             queue.name, int(time.time() * 1000), False, spec
         )
-        table = batch_keeper.jobs_table(queue.service)
+        table = batch_tables.jobs_table(queue.service)
         value = cbor2.dumps(job_spec.encode(record))
         in_doubt = False
         while True:
@@ -67,7 +67,7 @@
             if left <= 0:
                 break
             written = self._store.transact(
-                batch_keeper.jobs_part(queue.service, job_id),
+                batch_tables.jobs_part(queue.service, job_id),
                 [cluster.RowVersion(table, job_id, 0)],
                 [cluster.RowWrite(table, job_id, value)],
                 min(left, CALL_SECONDS),
@@ -95,7 +95,7 @@
     def state(self, queue: queues.Queue, job_id: str) -> Outcome:
         """Reads the state of a job."""
         progress = self._read_row(
-            batch_keeper.progress_table(queue.service), queue.service, job_id
+            batch_tables.progress_table(queue.service), queue.service, job_id
         )
         if not isinstance(progress, result.Success):
             return result.Failure(progress.failure())
@@ -103,8 +103,8 @@
         if row is not None and row.value is not None:
             return result.Success(batch_job.decode_state(row.value))
         accepted = self._read_row(
-            batch_keeper.jobs_table(queue.service),
-            batch_keeper.jobs_part(queue.service, job_id),
+            batch_tables.jobs_table(queue.service),
+            batch_tables.jobs_part(queue.service, job_id),
             job_id,
         )
         return accepted.bind(_queued)
@@ -113,8 +113,8 @@
         self, queue: queues.Queue, job_id: str, deadline: float
     ) -> Outcome:
         """Marks a job as cancelled; repeating it changes nothing."""
-        table = batch_keeper.jobs_table(queue.service)
-        part = batch_keeper.jobs_part(queue.service, job_id)
+        table = batch_tables.jobs_table(queue.service)
+        part = batch_tables.jobs_part(queue.service, job_id)
         while True:
             read = self._read_row(table, part, job_id)
             if not isinstance(read, result.Success):
--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -1,26 +1,27 @@
-"""The tasks that keep one pool: planning, storing, and news from the store."""
+"""The tasks that keep one pool: planning, storing and sending."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
 import itertools
 import threading
 import time
-from typing import NamedTuple
 
 import cbor2
 from returns import result
-import xxhash
 
 from wisteriasill import events
-from wisteriasill import metrics
 from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
+from wisteriasill.machines import batch_news
 from wisteriasill.machines import batch_pool
+from wisteriasill.machines import batch_records
+from wisteriasill.machines import batch_runs
+from wisteriasill.machines import batch_tables
 from wisteriasill.machines import fleet_rows
+from wisteriasill.machines import site_links
 from wisteriasill.machines import worker as workers
 from wisteriasill.zones import shard_ledger
 
@@ -28,48 +29,12 @@
 COUNT_SECONDS = 0.1  # Pause between two counts of the pool's load.
 SHORTEST_TURN_SECONDS = 0.01  # As long as a transaction takes.
 TURN_SECONDS = 0.25  # Longest wait between two turns of the planner.
-FOLLOW_SECONDS = 2.0  # Wait of one call for changes.
-REGISTRY_PAUSE_SECONDS = 0.15
-RETRY_SECONDS = 0.25  # Pause after a failed call to the store.
 # Ended jobs stay readable for twice the `status_s` of the platform's pages.
 KEPT_SECONDS = 240.0
 SHORTEN_SECONDS = 2.0  # Groups the ended jobs of a part.
-JOB_PARTS = 8  # At 0.4 s a transaction, 20 jobs a second of one service.
 DELETES_PER_TURN = 20  # Keeps clean-up small beside a turn's other writes.
 
 
-def jobs_table(service: str) -> str:
-    """Name of the table of a service's accepted jobs."""
-    return f"jobs.{service}"
-
-
-def progress_table(service: str) -> str:
-    """Name of the table of the progress of a service's jobs."""
-    return f"progress.{service}"
-
-
-def jobs_part(service: str, job_id: str) -> str:
-    """Part of an accepted job's row.
-
-    A part takes one transaction after the other, so callers' jobs are spread
-    over parts of their own and never delay the holder's commits.
-    """
-    number = xxhash.xxh32_intdigest(job_id.encode()) % JOB_PARTS
-    return f"{service}/{number}"
-
-
-class Cluster(NamedTuple):
-    """All that a node reaches on the platform."""
-
-    store: cluster.RowStore
-    registry: cluster.WorkerRegistry
-    operators: cluster.OperatorOrders
-    hosts: cluster.HostControl
-    advice: cluster.AdviceLink | None
-    open_worker: Callable[[cluster.WorkerEntry], cluster.WorkerLink]
-    metrics: metrics.Metrics
-
-
 class BatchKeeper:
     """Keeps one pool for as long as this node owns its shard.
 
@@ -81,7 +46,7 @@
 
     def __init__(
         self,
-        links: Cluster,
+        links: site_links.SiteLinks,
         ledger: shard_ledger.ShardLedger,
         configuration: queues.SiteConfiguration,
     ) -> None:
@@ -91,7 +56,6 @@
         self._changed = threading.Event()
         self._closing = threading.Event()
         self._jobs_version = 0
-        self._asks_version = 0
         self._beat_at = 0.0
         self._counted_at = 0.0
         self._released: set[str] = set()
@@ -104,15 +68,14 @@
             self._changed,
         )
         self.pool.configure(configuration)
+        self._news = batch_news.PoolNews(
+            links, self.pool, self._changed, self._closing
+        )
         self.lost = False
         self._threads = [
             threading.Thread(target=target, daemon=True)
             for target in (
                 self._keep,
-                self._follow_jobs,
-                self._follow_workers,
-                self._ask_advice,
-                self._follow_asks,
                 self._shorten_records,
             )
         ]
@@ -133,18 +96,19 @@
                 return False
         for thread in self._threads:
             thread.start()
+        self._news.open(self._jobs_version)
         return True
 
     def _load(self) -> bool:
         rows = self._read_rows()
-        load = read_all(
+        load = batch_tables.read_all(
             self._links.store, fleet_rows.LOADS_TABLE, self._service
         )
         if rows is None or load is None:
             return False
         self._ledger.adopt((*rows.progress, *load.rows))
         self.pool.load(rows)
-        self._asks_version = self._read_asks()
+        self._news.read_asks()
         return True
 
     def close(self, release: bool) -> None:
@@ -159,34 +123,17 @@
         if release and not self.lost:
             self._ledger.release()
 
-    def _read_rows(self) -> batch_pool.LoadedPool | None:
-        records = self._read_records()
-        progress = read_all(
-            self._links.store, progress_table(self._service), self._service
+    def _read_rows(self) -> batch_records.LoadedPool | None:
+        records = batch_tables.read_records(self._links.store, self._service)
+        progress = batch_tables.read_all(
+            self._links.store,
+            batch_tables.progress_table(self._service),
+            self._service,
         )
         if records is None or progress is None:
             return None
         self._jobs_version = records.version
-        return batch_pool.LoadedPool(records.rows, progress.rows)
-
-    def _read_records(self) -> cluster.RowPage | None:
-        """Reads the accepted jobs of all parts, with the oldest version."""
-        pages = [
-            read_all(
-                self._links.store,
-                jobs_table(self._service),
-                f"{self._service}/{number}",
-            )
-            for number in range(JOB_PARTS)
-        ]
-        whole = [page for page in pages if page is not None]
-        if len(whole) < JOB_PARTS:
-            return None
-        return cluster.RowPage(
-            tuple(row for page in whole for row in page.rows),
-            True,
-            min(page.version for page in whole),
-        )
+        return batch_records.LoadedPool(records.rows, progress.rows)
 
     def _keep(self) -> None:
         while not self._closing.is_set():
@@ -220,7 +167,7 @@
             noted_by_worker = {
                 worker: worker.noted for worker in pool.worker_by_id.values()
             }
-            table = progress_table(self._service)
+            table = batch_tables.progress_table(self._service)
             writes = [
                 cluster.RowWrite(
                     table, job.job_id, batch_job.encode_progress(job)
@@ -305,15 +252,18 @@
                 pool.ended_records = [
                     one for one in pool.ended_records if one not in ended
                 ]
-            ended.sort(key=lambda one: jobs_part(self._service, one[0]))
+            ended.sort(
+                key=lambda one: batch_tables.jobs_part(self._service, one[0])
+            )
             for part, group in itertools.groupby(
-                ended, key=lambda one: jobs_part(self._service, one[0])
+                ended,
+                key=lambda one: batch_tables.jobs_part(self._service, one[0]),
             ):
                 self._shorten(part, [*group])
 
     def _shorten(self, part: str, ended: list[tuple[str, int]]) -> None:
         """Shortens records of one part; one that changed meanwhile stays."""
-        table = jobs_table(self._service)
+        table = batch_tables.jobs_table(self._service)
         for first in range(0, len(ended), shard_ledger.WRITES_PER_TRANSACTION):
             batch = ended[first : first + shard_ledger.WRITES_PER_TRANSACTION]
             stored = self._links.store.transact(
@@ -341,7 +291,9 @@
                 break
             del ended[job_id]
             writes.append(
-                cluster.RowWrite(progress_table(self._service), job_id, None)
+                cluster.RowWrite(
+                    batch_tables.progress_table(self._service), job_id, None
+                )
             )
         return writes
 
@@ -373,137 +325,6 @@
                 epoch=self._ledger.epoch,
             )
 
-    def _follow_jobs(self) -> None:
-        store, table = self._links.store, jobs_table(self._service)
-        version = self._jobs_version
-        while not self._closing.is_set():
-            page = store.follow(table, version, FOLLOW_SECONDS)
-            if not isinstance(page, result.Success):
-                if page.failure().kind is cluster.StoreFaultKind.HISTORY_LOST:
-                    whole = self._read_records()
-                    if whole is not None:
-                        self._take_records(whole.rows)
-                        version = whole.version
-                        continue
-                self._closing.wait(RETRY_SECONDS)
-                continue
-            self._take_records(page.unwrap().rows)
-            version = max(version, page.unwrap().version)
-
-    def _take_records(self, rows: tuple[cluster.StoredRow, ...]) -> None:
-        for row in rows:
-            self.pool.on_record(row)
-
-    def _follow_workers(self) -> None:
-        registry = self._links.registry
-        version: int | None = None
-        while not self._closing.is_set():
-            page = (
-                registry.read()
-                if version is None
-                else registry.follow(version, FOLLOW_SECONDS)
-            )
-            if not isinstance(page, result.Success):
-                if page.failure().kind is cluster.StoreFaultKind.HISTORY_LOST:
-                    version = None
-                    continue
-                self._closing.wait(RETRY_SECONDS)
-                continue
-            self._take_entries(page.unwrap())
-            version = page.unwrap().version
-            # Heartbeats of all workers wake the feed; several come at a time.
-            self._closing.wait(REGISTRY_PAUSE_SECONDS)
-
-    def _take_entries(self, page: cluster.RegistryPage) -> None:
-        pool = self.pool
-        entry_by_id = {
-            entry.worker_id: entry
-            for entry in page.entries
-            if entry.service == self._service
-        }
-        gone = set(page.gone) | {
-            entry.worker_id
-            for entry in page.entries
-            if entry.service != self._service
-        }
-        if page.whole:
-            gone |= pool.worker_by_id.keys() - entry_by_id.keys()
-        for worker_id in gone & pool.worker_by_id.keys():
-            pool.worker_by_id[worker_id].listed = False
-        for entry in entry_by_id.values():
-            self._take_entry(entry)
-        self._changed.set()
-
-    def _take_entry(self, entry: cluster.WorkerEntry) -> None:
-        pool = self.pool
-        known = pool.worker_by_id.get(entry.worker_id)
-        if known and known.entry.born_ms == entry.born_ms:
-            known.listed = True
-            if known.entry.address == entry.address:
-                known.entry = entry
-                return
-        if known:
-            pool.remove_worker(known, "registered as a new life", reborn=True)
-        worker = workers.Worker(
-            entry,
-            self._links.open_worker(entry),
-            pool,
-            pool.lapse_unknown_until,
-        )
-        pool.add_worker(worker)
-        worker.open()
-        events.log(
-            events.Event.WORKER_JOINED,
-            "A worker joined the pool",
-            service=self._service,
-            worker=entry.worker_id,
-            rack=entry.rack,
-            cpu=entry.room.cpu,
-        )
-
-    def _read_asks(self) -> int:
-        page = self._links.store.read(fleet_rows.TABLE, fleet_rows.SHARD)
-        if not isinstance(page, result.Success):
-            return 0
-        found: cluster.RowPage = page.unwrap()
-        self._take_asks(found.rows)
-        return found.version
-
-    def _take_asks(self, rows: tuple[cluster.StoredRow, ...]) -> None:
-        for row in rows:
-            if row.key == fleet_rows.ASKS_KEY and row.value is not None:
-                self.pool.set_leaving(
-                    {ask.worker_id for ask in fleet_rows.decode_asks(row.value)}
-                )
-            elif row.key == fleet_rows.DOWN_KEY and row.value is not None:
-                down = fleet_rows.decode_down(row.value)
-                self.pool.set_down(set(down.values()))
-
-    def _follow_asks(self) -> None:
-        """Follows which workers the fleet's keeper wants emptied."""
-        version = self._asks_version
-        while not self._closing.is_set():
-            page = self._links.store.follow(
-                fleet_rows.TABLE, version, FOLLOW_SECONDS
-            )
-            if not isinstance(page, result.Success):
-                self._closing.wait(RETRY_SECONDS)
-                version = self._read_asks()
-                continue
-            self._take_asks(page.unwrap().rows)
-            version = max(version, page.unwrap().version)
-
-    def _ask_advice(self) -> None:
-        """Asks which workers may run the steps that wait for advice."""
-        advice = self._links.advice
-        while advice and not self._closing.wait(RETRY_SECONDS / 5):
-            for step, worker_ids in self.pool.steps_without_advice():
-                if self._closing.is_set():
-                    return
-                answer = advice.advise(step, worker_ids)
-                if answer is not None:
-                    self.pool.on_advice(step, answer)
-
 
 def former_lease_seconds(was_released: bool) -> float:
     """Returns how long leases of a shard's former holder may last.
@@ -514,28 +335,4 @@
     lease_seconds = workers.LEASE_SECONDS / workers.SLOWEST_CLOCK
     if was_released:
         return lease_seconds
-    return lease_seconds + batch_pool.STORELESS_SECONDS
-
-
-def read_all(
-    store: cluster.RowStore, table: str, part: str
-) -> cluster.RowPage | None:
-    """Reads all rows of a part of a table, page by page.
-
-    Returns:
-        The rows with the version of the first page, so that following from
-        there misses nothing; None if a page can't be read.
-    """
-    rows: list[cluster.StoredRow] = []
-    version: int | None = None
-    first = ""
-    while True:
-        page = store.read(table, part, first)
-        if not isinstance(page, result.Success):
-            return None
-        found = page.unwrap()
-        version = found.version if version is None else version
-        rows.extend(found.rows)
-        if found.complete or not found.rows:
-            return cluster.RowPage(tuple(rows), True, version)
-        first = found.rows[-1].key + "\0"
+    return lease_seconds + batch_runs.STORELESS_SECONDS
--- /dev/null
+++ b/wisteriasill/machines/batch_news.py
@@ -0,0 +1,197 @@
+"""The tasks that bring a pool its news from the store."""
+
+from __future__ import annotations
+
+import threading
+
+from returns import result
+
+from wisteriasill import events
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_pool
+from wisteriasill.machines import batch_tables
+from wisteriasill.machines import fleet_rows
+from wisteriasill.machines import site_links
+from wisteriasill.machines import worker as workers
+
+FOLLOW_SECONDS = 2.0  # Wait of one call for changes.
+REGISTRY_PAUSE_SECONDS = 0.15
+RETRY_SECONDS = 0.25  # Pause after a failed call to the store.
+
+
+class PoolNews:
+    """Follows jobs, workers, asks and advice for one pool.
+
+    Args:
+        links: The platform.
+        pool: The pool.
+        changed: Set when there is something to plan.
+        closing: Ends the tasks.
+    """
+
+    def __init__(
+        self,
+        links: site_links.SiteLinks,
+        pool: batch_pool.BatchPool,
+        changed: threading.Event,
+        closing: threading.Event,
+    ) -> None:
+        self._links = links
+        self.pool = pool
+        self._service = pool.service
+        self._changed = changed
+        self._closing = closing
+        self._jobs_version = 0
+        self._asks_version = 0
+
+    def open(self, jobs_version: int) -> None:
+        """Starts the tasks.
+
+        Args:
+            jobs_version: Version as of which the jobs' records were read.
+        """
+        self._jobs_version = jobs_version
+        for target in (
+            self._follow_jobs,
+            self._follow_workers,
+            self._ask_advice,
+            self._follow_asks,
+        ):
+            threading.Thread(target=target, daemon=True).start()
+
+    def read_asks(self) -> None:
+        """Reads which workers are to be emptied, before the first plan."""
+        self._asks_version = self._read_asks()
+
+    def _follow_jobs(self) -> None:
+        store, table = self._links.store, batch_tables.jobs_table(self._service)
+        version = self._jobs_version
+        while not self._closing.is_set():
+            page = store.follow(table, version, FOLLOW_SECONDS)
+            if not isinstance(page, result.Success):
+                if page.failure().kind is cluster.StoreFaultKind.HISTORY_LOST:
+                    whole = batch_tables.read_records(
+                        self._links.store, self._service
+                    )
+                    if whole is not None:
+                        self._take_records(whole.rows)
+                        version = whole.version
+                        continue
+                self._closing.wait(RETRY_SECONDS)
+                continue
+            self._take_records(page.unwrap().rows)
+            version = max(version, page.unwrap().version)
+
+    def _take_records(self, rows: tuple[cluster.StoredRow, ...]) -> None:
+        for row in rows:
+            self.pool.on_record(row)
+
+    def _follow_workers(self) -> None:
+        registry = self._links.registry
+        version: int | None = None
+        while not self._closing.is_set():
+            page = (
+                registry.read()
+                if version is None
+                else registry.follow(version, FOLLOW_SECONDS)
+            )
+            if not isinstance(page, result.Success):
+                if page.failure().kind is cluster.StoreFaultKind.HISTORY_LOST:
+                    version = None
+                    continue
+                self._closing.wait(RETRY_SECONDS)
+                continue
+            self._take_entries(page.unwrap())
+            version = page.unwrap().version
+            # Heartbeats of all workers wake the feed; several come at a time.
+            self._closing.wait(REGISTRY_PAUSE_SECONDS)
+
+    def _take_entries(self, page: cluster.RegistryPage) -> None:
+        pool = self.pool
+        entry_by_id = {
+            entry.worker_id: entry
+            for entry in page.entries
+            if entry.service == self._service
+        }
+        gone = set(page.gone) | {
+            entry.worker_id
+            for entry in page.entries
+            if entry.service != self._service
+        }
+        if page.whole:
+            gone |= pool.worker_by_id.keys() - entry_by_id.keys()
+        for worker_id in gone & pool.worker_by_id.keys():
+            pool.worker_by_id[worker_id].listed = False
+        for entry in entry_by_id.values():
+            self._take_entry(entry)
+        self._changed.set()
+
+    def _take_entry(self, entry: cluster.WorkerEntry) -> None:
+        pool = self.pool
+        known = pool.worker_by_id.get(entry.worker_id)
+        if known and known.entry.born_ms == entry.born_ms:
+            known.listed = True
+            if known.entry.address == entry.address:
+                known.entry = entry
+                return
+        if known:
+            pool.remove_worker(known, "registered as a new life", reborn=True)
+        worker = workers.Worker(
+            entry,
+            self._links.open_worker(entry),
+            pool,
+            pool.lapse_unknown_until,
+        )
+        pool.add_worker(worker)
+        worker.open()
+        events.log(
+            events.Event.WORKER_JOINED,
+            "A worker joined the pool",
+            service=self._service,
+            worker=entry.worker_id,
+            rack=entry.rack,
+            cpu=entry.room.cpu,
+        )
+
+    def _read_asks(self) -> int:
+        page = self._links.store.read(fleet_rows.TABLE, fleet_rows.SHARD)
+        if not isinstance(page, result.Success):
+            return 0
+        found: cluster.RowPage = page.unwrap()
+        self._take_asks(found.rows)
+        return found.version
+
+    def _take_asks(self, rows: tuple[cluster.StoredRow, ...]) -> None:
+        for row in rows:
+            if row.key == fleet_rows.ASKS_KEY and row.value is not None:
+                self.pool.set_leaving(
+                    {ask.worker_id for ask in fleet_rows.decode_asks(row.value)}
+                )
+            elif row.key == fleet_rows.DOWN_KEY and row.value is not None:
+                down = fleet_rows.decode_down(row.value)
+                self.pool.set_down(set(down.values()))
+
+    def _follow_asks(self) -> None:
+        """Follows which workers the fleet's keeper wants emptied."""
+        version = self._asks_version
+        while not self._closing.is_set():
+            page = self._links.store.follow(
+                fleet_rows.TABLE, version, FOLLOW_SECONDS
+            )
+            if not isinstance(page, result.Success):
+                self._closing.wait(RETRY_SECONDS)
+                version = self._read_asks()
+                continue
+            self._take_asks(page.unwrap().rows)
+            version = max(version, page.unwrap().version)
+
+    def _ask_advice(self) -> None:
+        """Asks which workers may run the steps that wait for advice."""
+        advice = self._links.advice
+        while advice and not self._closing.wait(RETRY_SECONDS / 5):
+            for step, worker_ids in self.pool.steps_without_advice():
+                if self._closing.is_set():
+                    return
+                answer = advice.advise(step, worker_ids)
+                if answer is not None:
+                    self.pool.on_advice(step, answer)
--- /dev/null
+++ b/wisteriasill/machines/batch_runs.py
@@ -0,0 +1,171 @@
+"""State of a pool, and how its runs end."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Mapping
+import threading
+import time
+from typing import NamedTuple
+
+from wisteriasill import events
+from wisteriasill.contracts import arrival_rate
+from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_job
+from wisteriasill.machines import worker as workers
+
+# Longest time without the store during which leases are still renewed, so
+# that running work outlives an outage; a successor that can't reach a worker
+# waits as long before it starts the worker's tasks elsewhere.
+STORELESS_SECONDS = 6.0
+# Pause before a unit is started again, so that a fault does not repeat at the
+# rate of the planner.
+RESTART_SECONDS = 0.05
+
+
+class Permits(NamedTuple):
+    """Workers that may run a step, and until when their tickets hold."""
+
+    advice: cluster.Advice
+    until: float
+
+
+class LostRun(NamedTuple):
+    """A stored run whose worker has not been seen by this holder yet."""
+
+    unit: batch_job.Unit
+    stored: batch_job.StoredRun
+
+
+class PoolRuns:
+    """A pool's jobs, workers and runs.
+
+    All state is guarded by `lock`; no call leaves the process under it.
+
+    Args:
+        service: Name of the service.
+        fence: Fencing number of this holder.
+        claimed_at: Steady time at which this holder took the pool over.
+        lapse_unknown_until: Steady time after which no lease of the former
+            holder is left.
+        changed: Set when there is something to plan or store.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        fence: int,
+        claimed_at: float,
+        lapse_unknown_until: float,
+        changed: threading.Event,
+    ) -> None:
+        self.service = service
+        self.lock = threading.RLock()
+        self.job_by_id: dict[str, batch_job.Job] = {}
+        self.worker_by_id: dict[str, workers.Worker] = {}
+        self.dirty: dict[str, batch_job.Job] = {}
+        self.planned: list[batch_job.Run] = []
+        self.ended_at_by_id: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self.ended_records: list[tuple[str, int]] = []
+        self.permits_by_step: dict[job_spec.StepKey, Permits] = {}
+        self.stored_at = claimed_at
+        self.fenced = False
+        self._fence = fence
+        self.claimed_at = claimed_at
+        self.lapse_unknown_until = lapse_unknown_until
+        self._changed = changed
+        self._leaving_ids: set[str] = set()
+        self._down_ids: set[str] = set()
+        self._orphans_by_worker: dict[str, list[batch_job.Run]] = {}
+        self._unplaced: dict[str, list[LostRun]] = {}
+        self._queue_by_name: Mapping[str, queues.Queue] = {}
+        self._cpu_arrivals = arrival_rate.pair()
+        self._memory_arrivals = arrival_rate.pair()
+        self._usual_seconds_by_queue: dict[str, float] = {}
+        self._judged_at = 0.0
+        self._mean_work_by_queue: dict[str, float] = {}
+
+    @property
+    def fence(self) -> int:
+        """Fencing number of this holder."""
+        return self._fence
+
+    def may_renew(self) -> bool:
+        """Whether leases may still be extended."""
+        return (
+            not self.fenced
+            and time.monotonic() - self.stored_at < STORELESS_SECONDS
+        )
+
+    def may_start(self, run: batch_job.Run) -> bool:
+        """Whether a planned start still makes sense."""
+        return (
+            not run.stopping
+            and not run.unit.done
+            and not run.unit.job.finished
+            and not self.fenced
+        )
+
+    def _finish(
+        self, job: batch_job.Job, state: batch_job.JobState, reason: str
+    ) -> None:
+        job.state = state
+        job.ready.clear()
+        self.dirty[job.job_id] = job
+        self.job_by_id.pop(job.job_id, None)
+        now = time.monotonic()
+        self.ended_at_by_id[job.job_id] = now
+        self.ended_records.append((job.job_id, job.record_version))
+        events.log(
+            events.Event.JOB_ENDED,
+            "A job ended",
+            job=job.job_id,
+            queue=job.record.queue,
+            state=state.value,
+            reason=reason,
+            age_seconds=round(now - job.learnt_at, 3),
+        )
+
+    def _end_run(self, run: batch_job.Run) -> None:
+        """Frees the room of a run that is over."""
+        if run.state is batch_job.RunState.OVER:
+            return
+        run.state = batch_job.RunState.OVER
+        unit = run.unit
+        if run in unit.runs:
+            unit.runs.remove(run)
+        if run.worker.run_by_task.get(run.task) is run:
+            del run.worker.run_by_task[run.task]
+            run.worker.free(unit.step.need, unit.step.fills)
+            run.worker.idle_since = time.monotonic()
+        if run.checkpoint:
+            unit.checkpoint = unit.checkpoint or run.checkpoint
+        if not unit.job.finished:
+            self.dirty[unit.job.job_id] = unit.job
+        unit.lost_at = time.monotonic()
+        unit.retry_at = max(unit.retry_at, unit.lost_at + RESTART_SECONDS)
+        unit.job.make_ready_again(unit)
+
+    def _stop_run(self, run: batch_job.Run) -> None:
+        if run.stopping or run.state is batch_job.RunState.OVER:
+            return
+        run.stopping = True
+        if run.state is batch_job.RunState.PLANNED:
+            self._end_run(run)
+        else:
+            run.worker.send(workers.OrderKind("stop", run))
+
+    def _note_fenced(self, worker: workers.Worker) -> None:
+        self.fenced = True
+        events.log(
+            events.Event.SHARD_LOST,
+            "A worker obeys a newer holder",
+            level="WARNING",
+            shard=self.service,
+            worker=worker.worker_id,
+        )
+        self._changed.set()
--- a/wisteriasill/machines/fleet_keeper.py
+++ b/wisteriasill/machines/fleet_keeper.py
@@ -16,8 +16,9 @@
 from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
-from wisteriasill.machines import batch_keeper
+from wisteriasill.machines import batch_tables
 from wisteriasill.machines import fleet_rows
+from wisteriasill.machines import site_links
 from wisteriasill.zones import shard_ledger
 
 BEAT_SECONDS = 0.5
@@ -77,7 +78,7 @@
 
     def __init__(
         self,
-        links: batch_keeper.Cluster,
+        links: site_links.SiteLinks,
         ledger: shard_ledger.ShardLedger,
         site: Callable[
             [], tuple[queues.SiteConfiguration, Mapping[int, queues.WaveOrder]]
@@ -111,7 +112,7 @@
 
     def open(self) -> bool:
         """Reads what the former holder stored and starts the tasks."""
-        page = batch_keeper.read_all(
+        page = batch_tables.read_all(
             self._links.store, fleet_rows.TABLE, fleet_rows.SHARD
         )
         if page is None:
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -15,6 +15,7 @@
 from wisteriasill.machines import batch_keeper
 from wisteriasill.machines import fleet_keeper
 from wisteriasill.machines import fleet_rows
+from wisteriasill.machines import site_links
 from wisteriasill.zones import shard_claims
 from wisteriasill.zones import shard_ledger
 
@@ -65,7 +66,7 @@
     """
 
     def __init__(
-        self, settings: NodeSettings, links: batch_keeper.Cluster
+        self, settings: NodeSettings, links: site_links.SiteLinks
     ) -> None:
         self._links = links
         self.desk = job_desk.JobDesk(links.store)
