--- a/bench/paused_holder.py
+++ b/bench/paused_holder.py
@@ -78,7 +78,7 @@
         site.run(20)
         drained = self._rng.sample(site.hosts_of("quoting"), 2)
         for host in drained:
-            site.order(orders.OrderKind.DRAIN, host)
+            site.order(orders.WorkerOrder.DRAIN, host)
         self._arm(site.holder("quoting"), self._rng.randrange(1, 6))
         site.run(150)
         rows = [site.row(host.host_id) for host in drained]
--- a/bench/store_outage.py
+++ b/bench/store_outage.py
@@ -115,7 +115,7 @@
             )
             self._touched.add(host.host_id)
             target = SHAPE.pools[(number + 1) % len(SHAPE.pools)]
-            kind = orders.OrderKind.MOVE if move else orders.OrderKind.DRAIN
+            kind = orders.WorkerOrder.MOVE if move else orders.WorkerOrder.DRAIN
             self._keys.append(
                 self._site.order(kind, host, target if move else "")
             )
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 import threading
+from typing import NamedTuple
 
 from returns import result
 
@@ -17,10 +18,12 @@
 )
 
 
-class Transaction(
-    tuple[str, tuple[cluster.RowVersion, ...], tuple[cluster.RowWrite, ...]]
-):
-    """A transaction that was delayed: part, versions, writes."""
+class Transaction(NamedTuple):
+    """A transaction that was kept back."""
+
+    part: str
+    required: tuple[cluster.RowVersion, ...]
+    writes: tuple[cluster.RowWrite, ...]
 
 
 class MemoryRowStore:
@@ -58,7 +61,7 @@
             if self.delayed_writes:
                 self.delayed_writes -= 1
                 self._delayed.append(
-                    Transaction((part, tuple(required), tuple(writes)))
+                    Transaction(part, tuple(required), tuple(writes))
                 )
                 return result.Failure(UNKNOWN)
             outcome = self._apply(part, required, writes)
--- a/tests/machines/batch_site.py
+++ b/tests/machines/batch_site.py
@@ -81,7 +81,9 @@
             batch_records.LoadedPool(tuple(records), tuple(progress))
         )
         self.progress_by_id: dict[str, bytes] = {}
-        self.orders: collections.deque[workers.OrderKind] = collections.deque()
+        self.orders: collections.deque[workers.WorkerOrder] = (
+            collections.deque()
+        )
 
     def add_worker(
         self,
@@ -126,7 +128,7 @@
         for run in planned:
             if run.state is batch_job.RunState.PLANNED:
                 run.state = batch_job.RunState.ORDERED
-                run.worker.send(workers.OrderKind("start", run))
+                run.worker.send(workers.WorkerOrder("start", run))
         return planned
 
     def deliver(self, worker: workers.Worker) -> None:
--- a/wisteriasill/commands/order.py
+++ b/wisteriasill/commands/order.py
@@ -34,7 +34,7 @@
         wait: Whether to wait until it has been carried out.
     """
 
-    kind: orders.OrderKind
+    kind: orders.WorkerOrder
     subject: str
     author: str
     pool: str = ""
--- a/wisteriasill/commands/order_arguments.py
+++ b/wisteriasill/commands/order_arguments.py
@@ -16,7 +16,7 @@
 class _Target(NamedTuple):
     """What an order is about."""
 
-    kind: orders.OrderKind
+    kind: orders.WorkerOrder
     subject: str
     pool: str = ""
     hold: bool = False
@@ -64,7 +64,7 @@
 ) -> int:
     """Drains a host and reboots it, within its pool's promise."""
     return _run(
-        _Target(orders.OrderKind.DRAIN, host, hold=hold),
+        _Target(orders.WorkerOrder.DRAIN, host, hold=hold),
         _Common(entry, token_file, as_json, no_wait),
     )
 
@@ -79,7 +79,7 @@
 ) -> int:
     """Lets a held host serve again."""
     return _run(
-        _Target(orders.OrderKind.RETURN, host),
+        _Target(orders.WorkerOrder.RETURN, host),
         _Common(entry, token_file, as_json, no_wait),
     )
 
@@ -95,7 +95,7 @@
 ) -> int:
     """Moves a host to another pool."""
     return _run(
-        _Target(orders.OrderKind.MOVE, host, pool),
+        _Target(orders.WorkerOrder.MOVE, host, pool),
         _Common(entry, token_file, as_json, no_wait),
     )
 
@@ -110,7 +110,7 @@
 ) -> int:
     """Stops a pool's maintenance waves until `resume`."""
     return _run(
-        _Target(orders.OrderKind.PAUSE_WAVES, pool),
+        _Target(orders.WorkerOrder.PAUSE_WAVES, pool),
         _Common(entry, token_file, as_json, no_wait),
     )
 
@@ -125,7 +125,7 @@
 ) -> int:
     """Continues a pool's paused or stopped maintenance wave."""
     return _run(
-        _Target(orders.OrderKind.RESUME_WAVES, pool),
+        _Target(orders.WorkerOrder.RESUME_WAVES, pool),
         _Common(entry, token_file, as_json, no_wait),
     )
 
@@ -140,6 +140,6 @@
 ) -> int:
     """Cancels a job."""
     return _run(
-        _Target(orders.OrderKind.CANCEL_JOB, job),
+        _Target(orders.WorkerOrder.CANCEL_JOB, job),
         _Common(entry, token_file, as_json, no_wait),
     )
--- a/wisteriasill/links/operator_orders.py
+++ b/wisteriasill/links/operator_orders.py
@@ -28,10 +28,14 @@
 Text = Annotated[str, pydantic.Field(min_length=1, max_length=MAX_TEXT)]
 
 _HOST_KINDS = frozenset(
-    {orders.OrderKind.DRAIN, orders.OrderKind.RETURN, orders.OrderKind.MOVE}
+    {
+        orders.WorkerOrder.DRAIN,
+        orders.WorkerOrder.RETURN,
+        orders.WorkerOrder.MOVE,
+    }
 )
 _WAVE_KINDS = frozenset(
-    {orders.OrderKind.PAUSE_WAVES, orders.OrderKind.RESUME_WAVES}
+    {orders.WorkerOrder.PAUSE_WAVES, orders.WorkerOrder.RESUME_WAVES}
 )
 
 
@@ -48,7 +52,7 @@
     """
 
     order_id: OrderId
-    kind: orders.OrderKind
+    kind: orders.WorkerOrder
     subject: Text
     author: Text
     pool: Annotated[str, pydantic.Field(max_length=MAX_TEXT)] = ""
@@ -200,7 +204,7 @@
     known = snapshot.hosts_by_id.get(request.subject)
     if known is None:
         return _missing("host", request.subject, snapshot.hosts_by_id)
-    is_move = request.kind is orders.OrderKind.MOVE
+    is_move = request.kind is orders.WorkerOrder.MOVE
     if is_move and request.pool not in configured:
         return _missing("pool", request.pool, configured)
     if is_move and request.pool == known.host.pool:
--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -307,7 +307,7 @@
             for run in planned:
                 if run.state is batch_job.RunState.PLANNED:
                     run.state = batch_job.RunState.ORDERED
-                    run.worker.send(workers.OrderKind("start", run))
+                    run.worker.send(workers.WorkerOrder("start", run))
         for worker, noted in noted_by_worker.items():
             if noted > worker.stored:
                 worker.stored = noted
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -83,7 +83,7 @@
             unit.occurrence, unit.step_number = key.occurrence, key.step
         run = batch_job.Run(unit, seen.task.position, seen.run, worker)
         run.state = batch_job.RunState.RUNNING
-        worker.send(workers.OrderKind("stop", run))
+        worker.send(workers.WorkerOrder("stop", run))
 
     def _note_absent(
         self,
@@ -260,7 +260,7 @@
         if run.state is not batch_job.RunState.RUNNING:
             run.state = batch_job.RunState.UNCERTAIN
             run.stopping = True
-            run.worker.send(workers.OrderKind("stop", run))
+            run.worker.send(workers.WorkerOrder("stop", run))
 
     def _reject_start(
         self, run: batch_job.Run, outcome: cluster.OrderOutcome
@@ -333,7 +333,7 @@
         for run in fillers:
             if run.pace != percent or run.percent != percent:
                 run.pace = percent
-                worker.send(workers.OrderKind("pace", run, percent))
+                worker.send(workers.WorkerOrder("pace", run, percent))
 
 
 _NO_RECORD = job_spec.JobRecord(
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -157,7 +157,7 @@
         if run.state is batch_job.RunState.PLANNED:
             self._end_run(run)
         else:
-            run.worker.send(workers.OrderKind("stop", run))
+            run.worker.send(workers.WorkerOrder("stop", run))
 
     def _note_fenced(self, worker: workers.Worker) -> None:
         self.fenced = True
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -46,7 +46,7 @@
         run.stopping = True
         worker.run_by_task[run.task] = run
         worker.reserve(run.unit.step.need, run.unit.step.fills)
-        worker.send(workers.OrderKind("stop", run))
+        worker.send(workers.WorkerOrder("stop", run))
 
     def _add_uncertain_run(
         self,
--- a/wisteriasill/machines/site_keeper.py
+++ b/wisteriasill/machines/site_keeper.py
@@ -171,7 +171,7 @@
         order = orders.Order(
             f"{AUTHOR}-{self._context.token_source()}",
             move.from_pool,
-            orders.OrderKind.MOVE,
+            orders.WorkerOrder.MOVE,
             move.host_id,
             AUTHOR,
             pool=move.to_pool,
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -40,7 +40,7 @@
 )
 
 
-class OrderKind(NamedTuple):
+class WorkerOrder(NamedTuple):
     """An order that waits for its worker's connection.
 
     Attributes:
@@ -137,7 +137,7 @@
         self._clock_at = 0.0
         self._lease_until_ms = 0
         self._lapse_unknown_until = lapse_unknown_until
-        self._orders: collections.deque[OrderKind] = collections.deque()
+        self._orders: collections.deque[WorkerOrder] = collections.deque()
         self._order_ready = threading.Semaphore(0)
         self._closing = threading.Event()
         self._wake = threading.Event()
@@ -176,7 +176,7 @@
         """Ends the wait between two looks."""
         self._wake.set()
 
-    def send(self, order: OrderKind) -> None:
+    def send(self, order: WorkerOrder) -> None:
         """Queues an order."""
         self._orders.append(order)
         self._order_ready.release()
@@ -355,7 +355,7 @@
         answer = self.link.stop(run.task, run.number, self._owner.fence)
         if answer.outcome in _UNANSWERED:
             self._closing.wait(STOP_RETRY_SECONDS)
-            self.send(OrderKind("stop", run))
+            self.send(WorkerOrder("stop", run))
             return
         self._owner.on_stop_answer(run, answer)
 
