Let strong nodes take shards first and relieve slow holders

Its orders waited over 1.5 s (lease-too-old 24 to 59 a second), hosts needed rose from 73 to 361, and it kept the shard until its own SIGTERM. Ruled out: store outage (no STORE_FAILED), workers (joined within 0.2 s of the next take-over), the closing power loss (all shards held 3.2 s after it). Change: nodes publish their strength; the wait of a slow one is longer than that of a strong one with a shard or two; a strong node offers to relieve a slow holder, which then releases the shard. On sites of equal nodes nobody waits longer than before.

--- /dev/null
+++ b/tests/contracts/test_shard_choice.py
@@ -0,0 +1,50 @@
+"""Tests of the choice among nodes for a shard."""
+
+from __future__ import annotations
+
+import pytest
+
+from wisteriasill.contracts import shard_choice
+
+SLOW = shard_choice.Bidder(0.05, 1.0, 0, 0.0)
+FAST = shard_choice.Bidder(1.0, 1.0, 0, 1.0)
+
+
+@pytest.mark.parametrize("released", [True, False])
+@pytest.mark.parametrize("kept", [0, 1])
+def test_a_fast_node_comes_before_a_slow_one(released: bool, kept: int) -> None:
+    fast = FAST._replace(kept=kept)
+    assert shard_choice.patience_seconds(
+        fast, released
+    ) < shard_choice.patience_seconds(SLOW, released)
+
+
+def test_nodes_of_a_site_of_slow_nodes_wait_no_longer() -> None:
+    alone = SLOW._replace(strongest=0.05)
+    assert shard_choice.patience_seconds(alone, released=True) == 0.0
+
+
+def test_a_silent_holder_is_given_more_time_than_a_vacant_shard() -> None:
+    assert shard_choice.patience_seconds(FAST, released=False) == (
+        shard_choice.patience_seconds(FAST, released=True)
+        + shard_choice.SILENCE_SECONDS
+    )
+
+
+@pytest.mark.parametrize(
+    ("bidder", "holder_strength", "held", "offers"),
+    [
+        (FAST, 0.05, 3.0, True),
+        (FAST, 0.05, 1.0, False),
+        (FAST, 0.8, 30.0, False),
+        (FAST._replace(kept=2), 0.05, 30.0, False),
+        (SLOW, 0.05, 30.0, False),
+    ],
+)
+def test_only_a_much_stronger_node_with_room_relieves_a_holder(
+    bidder: shard_choice.Bidder,
+    holder_strength: float,
+    held: float,
+    offers: bool,
+) -> None:
+    assert shard_choice.relieves(bidder, holder_strength, held) is offers
--- /dev/null
+++ b/tests/zones/test_shard_claims.py
@@ -0,0 +1,144 @@
+"""Tests of how nodes of unlike strength share the shards of a site."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import time
+
+import pytest
+
+from standins import row_store
+from wisteriasill.zones import shard_claims
+from wisteriasill.zones import shard_ledger
+
+SHARD = "quoting"
+
+
+class QuietKeeper:
+    """A keeper without tasks that beats when the test says so."""
+
+    def __init__(self, ledger: shard_ledger.ShardLedger) -> None:
+        self.ledger = ledger
+        self.lost = False
+
+    def open(self) -> bool:
+        """Starts nothing."""
+        return True
+
+    def beat(self) -> None:
+        """Renews the ownership."""
+        self.lost = (
+            self.ledger.commit([], b"\xa0")
+            is not shard_ledger.CommitOutcome.STORED
+        )
+
+    def close(self, release: bool) -> None:
+        """Gives the shard up if asked to."""
+        if release and not self.lost:
+            self.ledger.release()
+
+
+class FakeClock:
+    """A steady clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.now = time.monotonic()
+
+    def monotonic(self) -> float:
+        """Returns the time that the test set."""
+        return self.now
+
+
+class Node:
+    """A node that looks at the site's only shard when told to."""
+
+    def __init__(
+        self, store: row_store.MemoryRowStore, name: str, strength: float
+    ) -> None:
+        self.claims = shard_claims.ShardClaims(
+            store, name, QuietKeeper, strength
+        )
+
+    @property
+    def holds(self) -> bool:
+        """Whether it keeps the shard."""
+        return SHARD in self.claims.keeper_by_shard
+
+    def turn(self) -> None:
+        """Beats if it holds the shard, then looks at it."""
+        keeper = self.claims.keeper_by_shard.get(SHARD)
+        if isinstance(keeper, QuietKeeper):
+            keeper.beat()
+        self.claims.turn([SHARD])
+
+
+@pytest.fixture
+def store() -> row_store.MemoryRowStore:
+    return row_store.MemoryRowStore()
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> FakeClock:
+    fake = FakeClock()
+    monkeypatch.setattr(shard_claims.time, "monotonic", fake.monotonic)
+    return fake
+
+
+@pytest.fixture
+def pass_time(clock: FakeClock) -> Callable[[list[Node], float], None]:
+    def turn_all(nodes: list[Node], seconds: float) -> None:
+        for _ in range(round(seconds / shard_claims.POLL_SECONDS)):
+            clock.now += shard_claims.POLL_SECONDS
+            for node in nodes:
+                node.turn()
+
+    return turn_all
+
+
+def test_a_fast_node_takes_a_released_shard_before_slow_ones(
+    store: row_store.MemoryRowStore,
+    pass_time: Callable[[list[Node], float], None],
+) -> None:
+    slow = [Node(store, f"slow-{number}", 0.05) for number in range(8)]
+    fast = Node(store, "fast", 1.0)
+    pass_time([*slow, fast], 3.2)
+    assert fast.holds
+    assert not any(node.holds for node in slow)
+
+
+def test_a_slow_holder_hands_its_shard_to_a_fast_node(
+    store: row_store.MemoryRowStore,
+    pass_time: Callable[[list[Node], float], None],
+) -> None:
+    slow = Node(store, "slow", 0.05)
+    pass_time([slow], 3.2)
+    assert slow.holds
+    fast = Node(store, "fast", 1.0)
+    pass_time([slow, fast], 6.0)
+    assert fast.holds
+    assert not slow.holds
+
+
+def test_a_slow_holder_keeps_its_shard_among_slow_nodes(
+    store: row_store.MemoryRowStore,
+    pass_time: Callable[[list[Node], float], None],
+) -> None:
+    first = Node(store, "first", 0.05)
+    pass_time([first], 3.2)
+    second = Node(store, "second", 0.05)
+    pass_time([first, second], 8.0)
+    assert first.holds
+    assert not second.holds
+
+
+def test_an_offer_for_an_earlier_holder_counts_no_more(
+    store: row_store.MemoryRowStore,
+    pass_time: Callable[[list[Node], float], None],
+) -> None:
+    slow = Node(store, "slow", 0.05)
+    pass_time([slow], 3.2)
+    fast = Node(store, "fast", 1.0)
+    pass_time([slow, fast], 6.0)
+    fast.claims.stop()
+    pass_time([slow], 8.0)
+    assert slow.holds
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -25,7 +25,6 @@
 # which takes 2 s at 10 Mbit/s.
 STRONG_CORES = 0.9
 STRONG_LINK_MBPS = 100.0
-WEAK_SECONDS = 1.0  # Stronger nodes claim within the stagger of 0.5 s.
 # A following call ends within 1.7 s; a slow store adds half a second.
 STORE_SILENCE_SECONDS = 2.5
 
@@ -48,13 +47,11 @@
     link_mbps: float = 1000.0
 
 
-def handicap_seconds(settings: NodeSettings) -> float:
-    """Returns how long a node leaves a vacant shard to stronger ones."""
-    strong = (
-        settings.cores >= STRONG_CORES
-        and settings.link_mbps >= STRONG_LINK_MBPS
+def strength(settings: NodeSettings) -> float:
+    """Returns how well a node can keep shards, from 0 to 1."""
+    return min(1.0, settings.cores / STRONG_CORES) * min(
+        1.0, settings.link_mbps / STRONG_LINK_MBPS
     )
-    return 0.0 if strong else WEAK_SECONDS
 
 
 class SiteNode:
@@ -78,7 +75,7 @@
             links.store,
             settings.name,
             self._make_keeper,
-            handicap_seconds(settings),
+            strength(settings),
         )
         self._threads = [
             threading.Thread(target=target, daemon=True)
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -11,17 +11,17 @@
 import xxhash
 
 from wisteriasill import events
+from wisteriasill.contracts import shard_choice
 from wisteriasill.links import cluster
 from wisteriasill.zones import shard_ledger
 
 POLL_SECONDS = 0.4
-# Four beats, or one and a transaction of a slow store. A claim of a shard whose
-# holder lives after all breaks nothing, but its successor reads all rows.
-SILENCE_SECONDS = 2.0
-# Spreads the claims of nodes that see a vacant shard at the same time.
-STAGGER_SECONDS = 0.5
-# Further wait for each shard that a node keeps already.
-LOAD_SECONDS = 0.6
+# Part of the shards' table with a row for each node: its strength.
+NODES_PART = ":nodes"
+# Row of a shard by which a stronger node asks its holder to hand it on; the
+# value is the fencing number of the holder that it means.
+OFFER = "offer"
+OFFER_TIMEOUT_SECONDS = 1.0  # A slow store takes 0.4 s a transaction.
 
 
 class Keeper(Protocol):
@@ -37,10 +37,16 @@
 
 
 class Sighting(NamedTuple):
-    """A shard's state and since when it has stood still."""
+    """What a node saw of a shard.
+
+    Attributes:
+        since: Steady time since when the state has stood still.
+        held_since: Steady time since when the holder has been the same.
+    """
 
     state: shard_ledger.ShardState
     since: float
+    held_since: float
 
 
 class ShardClaims:
@@ -50,7 +56,7 @@
         store: The platform's store.
         node: Name of this node.
         make_keeper: Builds the tasks for a claimed shard.
-        handicap_seconds: Further wait of a node that is slower than others.
+        strength: Speed of this node, 1 for one that keeps any pool with ease.
     """
 
     def __init__(
@@ -58,12 +64,12 @@
         store: cluster.RowStore,
         node: str,
         make_keeper: Callable[[shard_ledger.ShardLedger], Keeper],
-        handicap_seconds: float = 0.0,
+        strength: float = 1.0,
     ) -> None:
         self._store = store
         self._node = node
         self._make_keeper = make_keeper
-        self._handicap_seconds = handicap_seconds
+        self._strength = strength
         self._sighting_by_shard: dict[str, Sighting] = {}
         self._row_by_name: dict[tuple[str, str], cluster.StoredRow] = {}
         self._version: int | None = None
@@ -88,6 +94,8 @@
             self._sighting_by_shard.clear()
             self._version = None
             return
+        for shard in [*self.keeper_by_shard]:
+            self._hand_on_if_asked(shard)
         for shard in shards:
             if (
                 shard not in self.keeper_by_shard
@@ -112,14 +120,32 @@
 
     def _read_all(self, shards: Collection[str]) -> bool:
         versions: list[int] = []
-        for shard in shards:
-            page = self._store.read(shard_ledger.TABLE, shard)
+        for part in (NODES_PART, *shards):
+            page = self._store.read(shard_ledger.TABLE, part)
             if not isinstance(page, result.Success):
                 return False
             self._note(page.unwrap().rows)
             versions.append(page.unwrap().version)
         self._version = min(versions, default=None)
-        return True
+        return self._register()
+
+    def _register(self) -> bool:
+        """Stores this node's strength, unless it is stored already."""
+        own = self._row_by_name.get((NODES_PART, self._node))
+        value = repr(self._strength).encode()
+        if own is not None and own.value == value:
+            return True
+        written = self._store.transact(
+            NODES_PART,
+            [
+                cluster.RowVersion(
+                    shard_ledger.TABLE, self._node, own.version if own else 0
+                )
+            ],
+            [cluster.RowWrite(shard_ledger.TABLE, self._node, value)],
+            OFFER_TIMEOUT_SECONDS,
+        )
+        return isinstance(written, result.Success)
 
     def _note(self, rows: Iterable[cluster.StoredRow]) -> None:
         self._row_by_name.update(((row.part, row.key), row) for row in rows)
@@ -133,27 +159,91 @@
         state, now = shard_ledger.state_of(rows), time.monotonic()
         seen = self._sighting_by_shard.get(shard)
         if seen is None or seen.state != state:
-            seen = Sighting(state, now)
+            same_holder = seen is not None and seen.state.epoch == state.epoch
+            held_since = seen.held_since if seen and same_holder else now
+            seen = Sighting(state, now, held_since)
             self._sighting_by_shard[shard] = seen
-        patience = (
-            self._stagger(shard)
-            + self._handicap_seconds
-            + LOAD_SECONDS * len(self.keeper_by_shard)
-        )
-        if state.holder and state.holder != self._node:
-            patience += SILENCE_SECONDS
-        if now - seen.since < patience:
-            return
+        bidder = self._bidder(shard)
+        released = state.holder in ("", self._node)
+        if now - seen.since >= shard_choice.patience_seconds(bidder, released):
+            self._claim_if_unchanged(shard, state, now - seen.since)
+        elif not released and shard_choice.relieves(
+            bidder, self._strength_of(state.holder), now - seen.held_since
+        ):
+            self._offer(shard, state)
+
+    def _claim_if_unchanged(
+        self, shard: str, state: shard_ledger.ShardState, silent_seconds: float
+    ) -> None:
         # The feed may lag; a claim needs the rows as they are.
         read = shard_ledger.read_state(self._store, shard)
         if isinstance(read, result.Success) and read.unwrap() == state:
-            self._claim(shard, state, now - seen.since)
+            self._claim(shard, state, silent_seconds)
         else:
             self._version = None
 
+    def _bidder(self, shard: str) -> shard_choice.Bidder:
+        strengths = [
+            float(row.value)
+            for (part, _), row in self._row_by_name.items()
+            if part == NODES_PART and row.value is not None
+        ]
+        return shard_choice.Bidder(
+            self._strength,
+            shard_choice.strongest([*strengths, self._strength]),
+            len(self.keeper_by_shard),
+            self._stagger(shard),
+        )
+
+    def _strength_of(self, node: str) -> float:
+        """Returns a node's strength, this node's own if it is unknown."""
+        row = self._row_by_name.get((NODES_PART, node))
+        return float(row.value) if row and row.value else self._strength
+
+    def _offer(self, shard: str, state: shard_ledger.ShardState) -> None:
+        """Asks the holder of a shard to hand it on, once for each holder."""
+        value = str(state.epoch).encode()
+        row = self._row_by_name.get((shard, OFFER))
+        if row is not None and row.value == value:
+            return
+        self._store.transact(
+            shard,
+            [
+                cluster.RowVersion(
+                    shard_ledger.TABLE, shard_ledger.OWNER, state.epoch
+                ),
+                cluster.RowVersion(
+                    shard_ledger.TABLE, OFFER, row.version if row else 0
+                ),
+            ],
+            [cluster.RowWrite(shard_ledger.TABLE, OFFER, value)],
+            OFFER_TIMEOUT_SECONDS,
+        )
+
+    def _hand_on_if_asked(self, shard: str) -> None:
+        """Gives a shard up for which a stronger node has offered itself."""
+        owner = self._row_by_name.get((shard, shard_ledger.OWNER))
+        offer = self._row_by_name.get((shard, OFFER))
+        if (
+            owner is None
+            or offer is None
+            or owner.value != self._node.encode()
+            or offer.value != str(owner.version).encode()
+        ):
+            return
+        events.log(
+            events.Event.SHARD_HANDED_ON,
+            "A stronger node offered to keep the shard; it is given up",
+            shard=shard,
+            epoch=owner.version,
+            strength=self._strength,
+        )
+        self.keeper_by_shard.pop(shard).close(release=True)
+
     def _stagger(self, shard: str) -> float:
+        """Returns this node's share of the stagger, the same at each look."""
         digest = xxhash.xxh32_intdigest(f"{self._node}/{shard}".encode())
-        return STAGGER_SECONDS * digest / 2**32
+        return digest / 2**32
 
     def _claim(
         self, shard: str, state: shard_ledger.ShardState, silent_seconds: float
