--- a/tests/zones/test_shard_claims.py
+++ b/tests/zones/test_shard_claims.py
@@ -80,7 +80,7 @@
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> FakeClock:
     fake = FakeClock()
-    monkeypatch.setattr(shard_claims.time, "monotonic", fake.monotonic)
+    monkeypatch.setattr(time, "monotonic", fake.monotonic)
     return fake
 
 
