Serve late jobs that are still of use before those that are not

Change: three outlooks (in time, late, of no use); the first two are ranked by worth for each core-second, the last by age. Test replays a backlog.

--- a/tests/contracts/test_job_placement.py
+++ b/tests/contracts/test_job_placement.py
@@ -53,11 +53,24 @@
         (WORK, WORK._replace(age_seconds=2.5)),
         (WORK._replace(core_seconds=2.0), WORK),
         (
+            WORK._replace(age_seconds=10.0),
             WORK._replace(age_seconds=9.0),
-            WORK._replace(age_seconds=8.0),
         ),
+        (WORK._replace(age_seconds=7.0), WORK._replace(age_seconds=9.0)),
+        (
+            WORK._replace(age_seconds=4.0, core_seconds=2.0),
+            WORK._replace(age_seconds=7.0),
+        ),
+    ],
+    ids=[
+        "lasting",
+        "priority",
+        "in time",
+        "little left",
+        "oldest of no use",
+        "late before of no use",
+        "little left of late",
     ],
-    ids=["lasting", "priority", "in time", "little left", "oldest late"],
 )
 def test_order_of_two_jobs(
     first: work_order.WaitingWork, second: work_order.WaitingWork
@@ -83,6 +96,27 @@
     assert in_time(ranked) >= 4 * in_time(jobs)
 
 
+def test_a_backlog_serves_jobs_that_are_still_of_use_first() -> None:
+    """One core after an outage of ten seconds, with a job waiting from each
+    half second: those of the first seconds are of no use any more.
+    """
+    jobs = [
+        WORK._replace(age_seconds=age / 2, core_seconds=1.0)
+        for age in range(20)
+    ]
+
+    def useful(order: list[work_order.WaitingWork]) -> int:
+        return sum(
+            job.age_seconds + done_at
+            <= work_order.USEFUL_SPAN * job.objective_seconds
+            for done_at, job in enumerate(order, 1)
+        )
+
+    ranked = sorted(jobs, key=lambda job: work_order.place(job, 10.0))
+    oldest_first = sorted(jobs, key=lambda job: -job.age_seconds)
+    assert useful(ranked) > useful(oldest_first)
+
+
 @pytest.mark.parametrize(
     ("candidate", "fits"),
     [
--- a/wisteriasill/contracts/work_order.py
+++ b/wisteriasill/contracts/work_order.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import NamedTuple
 
 
@@ -30,15 +31,27 @@
     total_core_seconds: float
 
 
+class Outlook(enum.IntEnum):
+    """What a job can still earn, the best first."""
+
+    IN_TIME = 0
+    LATE = 1
+    USELESS = 2
+
+
 class Place(NamedTuple):
     """Sort key of a job; the smallest comes first."""
 
     not_lasting: bool
     priority: int
-    late: bool
+    outlook: Outlook
     cost: float
 
 
+# A job that ends after its objective is of some use up to this multiple of it,
+# as the rules of the platform's users state it.
+USEFUL_SPAN = 3.0
+
 # Part of a job's worth that does not grow with its work, as the rules of the
 # platform's users state it; the rest is in proportion to its work.
 FIXED_WORTH = 0.3
@@ -46,11 +59,22 @@
 LEAST_CORE_SECONDS = 0.05
 
 
+def outlook(work: WaitingWork) -> Outlook:
+    """Tells whether a job that starts now ends in time, late, or too late."""
+    age_at_end = work.age_seconds + work.chain_seconds
+    if age_at_end <= work.objective_seconds:
+        return Outlook.IN_TIME
+    if age_at_end <= USEFUL_SPAN * work.objective_seconds:
+        return Outlook.LATE
+    return Outlook.USELESS
+
+
 def place(work: WaitingWork, mean_core_seconds: float) -> Place:
     """Ranks a job by worth for each core-second that it still needs.
 
-    Jobs that can't end in time come after all that can: they earn little
-    whenever they end. Among them the oldest is first, so none starves.
+    Jobs that end late come after all that can be in time, and those that are
+    too late to be of use come last. Among these the oldest is first, so none
+    starves.
 
     Args:
         work: The job.
@@ -59,10 +83,13 @@
     Returns:
         Its sort key.
     """
-    late = work.age_seconds + work.chain_seconds > work.objective_seconds
-    if late:
-        return Place(not work.lasting, work.priority, True, -work.age_seconds)
-    share = work.total_core_seconds / max(mean_core_seconds, LEAST_CORE_SECONDS)
-    worth = FIXED_WORTH + (1 - FIXED_WORTH) * share
-    cost = max(work.core_seconds, LEAST_CORE_SECONDS) / worth
-    return Place(not work.lasting, work.priority, False, cost)
+    seen = outlook(work)
+    if seen is Outlook.USELESS:
+        cost = -work.age_seconds
+    else:
+        share = work.total_core_seconds / max(
+            mean_core_seconds, LEAST_CORE_SECONDS
+        )
+        worth = FIXED_WORTH + (1 - FIXED_WORTH) * share
+        cost = max(work.core_seconds, LEAST_CORE_SECONDS) / worth
+    return Place(not work.lasting, work.priority, seen, cost)
