--- a/tests/contracts/test_job_placement.py
+++ b/tests/contracts/test_job_placement.py
@@ -97,9 +97,7 @@
 
 
 def test_a_backlog_serves_jobs_that_are_still_of_use_first() -> None:
-    """One core after an outage of ten seconds, with a job waiting from each
-    half second: those of the first seconds are of no use any more.
-    """
+    """One core after an outage: the jobs of its first seconds are useless."""
     jobs = [
         WORK._replace(age_seconds=age / 2, core_seconds=1.0)
         for age in range(20)
