--- a/standins/demo.py
+++ b/standins/demo.py
@@ -76,7 +76,7 @@
                 **demo_report.count(
                     sent, self._demo_site.fleet.reports_by_host().values()
                 ),
-                "hosts_in_two_pools_max": self._most_pools_of_a_host(),
+                "most_pools_of_a_host": self._most_pools_of_a_host(),
                 "new_work_after_drain_seconds": self._new_work_seconds(drained),
                 "configuration_in_force_seconds": in_force_seconds,
                 "drained_host": drained.host_id,
--- a/standins/demo_report.py
+++ b/standins/demo_report.py
@@ -32,7 +32,7 @@
     false_refusals: int
     cut_off: int
     worker_slots_max: int
-    hosts_in_two_pools_max: int
+    most_pools_of_a_host: int
     new_work_after_drain_seconds: float
     configuration_in_force_seconds: float
     drained_host: str
@@ -117,7 +117,7 @@
         and facts["false_refusals"] == 0
         and facts["cut_off"] == 0
         and facts["worker_slots_max"] <= MAX_SLOTS
-        and facts["hosts_in_two_pools_max"] == 1
+        and facts["most_pools_of_a_host"] == 1
         and facts["new_work_after_drain_seconds"] <= MAX_NEW_WORK_SECONDS
         and facts["configuration_in_force_seconds"] <= MAX_IN_FORCE_SECONDS
         and bool(facts["job_resumed_from_checkpoint"])
--- a/tests/commands/test_publish.py
+++ b/tests/commands/test_publish.py
@@ -15,6 +15,8 @@
 from wisteriasill.commands import lock_file
 from wisteriasill.contracts import orders
 from wisteriasill.contracts import service_file
+from wisteriasill.machines import host as hosts
+from wisteriasill.zones import site as sites
 
 
 @pytest.fixture(autouse=True)
@@ -98,6 +100,40 @@
     assert "generation 2 is in force everywhere" in outcome.output
 
 
+def test_publish_waits_until_hosts_serve(
+    run: conftest.Run, entry: operator_site.OperatorSite, folder: pathlib.Path
+) -> None:
+    """A request right after `publish` must not meet an empty pool."""
+    pool = entry.site.snapshot.hosts_by_pool["quoting"]
+    entry.site.update_hosts(
+        sites.KnownHost(host._replace(state=hosts.HostState.REBOOTING), 2)
+        for host in pool
+    )
+    returning = threading.Timer(
+        1.0,
+        entry.site.update_hosts,
+        [[sites.KnownHost(host, 3) for host in pool]],
+    )
+    returning.start()
+    outcome = run("publish", str(folder))
+    returning.join()
+    assert outcome.status == 0
+    assert "waiting for hosts of quoting" in outcome.output
+
+
+def test_a_lock_of_a_later_generation_names_the_file_and_the_way_on(
+    run: conftest.Run, folder: pathlib.Path
+) -> None:
+    assert run("publish", str(folder)).status == 0
+    lock = lock_file.read(folder).unwrap()
+    assert lock is not None
+    lock_file.write(folder, lock._replace(generation=7)).unwrap()
+    refused = run("publish", str(folder))
+    assert refused.status == 2
+    assert lock_file.NAME in refused.errors
+    assert "delete it or pass --base" in refused.errors
+
+
 @pytest.mark.parametrize(
     ("old", "new", "named"),
     [
--- a/tests/commands/test_usage.py
+++ b/tests/commands/test_usage.py
@@ -5,6 +5,8 @@
 import json
 import pathlib
 import socket
+import subprocess
+import sys
 
 import pytest
 
@@ -130,3 +132,17 @@
     monkeypatch.setenv("COMPLETION_LINE", "wisteriasill pu")
     monkeypatch.setenv("COMPLETION_LOCATION", "2")
     assert "publish" in run("--completion", "complete").output
+
+
+def test_a_reader_that_stops_early_is_no_traceback() -> None:
+    """As `wisteriasill check ... | head` does."""
+    with subprocess.Popen(
+        [sys.executable, "-m", "wisteriasill", "check", "examples/malabar"],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    ) as command:
+        assert command.stdout is not None
+        assert command.stderr is not None
+        command.stdout.close()
+        errors = command.stderr.read()
+    assert errors == b""
--- a/tests/links/test_caller_link.py
+++ b/tests/links/test_caller_link.py
@@ -150,3 +150,32 @@
     assert b" 503 " in head.splitlines()[0]
     assert b"Retry-After: 1" in head
     assert json.loads(body)["executed"] == "no"
+
+
+@pytest.mark.parametrize(
+    "header", ["Idempotency-Key: caf\xe9", "X-Caller: caf\xe9"]
+)
+def test_header_values_beyond_ascii_are_the_callers_error(
+    link: caller_link.CallerLink, header: str
+) -> None:
+    """Such a value would fail later on, as if the request might have run."""
+    data = (
+        "POST /certificates/issue HTTP/1.1\r\nHost: x\r\n"
+        f"Connection: close\r\nContent-Length: 2\r\n{header}\r\n\r\nok"
+    ).encode("latin-1")
+    answer = converse(link.port, data)
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert b"executed: no" in answer.lower()
+
+
+def test_a_body_far_too_large_gets_a_readable_answer(
+    link: caller_link.CallerLink,
+) -> None:
+    """Closing with unread bytes would reset the connection."""
+    size = 20_000_000
+    head = (
+        "POST /certificates/issue HTTP/1.1\r\nHost: x\r\n"
+        f"Connection: close\r\nContent-Length: {size}\r\n\r\n"
+    ).encode()
+    answer = converse(link.port, head + b"x" * size)
+    assert answer.startswith(b"HTTP/1.1 413 ")
--- a/wisteriasill/__main__.py
+++ b/wisteriasill/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from typing import Annotated
 
@@ -10,6 +11,7 @@
 from wisteriasill.commands import arguments
 from wisteriasill.commands import check
 from wisteriasill.commands import command_output
+from wisteriasill.commands import console
 from wisteriasill.commands import entry as entry_command
 from wisteriasill.commands import events
 from wisteriasill.commands import explain
@@ -284,14 +286,20 @@
     Args:
         argv: Arguments; those of the process by default.
     """
-    sys.exit(
-        cappa.invoke(
+    try:
+        status = cappa.invoke(
             Wisteriasill,
             argv=argv,
             output=command_output.build(_known_words),
             color=False,
         )
-    )
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader has what it wanted, as `head` does. Python flushes again
+        # at its end, which has to go somewhere.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        status = console.FAILED
+    sys.exit(status)
 
 
 if __name__ == "__main__":
--- a/wisteriasill/commands/publish.py
+++ b/wisteriasill/commands/publish.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import threading
 import time
 from typing import Any, NamedTuple
@@ -150,11 +151,18 @@
     generation = published.manifest.generation
     changed = generation > published.comparison.in_force.generation
     waiting: list[str] = []
+    unserved: list[str] = []
     seconds = 0.0
     if options.wait:
         started_at = time.monotonic()
-        waiting = _wait(client, generation, options)
+        waiting = _wait(
+            lambda: _lagging(client.get("/v1/status"), generation), options
+        )
         seconds = time.monotonic() - started_at
+        if not waiting:
+            unserved = _wait(
+                lambda: _unserved(client.get("/v1/status")), options
+            )
     if options.as_json:
         console.print_json(
             {
@@ -162,11 +170,17 @@
                 "changed": changed,
                 "waited": options.wait,
                 "waiting_for": waiting,
+                "without_hosts": unserved,
                 "seconds": round(seconds, 3),
             }
         )
     elif options.wait and not waiting:
         print(f"generation {generation} is in force everywhere")
+        if unserved:
+            console.say_error(
+                f"nothing serves yet: no {', no '.join(unserved)}; requests "
+                "for them are refused until one joins"
+            )
     else:
         print(f"generation {generation} is accepted")
     if waiting and not options.as_json:
@@ -178,16 +192,14 @@
 
 
 def _wait(
-    client: operator_client.OperatorClient,
-    generation: int,
-    options: PublishOptions,
+    missing: Callable[[], list[str]], options: PublishOptions
 ) -> list[str]:
-    """Returns the entry hosts that have not confirmed a generation in time."""
+    """Waits until nothing is missing; returns what is, after a while."""
     never = threading.Event()
     give_up_at = time.monotonic() + IN_FORCE_SECONDS
     shown = ""
     while True:
-        waiting = _lagging(client.get("/v1/status"), generation)
+        waiting = missing()
         if not waiting or time.monotonic() >= give_up_at:
             return waiting
         text = f"waiting for {', '.join(waiting)}"
@@ -212,3 +224,15 @@
         for member in document["members"]
         if not member["leaving"] and (member["generation"] or 0) < generation
     ]
+
+
+def _unserved(answer: operator_client.Document) -> list[str]:
+    """Returns pools that hosts are promised to and none serves yet."""
+    match answer:
+        case result.Success(document):
+            return [
+                f"hosts of {pool['pool']}"
+                for pool in document["pools"]
+                if pool["hosts_promised"] and not pool["hosts_usable"]
+            ]
+    return ["the entry host"]
--- a/wisteriasill/commands/site_change.py
+++ b/wisteriasill/commands/site_change.py
@@ -144,11 +144,21 @@
     if given is not None:
         return result.Success(now._replace(generation=given, names=()))
     lock = comparison.lock
+    if now.generation == 0:
+        # Nothing is in force that a stale directory could undo.
+        return result.Success(now)
     if lock is not None and lock.site != now.site:
         return console.invalid_setting(
             f"{comparison.folder / lock_file.NAME} belongs to site "
             f'"{lock.site}"; delete it or publish with --base'
         )
+    if lock is not None and lock.generation > now.generation:
+        return console.invalid_setting(
+            f"{comparison.folder / lock_file.NAME} names generation "
+            f"{lock.generation}, but {now.generation} is in force, so it comes "
+            "from another site of that name; compare with `wisteriasill plan "
+            f"{comparison.folder}`, then delete it or pass --base GENERATION"
+        )
     if lock is not None:
         return result.Success(lock)
     differing = [
--- a/wisteriasill/links/caller_link.py
+++ b/wisteriasill/links/caller_link.py
@@ -167,6 +167,10 @@
     deadline = request.headers.get(exchange.DEADLINE_HEADER, "0")
     if not (deadline.isascii() and deadline.isdigit() and len(deadline) < 10):
         return _malformed(f"{exchange.DEADLINE_HEADER}: {deadline!r}")
+    for name in (exchange.IDEMPOTENCY_KEY_HEADER, exchange.CALLER_HEADER):
+        value = request.headers.get(name, "")
+        if not value.isascii():
+            return _malformed(f"{name}: {value!r} is not ASCII")
     body = _read_body(request, max_body_bytes)
     if not isinstance(body, result.Success):
         return result.Failure(body.failure())
--- a/wisteriasill/links/caller_server.py
+++ b/wisteriasill/links/caller_server.py
@@ -93,10 +93,9 @@
         self.conn.rfile.timed.restart()
         super().parse_request()
 
-    def simple_response(self, status: object, msg: str = "") -> None:
+    def write_error(self, status: str, message: str) -> None:
         """Answers an error of the protocol and closes the connection."""
-        text = str(status)
-        code = int(text[:3])
+        code = int(status[:3])
         kind = errors.ErrorKind.BAD_REQUEST
         if code in (413, 414):
             kind = errors.ErrorKind.BODY_TOO_LARGE
@@ -104,10 +103,10 @@
             kind = errors.ErrorKind.INTERNAL
         elif code == 503:
             kind = errors.ErrorKind.OVERLOADED
-        failure = errors.failure(kind, msg or text[4:])
+        failure = errors.failure(kind, message or status[4:])
         body = json.dumps(problem.document(failure) | {"status": code}) + "\n"
         lines = (
-            f"{self.server.protocol} {text}",
+            f"{self.server.protocol} {status}",
             f"Content-Type: {problem.MEDIA_TYPE}",
             f"Content-Length: {len(body)}",
             f"{exchange.EXECUTED_HEADER}: {failure.executed}",
--- a/wisteriasill/links/strict_request.py
+++ b/wisteriasill/links/strict_request.py
@@ -6,13 +6,20 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
+import socket
+import time
 from typing import Any
 
 from cheroot import server
 
 SINGLE_HEADERS = frozenset((b"Content-Length", b"Host", b"Transfer-Encoding"))
 LENGTH = re.compile(rb"[0-9]+")
+# Longest time for which the rest of a refused body is read and dropped: a
+# sender of 20 MB needs a tenth of it, and a slow one must not hold a thread.
+DISCARD_SECONDS = 2.0
+DISCARD_BYTES = 65536
 
 
 class _OneReading(server.HeaderReader):
@@ -75,3 +82,28 @@
             self.simple_response("400 Bad Request", "Host is missing.")
             return False
         return True
+
+    def simple_response(self, status: object, msg: str = "") -> None:
+        """Answers an error; a body that is refused is dropped unread."""
+        self.write_error(str(status), msg)
+        if str(status).startswith("413"):
+            discard_input(self.conn.socket)
+
+    def write_error(self, status: str, message: str) -> None:
+        """Writes the answer to an error of the protocol."""
+        super().simple_response(status, message)
+
+
+def discard_input(connection: socket.socket) -> None:
+    """Ends the answer and drops what the caller still sends.
+
+    Closing with unread bytes would reset the connection, and the caller would
+    lose the answer.
+    """
+    deadline_at = time.monotonic() + DISCARD_SECONDS
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_WR)
+        while (left := deadline_at - time.monotonic()) > 0:
+            connection.settimeout(left)
+            if not connection.recv(DISCARD_BYTES):
+                return
