--- a/tests/contracts/test_host_moves.py
+++ b/tests/contracts/test_host_moves.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from wisteriasill.contracts import host_moves
+from wisteriasill.contracts import host_record
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue as queues
-from wisteriasill.links import cluster
 
 ROOM = job_spec.Room(16_000, 64_000, 0)
 BUSY = host_moves.WorkerLoad(0, 4, 0.0, False)
@@ -13,11 +13,11 @@
 IDLE = host_moves.WorkerLoad(0, 0, 5.0, False)
 
 
-def host(number: int, service: str) -> cluster.HostRecord:
-    return cluster.HostRecord(
+def host(number: int, service: str) -> host_record.HostRecord:
+    return host_record.HostRecord(
         f"m{number}",
         service,
-        cluster.HostState.UP,
+        host_record.HostState.UP,
         "zone",
         ROOM,
         "r1",
--- a/tests/links/test_job_desk.py
+++ b/tests/machines/test_job_desk.py
@@ -12,9 +12,9 @@
 from wisteriasill import errors
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
-from wisteriasill.links import job_desk
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_tables
+from wisteriasill.machines import job_desk
 
 JOB = "5c0e7a21d94b36f8"
 SPEC = job_spec.JobSpec("text", (batch_site.step(2),))
--- a/wisteriasill/contracts/host_moves.py
+++ b/wisteriasill/contracts/host_moves.py
@@ -11,9 +11,9 @@
 import math
 from typing import Any, NamedTuple
 
+from wisteriasill.contracts import host_record
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue as queues
-from wisteriasill.links import cluster
 
 # A move costs as much as a host that idles for about this time, by the
 # prices of both sites (1.1 s at Mandacaru, 1.2 s at Kochi).
@@ -85,7 +85,9 @@
     )
 
 
-def needed_hosts(load: PoolLoad, hosts: Iterable[cluster.HostRecord]) -> int:
+def needed_hosts(
+    load: PoolLoad, hosts: Iterable[host_record.HostRecord]
+) -> int:
     """Returns how many hosts of the largest size a pool's needs fill."""
     rooms = [host.room for host in hosts]
     cpu = max((room.cpu for room in rooms), default=0)
@@ -98,7 +100,7 @@
 
 
 def plan_moves(
-    hosts: Iterable[cluster.HostRecord],
+    hosts: Iterable[host_record.HostRecord],
     load_by_service: Mapping[str, PoolLoad],
     standby: Collection[str],
     busy_host_ids: Collection[str],
@@ -119,7 +121,7 @@
     movable = [
         host
         for host in hosts
-        if host.state is cluster.HostState.UP
+        if host.state is host_record.HostState.UP
         and host.host_id not in busy_host_ids
     ]
     surplus_by_service = {
@@ -156,7 +158,7 @@
 
 
 def _wanted_hosts(
-    movable: Sequence[cluster.HostRecord],
+    movable: Sequence[host_record.HostRecord],
     load_by_service: Mapping[str, PoolLoad],
     arriving_by_service: Mapping[str, int],
 ) -> list[tuple[str, int]]:
@@ -177,15 +179,15 @@
 
 
 def _idle_seconds(
-    host: cluster.HostRecord, load_by_service: Mapping[str, PoolLoad]
+    host: host_record.HostRecord, load_by_service: Mapping[str, PoolLoad]
 ) -> float:
     load = load_by_service[host.service].load_by_worker.get(host.worker_id)
     return load.idle_seconds if load and not load.released else 0.0
 
 
 def _surplus_hosts(
-    service: str, load: PoolLoad, movable: Sequence[cluster.HostRecord]
-) -> list[cluster.HostRecord]:
+    service: str, load: PoolLoad, movable: Sequence[host_record.HostRecord]
+) -> list[host_record.HostRecord]:
     """Returns idle hosts beyond what a pool needs."""
     own = [host for host in movable if host.service == service]
     kept = max(LEAST_HOSTS, needed_hosts(load, movable))
@@ -201,7 +203,7 @@
 
 def plan_upkeep(
     wave: queues.WaveOrder,
-    hosts: Iterable[cluster.HostRecord],
+    hosts: Iterable[host_record.HostRecord],
     load_by_service: Mapping[str, PoolLoad],
     done: Collection[str],
     asks: Iterable[Ask],
@@ -231,7 +233,7 @@
         if host.host_id in wave.host_ids
         and host.host_id not in done
         and host.host_id not in asked_ids
-        and host.state is cluster.HostState.UP
+        and host.state is host_record.HostState.UP
     ]
     service_by_worker = {host.worker_id: host.service for host in hosts}
     emptying: dict[str, int] = {}
@@ -240,7 +242,7 @@
         emptying[service] = emptying.get(service, 0) + 1
     room = wave.most_at_once - down - sum(ask.wave > 0 for ask in asked)
 
-    def effort(host: cluster.HostRecord) -> tuple[int, int]:
+    def effort(host: host_record.HostRecord) -> tuple[int, int]:
         load = load_by_service.get(host.service)
         one = load.load_by_worker.get(host.worker_id) if load else None
         return (one.lasting, one.finite) if one else (0, 0)
--- /dev/null
+++ b/wisteriasill/contracts/host_record.py
@@ -0,0 +1,29 @@
+"""What the platform's list tells of a host."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from wisteriasill.contracts import job_spec
+
+
+class HostState(enum.StrEnum):
+    """State of a host in the platform's list."""
+
+    UP = "up"
+    MOVING = "moving"
+    UPKEEP = "upkeep"
+    DOWN = "down"
+
+
+class HostRecord(NamedTuple):
+    """A host of the platform, its pool and its current worker."""
+
+    host_id: str
+    service: str
+    state: HostState
+    availability_zone: str
+    room: job_spec.Room
+    rack: str
+    worker_id: str
--- a/wisteriasill/links/cluster.py
+++ b/wisteriasill/links/cluster.py
@@ -12,6 +12,7 @@
 
 from returns import result
 
+from wisteriasill.contracts import host_record
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue
 
@@ -335,27 +336,6 @@
         """Tells the operators how a wave stands."""
 
 
-class HostState(enum.StrEnum):
-    """State of a host in the platform's list."""
-
-    UP = "up"
-    MOVING = "moving"
-    UPKEEP = "upkeep"
-    DOWN = "down"
-
-
-class HostRecord(NamedTuple):
-    """A host of the platform, its pool and its current worker."""
-
-    host_id: str
-    service: str
-    state: HostState
-    availability_zone: str
-    room: job_spec.Room
-    rack: str
-    worker_id: str
-
-
 class HostOrderOutcome(enum.StrEnum):
     """What became of an order to a host."""
 
@@ -371,7 +351,7 @@
 class HostControl(Protocol):
     """Moves hosts between pools and takes them into upkeep."""
 
-    def list_hosts(self) -> tuple[HostRecord, ...] | None:
+    def list_hosts(self) -> tuple[host_record.HostRecord, ...] | None:
         """Reads all hosts; None if the list can't be read."""
 
     def move(self, host_id: str, service: str, fence: int) -> HostOrderOutcome:
--- a/wisteriasill/machines/fleet_keeper.py
+++ b/wisteriasill/machines/fleet_keeper.py
@@ -14,6 +14,7 @@
 
 from wisteriasill import events
 from wisteriasill.contracts import host_moves
+from wisteriasill.contracts import host_record
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_tables
@@ -94,7 +95,7 @@
         self._beat_at = 0.0
         self._listed_at = 0.0
         self._logged_at = 0.0
-        self._hosts: tuple[cluster.HostRecord, ...] = ()
+        self._hosts: tuple[host_record.HostRecord, ...] = ()
         self._load_by_service: dict[str, SeenLoad] = {}
         self._ask_by_host: dict[str, host_moves.Ask] = {}
         self._asked_at: dict[str, float] = {}
@@ -213,19 +214,19 @@
             self._hosts = hosts
             self._listed_at = now
 
-    def _note_down(self, hosts: tuple[cluster.HostRecord, ...]) -> None:
+    def _note_down(self, hosts: tuple[host_record.HostRecord, ...]) -> None:
         """Notes workers whose hosts went down, until these are up again."""
         host_by_id = {host.host_id: host for host in hosts}
         self._down_by_host = {
             host_id: worker_id
             for host_id, worker_id in self._down_by_host.items()
             if (host := host_by_id.get(host_id)) is None
-            or host.state is cluster.HostState.DOWN
+            or host.state is host_record.HostState.DOWN
         }
         for former in self._hosts:
             host = host_by_id.get(former.host_id)
             if former.worker_id and (
-                host is None or host.state is cluster.HostState.DOWN
+                host is None or host.state is host_record.HostState.DOWN
             ):
                 self._down_by_host[former.host_id] = former.worker_id
                 events.log(
@@ -249,7 +250,7 @@
             returned = (
                 host is not None
                 and self._listed_at > ordered.at
-                and host.state is cluster.HostState.UP
+                and host.state is host_record.HostState.UP
                 and renewed
             )
             # An order of a former holder may never have been given.
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -11,10 +11,10 @@
 from wisteriasill import events
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
-from wisteriasill.links import job_desk
 from wisteriasill.machines import batch_keeper
 from wisteriasill.machines import fleet_keeper
 from wisteriasill.machines import fleet_rows
+from wisteriasill.machines import job_desk
 from wisteriasill.machines import site_links
 from wisteriasill.zones import shard_claims
 from wisteriasill.zones import shard_ledger
