--- /dev/null
+++ b/tests/machines/test_node_pages.py
@@ -0,0 +1,148 @@
+"""Tests of what operators see of a site through one node."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+import json
+import threading
+
+import cbor2
+from cheroot import wsgi
+import pytest
+
+from standins import batch_worker
+from standins import row_store
+from tests.commands import conftest
+from tests.machines import batch_site
+from wisteriasill import events
+from wisteriasill import metrics
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_pool
+from wisteriasill.machines import fleet_rows
+from wisteriasill.machines import node_pages
+from wisteriasill.machines import node_views
+from wisteriasill.zones import shard_ledger
+
+JOB = "5c0e7a21d94b36f8"
+
+run = conftest.run
+
+
+class KnownSite:
+    """A site of two pools, one of them kept by this node."""
+
+    def __init__(self, pool: batch_pool.BatchPool) -> None:
+        self.name = "entry-1"
+        self.availability_zone = "zone-a"
+        self.configuration: queues.SiteConfiguration | None = (
+            batch_site.CONFIGURATION
+        )
+        self.wave_by_number = {7: queues.WaveOrder(7, ("h1", "h2"), 2.0, 1)}
+        self.store = row_store.MemoryRowStore()
+        self.ready = True
+        self._pool = pool
+
+    def shards(self) -> dict[str, shard_ledger.ShardState]:
+        """Returns one shard kept here and one kept elsewhere."""
+        return {
+            batch_site.SERVICE: shard_ledger.ShardState("entry-1", 5, 6, {}),
+            "office": shard_ledger.ShardState(
+                "entry-2", 8, 9, {"pending": {"r-9": 4}}
+            ),
+        }
+
+    def pools(self) -> dict[str, batch_pool.BatchPool]:
+        """Returns the pool kept here."""
+        return {batch_site.SERVICE: self._pool}
+
+    def store_age_seconds(self) -> float:
+        """Returns a fixed age."""
+        return 0.25
+
+
+@pytest.fixture
+def site() -> KnownSite:
+    driven = batch_site.HandDrivenPool(
+        records=[batch_site.job_row(JOB, [batch_site.step(3)])]
+    )
+    worker = driven.add_worker("w1", batch_worker.MemoryWorker(batch_site.ROOM))
+    driven.look(worker)
+    driven.turn()
+    return KnownSite(driven.pool)
+
+
+@pytest.fixture
+def address(site: KnownSite, monkeypatch: pytest.MonkeyPatch) -> Iterator[str]:
+    """Serves the pages as a node does and points the commands there."""
+    server = wsgi.Server(
+        ("127.0.0.1", 0),
+        node_pages.NodePages(node_views.NodeViews(site), metrics.Metrics()),
+        numthreads=2,
+    )
+    server.prepare()
+    threading.Thread(target=server.serve, daemon=True).start()
+    url = f"http://127.0.0.1:{server.bind_addr[1]}"
+    monkeypatch.setenv("WISTERIASILL_ENTRY", url)
+    yield url
+    server.stop()
+
+
+Run = Callable[..., conftest.Outcome]
+
+
+def test_status_names_the_holder_of_each_pool(run: Run, address: str) -> None:
+    shown = run("status")
+    assert shown.status == 0
+    assert "as known to entry-1, 0.2 s ago at most" in shown.output
+    rows = json.loads(run("status", "--json").output)["pools"]
+    assert rows[0]["holder"] == "entry-1"
+    assert rows[0]["hosts_usable"] == 1
+    assert rows[0]["tasks_running"] == 3
+    assert rows[1] == {"pool": "office", "holder": "entry-2", "jobs_waiting": 4}
+
+
+def test_jobs_are_listed_by_the_node_that_keeps_their_pool(
+    run: Run, address: str
+) -> None:
+    shown = run("jobs", "--pool", batch_site.SERVICE)
+    assert JOB in shown.output
+    assert "pool office is kept by entry-2" in shown.output
+    row = json.loads(run("jobs", "--json").output)["jobs"][0]
+    assert (row["tasks"], row["tasks_running"]) == (3, 3)
+    assert JOB not in run("jobs", "--state", "queued").output
+
+
+def test_waves_show_their_progress_in_the_store(
+    run: Run, address: str, site: KnownSite
+) -> None:
+    site.store.transact(
+        fleet_rows.SHARD,
+        [],
+        [cluster.RowWrite(fleet_rows.TABLE, "7", cbor2.dumps(["h1"]))],
+        1.0,
+    ).unwrap()
+    row = json.loads(run("waves", "--json").output)["waves"][0]
+    assert (row["hosts_done"], row["hosts_total"], row["state"]) == (
+        1,
+        2,
+        "running",
+    )
+
+
+def test_a_store_that_is_away_is_said_to_be(
+    run: Run, address: str, site: KnownSite
+) -> None:
+    site.store.down = True
+    assert "the store does not answer" in run("waves").output
+
+
+def test_events_are_listed(run: Run, address: str) -> None:
+    events.log(events.Event.RELOADED, "The settings file was read again")
+    assert "The settings file was read again" in run("events").output
+
+
+def test_an_unknown_page_is_named(address: str, run: Run) -> None:
+    shown = run("hosts")
+    assert shown.status == 1
+    assert "no page /v1/hosts" in shown.errors
--- a/wisteriasill/commands/console.py
+++ b/wisteriasill/commands/console.py
@@ -129,8 +129,14 @@
 
     Args:
         rows: Plain data.
-        columns: Headings by key, in order.
+        columns: Headings by key, in order; those without a value in any row
+            are left out.
     """
+    columns = {
+        key: heading
+        for key, heading in columns.items()
+        if not rows or any(key in row for row in rows)
+    }
     cells = [
         list(columns.values()),
         *([_cell(row.get(key)) for key in columns] for row in rows),
--- a/wisteriasill/commands/rows.py
+++ b/wisteriasill/commands/rows.py
@@ -53,4 +53,7 @@
             else:
                 console.print_table(document[listing.name], columns)
                 print(console.age_line(document))
+                for pool, holder in document.get("elsewhere", {}).items():
+                    kept_by = holder or "no node yet"
+                    print(f"pool {pool} is kept by {kept_by}")
     return console.DONE
--- a/wisteriasill/commands/status.py
+++ b/wisteriasill/commands/status.py
@@ -10,12 +10,16 @@
 
 COLUMNS = {
     "pool": "POOL",
+    "holder": "HELD BY",
     "hosts": "HOSTS",
     "hosts_promised": "PROMISED",
     "hosts_usable": "USABLE",
     "hosts_always_usable": "ALWAYS USABLE",
     "hosts_spare": "MAY LEAVE",
     "hosts_by_state": "STATES",
+    "hosts_doubted": "DOUBTED",
+    "tasks_running": "TASKS RUNNING",
+    "jobs_waiting": "JOBS WAITING",
 }
 MEMBER_COLUMNS = {
     "member_id": "ENTRY HOST",
@@ -50,12 +54,13 @@
 
 
 def _print(document: dict[str, Any]) -> None:
+    prefers = f"prefers {document['prefer']}, " if "prefer" in document else ""
     print(
-        f"site {document['site']}, prefers {document['prefer']}, "
-        f"generation {document['generation']}"
+        f"site {document['site']}, {prefers}generation {document['generation']}"
     )
     print(console.age_line(document))
     print()
     console.print_table(document["pools"], COLUMNS)
-    print()
-    console.print_table(document["members"], MEMBER_COLUMNS)
+    if document["members"]:
+        print()
+        console.print_table(document["members"], MEMBER_COLUMNS)
--- a/wisteriasill/commands/waves.py
+++ b/wisteriasill/commands/waves.py
@@ -12,6 +12,7 @@
     "hosts_done": "DONE",
     "hosts_total": "OF",
     "hosts_away": "AWAY",
+    "most_at_once": "AT MOST AWAY",
     "reason": "REASON",
 }
 
--- /dev/null
+++ b/wisteriasill/machines/node_views.py
@@ -0,0 +1,202 @@
+"""What a node tells operators about the site, with the age of each part."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from typing import Any, Protocol
+
+import cbor2
+
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_job
+from wisteriasill.machines import batch_pool
+from wisteriasill.machines import batch_tables
+from wisteriasill.machines import fleet_rows
+from wisteriasill.zones import shard_ledger
+
+MOST_JOBS = 500  # Longest list of an answer, the oldest jobs first.
+
+
+class KnownSite(Protocol):
+    """What a node knows of its site."""
+
+    @property
+    def name(self) -> str:
+        """Name of the node."""
+
+    @property
+    def availability_zone(self) -> str:
+        """Where the node runs."""
+
+    @property
+    def configuration(self) -> queues.SiteConfiguration | None:
+        """The configuration in force, if one is known."""
+
+    @property
+    def wave_by_number(self) -> dict[int, queues.WaveOrder]:
+        """The operators' waves."""
+
+    @property
+    def store(self) -> cluster.RowStore:
+        """The platform's store."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether the node can accept jobs."""
+
+    def shards(self) -> dict[str, shard_ledger.ShardState]:
+        """Returns each shard's state as this node last read it."""
+
+    def pools(self) -> dict[str, batch_pool.BatchPool]:
+        """Returns the pools that this node keeps, by shard."""
+
+    def store_age_seconds(self) -> float:
+        """Returns how long ago the store last answered this node."""
+
+
+class NodeViews:
+    """Builds plain data for the operators' commands from one node.
+
+    A node knows the jobs of the pools that it keeps; of the others it knows
+    who keeps them and how many jobs wait.
+
+    Args:
+        node: The node.
+    """
+
+    def __init__(self, node: KnownSite) -> None:
+        self._node = node
+
+    def status(self) -> dict[str, Any]:
+        """Lists the shards of the site, their holders and their queues."""
+        configuration = self._node.configuration
+        pools = self._node.pools()
+        return {
+            "site": self._node.availability_zone,
+            "generation": configuration.version if configuration else 0,
+            "pools": [
+                {
+                    "pool": shard,
+                    "holder": state.holder,
+                    "jobs_waiting": sum(_pending(state.beat).values()),
+                    **(_pool_counts(pools[shard]) if shard in pools else {}),
+                }
+                for shard, state in self._node.shards().items()
+            ],
+            "members": [],
+            **self._origin(),
+        }
+
+    def jobs(self, pool: str = "", state: str = "") -> dict[str, Any]:
+        """Lists jobs that have not ended, of the pools kept here.
+
+        Args:
+            pool: Only jobs of this pool; empty for all.
+            state: Only jobs in this state; empty for all.
+        """
+        pools = self._node.pools()
+        rows = (
+            _job_row(name, job)
+            for name, kept in pools.items()
+            if pool in ("", name)
+            for job in _open_jobs(kept)
+        )
+        found = (row for row in rows if state in ("", row["state"]))
+        return {
+            "jobs": [*itertools.islice(found, MOST_JOBS)],
+            "elsewhere": {
+                shard: seen.holder
+                for shard, seen in self._node.shards().items()
+                if shard not in pools and shard != fleet_rows.SHARD
+            },
+            **self._origin(),
+        }
+
+    def waves(self, state: str = "") -> dict[str, Any]:
+        """Lists the operators' waves with their progress from the store.
+
+        Args:
+            state: Only waves in this state; empty for all.
+        """
+        page = batch_tables.read_all(
+            self._node.store, fleet_rows.TABLE, fleet_rows.SHARD
+        )
+        done_by_wave = {
+            row.key: len(cbor2.loads(row.value))
+            for row in (page.rows if page else ())
+            if row.value is not None and row.key.isdigit()
+        }
+        rows = [
+            _wave_row(wave, done_by_wave.get(str(wave.number), 0))
+            for wave in self._node.wave_by_number.values()
+        ]
+        return {
+            "waves": [row for row in rows if state in ("", row["state"])],
+            **self._origin(stored=page is not None),
+        }
+
+    def _origin(self, stored: bool = True) -> dict[str, Any]:
+        """Names the node and says how old its knowledge is."""
+        age = self._node.store_age_seconds()
+        return {
+            "member_id": self._node.name,
+            "age_seconds": {"configuration": age, "shards": age},
+            "store": {
+                "reachable": stored and self._node.ready,
+                "detail": "no answer within the last seconds",
+            },
+        }
+
+
+def _pending(beat: dict[str, object]) -> dict[str, int]:
+    pending = beat.get("pending")
+    return pending if isinstance(pending, dict) else {}
+
+
+def _pool_counts(pool: batch_pool.BatchPool) -> dict[str, Any]:
+    """Counts the workers and runs of a pool kept here."""
+    now = time.monotonic()
+    with pool.lock:
+        workers = [*pool.worker_by_id.values()]
+    return {
+        "hosts": len(workers),
+        "hosts_usable": sum(worker.answers(now) for worker in workers),
+        "hosts_doubted": sum(now < worker.doubted_until for worker in workers),
+        "tasks_running": sum(len(worker.run_by_task) for worker in workers),
+    }
+
+
+def _open_jobs(pool: batch_pool.BatchPool) -> list[batch_job.Job]:
+    with pool.lock:
+        found = [job for job in pool.job_by_id.values() if not job.finished]
+    return sorted(found, key=lambda job: job.learnt_at)
+
+
+def _job_row(pool: str, job: batch_job.Job) -> dict[str, Any]:
+    units = [*job.unit_by_key.values()]
+    waiting = len(job.ready)
+    return {
+        "job_id": job.job_id,
+        "pool": pool,
+        "queue": job.record.queue,
+        "state": job.state.value,
+        "tasks": len(units),
+        "tasks_done": sum(unit.done for unit in units),
+        "tasks_running": sum(bool(unit.runs) for unit in units),
+        "tasks_waiting": waiting,
+        "age_s": round(time.monotonic() - job.learnt_at, 1),
+        "reason": "waits for room on a worker" if waiting else "",
+    }
+
+
+def _wave_row(wave: queues.WaveOrder, done: int) -> dict[str, Any]:
+    total = len(wave.host_ids)
+    return {
+        "number": wave.number,
+        "state": "finished" if done >= total else "running",
+        "hosts_done": done,
+        "hosts_total": total,
+        "most_at_once": wave.most_at_once,
+    }
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -12,6 +12,7 @@
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_keeper
+from wisteriasill.machines import batch_pool
 from wisteriasill.machines import fleet_keeper
 from wisteriasill.machines import fleet_rows
 from wisteriasill.machines import job_desk
@@ -65,6 +66,7 @@
     def __init__(
         self, settings: NodeSettings, links: site_links.SiteLinks
     ) -> None:
+        self._settings = settings
         self._links = links
         self.desk = job_desk.JobDesk(links.store)
         self.configuration: queues.SiteConfiguration | None = None
@@ -82,6 +84,21 @@
             for target in (self._follow_operators, self._claim_shards)
         ]
 
+    @property
+    def name(self) -> str:
+        """Name of the node."""
+        return self._settings.name
+
+    @property
+    def availability_zone(self) -> str:
+        """Where the node runs."""
+        return self._settings.availability_zone
+
+    @property
+    def store(self) -> cluster.RowStore:
+        """The platform's store."""
+        return self._links.store
+
     @property
     def ready(self) -> bool:
         """Whether new connections are welcome: this node can accept jobs."""
@@ -91,6 +108,22 @@
             and time.monotonic() - self._store_seen_at < STORE_SILENCE_SECONDS
         )
 
+    def shards(self) -> dict[str, shard_ledger.ShardState]:
+        """Returns each shard's state as this node last read it."""
+        return self._claims.states()
+
+    def pools(self) -> dict[str, batch_pool.BatchPool]:
+        """Returns the pools that this node keeps, by shard."""
+        return {
+            shard: keeper.pool
+            for shard, keeper in [*self._claims.keeper_by_shard.items()]
+            if isinstance(keeper, batch_keeper.BatchKeeper)
+        }
+
+    def store_age_seconds(self) -> float:
+        """Returns how long ago the store last answered this node."""
+        return round(time.monotonic() - self._store_seen_at, 3)
+
     def start(self) -> None:
         """Starts the node's tasks."""
         for thread in self._threads:
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -150,13 +150,20 @@
     def _note(self, rows: Iterable[cluster.StoredRow]) -> None:
         self._row_by_name.update(((row.part, row.key), row) for row in rows)
 
-    def _look(self, shard: str) -> None:
-        rows = [
-            row
+    def states(self) -> dict[str, shard_ledger.ShardState]:
+        """Returns each shard's state as its rows were last read."""
+        shards = {part for part, _ in [*self._row_by_name]} - {NODES_PART}
+        return {shard: self._state(shard) for shard in sorted(shards)}
+
+    def _state(self, shard: str) -> shard_ledger.ShardState:
+        rows = (
+            self._row_by_name.get((shard, key))
             for key in (shard_ledger.OWNER, shard_ledger.BEAT)
-            if (row := self._row_by_name.get((shard, key)))
-        ]
-        state, now = shard_ledger.state_of(rows), time.monotonic()
+        )
+        return shard_ledger.state_of([row for row in rows if row])
+
+    def _look(self, shard: str) -> None:
+        state, now = self._state(shard), time.monotonic()
         seen = self._sighting_by_shard.get(shard)
         if seen is None or seen.state != state:
             same_holder = seen is not None and seen.state.epoch == state.epoch
