Ask a busy store again instead of giving up at its first refusal

Change: submissions, states and readings of a take-over are made again, for 0.5 s where a caller waits (a quarter of the shortest objective) and 2 s in a take-over; a look at the shards is made three times, and one failed look no longer counts as blindness. The fleet's holder beats while it reads.

--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -31,6 +31,7 @@
 
     Attributes:
         down: Whether calls are refused.
+        refused_calls: How many of the next calls are refused.
         lost_answers: How many of the next writes are done but not answered.
         delayed_writes: How many of the next writes are kept back unanswered
             until `deliver_delayed`.
@@ -38,6 +39,7 @@
 
     def __init__(self) -> None:
         self.down = False
+        self.refused_calls = 0
         self.lost_answers = 0
         self.delayed_writes = 0
         self.history_from = 0
@@ -56,7 +58,7 @@
     ) -> result.Result[int, cluster.StoreFault]:
         """Writes all rows if all versions hold, else none."""
         with self._changed:
-            if self.down:
+            if self._refuses():
                 return result.Failure(UNAVAILABLE)
             if self.delayed_writes:
                 self.delayed_writes -= 1
@@ -70,6 +72,12 @@
                 return result.Failure(UNKNOWN)
             return outcome
 
+    def _refuses(self) -> bool:
+        if self.refused_calls:
+            self.refused_calls -= 1
+            return True
+        return self.down
+
     def deliver_delayed(
         self,
     ) -> list[result.Result[int, cluster.StoreFault]]:
@@ -121,7 +129,7 @@
     ) -> result.Result[cluster.RowPage, cluster.StoreFault]:
         """Reads rows in order of keys."""
         with self._changed:
-            if self.down:
+            if self._refuses():
                 return result.Failure(UNAVAILABLE)
             rows = sorted(
                 row
@@ -139,7 +147,7 @@
     ) -> result.Result[cluster.RowPage, cluster.StoreFault]:
         """Waits for changes of a table."""
         with self._changed:
-            if self.down:
+            if self._refuses():
                 return result.Failure(UNAVAILABLE)
             if after < self.history_from:
                 return result.Failure(
--- /dev/null
+++ b/tests/machines/test_batch_tables.py
@@ -0,0 +1,34 @@
+"""Tests of reading the tables of a pool."""
+
+from __future__ import annotations
+
+import pytest
+
+from standins import row_store
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_tables
+
+
+@pytest.fixture
+def store() -> row_store.MemoryRowStore:
+    made = row_store.MemoryRowStore()
+    made.transact("s", [], [cluster.RowWrite("t", "k", b"1")], 1.0).unwrap()
+    return made
+
+
+def test_a_successor_reads_on_when_the_store_refuses_some_calls(
+    store: row_store.MemoryRowStore,
+) -> None:
+    """Grown Kochi, trouble-2: two successors gave the shard up again."""
+    store.refused_calls = 3
+    page = batch_tables.read_all(store, "t", "s")
+    assert page is not None
+    assert [row.key for row in page.rows] == ["k"]
+
+
+def test_reading_ends_when_the_store_stays_away(
+    store: row_store.MemoryRowStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(batch_tables, "READ_SECONDS", 0.2)
+    store.down = True
+    assert batch_tables.read_all(store, "t", "s") is None
--- a/tests/machines/test_job_desk.py
+++ b/tests/machines/test_job_desk.py
@@ -89,6 +89,29 @@
         assert failure.answer.status not in (429, 503)
 
 
+@pytest.mark.parametrize("refused", [1, 4])
+def test_a_busy_store_is_asked_again(
+    desk: job_desk.JobDesk, store: row_store.MemoryRowStore, refused: int
+) -> None:
+    """Grown Kochi, trouble-2: every second call was refused for 3 s."""
+    store.refused_calls = refused
+    assert isinstance(submit(desk), result.Success)
+    store.refused_calls = refused
+    assert isinstance(desk.state(batch_site.QUEUE, JOB), result.Success)
+    store.refused_calls = refused
+    cancelled = desk.cancel(batch_site.QUEUE, JOB, time.monotonic() + 2.0)
+    assert isinstance(cancelled, result.Success)
+
+
+def test_a_store_that_refuses_on_gets_no_caller_held_back(
+    desk: job_desk.JobDesk, store: row_store.MemoryRowStore
+) -> None:
+    store.down = True
+    began = time.monotonic()
+    assert isinstance(submit(desk, 3.0), result.Failure)
+    assert time.monotonic() - began < 2 * job_desk.BUSY_SECONDS
+
+
 def test_states_of_a_job(
     desk: job_desk.JobDesk, store: row_store.MemoryRowStore
 ) -> None:
--- a/tests/zones/test_shard_claims.py
+++ b/tests/zones/test_shard_claims.py
@@ -142,3 +142,35 @@
     fast.claims.stop()
     pass_time([slow], 8.0)
     assert slow.holds
+
+
+def test_a_silent_holder_is_followed_while_the_store_refuses_some_calls(
+    store: row_store.MemoryRowStore,
+    pass_time: Callable[[list[Node], float], None],
+) -> None:
+    """Grown Kochi, trouble-2: every second call was refused for 3 s."""
+    gone = Node(store, "gone", 1.0)
+    pass_time([gone], 3.2)
+    other = Node(store, "other", 1.0)
+    pass_time([other], 0.4)
+    for _ in range(9):
+        store.refused_calls = 1
+        pass_time([other], 0.4)
+    assert other.holds
+
+
+def test_nothing_is_claimed_that_only_the_store_silenced(
+    store: row_store.MemoryRowStore,
+    pass_time: Callable[[list[Node], float], None],
+) -> None:
+    """While the store is away no holder can beat."""
+    holder = Node(store, "holder", 1.0)
+    pass_time([holder], 3.2)
+    other = Node(store, "other", 1.0)
+    pass_time([holder, other], 0.8)
+    store.down = True
+    pass_time([other], 8.0)
+    store.down = False
+    pass_time([other, holder], 1.2)
+    assert holder.holds
+    assert not other.holds
--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -101,7 +101,7 @@
 
     def _load(self) -> bool:
         rows = self._read_rows()
-        load = batch_tables.read_all(
+        load = rows and batch_tables.read_all(
             self._links.store, fleet_rows.LOADS_TABLE, self._service
         )
         if rows is None or load is None:
@@ -125,7 +125,7 @@
 
     def _read_rows(self) -> batch_records.LoadedPool | None:
         records = batch_tables.read_records(self._links.store, self._service)
-        progress = batch_tables.read_all(
+        progress = records and batch_tables.read_all(
             self._links.store,
             batch_tables.progress_table(self._service),
             self._service,
--- a/wisteriasill/machines/batch_news.py
+++ b/wisteriasill/machines/batch_news.py
@@ -154,12 +154,13 @@
         )
 
     def _read_asks(self) -> int:
-        page = self._links.store.read(fleet_rows.TABLE, fleet_rows.SHARD)
-        if not isinstance(page, result.Success):
+        page = batch_tables.read_all(
+            self._links.store, fleet_rows.TABLE, fleet_rows.SHARD
+        )
+        if page is None:
             return 0
-        found: cluster.RowPage = page.unwrap()
-        self._take_asks(found.rows)
-        return found.version
+        self._take_asks(page.rows)
+        return page.version
 
     def _take_asks(self, rows: tuple[cluster.StoredRow, ...]) -> None:
         for row in rows:
--- a/wisteriasill/machines/batch_tables.py
+++ b/wisteriasill/machines/batch_tables.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import time
+
 from returns import result
 import xxhash
 
 from wisteriasill.links import cluster
 
+# Time for which a page that the store refuses is read again; about the silence
+# after which a successor would be followed itself.
+READ_SECONDS = 2.0
+RETRY_SECONDS = 0.05
 JOB_PARTS = 8  # At 0.4 s a transaction, 20 jobs a second of one service.
 
 
@@ -35,6 +41,8 @@
 ) -> cluster.RowPage | None:
     """Reads all rows of a part of a table, page by page.
 
+    A page that the store refuses is read again for some time.
+
     Returns:
         The rows with the version of the first page, so that following from
         there misses nothing; None if a page can't be read.
@@ -42,10 +50,14 @@
     rows: list[cluster.StoredRow] = []
     version: int | None = None
     first = ""
+    give_up_at = time.monotonic() + READ_SECONDS
     while True:
         page = store.read(table, part, first)
         if not isinstance(page, result.Success):
-            return None
+            if time.monotonic() > give_up_at:
+                return None
+            time.sleep(RETRY_SECONDS)
+            continue
         found = page.unwrap()
         version = found.version if version is None else version
         rows.extend(found.rows)
@@ -58,15 +70,14 @@
     store: cluster.RowStore, service: str
 ) -> cluster.RowPage | None:
     """Reads the accepted jobs of all parts, with the oldest version."""
-    pages = [
-        read_all(store, jobs_table(service), f"{service}/{number}")
-        for number in range(JOB_PARTS)
-    ]
-    whole = [page for page in pages if page is not None]
-    if len(whole) < JOB_PARTS:
-        return None
+    pages: list[cluster.RowPage] = []
+    for number in range(JOB_PARTS):
+        page = read_all(store, jobs_table(service), f"{service}/{number}")
+        if page is None:
+            return None
+        pages.append(page)
     return cluster.RowPage(
-        tuple(row for page in whole for row in page.rows),
+        tuple(row for page in pages for row in page.rows),
         True,
-        min(page.version for page in whole),
+        min(page.version for page in pages),
     )
--- a/wisteriasill/machines/fleet_keeper.py
+++ b/wisteriasill/machines/fleet_keeper.py
@@ -113,9 +113,10 @@
 
     def open(self) -> bool:
         """Reads what the former holder stored and starts the tasks."""
-        page = batch_tables.read_all(
-            self._links.store, fleet_rows.TABLE, fleet_rows.SHARD
-        )
+        with self._ledger.kept_alive():
+            page = batch_tables.read_all(
+                self._links.store, fleet_rows.TABLE, fleet_rows.SHARD
+            )
         if page is None:
             return False
         self._ledger.adopt(page.rows)
--- a/wisteriasill/machines/job_desk.py
+++ b/wisteriasill/machines/job_desk.py
@@ -24,6 +24,9 @@
 # Time kept back from a caller's deadline for the answer's way.
 ANSWER_SECONDS = 0.15
 RETRY_SECONDS = 0.05
+# Time for which a store that refuses calls is asked again: a busy one takes
+# every second call. A quarter of the shortest objective at the users' sites.
+BUSY_SECONDS = 0.5
 PENDING_CACHE_SECONDS = 1.0  # The pages allow 2 s.
 
 
@@ -62,6 +65,7 @@
         table = batch_tables.jobs_table(queue.service)
         value = cbor2.dumps(job_spec.encode(record))
         in_doubt = False
+        refused_until = time.monotonic() + BUSY_SECONDS
         while True:
             left = deadline - ANSWER_SECONDS - time.monotonic()
             if left <= 0:
@@ -79,7 +83,7 @@
                 return result.Success(batch_job.JobState.QUEUED)
             if fault.kind is cluster.StoreFaultKind.OUTCOME_UNKNOWN:
                 in_doubt = True
-            elif not in_doubt:
+            elif not in_doubt and time.monotonic() > refused_until:
                 break
             time.sleep(RETRY_SECONDS)
         # Without the store's word no refusal is true: an earlier attempt at
@@ -172,11 +176,16 @@
     def _read_row(
         self, table: str, part: str, key: str
     ) -> result.Result[cluster.StoredRow | None, errors.Failure]:
-        return (
-            self._store.read(table, part, key, key + "\0", CALL_SECONDS)
-            .map(lambda page: page.rows[0] if page.rows else None)
-            .alt(_unavailable)
-        )
+        refused_until = time.monotonic() + BUSY_SECONDS
+        while True:
+            read = self._store.read(table, part, key, key + "\0", CALL_SECONDS)
+            if isinstance(read, result.Success) or (
+                time.monotonic() > refused_until
+            ):
+                return read.map(
+                    lambda page: page.rows[0] if page.rows else None
+                ).alt(_unavailable)
+            time.sleep(RETRY_SECONDS)
 
 
 def _queued(row: cluster.StoredRow | None) -> Outcome:
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable
+import functools
 import threading
 import time
 from typing import NamedTuple, Protocol
@@ -16,6 +17,12 @@
 from wisteriasill.zones import shard_ledger
 
 POLL_SECONDS = 0.4
+# A busy store refuses about every second call; each is made this often.
+READ_ATTEMPTS = 3
+RETRY_SECONDS = 0.05
+# Longest time between two looks at the store for which a shard is still known
+# to have stood still: two turns. A store that is away silences all holders.
+BLIND_SECONDS = 1.0
 # Part of the shards' table with a row for each node: its strength.
 NODES_PART = ":nodes"
 # Row of a shard by which a stronger node asks its holder to hand it on; the
@@ -73,6 +80,7 @@
         self._sighting_by_shard: dict[str, Sighting] = {}
         self._row_by_name: dict[tuple[str, str], cluster.StoredRow] = {}
         self._version: int | None = None
+        self._seen_at = 0.0
         self.keeper_by_shard: dict[str, Keeper] = {}
         self._stopping = threading.Event()
 
@@ -90,10 +98,12 @@
                 keeper.close(release=False)
                 del self.keeper_by_shard[shard]
                 self._sighting_by_shard.pop(shard, None)
+        now = time.monotonic()
         if not self._refresh(shards):
-            self._sighting_by_shard.clear()
-            self._version = None
+            if now - self._seen_at > BLIND_SECONDS:
+                self._sighting_by_shard.clear()
             return
+        self._seen_at = now
         for shard in [*self.keeper_by_shard]:
             self._hand_on_if_asked(shard)
         for shard in shards:
@@ -111,17 +121,26 @@
         """
         if self._version is None or not self._row_by_name:
             return self._read_all(shards)
-        page = self._store.follow(shard_ledger.TABLE, self._version, 0.0)
+        version = self._version
+        page = _repeated(
+            functools.partial(
+                self._store.follow, shard_ledger.TABLE, version, 0.0
+            )
+        )
         if not isinstance(page, result.Success):
+            if page.failure().kind is cluster.StoreFaultKind.HISTORY_LOST:
+                self._version = None
             return False
         self._note(page.unwrap().rows)
-        self._version = max(self._version, page.unwrap().version)
+        self._version = max(version, page.unwrap().version)
         return True
 
     def _read_all(self, shards: Collection[str]) -> bool:
         versions: list[int] = []
         for part in (NODES_PART, *shards):
-            page = self._store.read(shard_ledger.TABLE, part)
+            page = _repeated(
+                functools.partial(self._store.read, shard_ledger.TABLE, part)
+            )
             if not isinstance(page, result.Success):
                 return False
             self._note(page.unwrap().rows)
@@ -273,3 +292,17 @@
             self.keeper_by_shard[shard] = keeper
         else:
             ledger.release()
+
+
+def _repeated(
+    call: Callable[[], result.Result[cluster.RowPage, cluster.StoreFault]],
+) -> result.Result[cluster.RowPage, cluster.StoreFault]:
+    """Makes a call again while a store that can be reached refuses it."""
+    for _ in range(READ_ATTEMPTS - 1):
+        page = call()
+        if isinstance(page, result.Success) or (
+            page.failure().kind is not cluster.StoreFaultKind.UNAVAILABLE
+        ):
+            return page
+        time.sleep(RETRY_SECONDS)
+    return call()
