Let a new fleet keeper move hosts that were not ordered lately

Ruled out: rate of orders (1 asked), age of the list (0 to 0.4 s). Change: the stored asks hold the age of each order, so a successor waits for the rest of the 3.2 s only. The fleet's keeper gets tests of its own.

--- /dev/null
+++ b/tests/machines/test_fleet_keeper.py
@@ -0,0 +1,202 @@
+"""Tests of moves and waves as the fleet's keeper orders them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+import threading
+import time
+from typing import cast
+
+import cbor2
+import pytest
+from returns import result
+
+from standins import row_store
+from wisteriasill import metrics
+from wisteriasill.contracts import host_moves
+from wisteriasill.contracts import host_record
+from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+from wisteriasill.machines import fleet_keeper
+from wisteriasill.machines import fleet_rows
+from wisteriasill.machines import site_links
+from wisteriasill.zones import shard_ledger
+
+ROOM = job_spec.Room(16_000, 64_000, 0)
+CONFIGURATION = queues.configuration(
+    1,
+    [],
+    [
+        queues.ServicePool("bench", True, False),
+        queues.ServicePool("rest", True, True),
+    ],
+    100_000,
+)
+TURN_LEASE_SECONDS = 0.6  # Shortened, so that the tests take less time.
+
+
+class RecordedHosts:
+    """Hosts of a platform that notes the orders for them."""
+
+    def __init__(self, hosts: dict[str, str]) -> None:
+        self.service_by_host = hosts
+        self.orders: dict[str, tuple[str, float]] = {}
+
+    def list_hosts(self) -> tuple[host_record.HostRecord, ...]:
+        """Lists hosts; those in standby have no worker."""
+        return tuple(
+            host_record.HostRecord(
+                host_id,
+                service,
+                host_record.HostState.UP,
+                "zone",
+                ROOM,
+                "r1",
+                "" if service == "rest" else f"w-{host_id}",
+            )
+            for host_id, service in self.service_by_host.items()
+        )
+
+    def move(
+        self, host_id: str, service: str, fence: int
+    ) -> cluster.HostOrderOutcome:
+        """Notes a move."""
+        self.orders[host_id] = service, time.monotonic()
+        return cluster.HostOrderOutcome.DONE
+
+    def maintain(
+        self, host_id: str, wave: int, fence: int
+    ) -> cluster.HostOrderOutcome:
+        """Notes an upkeep."""
+        self.orders[host_id] = f"wave {wave}", time.monotonic()
+        return cluster.HostOrderOutcome.DONE
+
+
+class NoOrders:
+    """Operators who ordered no waves."""
+
+    def report_wave(
+        self, number: int, finished: bool
+    ) -> result.Result[int, cluster.StoreFault]:
+        """Takes a report."""
+        return result.Success(1)
+
+
+Start = Callable[[RecordedHosts], fleet_keeper.FleetKeeper]
+
+
+@pytest.fixture
+def store() -> row_store.MemoryRowStore:
+    return row_store.MemoryRowStore()
+
+
+@pytest.fixture
+def start(
+    store: row_store.MemoryRowStore, monkeypatch: pytest.MonkeyPatch
+) -> Iterator[Start]:
+    """Starts a keeper that has just claimed its shard."""
+    monkeypatch.setattr(fleet_keeper, "TURN_LEASE_SECONDS", TURN_LEASE_SECONDS)
+    keepers: list[fleet_keeper.FleetKeeper] = []
+
+    def make(hosts: RecordedHosts) -> fleet_keeper.FleetKeeper:
+        ledger = shard_ledger.ShardLedger(
+            store, fleet_rows.SHARD, "n1", threading.Event()
+        )
+        seen = shard_ledger.read_state(store, fleet_rows.SHARD).unwrap()
+        assert ledger.claim(seen)
+        links = site_links.SiteLinks(
+            store=store,
+            registry=cast(cluster.WorkerRegistry, None),
+            operators=cast(cluster.OperatorOrders, NoOrders()),
+            hosts=hosts,
+            advice=None,
+            open_worker=lambda entry: cast(cluster.WorkerLink, None),
+            metrics=metrics.Metrics(),
+        )
+        keeper = fleet_keeper.FleetKeeper(
+            links, ledger, lambda: (CONFIGURATION, {})
+        )
+        keepers.append(keeper)
+        assert keeper.open()
+        return keeper
+
+    yield make
+    for keeper in keepers:
+        keeper.close(release=True)
+
+
+def store_row(
+    store: row_store.MemoryRowStore,
+    table: str,
+    part: str,
+    key: str,
+    value: bytes,
+) -> None:
+    store.transact(
+        part, [], [cluster.RowWrite(table, key, value)], 1.0
+    ).unwrap()
+
+
+def need_hosts(store: row_store.MemoryRowStore, count: int) -> None:
+    """Stores a pool's load as its holder does."""
+    load = host_moves.PoolLoad(
+        job_spec.Room(16_000 * count, 1000, 0),
+        {"w-h1": host_moves.WorkerLoad(1, 0, 0.0, False)},
+    )
+    store_row(
+        store,
+        fleet_rows.LOADS_TABLE,
+        "bench",
+        fleet_rows.LOAD_KEY,
+        cbor2.dumps(host_moves.encode_load(load)),
+    )
+
+
+def await_order(hosts: RecordedHosts, host_id: str) -> float:
+    """Waits for an order; returns its steady time."""
+    until = time.monotonic() + 4.0
+    while host_id not in hosts.orders:
+        assert time.monotonic() < until, f"no order for {host_id}"
+        time.sleep(0.01)
+    return hosts.orders[host_id][1]
+
+
+def test_a_resting_host_moves_to_the_pool_that_needs_one(
+    store: row_store.MemoryRowStore, start: Start
+) -> None:
+    hosts = RecordedHosts({"h1": "bench", "h2": "rest"})
+    start(hosts)
+    need_hosts(store, 2)
+    await_order(hosts, "h2")
+    assert hosts.orders["h2"][0] == "bench"
+
+
+@pytest.mark.parametrize(
+    ("age_seconds", "longest_wait"),
+    [(0.0, 2.0), (10.0, 0.4)],
+    ids=["just now", "long ago"],
+)
+def test_a_successor_waits_only_for_hosts_that_were_ordered_lately(
+    store: row_store.MemoryRowStore,
+    start: Start,
+    age_seconds: float,
+    longest_wait: float,
+) -> None:
+    """Grown Kochi, trouble-2: 82 resting hosts were barred for 3.2 s."""
+    hosts = RecordedHosts({"h1": "bench", "h2": "rest"})
+    former = host_moves.Ask("h2", "w-h2", "rest", 0)
+    store_row(
+        store,
+        fleet_rows.TABLE,
+        fleet_rows.SHARD,
+        fleet_rows.ASKS_KEY,
+        fleet_rows.encode_asks([fleet_rows.StoredAsk(former, age_seconds)]),
+    )
+    claimed_at = time.monotonic()
+    start(hosts)
+    need_hosts(store, 2)
+    waited = await_order(hosts, "h2") - claimed_at
+    assert waited < longest_wait
+    if not age_seconds:
+        assert waited >= TURN_LEASE_SECONDS
--- a/wisteriasill/machines/batch_news.py
+++ b/wisteriasill/machines/batch_news.py
@@ -166,7 +166,10 @@
         for row in rows:
             if row.key == fleet_rows.ASKS_KEY and row.value is not None:
                 self.pool.set_leaving(
-                    {ask.worker_id for ask in fleet_rows.decode_asks(row.value)}
+                    {
+                        one.ask.worker_id
+                        for one in fleet_rows.decode_asks(row.value)
+                    }
                 )
             elif row.key == fleet_rows.DOWN_KEY and row.value is not None:
                 down = fleet_rows.decode_down(row.value)
--- a/wisteriasill/machines/fleet_keeper.py
+++ b/wisteriasill/machines/fleet_keeper.py
@@ -53,12 +53,14 @@
 
     Attributes:
         worker_id: Its worker before the order.
-        at: Steady time of the order.
+        at: Steady time of the order, or the latest that it can have been.
+        inherited: Whether a former holder gave it, or was about to.
     """
 
     ask: host_moves.Ask
     worker_id: str
     at: float
+    inherited: bool = False
 
 
 class SeenLoad(NamedTuple):
@@ -125,13 +127,16 @@
                 continue
             if row.key == fleet_rows.ASKS_KEY:
                 # The former holder may have ordered just these hosts.
-                self._stored_asks = {
-                    ask.host_id: ask
-                    for ask in fleet_rows.decode_asks(row.value)
-                }
+                stored = fleet_rows.decode_asks(row.value)
+                self._stored_asks = {one.ask.host_id: one.ask for one in stored}
                 self._ordered = {
-                    host_id: OrderedHost(ask, ask.worker_id, self._claimed_at)
-                    for host_id, ask in self._stored_asks.items()
+                    ask.host_id: OrderedHost(
+                        ask,
+                        ask.worker_id,
+                        self._claimed_at - age_seconds,
+                        inherited=True,
+                    )
+                    for ask, age_seconds in stored
                 }
             elif row.key == fleet_rows.DOWN_KEY:
                 self._down_by_host = fleet_rows.decode_down(row.value)
@@ -255,8 +260,9 @@
                 and renewed
             )
             # An order of a former holder may never have been given.
-            inherited = ordered.at == self._claimed_at
-            patience = TURN_LEASE_SECONDS if inherited else ORDER_SECONDS
+            patience = (
+                TURN_LEASE_SECONDS if ordered.inherited else ORDER_SECONDS
+            )
             age_seconds = now - ordered.at
             if age_seconds > patience or (
                 returned and age_seconds > TURN_LEASE_SECONDS
@@ -373,7 +379,15 @@
                 cluster.RowWrite(
                     fleet_rows.TABLE,
                     fleet_rows.ASKS_KEY,
-                    fleet_rows.encode_asks(asks),
+                    fleet_rows.encode_asks(
+                        fleet_rows.StoredAsk(
+                            ask,
+                            now - self._ordered[host_id].at
+                            if host_id in self._ordered
+                            else 0.0,
+                        )
+                        for host_id, ask in asks.items()
+                    ),
                 )
             )
             self._stored_asks = asks
--- a/wisteriasill/machines/fleet_rows.py
+++ b/wisteriasill/machines/fleet_rows.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 import cbor2
 
@@ -16,14 +17,31 @@
 LOAD_KEY = "load"
 
 
-def encode_asks(ask_by_host: Mapping[str, host_moves.Ask]) -> bytes:
+class StoredAsk(NamedTuple):
+    """An ask and how long ago its order was given.
+
+    Attributes:
+        age_seconds: Age of the order when the row was written; 0 if it was
+            not given yet, as it may be given right after.
+    """
+
+    ask: host_moves.Ask
+    age_seconds: float
+
+
+def encode_asks(stored: Iterable[StoredAsk]) -> bytes:
     """Encodes asks for their row."""
-    return cbor2.dumps([[*ask] for ask in ask_by_host.values()])
+    return cbor2.dumps(
+        [[*one.ask, round(one.age_seconds, 2)] for one in stored]
+    )
 
 
-def decode_asks(value: bytes) -> list[host_moves.Ask]:
+def decode_asks(value: bytes) -> list[StoredAsk]:
     """Reads what `encode_asks` made."""
-    return [host_moves.Ask(*fields) for fields in cbor2.loads(value)]
+    return [
+        StoredAsk(host_moves.Ask(*fields), age_seconds)
+        for *fields, age_seconds in cbor2.loads(value)
+    ]
 
 
 def encode_down(worker_by_host: Mapping[str, str]) -> bytes:
