--- a/tests/machines/test_fleet_keeper.py
+++ b/tests/machines/test_fleet_keeper.py
@@ -200,3 +200,10 @@
     assert waited < longest_wait
     if not age_seconds:
         assert waited >= TURN_LEASE_SECONDS
+
+
+def test_a_row_of_the_release_before_is_read() -> None:
+    """Nodes are replaced one by one, so both releases read the same rows."""
+    ask = host_moves.Ask("h2", "w-h2", "rest", 0)
+    (stored,) = fleet_rows.decode_asks(cbor2.dumps([[*ask]]))
+    assert stored == fleet_rows.StoredAsk(ask, 0.0)
--- a/wisteriasill/machines/fleet_rows.py
+++ b/wisteriasill/machines/fleet_rows.py
@@ -37,10 +37,11 @@
 
 
 def decode_asks(value: bytes) -> list[StoredAsk]:
-    """Reads what `encode_asks` made."""
+    """Reads what `encode_asks` made, here or before orders had an age."""
+    width = len(host_moves.Ask._fields)
     return [
-        StoredAsk(host_moves.Ask(*fields), age_seconds)
-        for *fields, age_seconds in cbor2.loads(value)
+        StoredAsk(host_moves.Ask(*row[:width]), *(row[width:] or [0.0]))
+        for row in cbor2.loads(value)
     ]
 
 
