--- a/wisteriasill/contracts/host_moves.py
+++ b/wisteriasill/contracts/host_moves.py
@@ -85,17 +85,25 @@
     )
 
 
-def needed_hosts(
-    load: PoolLoad, hosts: Iterable[host_record.HostRecord]
-) -> int:
-    """Returns how many hosts of the largest size a pool's needs fill."""
+def largest_room(hosts: Iterable[host_record.HostRecord]) -> job_spec.Room:
+    """Returns the most that any host has of each resource."""
     rooms = [host.room for host in hosts]
-    cpu = max((room.cpu for room in rooms), default=0)
-    memory_mb = max((room.memory_mb for room in rooms), default=0)
-    if not cpu or not memory_mb:
+    return job_spec.Room(
+        max((room.cpu for room in rooms), default=0),
+        max((room.memory_mb for room in rooms), default=0),
+        0,
+    )
+
+
+def needed_hosts(load: PoolLoad, largest: job_spec.Room) -> int:
+    """Returns how many hosts of the largest size a pool's needs fill."""
+    if not largest.cpu or not largest.memory_mb:
         return 0
     return math.ceil(
-        max(load.needed.cpu / cpu, load.needed.memory_mb / memory_mb)
+        max(
+            load.needed.cpu / largest.cpu,
+            load.needed.memory_mb / largest.memory_mb,
+        )
     )
 
 
@@ -124,8 +132,20 @@
         if host.state is host_record.HostState.UP
         and host.host_id not in busy_host_ids
     ]
+    movable_by_service: dict[str, list[host_record.HostRecord]] = {}
+    for host in movable:
+        movable_by_service.setdefault(host.service, []).append(host)
+    largest = largest_room(movable)
+    needed_by_service = {
+        service: needed_hosts(load, largest)
+        for service, load in load_by_service.items()
+    }
     surplus_by_service = {
-        service: _surplus_hosts(service, load, movable)
+        service: _surplus_hosts(
+            needed_by_service[service],
+            load,
+            movable_by_service.get(service, []),
+        )
         for service, load in load_by_service.items()
     }
     spare = [
@@ -137,9 +157,18 @@
     resting = [host for host in movable if host.service in standby]
     sources = iter([*resting, *spare])
     moves: list[Ask] = []
-    for service, wanted in _wanted_hosts(
-        movable, load_by_service, arriving_by_service
-    ):
+    wanted_by_service = {
+        service: needed
+        - len(movable_by_service.get(service, []))
+        - arriving_by_service.get(service, 0)
+        for service, needed in needed_by_service.items()
+    }
+    shortest_first = sorted(
+        wanted_by_service.items(), key=lambda item: -item[1]
+    )
+    for service, wanted in shortest_first:
+        if wanted <= 0:
+            break
         candidates = (one for one in sources if one.service != service)
         moves += [
             Ask(host.host_id, host.worker_id, service, 0)
@@ -157,27 +186,6 @@
     ]
 
 
-def _wanted_hosts(
-    movable: Sequence[host_record.HostRecord],
-    load_by_service: Mapping[str, PoolLoad],
-    arriving_by_service: Mapping[str, int],
-) -> list[tuple[str, int]]:
-    """Returns how many hosts each short pool wants, the shortest first."""
-    wanted = [
-        (
-            service,
-            needed_hosts(load, movable)
-            - sum(host.service == service for host in movable)
-            - arriving_by_service.get(service, 0),
-        )
-        for service, load in load_by_service.items()
-    ]
-    return sorted(
-        ((service, count) for service, count in wanted if count > 0),
-        key=lambda item: -item[1],
-    )
-
-
 def _idle_seconds(
     host: host_record.HostRecord, load_by_service: Mapping[str, PoolLoad]
 ) -> float:
@@ -186,11 +194,9 @@
 
 
 def _surplus_hosts(
-    service: str, load: PoolLoad, movable: Sequence[host_record.HostRecord]
+    needed: int, load: PoolLoad, own: Sequence[host_record.HostRecord]
 ) -> list[host_record.HostRecord]:
     """Returns idle hosts beyond what a pool needs."""
-    own = [host for host in movable if host.service == service]
-    kept = max(LEAST_HOSTS, needed_hosts(load, movable))
     idle = [
         host
         for host in own
@@ -198,7 +204,7 @@
         and one.idle_seconds
         and not one.released
     ]
-    return idle[: max(0, len(own) - kept)]
+    return idle[: max(0, len(own) - max(LEAST_HOSTS, needed))]
 
 
 def plan_upkeep(
@@ -226,14 +232,11 @@
         The hosts to empty.
     """
     asked = [*asks]
-    asked_ids = {ask.host_id for ask in asked}
+    left = {*wave.host_ids} - {*done} - {ask.host_id for ask in asked}
     due = [
         host
         for host in hosts
-        if host.host_id in wave.host_ids
-        and host.host_id not in done
-        and host.host_id not in asked_ids
-        and host.state is host_record.HostState.UP
+        if host.host_id in left and host.state is host_record.HostState.UP
     ]
     service_by_worker = {host.worker_id: host.service for host in hosts}
     emptying: dict[str, int] = {}
--- a/wisteriasill/machines/fleet_keeper.py
+++ b/wisteriasill/machines/fleet_keeper.py
@@ -346,12 +346,13 @@
             return
         self._logged_at = now
         hosts = collections.Counter(host.service for host in self._hosts)
+        largest = host_moves.largest_room(self._hosts)
         events.log(
             events.Event.POOLS_COUNTED,
             "Hosts and needs of all pools",
             hosts=dict(hosts),
             needed={
-                service: host_moves.needed_hosts(load, self._hosts)
+                service: host_moves.needed_hosts(load, largest)
                 for service, load in loads.items()
             },
             idle={
