Let another node store a job when this one can't reach the store

The row is the same and is stored once, so a lost answer breaks nothing. Eight tests over sockets; the first three failed before.

--- /dev/null
+++ b/tests/links/test_submission_relay.py
@@ -0,0 +1,136 @@
+"""Tests of jobs that another node stores."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import socket
+import time
+
+import pytest
+from returns import result
+from websockets.sync import client
+
+from standins import row_store
+from tests.machines import batch_site
+from wisteriasill import errors
+from wisteriasill.contracts import job_spec
+from wisteriasill.links import submission_relay
+from wisteriasill.machines import batch_tables
+from wisteriasill.machines import job_desk
+
+JOB = "5c0e7a21d94b36f8"
+SPEC = job_spec.JobSpec("text", (batch_site.step(2),))
+STORED = submission_relay.Outcome.STORED
+
+
+@pytest.fixture
+def store() -> row_store.MemoryRowStore:
+    """The platform's store as the other node reaches it."""
+    return row_store.MemoryRowStore()
+
+
+@pytest.fixture
+def peer(
+    store: row_store.MemoryRowStore,
+) -> Iterator[submission_relay.RelayServer]:
+    server = submission_relay.RelayServer(
+        ("127.0.0.1", 0), job_desk.JobDesk(store).store
+    )
+    server.start()
+    yield server
+    server.stop()
+
+
+@pytest.fixture
+def own_store() -> row_store.MemoryRowStore:
+    """The store as this node reaches it: not at all."""
+    made = row_store.MemoryRowStore()
+    made.down = True
+    return made
+
+
+def desk_with(
+    own_store: row_store.MemoryRowStore, *addresses: str
+) -> job_desk.JobDesk:
+    return job_desk.JobDesk(
+        own_store, submission_relay.PeerRelay(lambda: addresses)
+    )
+
+
+def address_of(peer: submission_relay.RelayServer) -> str:
+    return f"127.0.0.1:{peer.port}"
+
+
+def submit(desk: job_desk.JobDesk, seconds: float = 3.0) -> job_desk.Outcome:
+    return desk.submit(batch_site.QUEUE, JOB, SPEC, time.monotonic() + seconds)
+
+
+def stored_rows(store: row_store.MemoryRowStore) -> int:
+    table = batch_tables.jobs_table(batch_site.SERVICE)
+    return len(store.follow(table, 0, 0.0).unwrap().rows)
+
+
+def unused_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def test_a_node_without_the_store_has_another_one_store_the_job(
+    store: row_store.MemoryRowStore,
+    own_store: row_store.MemoryRowStore,
+    peer: submission_relay.RelayServer,
+) -> None:
+    """Grown Mandacaru, trouble-1: 27 jobs got 504 while 14 nodes were cut."""
+    desk = desk_with(own_store, address_of(peer), unused_address())
+    began = time.monotonic()
+    assert isinstance(submit(desk), result.Success)
+    assert isinstance(submit(desk), result.Success)
+    assert time.monotonic() - began < 1.0
+    assert stored_rows(store) == 1
+
+
+def test_a_store_that_does_not_answer_is_passed_by(
+    store: row_store.MemoryRowStore,
+    own_store: row_store.MemoryRowStore,
+    peer: submission_relay.RelayServer,
+) -> None:
+    own_store.down = False
+    own_store.delayed_writes = 100
+    desk = desk_with(own_store, address_of(peer))
+    assert isinstance(submit(desk), result.Success)
+    assert stored_rows(store) == 1
+
+
+def test_without_any_way_to_the_store_the_job_is_said_to_be_unknown(
+    store: row_store.MemoryRowStore,
+    own_store: row_store.MemoryRowStore,
+    peer: submission_relay.RelayServer,
+) -> None:
+    store.down = True
+    desk = desk_with(own_store, address_of(peer))
+    began = time.monotonic()
+    failure = submit(desk).failure()
+    assert failure.kind is errors.ErrorKind.ACCEPTANCE_UNKNOWN
+    assert time.monotonic() - began < 2 * job_desk.BUSY_SECONDS
+
+
+def test_a_peer_that_is_gone_stores_nothing_for_certain() -> None:
+    relay = submission_relay.PeerRelay(lambda: [unused_address()])
+    submission = submission_relay.Submission("bench", JOB, b"row")
+    outcome = relay.store(submission, time.monotonic() + 2.0)
+    assert outcome is submission_relay.Outcome.REFUSED
+
+
+@pytest.mark.parametrize("message", [b"", b"\xff", b"\x81\x01", "text"])
+def test_what_is_no_job_is_refused_and_the_server_goes_on(
+    store: row_store.MemoryRowStore,
+    peer: submission_relay.RelayServer,
+    message: bytes | str,
+) -> None:
+    with client.connect(f"ws://{address_of(peer)}", proxy=None) as connection:
+        connection.send(message)
+        assert [*connection] == []
+    relay = submission_relay.PeerRelay(lambda: [address_of(peer)])
+    submission = submission_relay.Submission("bench", JOB, b"row")
+    assert relay.store(submission, time.monotonic() + 2.0) is STORED
--- a/tests/zones/test_shard_claims.py
+++ b/tests/zones/test_shard_claims.py
@@ -56,7 +56,7 @@
         self, store: row_store.MemoryRowStore, name: str, strength: float
     ) -> None:
         self.claims = shard_claims.ShardClaims(
-            store, name, QuietKeeper, strength
+            store, name, QuietKeeper, shard_claims.NodeEntry(strength)
         )
 
     @property
--- a/wisteriasill/machines/job_desk.py
+++ b/wisteriasill/machines/job_desk.py
@@ -13,6 +13,7 @@
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
+from wisteriasill.links import submission_relay
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_tables
 from wisteriasill.zones import shard_ledger
@@ -27,6 +28,8 @@
 # Time for which a store that refuses calls is asked again: a busy one takes
 # every second call. A quarter of the shortest objective at the users' sites.
 BUSY_SECONDS = 0.5
+# Time after a failed call in which another node is asked first.
+SUSPECT_SECONDS = 2.0
 PENDING_CACHE_SECONDS = 1.0  # The pages allow 2 s.
 
 
@@ -35,10 +38,17 @@
 
     Args:
         store: The platform's store.
+        relay: Another way to the store, if there is one.
     """
 
-    def __init__(self, store: cluster.RowStore) -> None:
+    def __init__(
+        self,
+        store: cluster.RowStore,
+        relay: submission_relay.SubmissionRelay | None = None,
+    ) -> None:
         self._store = store
+        self._relay = relay
+        self._failed_at = -SUSPECT_SECONDS
         self._pending_by_service: dict[str, tuple[float, dict[str, Any]]] = {}
 
     def submit(
@@ -62,26 +72,27 @@
         record = job_spec.JobRecord(
             queue.name, int(time.time() * 1000), False, spec
         )
-        table = batch_tables.jobs_table(queue.service)
-        value = cbor2.dumps(job_spec.encode(record))
+        submission = submission_relay.Submission(
+            queue.service, job_id, cbor2.dumps(job_spec.encode(record))
+        )
         in_doubt = False
+        relayed = False
         refused_until = time.monotonic() + BUSY_SECONDS
         while True:
             left = deadline - ANSWER_SECONDS - time.monotonic()
             if left <= 0:
                 break
-            written = self._store.transact(
-                batch_tables.jobs_part(queue.service, job_id),
-                [cluster.RowVersion(table, job_id, 0)],
-                [cluster.RowWrite(table, job_id, value)],
-                min(left, CALL_SECONDS),
-            )
-            if isinstance(written, result.Success):
-                return result.Success(batch_job.JobState.QUEUED)
-            fault = written.failure()
-            if fault.kind is cluster.StoreFaultKind.CONFLICT:
+            suspect = time.monotonic() - self._failed_at < SUSPECT_SECONDS
+            if suspect and self._relay and not relayed:
+                relayed = True
+                outcome = self._relay.store(
+                    submission, deadline - ANSWER_SECONDS
+                )
+            else:
+                outcome = self.store(submission, deadline - ANSWER_SECONDS)
+            if outcome is submission_relay.Outcome.STORED:
                 return result.Success(batch_job.JobState.QUEUED)
-            if fault.kind is cluster.StoreFaultKind.OUTCOME_UNKNOWN:
+            if outcome is submission_relay.Outcome.UNKNOWN:
                 in_doubt = True
             elif not in_doubt and time.monotonic() > refused_until:
                 break
@@ -96,6 +107,36 @@
             )
         )
 
+    def store(
+        self, submission: submission_relay.Submission, deadline: float
+    ) -> submission_relay.Outcome:
+        """Stores a job's row once; a job that is there already is the same.
+
+        Args:
+            submission: The row.
+            deadline: Steady time up to which to wait for the store.
+
+        Returns:
+            What became of it.
+        """
+        service, job_id, value = submission
+        table = batch_tables.jobs_table(service)
+        written = self._store.transact(
+            batch_tables.jobs_part(service, job_id),
+            [cluster.RowVersion(table, job_id, 0)],
+            [cluster.RowWrite(table, job_id, value)],
+            min(max(deadline - time.monotonic(), 0.0), CALL_SECONDS),
+        )
+        if isinstance(written, result.Success) or (
+            written.failure().kind is cluster.StoreFaultKind.CONFLICT
+        ):
+            self._failed_at = -SUSPECT_SECONDS
+            return submission_relay.Outcome.STORED
+        self._failed_at = time.monotonic()
+        if written.failure().kind is cluster.StoreFaultKind.OUTCOME_UNKNOWN:
+            return submission_relay.Outcome.UNKNOWN
+        return submission_relay.Outcome.REFUSED
+
     def state(self, queue: queues.Queue, job_id: str) -> Outcome:
         """Reads the state of a job."""
         progress = self._read_row(
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -11,6 +11,7 @@
 from wisteriasill import events
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
+from wisteriasill.links import submission_relay
 from wisteriasill.machines import batch_keeper
 from wisteriasill.machines import batch_pool
 from wisteriasill.machines import fleet_keeper
@@ -39,6 +40,8 @@
         grace_seconds: Time from SIGTERM to SIGKILL.
         cores: Processor that the node may use.
         link_mbps: Bandwidth of its link.
+        relay_address: `IP:port` where other nodes hand jobs to this one;
+            empty for none.
     """
 
     name: str
@@ -46,6 +49,7 @@
     grace_seconds: float
     cores: float = 1.0
     link_mbps: float = 1000.0
+    relay_address: str = ""
 
 
 def strength(settings: NodeSettings) -> float:
@@ -68,7 +72,9 @@
     ) -> None:
         self._settings = settings
         self._links = links
-        self.desk = job_desk.JobDesk(links.store)
+        self.desk = job_desk.JobDesk(
+            links.store, submission_relay.PeerRelay(self._peers)
+        )
         self.configuration: queues.SiteConfiguration | None = None
         self.wave_by_number: dict[int, queues.WaveOrder] = {}
         self._stopping = threading.Event()
@@ -77,7 +83,7 @@
             links.store,
             settings.name,
             self._make_keeper,
-            strength(settings),
+            shard_claims.NodeEntry(strength(settings), settings.relay_address),
         )
         self._threads = [
             threading.Thread(target=target, daemon=True)
@@ -108,6 +114,14 @@
             and time.monotonic() - self._store_seen_at < STORE_SILENCE_SECONDS
         )
 
+    def _peers(self) -> list[str]:
+        """Returns where other nodes take jobs for the store."""
+        return [
+            entry.address
+            for name, entry in self._claims.entries().items()
+            if name != self._settings.name and entry.address
+        ]
+
     def shards(self) -> dict[str, shard_ledger.ShardState]:
         """Returns each shard's state as this node last read it."""
         return self._claims.states()
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -8,6 +8,7 @@
 import time
 from typing import NamedTuple, Protocol
 
+import cbor2
 from returns import result
 import xxhash
 
@@ -23,7 +24,7 @@
 # Longest time between two looks at the store for which a shard is still known
 # to have stood still: two turns. A store that is away silences all holders.
 BLIND_SECONDS = 1.0
-# Part of the shards' table with a row for each node: its strength.
+# Part of the shards' table with a row for each node.
 NODES_PART = ":nodes"
 # Row of a shard by which a stronger node asks its holder to hand it on; the
 # value is the fencing number of the holder that it means.
@@ -43,6 +44,18 @@
         """Ends the tasks and optionally gives the shard up."""
 
 
+class NodeEntry(NamedTuple):
+    """What a node tells the others of itself.
+
+    Attributes:
+        strength: Its speed, 1 for one that keeps any pool with ease.
+        address: `IP:port` where it takes jobs for the store.
+    """
+
+    strength: float
+    address: str = ""
+
+
 class Sighting(NamedTuple):
     """What a node saw of a shard.
 
@@ -63,7 +76,7 @@
         store: The platform's store.
         node: Name of this node.
         make_keeper: Builds the tasks for a claimed shard.
-        strength: Speed of this node, 1 for one that keeps any pool with ease.
+        own: What this node tells the others of itself.
     """
 
     def __init__(
@@ -71,14 +84,15 @@
         store: cluster.RowStore,
         node: str,
         make_keeper: Callable[[shard_ledger.ShardLedger], Keeper],
-        strength: float = 1.0,
+        own: NodeEntry,
     ) -> None:
         self._store = store
         self._node = node
         self._make_keeper = make_keeper
-        self._strength = strength
+        self._own = own
         self._sighting_by_shard: dict[str, Sighting] = {}
         self._row_by_name: dict[tuple[str, str], cluster.StoredRow] = {}
+        self._entry_by_node: dict[str, NodeEntry] = {}
         self._version: int | None = None
         self._seen_at = 0.0
         self.keeper_by_shard: dict[str, Keeper] = {}
@@ -149,9 +163,9 @@
         return self._register()
 
     def _register(self) -> bool:
-        """Stores this node's strength, unless it is stored already."""
+        """Stores this node's entry, unless it is stored already."""
         own = self._row_by_name.get((NODES_PART, self._node))
-        value = repr(self._strength).encode()
+        value = cbor2.dumps([*self._own])
         if own is not None and own.value == value:
             return True
         written = self._store.transact(
@@ -167,7 +181,16 @@
         return isinstance(written, result.Success)
 
     def _note(self, rows: Iterable[cluster.StoredRow]) -> None:
-        self._row_by_name.update(((row.part, row.key), row) for row in rows)
+        for row in rows:
+            self._row_by_name[row.part, row.key] = row
+            if row.part == NODES_PART and row.value is not None:
+                self._entry_by_node[row.key] = NodeEntry(
+                    *cbor2.loads(row.value)
+                )
+
+    def entries(self) -> dict[str, NodeEntry]:
+        """Returns what all nodes told of themselves, by name."""
+        return dict(self._entry_by_node)
 
     def states(self) -> dict[str, shard_ledger.ShardState]:
         """Returns each shard's state as its rows were last read."""
@@ -209,22 +232,17 @@
             self._version = None
 
     def _bidder(self, shard: str) -> shard_choice.Bidder:
-        strengths = [
-            float(row.value)
-            for (part, _), row in self._row_by_name.items()
-            if part == NODES_PART and row.value is not None
-        ]
+        strengths = [one.strength for one in self._entry_by_node.values()]
         return shard_choice.Bidder(
-            self._strength,
-            shard_choice.strongest([*strengths, self._strength]),
+            self._own.strength,
+            shard_choice.strongest([*strengths, self._own.strength]),
             len(self.keeper_by_shard),
             self._stagger(shard),
         )
 
     def _strength_of(self, node: str) -> float:
         """Returns a node's strength, this node's own if it is unknown."""
-        row = self._row_by_name.get((NODES_PART, node))
-        return float(row.value) if row and row.value else self._strength
+        return self._entry_by_node.get(node, self._own).strength
 
     def _offer(self, shard: str, state: shard_ledger.ShardState) -> None:
         """Asks the holder of a shard to hand it on, once for each holder."""
@@ -262,7 +280,7 @@
             "A stronger node offered to keep the shard; it is given up",
             shard=shard,
             epoch=owner.version,
-            strength=self._strength,
+            strength=self._own.strength,
         )
         self.keeper_by_shard.pop(shard).close(release=True)
 
