--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -172,3 +172,25 @@
     data = {name: value for name, value in SETTINGS.items() if name != key}
     with pytest.raises(ValueError, match=key):
         settings_file.decode(data)
+
+
+def test_all_wrong_settings_are_named_at_once() -> None:
+    data = {
+        **SETTINGS,
+        "node_name": 7,
+        "port_range": [9, 8],
+        "listen": {"front": "10.1.0.9", "ready": "10.1.0.9:1"},
+        "limits": {"link_mbps": -1},
+        "platform": "10.0.0.1",
+    }
+    with pytest.raises(ValueError) as refused:
+        settings_file.decode(data)
+    message = str(refused.value)
+    for part in (
+        "'node_name' is 7, expected a text",
+        "'port_range' is [9, 8]",
+        "'listen.front' is '10.1.0.9', expected IP:PORT",
+        "'limits.link_mbps' is -1",
+        "'platform' is '10.0.0.1', expected an object",
+    ):
+        assert part in message
