Draw a rise of demand on, and let idle hosts rest sooner

Change: two weighted means of the rate tell the slope, which is drawn on by 1 s; a fall shows at once. Hosts beyond the need rest after 0.5 s instead of 1.2.

--- a/tests/contracts/test_job_placement.py
+++ b/tests/contracts/test_job_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import pytest
@@ -169,6 +170,40 @@
     assert pacing.next_percent(percent, tails) == next_percent
 
 
+def feed(
+    rates: tuple[arrival_rate.ArrivalRate, arrival_rate.ArrivalRate],
+    rate_at: Callable[[float], float],
+    seconds: float,
+) -> None:
+    """Adds what arrives in each hundredth of a second."""
+    for tick in range(round(seconds * 100)):
+        for rate in rates:
+            rate.add(rate_at(tick / 100) / 100, tick / 100)
+
+
+def test_a_steady_rise_is_known_a_second_ahead() -> None:
+    rates = arrival_rate.pair()
+    feed(rates, lambda now: 10 * now, 6.0)
+    assert arrival_rate.forecast(rates, 6.0) == pytest.approx(70, rel=0.05)
+
+
+def test_a_step_is_overshot_by_less_than_half() -> None:
+    rates = arrival_rate.pair()
+    highest = 0.0
+    for tick in range(300):
+        now = tick / 100
+        for rate in rates:
+            rate.add(0.4, now)
+        highest = max(highest, arrival_rate.forecast(rates, now))
+    assert 40 <= highest < 60
+
+
+def test_a_fall_shows_at_once() -> None:
+    rates = arrival_rate.pair()
+    feed(rates, lambda now: 40.0 if now < 4 else 0.0, 5.0)
+    assert arrival_rate.forecast(rates, 5.0) < 6
+
+
 def test_a_rise_shows_within_half_a_second() -> None:
     rate = arrival_rate.ArrivalRate(arrival_rate.FAST_SECONDS)
     for tick in range(10):
--- a/wisteriasill/contracts/arrival_rate.py
+++ b/wisteriasill/contracts/arrival_rate.py
@@ -1,7 +1,8 @@
 """Rate at which work arrives, as an exponentially weighted mean.
 
-The load pattern it answers: a queue's demand rises eightyfold within a second
-when its turn comes, long before its pool is full.
+The load pattern it answers: a queue's demand rises eightyfold within two
+seconds when its turn comes, long before its pool is full, and a host takes 1.7
+seconds from the wish for it to its first task.
 """
 
 from __future__ import annotations
@@ -11,6 +12,9 @@
 # A rise shows in half of this time, a fall in all of it.
 STEADY_SECONDS = 1.5
 FAST_SECONDS = 0.5
+# How far a rise is drawn on: a move of a host takes 1.5 s, and a step would be
+# overshot by more than a third.
+LEAD_SECONDS = 1.0
 
 
 class ArrivalRate:
@@ -47,3 +51,18 @@
 def pair() -> tuple[ArrivalRate, ArrivalRate]:
     """Returns a rate that shows rises and one that is steady."""
     return ArrivalRate(FAST_SECONDS), ArrivalRate(STEADY_SECONDS)
+
+
+def forecast(rates: tuple[ArrivalRate, ArrivalRate], now: float) -> float:
+    """Returns the rate that a rise leads to; a fall shows as it is.
+
+    While a rate rises evenly, a weighted mean lags by its span, so that two of
+    them tell the slope.
+
+    Args:
+        rates: A fast and a steady rate, as `pair` makes them.
+        now: Steady time in seconds.
+    """
+    fast, steady = (rate.per_second(now) for rate in rates)
+    slope = (fast - steady) / (STEADY_SECONDS - FAST_SECONDS)
+    return fast + max(0.0, slope) * (FAST_SECONDS + LEAD_SECONDS)
--- a/wisteriasill/contracts/host_moves.py
+++ b/wisteriasill/contracts/host_moves.py
@@ -15,9 +15,10 @@
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue as queues
 
-# A move costs as much as a host that idles for about this time, by the
-# prices of both sites (1.1 s at Mandacaru, 1.2 s at Kochi).
-REST_SECONDS = 1.2
+# Idle time after which a host beyond its pool's need rests. A move costs as much
+# as 1.2 idle seconds by the prices of both sites, and the need of a pool falls
+# for seconds at a time, so half of that is enough to pass over gaps.
+REST_SECONDS = 0.5
 # Idle time after which a host may help another pool.
 SPARE_SECONDS = 0.3
 # Hosts that a pool keeps without demand, so that a crash leaves one.
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -7,6 +7,7 @@
 import time
 
 from wisteriasill import events
+from wisteriasill.contracts import arrival_rate
 from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
@@ -218,7 +219,7 @@
                     moving[0] += count * unit.step.need.cpu
                     moving[1] += count * unit.step.need.memory_mb
             coming = [
-                ARRIVAL_HEADROOM * max(rate.per_second(now) for rate in rates)
+                ARRIVAL_HEADROOM * arrival_rate.forecast(rates, now)
                 for rates in (self._cpu_arrivals, self._memory_arrivals)
             ]
             cpu, memory_mb = (
