--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,6 +9,7 @@
 import ast
 from collections.abc import Iterator
 import pathlib
+import sys
 from typing import NamedTuple
 
 ROOT = pathlib.Path(__file__).parents[1]
@@ -82,3 +83,37 @@
         for arrow in sorted(known)
         if arrow.user in loaded and arrow.is_upward
     ] == []
+
+
+def outside_imports_of(path: pathlib.Path) -> Iterator[str]:
+    """Lists the packages from elsewhere that a file imports."""
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        names = (
+            [name.name for name in node.names]
+            if isinstance(node, ast.Import)
+            else [node.module or ""]
+            if isinstance(node, ast.ImportFrom) and not node.level
+            else []
+        )
+        yield from (name.partition(".")[0] for name in names)
+
+
+def test_what_a_node_imports_is_installed_on_the_platform() -> None:
+    """The platform installs the requirements only, not the development's."""
+    source = ROOT / "wisteriasill"
+    files = [*(ROOT / "platform").glob("*.py")]
+    own = {path.stem for path in files} | {"wisteriasill"}
+    files += [
+        path
+        for module in reached_from_the_platform(arrows())
+        if (path := source / f"{module.replace('.', '/')}.py").exists()
+    ]
+    needed = {
+        name
+        for path in files
+        for name in outside_imports_of(path)
+        if name not in sys.stdlib_module_names and name not in own
+    }
+    lines = (ROOT / "requirements.txt").read_text(encoding="utf-8").split()
+    declared = {line.partition("==")[0].lower() for line in lines}
+    assert needed - declared == set()
--- a/tests/zones/test_shard_claims.py
+++ b/tests/zones/test_shard_claims.py
@@ -174,3 +174,14 @@
     pass_time([other, holder], 1.2)
     assert holder.holds
     assert not other.holds
+
+
+def test_a_restarted_node_takes_its_own_shard_back_at_its_first_look(
+    store: row_store.MemoryRowStore,
+    pass_time: Callable[[list[Node], float], None],
+) -> None:
+    """After a loss of power each node finds its own name in the store."""
+    pass_time([Node(store, "node", 1.0)], 3.2)
+    restarted = Node(store, "node", 1.0)
+    pass_time([restarted], shard_claims.POLL_SECONDS)
+    assert restarted.holds
--- a/wisteriasill/contracts/host_moves.py
+++ b/wisteriasill/contracts/host_moves.py
@@ -15,9 +15,9 @@
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue as queues
 
-# Idle time after which a host beyond its pool's need rests. A move costs as much
-# as 1.2 idle seconds by the prices of both sites, and the need of a pool falls
-# for seconds at a time, so half of that is enough to pass over gaps.
+# Idle time after which a host beyond its pool's need rests. A move costs as
+# much as 1.2 idle seconds by the prices of both sites, and the need of a pool
+# falls for seconds at a time, so half of that is enough to pass over gaps.
 REST_SECONDS = 0.5
 # Idle time after which a host may help another pool.
 SPARE_SECONDS = 0.3
--- a/wisteriasill/contracts/shard_choice.py
+++ b/wisteriasill/contracts/shard_choice.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+import enum
 from typing import NamedTuple
 
 # Four beats, or one and a transaction of a slow store. A claim of a shard whose
@@ -29,6 +30,14 @@
 RELIEF_AFTER_SECONDS = 2.0
 
 
+class Holding(enum.Enum):
+    """Who holds a shard, as a node that may claim it sees it."""
+
+    RELEASED = enum.auto()
+    BY_OWN_FORMER_LIFE = enum.auto()
+    BY_ANOTHER = enum.auto()
+
+
 class Bidder(NamedTuple):
     """What decides how soon a node may claim a shard.
 
@@ -45,19 +54,25 @@
     stagger: float
 
 
-def patience_seconds(bidder: Bidder, released: bool) -> float:
+def patience_seconds(bidder: Bidder, holding: Holding) -> float:
     """Returns how long a shard stands still before a node claims it.
 
+    A node that was restarted knows that its former life is over, and no other
+    node claims that shard for a while, so it waits for nothing.
+
     Args:
         bidder: The node.
-        released: Whether the former holder gave the shard up itself.
+        holding: Who holds the shard.
     """
+    load = LOAD_SECONDS * bidder.kept
+    if holding is Holding.BY_OWN_FORMER_LIFE:
+        return load
     slowness = 1 - min(1.0, bidder.strength / max(bidder.strongest, 1e-9))
     return (
         STAGGER_SECONDS * bidder.stagger
         + SLOW_SECONDS * slowness
-        + LOAD_SECONDS * bidder.kept
-        + (0.0 if released else SILENCE_SECONDS)
+        + load
+        + (SILENCE_SECONDS if holding is Holding.BY_ANOTHER else 0.0)
     )
 
 
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -213,14 +213,24 @@
             seen = Sighting(state, now, held_since)
             self._sighting_by_shard[shard] = seen
         bidder = self._bidder(shard)
-        released = state.holder in ("", self._node)
-        if now - seen.since >= shard_choice.patience_seconds(bidder, released):
+        holding = self._holding(state)
+        if now - seen.since >= shard_choice.patience_seconds(bidder, holding):
             self._claim_if_unchanged(shard, state, now - seen.since)
-        elif not released and shard_choice.relieves(
-            bidder, self._strength_of(state.holder), now - seen.held_since
+        elif (
+            holding is shard_choice.Holding.BY_ANOTHER
+            and shard_choice.relieves(
+                bidder, self._strength_of(state.holder), now - seen.held_since
+            )
         ):
             self._offer(shard, state)
 
+    def _holding(self, state: shard_ledger.ShardState) -> shard_choice.Holding:
+        if not state.holder:
+            return shard_choice.Holding.RELEASED
+        if state.holder == self._node:
+            return shard_choice.Holding.BY_OWN_FORMER_LIFE
+        return shard_choice.Holding.BY_ANOTHER
+
     def _claim_if_unchanged(
         self, shard: str, state: shard_ledger.ShardState, silent_seconds: float
     ) -> None:
