Keep pydantic off the platform's nodes

Cause: the pages for operators (since their commit) used wisteriasill.documents, which needs pydantic; it is not among the platform's requirements, so nodes did not start there. Change: the pages encode events themselves.

--- a/wisteriasill/machines/node_pages.py
+++ b/wisteriasill/machines/node_pages.py
@@ -8,7 +8,6 @@
 
 from werkzeug import wrappers
 
-from wisteriasill import documents
 from wisteriasill import errors
 from wisteriasill import events
 from wisteriasill import metrics
@@ -88,4 +87,4 @@
         raise ValueError(
             f"after={after!r} and wait_seconds={wait_seconds!r} must be numbers"
         ) from error
-    return {"events": [documents.encode(item) for item in found]}
+    return {"events": [item._asdict() for item in found]}
