Give pools the hosts that a step's tasks have to spread over

Change: a load tells over how many hosts its widest step spreads; the need is at least that. Rows of the release before are read.

--- a/tests/contracts/test_host_moves.py
+++ b/tests/contracts/test_host_moves.py
@@ -84,3 +84,18 @@
     assert [ask.host_id for ask in asks] == ["m3", "m1"]
     assert not host_moves.plan_upkeep(wave, hosts, loads, (), (), 2)
     assert not host_moves.plan_upkeep(wave, hosts, loads, (), asks, 0)
+
+
+def test_tasks_that_spread_get_hosts_beyond_their_room() -> None:
+    """Grown Kochi, trouble-2: 14 of 20 serving tasks waited 10 s for hosts."""
+    hosts = [host(1, "a")] + [host(number, "rest") for number in range(2, 20)]
+    load = pool(2.0, {1: BUSY})._replace(spread=10)
+    moves = host_moves.plan_moves(hosts, {"a": load}, {"rest"}, (), {})
+    assert len(moves) == 9
+
+
+def test_a_load_of_the_release_before_is_read() -> None:
+    load = pool(2.0, {1: BUSY})._replace(spread=3)
+    data = host_moves.encode_load(load)
+    assert host_moves.decode_load(data) == load
+    assert host_moves.decode_load(data[:2]) == load._replace(spread=0)
--- a/tests/machines/test_batch_pool.py
+++ b/tests/machines/test_batch_pool.py
@@ -519,3 +519,17 @@
     site.pool.on_advice(step, cluster.Advice({"w1": "ticket"}, 5.0))
     (run,) = site.turn()
     assert site.pool.payload(run) == ("payload", "ticket")
+
+
+def test_the_load_counts_the_workers_that_a_step_spreads_over() -> None:
+    site = batch_site.HandDrivenPool(
+        records=[
+            batch_site.job_row("j", [batch_site.step(7, most_per_worker=2)])
+        ]
+    )
+    worker = site.add_worker("w1", batch_worker.MemoryWorker(batch_site.ROOM))
+    site.look(worker)
+    assert site.pool.load_now(time.monotonic()).spread == 4
+    site.turn()
+    assert len(worker.run_by_task) == 2
+    assert site.pool.load_now(time.monotonic()).spread == 4
--- a/wisteriasill/contracts/host_moves.py
+++ b/wisteriasill/contracts/host_moves.py
@@ -49,10 +49,12 @@
     Attributes:
         needed: Room that running, waiting and soon arriving tasks fill.
         load_by_worker: Load of each worker.
+        spread: Hosts that the tasks of one step have to spread over.
     """
 
     needed: job_spec.Room
     load_by_worker: Mapping[str, WorkerLoad]
+    spread: int = 0
 
 
 class Ask(NamedTuple):
@@ -74,15 +76,17 @@
     return [
         [*load.needed],
         {key: [*one] for key, one in load.load_by_worker.items()},
+        load.spread,
     ]
 
 
 def decode_load(data: Sequence[Any]) -> PoolLoad:
-    """Reads what `encode_load` made."""
-    needed, by_worker = data
+    """Reads what `encode_load` made, here or before loads had a spread."""
+    needed, by_worker, *spread = data
     return PoolLoad(
         job_spec.Room(*needed),
         {key: WorkerLoad(*one) for key, one in by_worker.items()},
+        *spread,
     )
 
 
@@ -97,15 +101,14 @@
 
 
 def needed_hosts(load: PoolLoad, largest: job_spec.Room) -> int:
-    """Returns how many hosts of the largest size a pool's needs fill."""
+    """Returns how many hosts of the largest size a pool needs."""
     if not largest.cpu or not largest.memory_mb:
         return 0
-    return math.ceil(
-        max(
-            load.needed.cpu / largest.cpu,
-            load.needed.memory_mb / largest.memory_mb,
-        )
+    filled = max(
+        load.needed.cpu / largest.cpu,
+        load.needed.memory_mb / largest.memory_mb,
     )
+    return max(math.ceil(filled), load.spread)
 
 
 def plan_moves(
--- a/wisteriasill/machines/batch_keeper.py
+++ b/wisteriasill/machines/batch_keeper.py
@@ -60,6 +60,7 @@
         self._counted_at = 0.0
         self._released: set[str] = set()
         self._needed_cpu = 0
+        self._spread = 0
         self.pool = batch_pool.BatchPool(
             ledger.shard,
             ledger.epoch,
@@ -206,6 +207,7 @@
             now - self._beat_at < BEAT_SECONDS
             and released <= self._released
             and load.needed.cpu < self._needed_cpu + self.pool.news_cpu()
+            and load.spread <= self._spread
         ):
             return None, []
         for worker_id in released - self._released:
@@ -219,6 +221,7 @@
         self._beat_at = now
         self._released = released
         self._needed_cpu = load.needed.cpu
+        self._spread = load.spread
         return cbor2.dumps({"pending": self.pool.pending_by_queue()}), [
             cluster.RowWrite(
                 fleet_rows.LOADS_TABLE,
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterable
 import itertools
+import math
 import time
 
 from wisteriasill import events
@@ -207,17 +209,27 @@
         """Returns the pool's load for the fleet's keeper."""
         with self.lock:
             fixed, moving = [0, 0], [0, 0]
+            # Tasks of each step that bounds how many one worker takes.
+            spread_out: collections.Counter[tuple[job_spec.StepKey, int]] = (
+                collections.Counter()
+            )
             for worker in self.worker_by_id.values():
                 for run in worker.run_by_task.values():
                     step = run.unit.step
                     total = fixed if step.lasting else moving
                     total[0] += 0 if step.fills else step.need.cpu
                     total[1] += step.need.memory_mb
+                    if step.most_per_worker:
+                        spread_out[run.unit.step_key, step.most_per_worker] += 1
             for job in self.job_by_id.values():
                 for unit in job.ready.values():
                     count = len(unit.indexes)
                     moving[0] += count * unit.step.need.cpu
                     moving[1] += count * unit.step.need.memory_mb
+                    if unit.step.most_per_worker:
+                        spread_out[
+                            unit.step_key, unit.step.most_per_worker
+                        ] += count
             coming = [
                 ARRIVAL_HEADROOM * arrival_rate.forecast(rates, now)
                 for rates in (self._cpu_arrivals, self._memory_arrivals)
@@ -234,6 +246,13 @@
                     worker.worker_id: _worker_load(worker, now)
                     for worker in self.worker_by_id.values()
                 },
+                max(
+                    (
+                        math.ceil(count / most)
+                        for (_, most), count in spread_out.items()
+                    ),
+                    default=0,
+                ),
             )
 
     def news_cpu(self) -> float:
