--- a/wisteriasill/machines/fleet_keeper.py
+++ b/wisteriasill/machines/fleet_keeper.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from concurrent import futures
 import threading
 import time
@@ -18,7 +18,9 @@
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_tables
+from wisteriasill.machines import fleet_hosts
 from wisteriasill.machines import fleet_rows
+from wisteriasill.machines import fleet_waves
 from wisteriasill.machines import site_links
 from wisteriasill.zones import shard_ledger
 
@@ -31,9 +33,6 @@
 # The platform takes 64 orders a second; each takes about 10 ms.
 ORDERS_AT_ONCE = 8
 LOG_SECONDS = 1.0
-# Age of the host list that is good enough: a host that goes down shows in it
-# seconds before its lease ends. A reading costs a thousandth of a start.
-LIST_SECONDS = 0.4
 # `lease_ms` of the platform's pages, with some slack: two holders must not
 # give orders to one host within it. So a host stays among the stored asks for
 # as long after its order, and a new holder waits as long with those.
@@ -95,18 +94,15 @@
         self._executor = futures.ThreadPoolExecutor(ORDERS_AT_ONCE)
         self._claimed_at = time.monotonic()
         self._beat_at = 0.0
-        self._listed_at = 0.0
         self._logged_at = 0.0
-        self._hosts: tuple[host_record.HostRecord, ...] = ()
+        self._fleet = fleet_hosts.FleetHosts(links.hosts)
+        self._waves = fleet_waves.FleetWaves(links.operators)
         self._load_by_service: dict[str, SeenLoad] = {}
         self._ask_by_host: dict[str, host_moves.Ask] = {}
         self._asked_at: dict[str, float] = {}
         self._stored_asks: dict[str, host_moves.Ask] = {}
         self._ordered: dict[str, OrderedHost] = {}
-        self._done_by_wave: dict[int, set[str]] = {}
-        self._down_by_host: dict[str, str] = {}
         self._stored_down: dict[str, str] = {}
-        self._reported: dict[int, bool] = {}
         self.lost = False
         self._threads = [
             threading.Thread(target=target, daemon=True)
@@ -139,10 +135,10 @@
                     for ask, age_seconds in stored
                 }
             elif row.key == fleet_rows.DOWN_KEY:
-                self._down_by_host = fleet_rows.decode_down(row.value)
-                self._stored_down = dict(self._down_by_host)
+                self._fleet.down_by_host = fleet_rows.decode_down(row.value)
+                self._stored_down = dict(self._fleet.down_by_host)
             else:
-                self._done_by_wave[int(row.key)] = set(cbor2.loads(row.value))
+                self._waves.load(int(row.key), row.value)
         for thread in self._threads:
             thread.start()
         return True
@@ -200,52 +196,22 @@
     def _turn(self) -> None:
         now = time.monotonic()
         configuration, wave_by_number = self._site()
-        self._refresh_hosts(now)
-        if self._listed_at:
+        self._fleet.refresh(now)
+        if self._fleet.listed_at:
             self._settle_orders(now)
             self._withdraw_asks(now)
             self._plan(now, configuration, wave_by_number)
         if not self._store(now):
             return
-        if self._listed_at:
+        if self._fleet.listed_at:
             self._give_orders(now, configuration)
-            self._report_waves(wave_by_number)
-
-    def _refresh_hosts(self, now: float) -> None:
-        if now - self._listed_at < LIST_SECONDS:
-            return
-        hosts = self._links.hosts.list_hosts()
-        if hosts is not None:
-            self._note_down(hosts)
-            self._hosts = hosts
-            self._listed_at = now
-
-    def _note_down(self, hosts: tuple[host_record.HostRecord, ...]) -> None:
-        """Notes workers whose hosts went down, until these are up again."""
-        host_by_id = {host.host_id: host for host in hosts}
-        self._down_by_host = {
-            host_id: worker_id
-            for host_id, worker_id in self._down_by_host.items()
-            if (host := host_by_id.get(host_id)) is None
-            or host.state is host_record.HostState.DOWN
-        }
-        for former in self._hosts:
-            host = host_by_id.get(former.host_id)
-            if former.worker_id and (
-                host is None or host.state is host_record.HostState.DOWN
-            ):
-                self._down_by_host[former.host_id] = former.worker_id
-                events.log(
-                    events.Event.HOST_STATE_CHANGED,
-                    "A host is down or was taken away",
-                    host=former.host_id,
-                    worker=former.worker_id,
-                    state=host.state.value if host else "gone",
-                )
+            self._waves.report(
+                wave_by_number, {host.host_id for host in self._fleet.hosts}
+            )
 
     def _settle_orders(self, now: float) -> None:
         """Drops orders whose hosts are up again with another worker."""
-        host_by_id = {host.host_id: host for host in self._hosts}
+        host_by_id = {host.host_id: host for host in self._fleet.hosts}
         for host_id, ordered in [*self._ordered.items()]:
             host = host_by_id.get(host_id)
             # A host in standby has no worker before or after.
@@ -255,7 +221,7 @@
             )
             returned = (
                 host is not None
-                and self._listed_at > ordered.at
+                and self._fleet.listed_at > ordered.at
                 and host.state is host_record.HostState.UP
                 and renewed
             )
@@ -271,7 +237,7 @@
 
     def _withdraw_asks(self, now: float) -> None:
         """Withdraws asks that are outdated or can't be met."""
-        host_by_id = {host.host_id: host for host in self._hosts}
+        host_by_id = {host.host_id: host for host in self._fleet.hosts}
         for host_id, ask in [*self._ask_by_host.items()]:
             host = host_by_id.get(host_id)
             if (
@@ -297,7 +263,7 @@
         loads = self._loads(now)
         new: list[host_moves.Ask] = []
         for number, wave in sorted(wave_by_number.items()):
-            if self._reported.get(number):
+            if self._waves.is_finished(number):
                 continue
             down = sum(
                 ordered.ask.wave == number for ordered in self._ordered.values()
@@ -306,11 +272,11 @@
                 wave,
                 [
                     one
-                    for one in self._hosts
+                    for one in self._fleet.hosts
                     if one.host_id not in self._ordered
                 ],
                 loads,
-                self._done_by_wave.get(number, set()),
+                self._waves.done(number),
                 [*self._ask_by_host.values(), *new],
                 down,
             )
@@ -327,7 +293,7 @@
             if ask.service:
                 arriving[ask.service] = arriving.get(ask.service, 0) + 1
         new += host_moves.plan_moves(
-            self._hosts,
+            self._fleet.hosts,
             loads,
             standby,
             {*self._ask_by_host, *self._ordered, *(one.host_id for one in new)},
@@ -345,8 +311,8 @@
         if now - self._logged_at < LOG_SECONDS:
             return
         self._logged_at = now
-        hosts = collections.Counter(host.service for host in self._hosts)
-        largest = host_moves.largest_room(self._hosts)
+        hosts = collections.Counter(host.service for host in self._fleet.hosts)
+        largest = host_moves.largest_room(self._fleet.hosts)
         events.log(
             events.Event.POOLS_COUNTED,
             "Hosts and needs of all pools",
@@ -364,7 +330,7 @@
             },
             asked=len(self._ask_by_host),
             ordered=len(self._ordered),
-            list_age_seconds=round(now - self._listed_at, 3),
+            list_age_seconds=round(now - self._fleet.listed_at, 3),
         )
 
     def _store(self, now: float) -> bool:
@@ -392,8 +358,8 @@
                 )
             )
             self._stored_asks = asks
-        if self._down_by_host != self._stored_down:
-            self._stored_down = dict(self._down_by_host)
+        if self._fleet.down_by_host != self._stored_down:
+            self._stored_down = dict(self._fleet.down_by_host)
             writes.append(
                 cluster.RowWrite(
                     fleet_rows.TABLE,
@@ -424,7 +390,9 @@
     ) -> None:
         """Gives the orders whose hosts are empty."""
         loads = self._loads(now)
-        service_by_host = {host.host_id: host.service for host in self._hosts}
+        service_by_host = {
+            host.host_id: host.service for host in self._fleet.hosts
+        }
         due: list[host_moves.Ask] = []
         for ask in self._ask_by_host.values():
             service = service_by_host.get(ask.host_id, "")
@@ -438,7 +406,8 @@
             due, self._executor.map(self._order, due), strict=True
         ):
             self._note_order(ask, outcome, now)
-        self._store_waves(due)
+        if writes := self._waves.writes(due):
+            self._commit(writes)
 
     def _order(self, ask: host_moves.Ask) -> cluster.HostOrderOutcome:
         fence = self._ledger.epoch
@@ -460,57 +429,16 @@
             to=ask.service,
             wave=ask.wave,
             outcome=outcome.value,
-            list_age_seconds=round(now - self._listed_at, 3),
+            list_age_seconds=round(now - self._fleet.listed_at, 3),
         )
         if outcome is cluster.HostOrderOutcome.DONE:
             self._ordered[ask.host_id] = OrderedHost(ask, ask.worker_id, now)
             del self._ask_by_host[ask.host_id]
             if ask.wave:
-                done = self._done_by_wave.setdefault(ask.wave, set())
-                done.add(ask.host_id)
+                self._waves.note(ask)
         elif outcome in (
             cluster.HostOrderOutcome.BUSY,
             cluster.HostOrderOutcome.INVALID,
             cluster.HostOrderOutcome.NOT_OF_WAVE,
         ):
             del self._ask_by_host[ask.host_id]
-
-    def _store_waves(self, asks: Iterable[host_moves.Ask]) -> None:
-        writes = [
-            cluster.RowWrite(
-                fleet_rows.TABLE,
-                str(number),
-                cbor2.dumps(sorted(self._done_by_wave.get(number, set()))),
-            )
-            for number in {ask.wave for ask in asks if ask.wave}
-        ]
-        if writes:
-            self._commit(writes)
-
-    def _report_waves(
-        self, wave_by_number: Mapping[int, queues.WaveOrder]
-    ) -> None:
-        listed = {host.host_id for host in self._hosts}
-        for number, wave in wave_by_number.items():
-            if self._reported.get(number):
-                continue
-            left = (listed & set(wave.host_ids)) - self._done_by_wave.get(
-                number, set()
-            )
-            finished = not left
-            if self._reported.get(number) == finished:
-                continue
-            if isinstance(
-                self._links.operators.report_wave(number, finished),
-                result.Success,
-            ):
-                self._reported[number] = finished
-                events.log(
-                    events.Event.WAVE_FINISHED
-                    if finished
-                    else events.Event.WAVE_STARTED,
-                    "A wave was reported",
-                    wave=number,
-                    left=len(left),
-                    hosts=len(wave.host_ids),
-                )
