--- /dev/null
+++ b/tests/machines/batch/test_pool.py
@@ -0,0 +1,267 @@
+"""Tests of what a pool starts, moves and ends."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import time
+
+import pytest
+
+from standins import batch_worker
+from tests.machines import batch_site
+from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_job
+from wisteriasill.machines import worker as workers
+
+TASK = job_spec.TaskKey("j1", 0, 0, 0)
+
+
+def test_a_job_is_completed_step_by_step(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    worker = started(batch_site.step(2), batch_site.step(1, after=(0,)))
+    assert len(link.running) == 2
+    for task in [*link.running]:
+        link.finish(task)
+    site.look(worker)
+    site.turn()
+    site.deliver(worker)
+    assert [*link.running] == [job_spec.TaskKey("j1", 0, 1, 0)]
+    link.finish(job_spec.TaskKey("j1", 0, 1, 0))
+    site.look(worker)
+    site.turn()
+    assert (
+        batch_job.decode_state(site.progress_by_id["j1"])
+        is batch_job.JobState.COMPLETED
+    )
+
+
+@pytest.mark.parametrize(
+    ("failures", "state"),
+    [(2, batch_job.JobState.RUNNING), (3, batch_job.JobState.FAILED)],
+)
+def test_a_job_fails_after_its_attempts(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+    failures: int,
+    state: batch_job.JobState,
+) -> None:
+    worker = started(batch_site.step(1))
+    for number in range(failures):
+        link.finish(TASK, cluster.RunEndKind.FAILED)
+        site.look(worker)
+        site.turn(time.monotonic() + 10 * (number + 1))
+        site.deliver(worker)
+    site.turn()
+    assert batch_job.decode_state(site.progress_by_id["j1"]) is state
+
+
+def test_lasting_tasks_start_again_however_often_they_fail(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    worker = started(batch_site.step(1, lasting=True))
+    for number in range(6):
+        link.finish(TASK, cluster.RunEndKind.FAILED)
+        site.look(worker)
+        site.turn(time.monotonic() + 10 * (number + 1))
+        site.deliver(worker)
+    assert TASK in link.running
+
+
+def test_a_cancelled_job_is_stopped_and_not_started_again(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    worker = started(batch_site.step(2))
+    site.pool.on_record(
+        batch_site.job_row("j1", [batch_site.step(2)], cancelled=True)
+    )
+    site.turn()
+    site.deliver(worker)
+    assert not link.running
+    site.look(worker)
+    site.turn()
+    site.deliver(worker)
+    assert not link.running
+    assert (
+        batch_job.decode_state(site.progress_by_id["j1"])
+        is batch_job.JobState.CANCELLED
+    )
+
+
+def test_a_worker_that_leaves_is_emptied_one_task_of_a_step_at_a_time(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    lasting = batch_site.step(3, lasting=True, may_be_away=1)
+    worker = started(lasting)
+    other = site.add_worker("w2", other_link)
+    site.look(other)
+    site.pool.set_leaving({"w1"})
+    for left in (2, 1, 0):
+        site.pool.empty_workers(time.monotonic())
+        site.pool.empty_workers(time.monotonic())
+        site.deliver(worker)
+        assert len(link.running) == left
+        site.look(worker)
+        site.turn(time.monotonic() + 1)
+        site.deliver(other)
+        site.look(other)
+    assert len(other_link.running) == 3
+    load = site.pool.load_now(time.monotonic())
+    assert load.load_by_worker["w1"].released
+
+
+def test_no_task_is_taken_away_while_another_does_not_answer(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+) -> None:
+    """AVAIL at trouble-1: tasks on a crashed worker counted as at work."""
+    pair = [site.add_worker("w1", link), site.add_worker("w2", other_link)]
+    for worker in pair:
+        site.look(worker)
+    lasting = batch_site.step(2, lasting=True, may_be_away=1, most_per_worker=1)
+    site.pool.on_record(batch_site.job_row("j1", [lasting]))
+    site.turn()
+    for worker in pair:
+        site.deliver(worker)
+        site.look(worker)
+    link.cut = True
+    site.look(pair[0])
+    site.pool.set_leaving({"w2"})
+    site.pool.empty_workers(time.monotonic())
+    site.deliver(pair[1])
+    assert len(other_link.running) == 1
+
+
+def test_a_gang_starts_whole_or_not_at_all(
+    site: batch_site.HandDrivenPool, link: batch_worker.MemoryWorker
+) -> None:
+    worker = site.add_worker("w1", link)
+    site.look(worker)
+    site.pool.on_record(
+        batch_site.job_row("j1", [batch_site.step(3, 6000, gang=True)])
+    )
+    assert not site.turn()
+    assert worker.free_cpu == batch_site.ROOM.cpu
+    other = site.add_worker("w2", batch_worker.MemoryWorker(batch_site.ROOM))
+    site.look(other)
+    assert len(site.turn()) == 3
+
+
+def test_a_worker_that_fails_jobs_gets_single_trials(
+    site: batch_site.HandDrivenPool, link: batch_worker.MemoryWorker
+) -> None:
+    worker = site.add_worker("w1", link)
+    site.look(worker)
+    for number in range(3):
+        site.pool.on_record(
+            batch_site.job_row(f"j{number}", [batch_site.step(1)])
+        )
+    site.turn()
+    site.deliver(worker)
+    for task in [*link.running]:
+        link.finish(task, cluster.RunEndKind.FAILED)
+    site.look(worker)
+    now = time.monotonic()
+    assert not site.turn(now + 1)
+    assert len(site.turn(now + 3)) == 1
+
+
+def test_a_straggler_that_may_have_copies_gets_one(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    worker = started(batch_site.step(2, copies=True))
+    other = site.add_worker("w2", other_link)
+    site.look(other)
+    link.finish(job_spec.TaskKey("j1", 0, 0, 1))
+    site.look(worker)
+    site.turn(time.monotonic() + 3)
+    site.deliver(other)
+    assert link.running == {TASK: 1}
+    assert other_link.running == {TASK: 2}
+    other_link.finish(TASK)
+    site.look(other)
+    site.turn()
+    site.deliver(worker)
+    assert not link.running
+    assert (
+        batch_job.decode_state(site.progress_by_id["j1"])
+        is batch_job.JobState.COMPLETED
+    )
+
+
+def test_a_straggler_without_copies_moves(
+    site: batch_site.HandDrivenPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    worker = started(batch_site.step(2))
+    other = site.add_worker("w2", other_link)
+    site.look(other)
+    link.finish(job_spec.TaskKey("j1", 0, 0, 1))
+    site.look(worker)
+    later = time.monotonic() + 3
+    site.turn(later)
+    site.deliver(worker)
+    assert not link.running
+    site.look(worker)
+    site.turn(later + 1)
+    site.deliver(other)
+    assert other_link.running == {TASK: 2}
+
+
+def test_a_gang_prefers_one_rack(site: batch_site.HandDrivenPool) -> None:
+    for number, rack in enumerate(("r1", "r2", "r2")):
+        link = batch_worker.MemoryWorker(batch_site.ROOM)
+        site.look(site.add_worker(f"w{number}", link, rack))
+    gang = batch_site.step(2, 9000, gang=True, same_rack=True)
+    site.pool.on_record(batch_site.job_row("j1", [gang]))
+    assert {run.worker.rack for run in site.turn()} == {"r2"}
+
+
+def test_a_restricted_step_waits_for_advice_and_asks_again(
+    site: batch_site.HandDrivenPool, link: batch_worker.MemoryWorker
+) -> None:
+    rule = queues.AdviceRule(0.01, 0.001, 5.0)
+    queue = batch_site.QUEUE._replace(advice=rule)
+    site.pool.configure(queues.configuration(2, [queue], [], 1000))
+    site.look(site.add_worker("w1", link))
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    assert not site.turn()
+    ((step, worker_ids),) = site.pool.steps_without_advice()
+    assert worker_ids == ["w1"]
+    site.pool.on_advice(step, cluster.Advice({}, -1.0))
+    assert site.pool.steps_without_advice()
+    site.pool.on_advice(step, cluster.Advice({"w1": "ticket"}, 5.0))
+    (run,) = site.turn()
+    assert site.pool.payload(run) == ("payload", "ticket")
+
+
+def test_the_load_counts_the_workers_that_a_step_spreads_over() -> None:
+    site = batch_site.HandDrivenPool(
+        records=[
+            batch_site.job_row("j", [batch_site.step(7, most_per_worker=2)])
+        ]
+    )
+    worker = site.add_worker("w1", batch_worker.MemoryWorker(batch_site.ROOM))
+    site.look(worker)
+    assert site.pool.load_now(time.monotonic()).spread == 4
+    site.turn()
+    assert len(worker.run_by_task) == 2
+    assert site.pool.load_now(time.monotonic()).spread == 4
