--- a/wisteriasill/contracts/work_order.py
+++ b/wisteriasill/contracts/work_order.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-import enum
+import math
 from typing import NamedTuple
 
 
@@ -31,27 +31,22 @@
     total_core_seconds: float
 
 
-class Outlook(enum.IntEnum):
-    """What a job can still earn, the best first."""
-
-    IN_TIME = 0
-    LATE = 1
-    USELESS = 2
-
-
 class Place(NamedTuple):
     """Sort key of a job; the smallest comes first."""
 
     not_lasting: bool
     priority: int
-    outlook: Outlook
+    useless: bool
+    urgency: int
     cost: float
 
 
 # A job that ends after its objective is of some use up to this multiple of it,
 # as the rules of the platform's users state it.
 USEFUL_SPAN = 3.0
-
+# Jobs whose objectives end within the same time of this length are ranked by
+# worth; a third of the shortest task at the users' sites.
+URGENCY_SECONDS = 0.2
 # Part of a job's worth that does not grow with its work, as the rules of the
 # platform's users state it; the rest is in proportion to its work.
 FIXED_WORTH = 0.3
@@ -59,22 +54,19 @@
 LEAST_CORE_SECONDS = 0.05
 
 
-def outlook(work: WaitingWork) -> Outlook:
-    """Tells whether a job that starts now ends in time, late, or too late."""
+def is_useless(work: WaitingWork) -> bool:
+    """Whether a job ends too late to be of use even if it starts now."""
     age_at_end = work.age_seconds + work.chain_seconds
-    if age_at_end <= work.objective_seconds:
-        return Outlook.IN_TIME
-    if age_at_end <= USEFUL_SPAN * work.objective_seconds:
-        return Outlook.LATE
-    return Outlook.USELESS
+    return age_at_end > USEFUL_SPAN * work.objective_seconds
 
 
 def place(work: WaitingWork, mean_core_seconds: float) -> Place:
-    """Ranks a job by worth for each core-second that it still needs.
+    """Ranks a job by the end of its objective, then by worth.
 
-    Jobs that end late come after all that can be in time, and those that are
-    too late to be of use come last. Among these the oldest is first, so none
-    starves.
+    At a peak a rank by worth for each core-second alone, or one of all jobs in
+    time before all late ones, lets jobs wait until they are of no use: the
+    table in docs/platform.md compares them. Jobs that are too late to be of
+    use come last, the oldest first, so none starves.
 
     Args:
         work: The job.
@@ -83,13 +75,17 @@
     Returns:
         Its sort key.
     """
-    seen = outlook(work)
-    if seen is Outlook.USELESS:
-        cost = -work.age_seconds
-    else:
-        share = work.total_core_seconds / max(
-            mean_core_seconds, LEAST_CORE_SECONDS
+    if is_useless(work):
+        return Place(
+            not work.lasting, work.priority, True, 0, -work.age_seconds
         )
-        worth = FIXED_WORTH + (1 - FIXED_WORTH) * share
-        cost = max(work.core_seconds, LEAST_CORE_SECONDS) / worth
-    return Place(not work.lasting, work.priority, seen, cost)
+    left = work.objective_seconds - work.age_seconds
+    share = work.total_core_seconds / max(mean_core_seconds, LEAST_CORE_SECONDS)
+    worth = FIXED_WORTH + (1 - FIXED_WORTH) * share
+    return Place(
+        not work.lasting,
+        work.priority,
+        False,
+        math.floor(left / URGENCY_SECONDS),
+        max(work.core_seconds, LEAST_CORE_SECONDS) / worth,
+    )
