--- a/soak/site.py
+++ b/soak/site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import pathlib
@@ -41,6 +42,9 @@
 }
 
 
+LAST_PORT = 65535
+
+
 def free_ports(count: int) -> list[int]:
     """Returns ports of the loopback interface that were free just now."""
     sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
@@ -50,6 +54,17 @@
     return ports
 
 
+def free_port_pair() -> tuple[int, int]:
+    """Returns two neighbouring ports that were free just now."""
+    while True:
+        (first,) = free_ports(1)
+        if first >= LAST_PORT:
+            continue
+        with contextlib.suppress(OSError):
+            socket.create_server(("127.0.0.1", first + 1)).close()
+            return first, first + 1
+
+
 class Node:
     """A node as a process, with a proxy of its own before the store.
 
@@ -63,7 +78,8 @@
         self, number: int, store_port: int, directory: pathlib.Path
     ) -> None:
         self.name = f"node-{number}"
-        self.caller_port, ready, metrics, link = free_ports(4)
+        self.caller_port, ready, link = free_ports(3)
+        own_ports = free_port_pair()
         self.store_proxy = proxy.Proxy(link, store_port)
         self._log = directory / f"{self.name}.log"
         self._settings = directory / f"{self.name}.json"
@@ -77,7 +93,7 @@
                         "front": f"127.0.0.1:{self.caller_port}",
                         "ready": f"127.0.0.1:{ready}",
                     },
-                    "port_range": [metrics, metrics],
+                    "port_range": own_ports,
                     "platform": {"address": f"127.0.0.1:{link}"},
                     "cloud": {"address": "127.0.0.1:1"},
                 }
