--- /dev/null
+++ b/tests/adapter/test_refusals.py
@@ -0,0 +1,89 @@
+"""Tests that each request that is not served leaves a line with its id."""
+
+from __future__ import annotations
+
+from typing import cast
+
+import pytest
+from werkzeug import test
+import wire_callers
+
+from standins import row_store
+from tests.machines import batch_site
+from wisteriasill import events
+from wisteriasill import metrics
+from wisteriasill.contracts import queue as queues
+from wisteriasill.machines import job_desk
+from wisteriasill.machines import site_node
+
+JOB = "5c0e7a21d94b36f8"
+
+
+class Node:
+    """A node with a store of its own and no configuration yet."""
+
+    def __init__(self) -> None:
+        self.configuration: queues.SiteConfiguration | None = None
+        self.store = row_store.MemoryRowStore()
+        self.desk = job_desk.JobDesk(self.store)
+
+
+@pytest.fixture
+def node() -> Node:
+    return Node()
+
+
+@pytest.fixture
+def client(node: Node) -> test.Client:
+    return test.Client(
+        wire_callers.CallersApplication(
+            cast(site_node.SiteNode, node), metrics.Metrics()
+        )
+    )
+
+
+def last_line(sequence: int) -> events.Occurrence:
+    return events.RECENT.after(sequence)[-1]
+
+
+def newest() -> int:
+    kept = events.RECENT.after(0)
+    return kept[-1].sequence if kept else 0
+
+
+def test_a_node_without_a_configuration_logs_whom_it_refused(
+    client: test.Client,
+) -> None:
+    """Mandacaru, hunt-44b5-15: a 503 at 35.018 s left no line."""
+    before = newest()
+    answer = client.post(f"/q/{JOB}", base_url="http://a.example/")
+    line = last_line(before)
+    assert answer.status_code == 503
+    assert line.event == events.Event.REQUEST_FAILED
+    assert line.fields["job"] == JOB
+    assert line.fields["status"] == "503"
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", f"/q/{JOB}", 410),
+        ("DELETE", f"/q/{JOB}", 410),
+        ("PUT", f"/q/{JOB}", 405),
+        ("POST", "/q/no-id", 400),
+        ("POST", f"/q/{JOB}", 400),
+        ("POST", f"/elsewhere/{JOB}", 404),
+    ],
+)
+def test_refusals_are_logged_with_their_reason(
+    node: Node, client: test.Client, method: str, path: str, status: int
+) -> None:
+    node.configuration = batch_site.CONFIGURATION
+    before = newest()
+    answer = client.open(path, method=method, base_url="http://a.example/")
+    line = last_line(before)
+    assert answer.status_code == status
+    assert line.event == events.Event.REQUEST_FAILED
+    assert line.fields["status"] == str(status)
+    assert line.fields["job"] == path.rpartition("/")[2]
+    assert line.fields["configuration"] == "1"
--- a/tests/commands/test_trace.py
+++ b/tests/commands/test_trace.py
@@ -32,6 +32,10 @@
             [line(1.0, "JOB_REFUSED", kind="store-unavailable", detail="x")],
             "not accepted: store-unavailable",
         ),
+        (
+            [line(1.0, "REQUEST_FAILED", method="GET", kind="no-such-job")],
+            "GET not served: no-such-job",
+        ),
         ([ACCEPTED, line(2.0, "TASKS_NOT_PLACED", binding="room")], "room"),
         (
             [
--- a/wisteriasill/commands/trace.py
+++ b/wisteriasill/commands/trace.py
@@ -148,6 +148,12 @@
     if "JOB_ACCEPTED" not in by_name and "JOB_REFUSED" in by_name:
         refused = by_name["JOB_REFUSED"].fields
         return f"not accepted: {refused.get('kind')}, {refused.get('detail')}"
+    failed = by_name.get("REQUEST_FAILED")
+    if "JOB_ACCEPTED" not in by_name and ended is None and failed:
+        return (
+            f"{failed.fields.get('method')} not served: "
+            f"{failed.fields.get('kind')}, {failed.fields.get('detail')}"
+        )
     if ended is None:
         return _open_cause(lines)
     state = ended.fields.get("state")
