--- a/tests/contracts/conftest.py
+++ b/tests/contracts/conftest.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tests import example_host
 from tests import scripted_platform
 from wisteriasill import documents
 from wisteriasill.contracts import service_file
@@ -37,19 +38,5 @@
 @pytest.fixture
 def make_host() -> HostFactory:
     """Builds a serving host of 16 cores; arguments override its fields."""
-    base = hosts.Host(
-        host_id="h1",
-        pool="quoting",
-        state=hosts.HostState.SERVING,
-        region="local",
-        availability_zone="z1",
-        rack="z1-r1",
-        address="127.0.0.1:1",
-        cores=16,
-        memory_gib=64,
-        accelerators=0,
-        slots=8,
-        connections=64,
-        boot_count=1,
-    )
+    base = example_host.SERVING._replace(boot_count=1)
     return lambda **changes: base._replace(**changes)
--- a/tests/contracts/test_slots.py
+++ b/tests/contracts/test_slots.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests import example_host
 from wisteriasill import clock as clocks
 from wisteriasill import settings as setting_types
 from wisteriasill.contracts import slots
@@ -64,20 +65,7 @@
 
 
 def target(host_id: str) -> hosts.Host:
-    return hosts.Host(
-        host_id=host_id,
-        pool="quoting",
-        state=hosts.HostState.SERVING,
-        region="local",
-        availability_zone="z1",
-        rack="r1",
-        address="127.0.0.1:1",
-        cores=16,
-        memory_gib=64,
-        accelerators=0,
-        slots=8,
-        connections=64,
-    )
+    return example_host.SERVING._replace(host_id=host_id, rack="r1")
 
 
 TARGETS = [target("h1"), target("h2")]
--- a/tests/zones/test_site.py
+++ b/tests/zones/test_site.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests import example_host
 from wisteriasill import clock as clocks
 from wisteriasill.contracts import configuration as configurations
 from wisteriasill.machines import host as hosts
@@ -17,21 +18,7 @@
 
 def known_host(version: int, pool: str = "quoting") -> sites.KnownHost:
     return sites.KnownHost(
-        hosts.Host(
-            host_id="h1",
-            pool=pool,
-            state=hosts.HostState.SERVING,
-            region="local",
-            availability_zone="z1",
-            rack="r1",
-            address="127.0.0.1:1",
-            cores=16,
-            memory_gib=64,
-            accelerators=0,
-            slots=8,
-            connections=64,
-        ),
-        version,
+        example_host.SERVING._replace(pool=pool, rack="r1"), version
     )
 
 
