--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m soak --seed N`: runs one seed and prints what was broken."""
+"""`python -m soak --seed N`: runs seeds and prints what was broken."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 
 from soak import callers as soak_callers
 from soak import faults
+from soak import known_seeds
 from soak import site as sites
 
 # Time after the last fault in which every accepted job has to end: the longest
@@ -24,27 +25,50 @@
 
 
 def main() -> int:
-    """Runs one seed.
+    """Runs one seed, or all that failed before.
 
     Returns:
         0 if no promise was broken.
     """
     parser = argparse.ArgumentParser(prog="python -m soak")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--known", action="store_true", help="run all seeds that failed before"
+    )
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--nodes", type=int, default=3)
     parser.add_argument("--workers", type=int, default=5)
     parser.add_argument("--logs", type=pathlib.Path, default=None)
     options = parser.parse_args()
     directory = options.logs or pathlib.Path(tempfile.mkdtemp())
+    seeds = known_seeds.CAUSE_BY_SEED if options.known else (options.seed,)
+    passed = [
+        play(
+            seed,
+            options.seconds,
+            options.nodes,
+            options.workers,
+            directory / str(seed) if options.known else directory,
+        )
+        for seed in seeds
+    ]
+    return 0 if all(passed) else 1
+
+
+def play(
+    seed: int,
+    seconds: float,
+    nodes: int,
+    workers: int,
+    directory: pathlib.Path,
+) -> bool:
+    """Runs a seed and prints its figures; returns whether it passed."""
     directory.mkdir(parents=True, exist_ok=True)
-    broken, figures = run(
-        options.seed, options.seconds, options.nodes, options.workers, directory
-    )
+    broken, figures = run(seed, seconds, nodes, workers, directory)
     for fault in broken:
         print(f"broken: {fault}")
     print(json.dumps(figures | {"logs": str(directory), "pass": not broken}))
-    return 1 if broken else 0
+    return not broken
 
 
 def run(
