--- a/soak/site.py
+++ b/soak/site.py
@@ -42,8 +42,8 @@
 }
 
 
-# Below the ports that Linux gives to outgoing connections, so that none of those
-# takes a port between its choice and its use.
+# Below the ports that Linux gives to outgoing connections, so that none of
+# those takes a port between its choice and its use.
 PORTS = range(20_000, 32_000)
 
 
