--- a/tests/machines/test_node_pages.py
+++ b/tests/machines/test_node_pages.py
@@ -94,6 +94,7 @@
 def test_status_names_the_holder_of_each_pool(run: Run, address: str) -> None:
     shown = run("status")
     assert shown.status == 0
+    assert shown.output.startswith("availability zone zone-a, generation 1\n")
     assert "as known to entry-1, 0.2 s ago at most" in shown.output
     rows = json.loads(run("status", "--json").output)["pools"]
     assert rows[0]["holder"] == "entry-1"
--- a/wisteriasill/commands/status.py
+++ b/wisteriasill/commands/status.py
@@ -54,10 +54,12 @@
 
 
 def _print(document: dict[str, Any]) -> None:
-    prefers = f"prefers {document['prefer']}, " if "prefer" in document else ""
-    print(
-        f"site {document['site']}, {prefers}generation {document['generation']}"
+    shown = (
+        f"site {document['site']}, prefers {document['prefer']}"
+        if "site" in document
+        else f"availability zone {document['availability_zone']}"
     )
+    print(f"{shown}, generation {document['generation']}")
     print(console.age_line(document))
     print()
     console.print_table(document["pools"], COLUMNS)
--- a/wisteriasill/machines/node_views.py
+++ b/wisteriasill/machines/node_views.py
@@ -74,7 +74,7 @@
         configuration = self._node.configuration
         pools = self._node.pools()
         return {
-            "site": self._node.availability_zone,
+            "availability_zone": self._node.availability_zone,
             "generation": configuration.version if configuration else 0,
             "pools": [
                 {
