Acknowledge run ends only on connections of the incarnation that was heard

Ruled out: a shorter time (0.3 s), as a restart may be faster; a poll without acknowledgement first, as the worker may restart between the two; curl's repeat on a new connection when a reused one has closed does the same by itself.

Change: a connection belongs to one life of a process. No time is compared any more. The stand-in ends connections with the incarnation that they reached.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -39,6 +39,9 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--nodes", type=int, default=3)
     parser.add_argument("--workers", type=int, default=5)
+    parser.add_argument(
+        "--loss", type=float, default=0.0, help="share of lost packets"
+    )
     parser.add_argument("--logs", type=pathlib.Path, default=None)
     options = parser.parse_args()
     directory = options.logs or pathlib.Path(tempfile.mkdtemp())
@@ -49,6 +52,7 @@
             options.seconds,
             options.nodes,
             options.workers,
+            options.loss,
             directory / str(seed) if options.known else directory,
         )
         for seed in seeds
@@ -61,11 +65,14 @@
     seconds: float,
     nodes: int,
     workers: int,
+    loss_share: float,
     directory: pathlib.Path,
 ) -> bool:
     """Runs a seed and prints its figures; returns whether it passed."""
     directory.mkdir(parents=True, exist_ok=True)
-    violations, figures = run(seed, seconds, nodes, workers, directory)
+    violations, figures = run(
+        seed, seconds, nodes, workers, directory, loss_share
+    )
     for violation in violations:
         print(f"broken: {violation}")
     print(
@@ -80,13 +87,14 @@
     nodes: int,
     workers: int,
     directory: pathlib.Path,
+    loss_share: float = 0.0,
 ) -> tuple[list[str], dict[str, object]]:
     """Runs one seed.
 
     Returns:
         The violated guarantees, and figures of the run.
     """
-    site = sites.Site(directory, nodes, workers)
+    site = sites.Site(directory, nodes, workers, loss_share)
     callers = soak_callers.Callers(site, seed, 5.0)
     try:
         for node in site.nodes:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,7 @@
 
 from returns import result
 
+from soak import ports
 from soak import site as sites
 from wisteriasill.links import http_client
 
@@ -97,7 +98,7 @@
         called = self._client.call(
             http_client.HttpCall(
                 method,
-                f"http://127.0.0.1:{node.caller_port}{sites.PREFIX}{job_id}",
+                f"http://{ports.ADDRESS}:{node.caller_port}{sites.PREFIX}{job_id}",
                 CALL_TIMEOUT_SECONDS,
                 headers=(("Host", sites.HOST),),
                 body=json.dumps(body).encode() if body else None,
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import enum
+import random
 import socket
 import struct
 import threading
 import time
 
+from soak import ports
+
 CHUNK_BYTES = 65_536
 DELAY_SECONDS = 0.3
 POLL_SECONDS = 0.2
+RETRANSMISSION_SECONDS = 0.2  # The shortest of Linux; each repeat doubles it.
 
 
 class Mode(enum.StrEnum):
@@ -32,14 +36,19 @@
     Args:
         port: Port to listen on.
         target_port: Port to forward to.
+
+    Attributes:
+        loss_share: Share of packets that the link loses. TCP sends them again,
+            so that the data after them waits.
     """
 
     def __init__(self, port: int, target_port: int) -> None:
         self.mode = Mode.PASS
+        self.loss_share = 0.0
         self._target_port = target_port
         self._closing = threading.Event()
         self._pairs: set[tuple[socket.socket, socket.socket]] = set()
-        self._server = socket.create_server(("127.0.0.1", port), backlog=256)
+        self._server = socket.create_server((ports.ADDRESS, port), backlog=256)
         threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self) -> None:
@@ -65,7 +74,7 @@
                 continue
             try:
                 target = socket.create_connection(
-                    ("127.0.0.1", self._target_port), 2.0
+                    (ports.ADDRESS, self._target_port), 2.0
                 )
             except OSError:
                 _reset(client)
@@ -102,6 +111,10 @@
         self._pairs.discard(pair)
 
     def _delay(self, inbound: bool) -> None:
+        wait_seconds = RETRANSMISSION_SECONDS
+        while random.random() < self.loss_share:
+            time.sleep(wait_seconds)
+            wait_seconds *= 2
         if self.mode is Mode.DELAY:
             time.sleep(DELAY_SECONDS)
         while not self._closing.is_set() and (
--- a/soak/site.py
+++ b/soak/site.py
@@ -5,13 +5,12 @@
 import json
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import threading
 
+from soak import ports
 from soak import proxy
 from standins import platform_http
 from standins import row_store
@@ -42,36 +41,6 @@
 }
 
 
-# Below the ephemeral ports of Linux, so that no outgoing connection takes a
-# port between its choice and its use.
-PORTS = range(20_000, 32_000)
-
-
-def free_ports(count: int, consecutive: int = 1) -> list[int]:
-    """Returns loopback ports that were free when checked.
-
-    Args:
-        count: Number of ports to return.
-        consecutive: Number of consecutive ports, from each returned one, that
-            have to be free.
-    """
-    rng = random.SystemRandom()
-    ports: set[int] = set()
-    while len(ports) < count:
-        port = rng.randrange(PORTS.start, PORTS.stop - consecutive)
-        if all(_is_free(port + offset) for offset in range(consecutive)):
-            ports.add(port)
-    return [*ports]
-
-
-def _is_free(port: int) -> bool:
-    try:
-        socket.create_server(("127.0.0.1", port)).close()
-    except OSError:
-        return False
-    return True
-
-
 class Node:
     """A node process that reaches the store through its own proxy.
 
@@ -85,8 +54,8 @@
         self, number: int, store_port: int, directory: pathlib.Path
     ) -> None:
         self.name = f"node-{number}"
-        self.caller_port, ready_port, proxy_port = free_ports(3)
-        (first_port,) = free_ports(1, consecutive=2)
+        self.caller_port, ready_port, proxy_port = ports.free_ports(3)
+        (first_port,) = ports.free_ports(1, consecutive=2)
         self.store_proxy = proxy.Proxy(proxy_port, store_port)
         self._log = directory / f"{self.name}.log"
         self._settings = directory / f"{self.name}.json"
@@ -94,15 +63,15 @@
             json.dumps(
                 {
                     "node_name": self.name,
-                    "ip": "127.0.0.1",
+                    "ip": ports.ADDRESS,
                     "zone": "z1",
                     "listen": {
-                        "front": f"127.0.0.1:{self.caller_port}",
-                        "ready": f"127.0.0.1:{ready_port}",
+                        "front": f"{ports.ADDRESS}:{self.caller_port}",
+                        "ready": f"{ports.ADDRESS}:{ready_port}",
                     },
                     "port_range": [first_port, first_port + 1],
-                    "platform": {"address": f"127.0.0.1:{proxy_port}"},
-                    "cloud": {"address": "127.0.0.1:1"},
+                    "platform": {"address": f"{ports.ADDRESS}:{proxy_port}"},
+                    "cloud": {"address": f"{ports.ADDRESS}:1"},
                 }
             )
         )
@@ -147,14 +116,18 @@
     """A store and workers as stand-ins, and node processes."""
 
     def __init__(
-        self, directory: pathlib.Path, nodes: int, workers: int
+        self,
+        directory: pathlib.Path,
+        nodes: int,
+        workers: int,
+        loss_share: float = 0.0,
     ) -> None:
         self.store = row_store.MemoryRowStore()
         self.log = timed_worker.RunLog()
-        store_port, *worker_ports = free_ports(workers + 1)
+        store_port, *worker_ports = ports.free_ports(workers + 1)
         self._servers = [
             platform_http.serve(
-                "127.0.0.1",
+                ports.ADDRESS,
                 store_port,
                 platform_http.StoreService(self.store).answer,
                 platform_http.STORE_THREADS,
@@ -165,13 +138,13 @@
         for number, port in enumerate(worker_ports):
             worker = timed_worker.TimedWorker(f"i-{number:04}", ROOM, self.log)
             service = platform_http.WorkerService(
-                worker, f"127.0.0.1:{port}", SERVICE
+                worker, f"{ports.ADDRESS}:{port}", SERVICE
             )
             self.workers.append(worker)
             self._services.append(service)
             self._servers.append(
                 platform_http.serve(
-                    "127.0.0.1",
+                    ports.ADDRESS,
                     port,
                     service.answer,
                     platform_http.WORKER_THREADS,
@@ -186,6 +159,8 @@
         self.nodes = [
             Node(number, store_port, directory) for number in range(nodes)
         ]
+        for node in self.nodes:
+            node.store_proxy.loss_share = loss_share
 
     def _write(self, table: str, key: str, value: bytes) -> None:
         self.store.transact("", [], [cluster.RowWrite(table, key, value)], 1.0)
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -51,6 +51,8 @@
         response = wrappers.Response(
             json.dumps(body), status, content_type="application/json"
         )
+        if status == 500:  # Represents a reset connection.
+            response.headers["Connection"] = "close"
         return response(environ, start_response)
 
     server = wsgi.Server(
@@ -164,6 +166,7 @@
         self.worker = worker
         self._address = address
         self._service = service
+        self._incarnation_by_peer: dict[tuple[str, str], int] = {}
 
     def entry(self) -> bytes:
         """Returns the worker's encoded entry in the registry."""
@@ -187,6 +190,8 @@
             time.sleep(timed_worker.POLL_SECONDS)
         if self.worker.down:
             return 500, {}  # Represents a reset connection.
+        if self._outlives_its_process(request):
+            return 500, {}
         expected_worker = request.headers.get("Wisteriasill-Expect-Instance")
         if expected_worker not in (None, self.worker.worker_id):
             return 421, {}
@@ -210,6 +215,21 @@
             )
         return 400, {}
 
+    def _outlives_its_process(self, request: wrappers.Request) -> bool:
+        """Returns whether a connection was opened to an earlier incarnation.
+
+        All incarnations share one server here, but the connections of a real
+        process end with it.
+        """
+        peer = request.environ["REMOTE_ADDR"], request.environ["REMOTE_PORT"]
+        incarnation = self._incarnation_by_peer.setdefault(
+            peer, self.worker.started_ms
+        )
+        if incarnation == self.worker.started_ms:
+            return False
+        del self._incarnation_by_peer[peer]
+        return True
+
     def _hold(self, body: dict[str, Any]) -> JsonResponse:
         report = self.worker.poll(
             body["fencing_token"],
--- a/tests/adapter/test_framing.py
+++ b/tests/adapter/test_framing.py
@@ -10,7 +10,7 @@
 import entry
 import pytest
 
-from soak import site as sites
+from soak import ports
 
 
 @pytest.fixture
@@ -24,8 +24,8 @@
         start_response("200 OK", [("Content-Length", str(len(body)))])
         return [body]
 
-    (number,) = sites.free_ports(1)
-    server = entry._build_server(("127.0.0.1", number), application, 2)
+    (number,) = ports.free_ports(1)
+    server = entry._build_server((ports.ADDRESS, number), application, 2)
     server.prepare()
     thread = threading.Thread(target=server.serve, daemon=True)
     thread.start()
@@ -36,7 +36,7 @@
 
 def exchange(port: int, head: str, body: str = "") -> bytes:
     """Sends a request and reads until the server closes or 1 s passes."""
-    with socket.create_connection(("127.0.0.1", port), 2.0) as connection:
+    with socket.create_connection((ports.ADDRESS, port), 2.0) as connection:
         connection.settimeout(1.0)
         connection.sendall((head + "\r\n\r\n" + body).encode("latin-1"))
         received = b""
--- a/tests/adapter/test_platform_contract_http.py
+++ b/tests/adapter/test_platform_contract_http.py
@@ -11,6 +11,7 @@
 import wire_store
 import wire_workers
 
+from soak import ports
 from soak import site as sites
 from standins import platform_http
 from standins import row_store
@@ -29,11 +30,11 @@
 
 @pytest.fixture
 def store(memory: row_store.MemoryRowStore) -> Iterator[wire_store.WireStore]:
-    (port,) = sites.free_ports(1)
+    (port,) = ports.free_ports(1)
     server = platform_http.serve(
-        "127.0.0.1", port, platform_http.StoreService(memory).answer, 8
+        ports.ADDRESS, port, platform_http.StoreService(memory).answer, 8
     )
-    yield wire_store.WireStore(f"127.0.0.1:{port}", metrics.Metrics())
+    yield wire_store.WireStore(f"{ports.ADDRESS}:{port}", metrics.Metrics())
     server.stop()
 
 
@@ -44,10 +45,10 @@
 
 @pytest.fixture
 def link(worker: timed_worker.TimedWorker) -> Iterator[wire_workers.WireWorker]:
-    (port,) = sites.free_ports(1)
-    address = f"127.0.0.1:{port}"
+    (port,) = ports.free_ports(1)
+    address = f"{ports.ADDRESS}:{port}"
     service = platform_http.WorkerService(worker, address, sites.SERVICE)
-    server = platform_http.serve("127.0.0.1", port, service.answer, 8)
+    server = platform_http.serve(ports.ADDRESS, port, service.answer, 8)
     entry = wire_workers._entry(
         cluster.StoredRow("servers", "", "i-1", service.entry(), 1)
     )
@@ -166,3 +167,34 @@
     worker.worker_id = "i-2"
     answer = link.start(order())
     assert answer.outcome is cluster.OrderOutcome.OTHER_WORKER
+
+
+def test_ends_are_not_acknowledged_to_the_next_incarnation(
+    link: wire_workers.WireWorker, worker: timed_worker.TimedWorker
+) -> None:
+    """An old number must not acknowledge the run ends of a restarted worker.
+
+    Soak seeds 45 and 49: a worker was back under its id between two polls, and
+    the next poll acknowledged ends that nobody had received.
+    """
+    assert isinstance(link.poll(5, 0, 60_000, 0.0), cluster.WorkerReport)
+    worker.crash()
+    assert link.start(order(payload="1")).outcome is (cluster.OrderOutcome.DONE)
+    time.sleep(0.05)
+    for _ in range(3):
+        link.poll(5, 1, 60_000, 0.0)
+    report = worker.poll(5, 0, None, 0.0)
+    assert isinstance(report, cluster.WorkerReport)
+    assert [end.task for end in report.ends] == [TASK]
+
+
+def test_ends_are_acknowledged_to_the_same_incarnation(
+    link: wire_workers.WireWorker, worker: timed_worker.TimedWorker
+) -> None:
+    assert link.start(order(payload="1")).outcome is (cluster.OrderOutcome.DONE)
+    time.sleep(0.05)
+    for _ in range(2):
+        assert isinstance(link.poll(5, 1, 60_000, 0.0), cluster.WorkerReport)
+    report = worker.poll(5, 0, None, 0.0)
+    assert isinstance(report, cluster.WorkerReport)
+    assert not report.ends
--- a/wisteriasill/links/cluster.py
+++ b/wisteriasill/links/cluster.py
@@ -345,7 +345,8 @@
         Args:
             fencing_epoch: Fencing token of the sender.
             acknowledged: Number of the last stored end; the worker discards it
-                and all earlier ones.
+                and all earlier ones. The link must not pass it on to another
+                incarnation than the one that it has reports of.
             lease_until_ms: New end of the lease; None leaves it unchanged.
             wait_seconds: Longest wait for a run to end.
 
--- a/wisteriasill/links/http_client.py
+++ b/wisteriasill/links/http_client.py
@@ -53,6 +53,9 @@
             a request by itself if a reused connection closes before the first
             byte of the response, so a request that must not be sent twice
             needs a new connection.
+        open_connection: Whether only a connection that is open already may
+            be used. A server process that restarted has none, so the call
+            reaches the process that answered the call before, or none.
         max_body_bytes: Largest accepted body of the response.
         connect_timeout_seconds: Longest time to open a connection.
         accept_gzip: Whether the response may be compressed; its body is
@@ -65,6 +68,7 @@
     headers: Headers = ()
     body: bytes | None = None
     fresh_connection: bool = False
+    open_connection: bool = False
     max_body_bytes: int = 64 * 1024 * 1024
     connect_timeout_seconds: float = 1.0
     accept_gzip: bool = False
@@ -222,12 +226,21 @@
         pycurl.HEADERFUNCTION: collector.on_header,
         pycurl.WRITEFUNCTION: collector.on_body,
         **({pycurl.ACCEPT_ENCODING: "gzip"} if call.accept_gzip else {}),
+        **(
+            {pycurl.OPENSOCKETFUNCTION: _refuse_socket}
+            if call.open_connection
+            else {}
+        ),
     }
     for option, value in options.items():
         curl.setopt(option, value)
     _configure_method(curl, call)
 
 
+def _refuse_socket(*_: object) -> int:
+    return int(pycurl.SOCKET_BAD)
+
+
 def _configure_method(curl: Any, call: HttpCall) -> None:
     if call.body is not None:
         curl.setopt(pycurl.POST, 1)
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -263,13 +263,11 @@
         renews = bool(self._clock_at) and not self.silent_since
         # A new incarnation under the same id numbers its run ends from the
         # start; an old number would acknowledge ends that nobody received.
-        same_incarnation = (
-            not self.silent_since
-            and sent_at - self.last_polled_at < RECENT_REPORT_SECONDS
-        )
+        # After any sign of one nothing is acknowledged, and the link passes
+        # the number on only to the incarnation that it has heard.
         answer = self.link.poll(
             self._owner.fencing_epoch,
-            self.last_stored_end if same_incarnation else 0,
+            0 if self.silent_since else self.last_stored_end,
             self._extend_lease() if renews else None,
             self._poll_wait_seconds() if renews else 0.0,
         )
