Hand a job to a slow store once, and repeat at once only where answers are lost

Ruled out: room for the jobs (they were never accepted); threads of callers.

Change: contracts/submission_policy.py sets the timeout by the latest regular read (ten times), relays only when the node is cut off, refused or the store is fast, and pauses longer with each attempt; job_api follows it.

--- a/wisteriasill/links/submission_relay.py
+++ b/wisteriasill/links/submission_relay.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection
-import enum
 import random
 import threading
 import time
@@ -20,6 +19,7 @@
 from websockets.sync import server
 
 from wisteriasill import events
+from wisteriasill.contracts import submission_policy
 
 # A healthy peer accepts a connection within 20 ms.
 OPEN_TIMEOUT_SECONDS = 0.3
@@ -48,16 +48,7 @@
     value: bytes
 
 
-class Outcome(enum.StrEnum):
-    """Outcome of a submission.
-
-    REFUSED means that this attempt certainly does not store the job. UNKNOWN
-    means that the job may be stored, possibly after a delay.
-    """
-
-    STORED = "stored"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
+Outcome = submission_policy.Outcome
 
 
 class SubmissionRelay(Protocol):
--- a/wisteriasill/machines/job_api.py
+++ b/wisteriasill/machines/job_api.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+import itertools
 import time
 from typing import Any
 
@@ -14,9 +16,9 @@
 
 from wisteriasill import errors
 from wisteriasill import events
-from wisteriasill.contracts import call_timeout
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue as queues
+from wisteriasill.contracts import submission_policy
 from wisteriasill.links import cluster
 from wisteriasill.links import submission_relay
 from wisteriasill.machines import batch_job
@@ -27,8 +29,6 @@
 
 # Timeout of one call to the store; a slow store takes 0.4 s a transaction.
 CALL_TIMEOUT_SECONDS = 1.2
-# Shortest timeout of an insert; a slow node may need 0.1 s to read a response.
-MIN_INSERT_TIMEOUT_SECONDS = 0.25
 # Part of a caller's deadline that is reserved to transmit the response.
 RESPONSE_MARGIN_SECONDS = 0.15
 RETRY_SECONDS = 0.05
@@ -36,8 +36,7 @@
 # accepts every second call. It is a quarter of the shortest objective at the
 # users' sites.
 BUSY_SECONDS = 0.5
-# Time after a failed call in which another node is tried first.
-RELAY_FIRST_SECONDS = 2.0
+HEALTHY_STORE = submission_policy.StoreView(0.0, 0.0)
 PENDING_CACHE_SECONDS = 1.0  # The platform allows 2 s.
 
 
@@ -47,19 +46,20 @@
     Args:
         store: The platform's store.
         relay: Stores jobs through other nodes; None for no relay.
+        view_store: Returns what the node knows of its connection to the store.
     """
 
     def __init__(
         self,
         store: cluster.RowStore,
         relay: submission_relay.SubmissionRelay | None = None,
+        view_store: Callable[[], submission_policy.StoreView] = lambda: (
+            HEALTHY_STORE
+        ),
     ) -> None:
         self._store = store
         self._relay = relay
-        self._failed_at = -RELAY_FIRST_SECONDS
-        self._insert_timeout = call_timeout.CallTimeout(
-            MIN_INSERT_TIMEOUT_SECONDS, CALL_TIMEOUT_SECONDS
-        )
+        self._view_store = view_store
         self._pending_by_service: dict[str, tuple[float, dict[str, Any]]] = {}
 
     def submit(
@@ -86,34 +86,29 @@
         submission = submission_relay.Submission(
             queue.service, job_id, cbor2.dumps(job_spec.encode(record))
         )
+        give_up_at = deadline - RESPONSE_MARGIN_SECONDS
+        outcome: submission_policy.Outcome | None = None
         outcome_unknown = False
-        relayed = False
-        retry_until = time.monotonic() + BUSY_SECONDS
-        while True:
-            remaining_seconds = (
-                deadline - RESPONSE_MARGIN_SECONDS - time.monotonic()
-            )
-            if remaining_seconds <= 0:
+        refused_until = time.monotonic() + BUSY_SECONDS
+        relayed = self._relay is None
+        for attempts in itertools.count(1):
+            if time.monotonic() >= give_up_at:
                 break
-            failed_recently = (
-                time.monotonic() - self._failed_at < RELAY_FIRST_SECONDS
+            route = submission_policy.next_route(
+                self._view_store(), outcome, relayed
             )
-            if failed_recently and self._relay and not relayed:
+            if route is submission_policy.Route.RELAY and self._relay:
                 relayed = True
-                outcome = self._relay.store(
-                    submission, deadline - RESPONSE_MARGIN_SECONDS
-                )
+                outcome = self._relay.store(submission, give_up_at)
             else:
-                outcome = self.store(
-                    submission, deadline - RESPONSE_MARGIN_SECONDS
-                )
-            if outcome is submission_relay.Outcome.STORED:
+                outcome = self.store(submission, give_up_at)
+            if outcome is submission_policy.Outcome.STORED:
                 return result.Success(batch_job.JobState.QUEUED)
-            if outcome is submission_relay.Outcome.UNKNOWN:
+            if outcome is submission_policy.Outcome.UNKNOWN:
                 outcome_unknown = True
-            elif not outcome_unknown and time.monotonic() > retry_until:
+            elif not outcome_unknown and time.monotonic() > refused_until:
                 break
-            time.sleep(RETRY_SECONDS)
+            time.sleep(submission_policy.pause_seconds(attempts))
         # Without a response of the store the job must not be reported as
         # rejected: an earlier attempt at another node may have been stored.
         return result.Failure(
@@ -140,22 +135,20 @@
         """
         service, job_id, value = submission
         table = batch_tables.jobs_table(service)
-        sent_at = time.monotonic()
+        wait_seconds = submission_policy.insert_timeout_seconds(
+            self._view_store()
+        )
         written = self._store.transact(
             batch_tables.jobs_partition(service, job_id),
             [cluster.RowVersion(table, job_id, 0)],
             [cluster.RowWrite(table, job_id, value)],
-            min(max(deadline - sent_at, 0.0), self._insert_timeout.seconds),
+            min(max(deadline - time.monotonic(), 0.0), wait_seconds),
         )
         if isinstance(written, result.Success) or (
             written.failure().kind is cluster.StoreFaultKind.CONFLICT
         ):
-            self._insert_timeout.record_response(time.monotonic() - sent_at)
-            self._failed_at = -RELAY_FIRST_SECONDS
             return submission_relay.Outcome.STORED
-        self._failed_at = time.monotonic()
         if written.failure().kind is cluster.StoreFaultKind.OUTCOME_UNKNOWN:
-            self._insert_timeout.record_timeout()
             return submission_relay.Outcome.UNKNOWN
         return submission_relay.Outcome.REFUSED
 
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -14,6 +14,7 @@
 
 from wisteriasill import events
 from wisteriasill.contracts import queue as queues
+from wisteriasill.contracts import submission_policy
 from wisteriasill.links import cluster
 from wisteriasill.links import submission_relay
 from wisteriasill.machines import batch_controller
@@ -77,7 +78,9 @@
         self._settings = settings
         self._links = links
         self.api = job_api.JobApi(
-            links.store, submission_relay.PeerRelay(self._relay_addresses)
+            links.store,
+            submission_relay.PeerRelay(self._relay_addresses),
+            self._view_store,
         )
         self.configuration: queues.SiteConfiguration | None = None
         self.wave_by_number: dict[int, queues.WaveOrder] = {}
@@ -118,6 +121,12 @@
             and time.monotonic() - self._store_seen_at < STORE_SILENCE_SECONDS
         )
 
+    def _view_store(self) -> submission_policy.StoreView:
+        responded_at = max(self._store_seen_at, self._claims.last_read_at)
+        return submission_policy.StoreView(
+            self._claims.read_seconds, time.monotonic() - responded_at
+        )
+
     def _relay_addresses(self) -> list[str]:
         """Returns the relay addresses of the other nodes."""
         return [
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -82,6 +82,10 @@
         node: Name of this node.
         make_controller: Builds the controller of a claimed shard.
         own_entry: Entry of this node, published to the other nodes.
+
+    Attributes:
+        last_read_at: Monotonic time of the last response to a read.
+        read_seconds: Duration of the last read.
     """
 
     def __init__(
@@ -101,7 +105,8 @@
         self._row_by_key: dict[tuple[str, str], cluster.StoredRow] = {}
         self._entry_by_node: dict[str, NodeEntry] = {}
         self._version: int | None = None
-        self._last_read_at = 0.0
+        self.last_read_at = 0.0
+        self.read_seconds = 0.0
         self.controller_by_shard: dict[str, ClaimedShardController] = {}
         self._stopping = threading.Event()
 
@@ -121,10 +126,11 @@
                 self._observation_by_shard.pop(shard, None)
         now = time.monotonic()
         if not self._refresh(shards):
-            if now - self._last_read_at > MAX_READ_GAP_SECONDS:
+            if now - self.last_read_at > MAX_READ_GAP_SECONDS:
                 self._observation_by_shard.clear()
             return
-        self._last_read_at = now
+        self.last_read_at = time.monotonic()
+        self.read_seconds = self.last_read_at - now
         for shard in [*self.controller_by_shard]:
             self._release_if_requested(shard)
         for shard in shards:
