Survive rows and reports that can't be read, and go on with runs whose start got no answer

Cause, looked for after reports of other operators: (a) the threads that poll a worker, send it orders and watch the store ended at an unexpected error, as with a run number of another type in a report; (b) one job row or node row that a node can't decode, such as one of a later release, kept every node from opening the pool; (c) a report with the platform's 500 ends could show a run as lost whose end followed; (d) a start without an answer was stopped and its task started again, although the worker answers a repeated start as the first.

Ruled out: skipping only the bad entry of a report, as the runs that it hides would count as lost.

--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import pytest
+from returns import result
 import settings_file
 import wire_callers
 import wire_operators
@@ -16,6 +17,7 @@
 
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
+from wisteriasill.links import http_client
 
 ENTRY: dict[str, Any] = {
     "service": "s",
@@ -198,3 +200,43 @@
         "'platform' is '10.0.0.1', expected an object",
     ):
         assert part in message
+
+
+RUN = ["5c0e7a21d94b36f8.0.0.1", 1, "", 100, 3.5]
+END = [1, "5c0e7a21d94b36f8.0.0.1", 1, "done", ""]
+
+
+def report(runs: object, ends: object) -> http_client.HttpResponse:
+    body = {"clock_ms": 7, "born": 1, "running": runs, "finished": ends}
+    return http_client.HttpResponse(200, (), json.dumps(body).encode())
+
+
+def test_a_report() -> None:
+    decoded = wire_workers._poll_outcome(result.Success(report([RUN], [END])))
+    assert isinstance(decoded, cluster.WorkerReport)
+    assert decoded.runs[0].percent == 100
+    assert decoded.ends[0].kind is cluster.RunEndKind.DONE
+
+
+@pytest.mark.parametrize(
+    ("runs", "ends"),
+    [
+        (7, []),
+        ([7], []),
+        ([RUN[:2]], []),
+        ([[17, *RUN[1:]]], []),
+        ([[RUN[0], "1", *RUN[2:]]], []),
+        ([[*RUN[:3], "full", 3.5]], []),
+        ([[*RUN[:4], "much"]], []),
+        ([], [END[:3]]),
+        ([], [["1", *END[1:]]]),
+        ([], [[*END[:3], "vanished", ""]]),
+        ([], [[*END[:4], None]]),
+    ],
+)
+def test_a_report_that_is_malformed_is_no_report(
+    runs: object, ends: object
+) -> None:
+    """Part of a report must not show that the other runs have gone."""
+    decoded = wire_workers._poll_outcome(result.Success(report(runs, ends)))
+    assert decoded is cluster.OrderOutcome.UNKNOWN
--- a/tests/machines/batch/test_worker_loss.py
+++ b/tests/machines/batch/test_worker_loss.py
@@ -278,3 +278,45 @@
     report = restarted.poll(1, 0, None, 0.0)
     assert isinstance(report, cluster.WorkerReport)
     assert len(report.ends) == 1
+
+
+def test_a_run_whose_start_got_no_response_goes_on(
+    site: batch_site.SteppedPool, link: batch_worker.MemoryWorker
+) -> None:
+    """A lost response must not stop a run that the worker has started.
+
+    The run was stopped and its task started again, though the platform
+    answers a repeated start of the same run as the first.
+    """
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    link.lost_starts = 1
+    site.run_round()
+    site.deliver(worker)
+    site.poll(worker)
+    site.run_round(time.monotonic() + 1)
+    site.deliver(worker)
+    assert link.running == {TASK: 1}
+    assert [start[:2] for start in link.starts] == [(TASK, 1)]
+    assert worker.run_by_task[TASK].state is batch_job.RunState.RUNNING
+    assert not worker.silent_since
+
+
+def test_a_start_is_not_repeated_after_the_claim_of_the_shard_has_ended(
+    site: batch_site.SteppedPool, link: batch_worker.MemoryWorker
+) -> None:
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    site.run_round()
+
+    def lose_shard(order: cluster.StartOrder) -> cluster.OrderAnswer:
+        sent.append(order)
+        site.pool.fenced = True
+        return cluster.OrderAnswer(cluster.OrderOutcome.UNKNOWN)
+
+    sent: list[cluster.StartOrder] = []
+    worker.link.start = lose_shard  # type: ignore[method-assign]
+    assert worker.send_once()
+    assert len(sent) == 1
--- a/wisteriasill/contracts/job_spec.py
+++ b/wisteriasill/contracts/job_spec.py
@@ -8,6 +8,8 @@
 
 from typing import Any, NamedTuple
 
+import cbor2
+
 
 class Resources(NamedTuple):
     """Resources: the capacity of a worker or the request of a task.
@@ -168,6 +170,25 @@
     )
 
 
+def decode_row(value: bytes) -> JobRecord:
+    """Builds a record from the value of its row.
+
+    Raises:
+        ValueError: The value is no record, such as one of a later release.
+    """
+    try:
+        return decode(cbor2.loads(value))
+    except (
+        cbor2.CBORDecodeError,
+        AttributeError,
+        IndexError,
+        KeyError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise ValueError(f"unreadable job record: {error!r}") from error
+
+
 def _non_default_fields(step: StepSpec) -> dict[str, Any]:
     defaults = StepSpec._field_defaults
     return {
--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -13,6 +13,7 @@
 from returns import result
 
 from wisteriasill import events
+from wisteriasill import restarting_task
 from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue as queues
@@ -78,13 +79,7 @@
             links, self.pool, self._changed, self._closing
         )
         self.lost = False
-        self._threads = [
-            threading.Thread(target=target, daemon=True)
-            for target in (
-                self._run,
-                self._compact_records,
-            )
-        ]
+        self._rounds: threading.Thread | None = None
 
     @property
     def shard(self) -> str:
@@ -100,8 +95,13 @@
         with self._writer.keepalive():
             if not self._load():
                 return False
-        for thread in self._threads:
-            thread.start()
+        self._rounds, _ = (
+            restarting_task.start(name, run, self._closing, shard=self.shard)
+            for name, run in (
+                ("pool rounds", self._run),
+                ("record compaction", self._compact_records),
+            )
+        )
         self._watcher.open(self._jobs_version)
         return True
 
@@ -121,7 +121,8 @@
         """Stops the threads and optionally releases the shard."""
         self._closing.set()
         self._changed.set()
-        self._threads[0].join(2.0)
+        if self._rounds:
+            self._rounds.join(2.0)
         with self.pool.lock:
             for worker in self.pool.worker_by_id.values():
                 worker.close()
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -395,7 +395,24 @@
 
 
 def decode_progress(value: bytes) -> Progress:
-    """Decodes a value written by `encode_progress`."""
+    """Decodes a value written by `encode_progress`.
+
+    Raises:
+        ValueError: The value is no progress, such as one of a later release.
+    """
+    try:
+        return _decode_progress(value)
+    except (
+        cbor2.CBORDecodeError,
+        AttributeError,
+        IndexError,
+        TypeError,
+        ValueError,
+    ) as error:
+        raise ValueError(f"unreadable progress: {error!r}") from error
+
+
+def _decode_progress(value: bytes) -> Progress:
     state, opened_occurrences, units = cbor2.loads(value)
     return Progress(
         JobState(state),
--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -6,8 +6,7 @@
 import time
 from typing import NamedTuple
 
-import cbor2
-
+from wisteriasill import events
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
@@ -40,11 +39,14 @@
 
     def load(self, loaded: LoadedPool) -> None:
         """Loads the rows that the former holder and the entry hosts wrote."""
-        progress_by_id = {
-            row.key: batch_job.decode_progress(row.value)
-            for row in loaded.progress
-            if row.value is not None
-        }
+        progress_by_id: dict[str, batch_job.Progress] = {}
+        for row in loaded.progress:
+            if row.value is None:
+                continue
+            try:
+                progress_by_id[row.key] = batch_job.decode_progress(row.value)
+            except ValueError as error:
+                self._ignore_job(row.key, error)
         with self.lock:
             for row in loaded.records:
                 self._add_job(row, progress_by_id.get(row.key), is_new=False)
@@ -52,15 +54,11 @@
     def on_record(self, row: cluster.StoredRow) -> None:
         """Handles a changed job row: a new job, or a cancellation."""
         with self.lock:
-            if row.value in (None, job_spec.TOMBSTONE):
-                return
-            assert row.value is not None
             job = self.job_by_id.get(row.key)
             if job is None:
                 if row.key not in self.ended_at_by_id:
                     self._add_job(row, None, is_new=True)
-            else:
-                record = job_spec.decode(cbor2.loads(row.value))
+            elif record := self._decode_record(row):
                 job.record_version = row.version
                 if record.cancelled and not job.record.cancelled:
                     job.record = record
@@ -76,10 +74,9 @@
         if progress and progress.state in batch_job.FINAL_STATES:
             self.ended_at_by_id[row.key] = time.monotonic()
             return
-        if row.value in (None, job_spec.TOMBSTONE):
+        record = self._decode_record(row)
+        if record is None:
             return
-        assert row.value is not None
-        record = job_spec.decode(cbor2.loads(row.value))
         # The wall clock may jump by seconds, so the age is computed only for
         # loaded jobs; a job seen by the watch is milliseconds old.
         age_seconds = (
@@ -109,6 +106,37 @@
             return
         job.open_due_occurrences(time.time() * 1000, 0)
 
+    def _decode_record(
+        self, row: cluster.StoredRow
+    ) -> job_spec.JobRecord | None:
+        """Returns the record of a job to run; None if there is none."""
+        if row.value in (None, job_spec.TOMBSTONE) or (
+            row.key in self._unreadable_ids
+        ):
+            return None
+        assert row.value is not None
+        try:
+            return job_spec.decode_row(row.value)
+        except ValueError as error:
+            self._ignore_job(row.key, error)
+            return None
+
+    def _ignore_job(self, job_id: str, error: ValueError) -> None:
+        """Never starts a job of which some row can't be read.
+
+        A node of another release may know what its tasks have done, so its
+        rows stay as they are.
+        """
+        self._unreadable_ids.add(job_id)
+        events.log(
+            events.Event.JOB_UNREADABLE,
+            "Stored rows of a job can't be read; the job is not run",
+            level="ERROR",
+            job=job_id,
+            service=self.service,
+            error=str(error),
+        )
+
     def _predicted_steps(
         self, record: job_spec.JobRecord
     ) -> tuple[job_spec.StepSpec, ...]:
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -18,6 +18,9 @@
 # A run counts as ended if it is missing from the report of a poll that was sent
 # this long after the confirmation that it runs or can't start any more.
 REPORT_LAG_SECONDS = 0.05
+# The platform lists so many ends in one report; others follow once these are
+# acknowledged.
+MAX_REPORTED_ENDS = 500
 REJECTION_BACKOFF_SECONDS = 0.3
 # A worker that refused a start for lack of resources gets no starts until its
 # reports have caught up.
@@ -49,7 +52,8 @@
                     worker.last_received_end = run_end.number
             for run_report in report.runs:
                 self._record_running(worker, run_report, now)
-            self._end_missing_runs(worker, sent_at, report)
+            if len(report.ends) < MAX_REPORTED_ENDS:
+                self._end_missing_runs(worker, sent_at, report)
             self._adjust_pace(worker)
         self._changed.set()
 
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -86,6 +86,7 @@
             collections.OrderedDict()
         )
         self.ended_records: list[EndedRecord] = []
+        self._unreadable_ids: set[str] = set()
         self.permits_by_step: dict[job_spec.StepKey, Permits] = {}
         self.stored_at = claimed_at
         self.fenced = False
--- a/wisteriasill/machines/batch_watch.py
+++ b/wisteriasill/machines/batch_watch.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from wisteriasill import events
+from wisteriasill import restarting_task
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_pool
 from wisteriasill.machines import batch_tables
@@ -51,13 +52,13 @@
             jobs_version: Store version as of which the job records were read.
         """
         self._jobs_version = jobs_version
-        for target in (
-            self._watch_jobs,
-            self._watch_registry,
-            self._request_advice,
-            self._watch_drain_requests,
+        for name, run in (
+            ("jobs watch", self._watch_jobs),
+            ("worker registry watch", self._watch_registry),
+            ("advice requests", self._request_advice),
+            ("drain requests watch", self._watch_drain_requests),
         ):
-            threading.Thread(target=target, daemon=True).start()
+            restarting_task.start(name, run, self._closing, shard=self._service)
 
     def read_drain_requests(self) -> None:
         """Reads which workers to drain, before the first planning round."""
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -17,6 +17,7 @@
 from returns import result
 
 from wisteriasill import events
+from wisteriasill import restarting_task
 from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import host_record
 from wisteriasill.contracts import queue as queues
@@ -110,10 +111,7 @@
         self._order_by_host: dict[str, SentOrder] = {}
         self._stored_down: dict[str, str] = {}
         self.lost = False
-        self._threads = [
-            threading.Thread(target=target, daemon=True)
-            for target in (self._run, self._watch_loads)
-        ]
+        self._rounds: threading.Thread | None = None
 
     def open(self) -> bool:
         """Reads what the former holder stored and starts the threads."""
@@ -148,15 +146,21 @@
                 self._stored_down = dict(self._fleet.down_by_host)
             else:
                 self._waves.load(int(row.key), row.value)
-        for thread in self._threads:
-            thread.start()
+        self._rounds, _ = (
+            restarting_task.start(name, run, self._closing)
+            for name, run in (
+                ("fleet rounds", self._run),
+                ("pool loads", self._watch_loads),
+            )
+        )
         return True
 
     def close(self, release: bool) -> None:
         """Stops the threads and optionally releases the shard."""
         self._closing.set()
         self._changed.set()
-        self._threads[0].join(2.0)
+        if self._rounds:
+            self._rounds.join(2.0)
         self._executor.shutdown(wait=False, cancel_futures=True)
         if release and not self.lost:
             self._writer.release()
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -13,6 +13,7 @@
 from returns import result
 
 from wisteriasill import events
+from wisteriasill import restarting_task
 from wisteriasill.contracts import queue as queues
 from wisteriasill.contracts import submission_policy
 from wisteriasill.links import cluster
@@ -92,10 +93,6 @@
             self._make_controller,
             shard_claims.NodeEntry(strength(settings), settings.relay_address),
         )
-        self._threads = [
-            threading.Thread(target=target, daemon=True)
-            for target in (self._watch_operators, self._claim_shards)
-        ]
 
     @property
     def name(self) -> str:
@@ -153,8 +150,11 @@
 
     def start(self) -> None:
         """Starts the node's threads."""
-        for thread in self._threads:
-            thread.start()
+        for name, run in (
+            ("operators watch", self._watch_operators),
+            ("shard claims", self._claim_shards),
+        ):
+            restarting_task.start(name, run, self._stopping)
 
     def stop(self) -> None:
         """Releases all shards; callers are still served."""
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -11,6 +11,7 @@
 import time
 from typing import NamedTuple, Protocol
 
+from wisteriasill import restarting_task
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
@@ -37,6 +38,8 @@
 SILENT_RETRY_SECONDS = 0.25  # Pause after a poll without a response.
 # A start order that waited longer is planned again: its decision is outdated.
 STALE_ORDER_SECONDS = 1.5
+# A call that fails sooner did not time out: its connection was lost.
+SOON_SECONDS = 0.5
 STOP_RETRY_SECONDS = 0.2  # Delay before an unanswered stop is retried.
 
 
@@ -159,10 +162,6 @@
         self._order_ready = threading.Semaphore(0)
         self._closing = threading.Event()
         self._wake = threading.Event()
-        self._threads = [
-            threading.Thread(target=target, daemon=True)
-            for target in (self._poll_loop, self._send_orders)
-        ]
 
     @property
     def worker_id(self) -> str:
@@ -181,8 +180,13 @@
 
     def open(self) -> None:
         """Starts the worker's two threads."""
-        for thread in self._threads:
-            thread.start()
+        for name, run in (
+            ("worker poll", self._poll_loop),
+            ("worker orders", self._send_orders),
+        ):
+            restarting_task.start(
+                name, run, self._closing, worker=self.worker_id
+            )
 
     def close(self) -> None:
         """Stops the worker's threads without waiting for their calls."""
@@ -342,21 +346,37 @@
         # concurrent check could end the run by an older lease.
         lease_until_ms = self._extend_lease()
         run.ordered_at = time.monotonic()
-        answer = self.link.start(
-            cluster.StartOrder(
-                run.task,
-                run.number,
-                payload,
-                lease_until_ms,
-                self._owner.fencing_epoch,
-                run.checkpoint,
-                ticket,
-            )
+        order = cluster.StartOrder(
+            run.task,
+            run.number,
+            payload,
+            lease_until_ms,
+            self._owner.fencing_epoch,
+            run.checkpoint,
+            ticket,
         )
+        answer = self.link.start(order)
+        if (
+            answer.outcome is cluster.OrderOutcome.UNKNOWN
+            and self._may_be_answered(run.ordered_at)
+            and self._owner.may_start(run)
+        ):
+            # The worker answers a repeated start of the same run as the
+            # first, so a run whose answer was lost goes on.
+            run.ordered_at = time.monotonic()
+            answer = self.link.start(order)
         self._check_incarnation(answer)
         self.record_clock(answer.clock_ms, time.monotonic())
         self._owner.on_start_answer(run, answer)
 
+    def _may_be_answered(self, sent_at: float) -> bool:
+        """Whether a repeat of an unanswered call is likely to be answered.
+
+        A cut worker would hold up the orders behind it for another timeout.
+        """
+        failed_soon = time.monotonic() - sent_at < SOON_SECONDS
+        return failed_soon or self._clock_at > sent_at
+
     def _check_incarnation(self, answer: cluster.OrderAnswer) -> None:
         """Treats the worker as unresponsive if it may have restarted.
 
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -60,6 +60,19 @@
     address: str = ""
 
 
+def decode_entry(value: bytes) -> NodeEntry:
+    """Decodes a node's row; one that can't be read names a weak node.
+
+    A later release may add fields, and a node of this one must go on with its
+    own shards beside it.
+    """
+    try:
+        strength, *rest = cbor2.loads(value)
+        return NodeEntry(float(strength), str(rest[0]) if rest else "")
+    except (cbor2.CBORDecodeError, TypeError, ValueError):
+        return NodeEntry(0.0)
+
+
 class ShardObservation(NamedTuple):
     """A shard's state as a node has observed it.
 
@@ -199,9 +212,7 @@
         for row in rows:
             self._row_by_key[row.partition_key, row.key] = row
             if row.partition_key == NODES_PARTITION and row.value is not None:
-                self._entry_by_node[row.key] = NodeEntry(
-                    *cbor2.loads(row.value)
-                )
+                self._entry_by_node[row.key] = decode_entry(row.value)
 
     def entries(self) -> dict[str, NodeEntry]:
         """Returns the entries of all nodes, by name."""
--- a/wisteriasill/zones/shard_writer.py
+++ b/wisteriasill/zones/shard_writer.py
@@ -78,10 +78,21 @@
         owner.value.decode() if owner and owner.value else "",
         owner.version if owner else 0,
         heartbeat.version if heartbeat else 0,
-        cbor2.loads(heartbeat.value) if heartbeat and heartbeat.value else {},
+        _decode_status(heartbeat.value)
+        if heartbeat and heartbeat.value
+        else {},
     )
 
 
+def _decode_status(value: bytes) -> dict[str, object]:
+    """Decodes a holder's status; one that can't be read counts as empty."""
+    try:
+        status = cbor2.loads(value)
+    except (cbor2.CBORDecodeError, ValueError):
+        return {}
+    return status if isinstance(status, dict) else {}
+
+
 class ShardWriter:
     """Writes a shard's rows while this node owns the shard.
 
