Turn jobs away that would end when they are of no use, truly and with a time

Nothing was ever refused.

Change: the pool's holder publishes its backlog with its heartbeat, the least of 2.5 s, in which hosts arrive; contracts/overload_policy decides on each node: refused only if jobs are deferred already, twice of what can be run waits, and more work arrives than the pool can run (that share is accepted always). A refusal takes the place of the job's row, so an earlier submission that is carried out late fails: 503, executed no, Retry-After by when the queue has drained, spread. Who returns on time is let in.

--- a/tests/contracts/test_work_order.py
+++ b/tests/contracts/test_work_order.py
@@ -245,5 +245,5 @@
 
 def test_a_pool_without_workers_has_an_endless_backlog() -> None:
     schedule = work_order.schedule([WORK], 0.0)
-    assert schedule.backlog(0.0).all_seconds > 1e9
+    assert schedule.backlog(0.0).useful_seconds > 1e9
     assert schedule.job_ids == ("a",)
--- a/wisteriasill/contracts/job_spec.py
+++ b/wisteriasill/contracts/job_spec.py
@@ -145,6 +145,45 @@
 TOMBSTONE = b"-"
 
 
+REFUSAL_PREFIX = b"!"
+
+
+class Refusal(NamedTuple):
+    """Takes the place of a job's row while the job is turned away.
+
+    Attributes:
+        refused_ms: Unix time of the refusal.
+        retry_after_seconds: Time after which its caller was told to return.
+        core_seconds: Declared processor time of the job.
+    """
+
+    refused_ms: int
+    retry_after_seconds: int
+    core_seconds: float
+
+
+def encode_refusal(refusal: Refusal) -> bytes:
+    """Returns the value of a refusal's row."""
+    return REFUSAL_PREFIX + cbor2.dumps([*refusal])
+
+
+def decode_refusal(value: bytes | None) -> Refusal | None:
+    """Returns the refusal in a row's value; None for any other value."""
+    if value is None or not value.startswith(REFUSAL_PREFIX):
+        return None
+    refused_ms, retry_after_seconds, core_seconds = cbor2.loads(
+        value[len(REFUSAL_PREFIX) :]
+    )
+    return Refusal(
+        int(refused_ms), int(retry_after_seconds), float(core_seconds)
+    )
+
+
+def holds_job(value: bytes | None) -> bool:
+    """Whether a row's value is a job that has not been shortened."""
+    return value not in (None, TOMBSTONE) and decode_refusal(value) is None
+
+
 def encode(record: JobRecord) -> dict[str, Any]:
     """Turns a record into plain data."""
     spec = record.spec
--- a/wisteriasill/contracts/work_order.py
+++ b/wisteriasill/contracts/work_order.py
@@ -60,14 +60,20 @@
 
     Attributes:
         in_time_seconds: Until the jobs that are to meet their objective end.
-        all_seconds: Until all waiting and running work ends.
+        deferred_seconds: For jobs that would meet it, were there room for all.
+        useful_seconds: Until all running work ends, and all waiting work that
+            can still be of use.
+        costliest: Most work for its value of the waiting jobs that are to meet
+            their objective; a job that needs less takes the place of that one.
     """
 
     in_time_seconds: float
-    all_seconds: float
+    deferred_seconds: float
+    useful_seconds: float
+    costliest: float
 
 
-NO_BACKLOG = Backlog(0.0, 0.0)
+NO_BACKLOG = Backlog(0.0, 0.0, 0.0, 0.0)
 
 
 class Schedule(NamedTuple):
@@ -77,20 +83,28 @@
         job_ids: Ids of all jobs, the first to schedule first.
         outlook_by_id: What can become of each job that is not long-running.
         in_time_core_seconds: Work of the jobs that are to meet their objective.
-        core_seconds: Work of all jobs.
+        deferred_core_seconds: Work of the jobs that are deferred.
+        useful_core_seconds: Work of all jobs that can still be of use.
+        costliest: Most work for its value of a job that is to meet its
+            objective.
     """
 
     job_ids: tuple[str, ...]
     outlook_by_id: dict[str, Outlook]
     in_time_core_seconds: float
-    core_seconds: float
+    deferred_core_seconds: float
+    useful_core_seconds: float
+    costliest: float
 
     def backlog(self, cores: float) -> Backlog:
         """Returns how long a pool of so many cores takes for the work."""
         if cores <= 0:
-            return Backlog(math.inf, math.inf)
+            return Backlog(math.inf, math.inf, math.inf, math.inf)
         return Backlog(
-            self.in_time_core_seconds / cores, self.core_seconds / cores
+            self.in_time_core_seconds / cores,
+            self.deferred_core_seconds / cores,
+            self.useful_core_seconds / cores,
+            self.costliest,
         )
 
 
@@ -126,6 +140,11 @@
     return FIXED_VALUE_SHARE + (1 - FIXED_VALUE_SHARE) * share
 
 
+def cost_by_value(core_seconds: float, value: float) -> float:
+    """Returns the processor time for each unit of value."""
+    return max(core_seconds, MIN_CORE_SECONDS) / value
+
+
 class RescueBudget:
     """Processor time for rescued jobs: a bounded share of a pool's capacity."""
 
@@ -190,16 +209,25 @@
         for job in _rescued(finite, outlook_by_id, rescue_core_seconds)
     )
     ordered = sorted(jobs, key=lambda job: _sort_key(job, outlook_by_id))
+    kept = [
+        job for job in finite if outlook_by_id[job.job_id] is Outlook.IN_TIME
+    ]
     return Schedule(
         tuple(job.job_id for job in ordered),
         outlook_by_id,
+        running_core_seconds + sum(job.core_seconds for job in kept),
+        sum(
+            job.core_seconds
+            for job in finite
+            if outlook_by_id[job.job_id] is Outlook.DEFERRED
+        ),
         running_core_seconds
         + sum(
             job.core_seconds
             for job in finite
-            if outlook_by_id[job.job_id] is Outlook.IN_TIME
+            if outlook_by_id[job.job_id] is not Outlook.TOO_LATE
         ),
-        running_core_seconds + sum(job.core_seconds for job in finite),
+        max(map(_cost, kept), default=0.0),
     )
 
 
@@ -219,7 +247,7 @@
 
 def _cost(job: WaitingWork) -> float:
     """Returns the remaining work of a job for each unit of its value."""
-    return max(job.core_seconds, MIN_CORE_SECONDS) / job.value
+    return cost_by_value(job.core_seconds, job.value)
 
 
 def _infeasible(
--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -16,6 +16,7 @@
 from wisteriasill import restarting_task
 from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import overload_policy
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
@@ -208,6 +209,7 @@
             return None, []
         self._load_checked_at = now
         load = self.pool.current_load(now)
+        backlog = self.pool.published_backlog(now)
         released = {
             worker_id
             for worker_id, worker_load in load.load_by_worker.items()
@@ -232,7 +234,10 @@
         self._released_worker_ids = released
         self._needed_cpu = load.needed.cpu
         self._spread = load.spread
-        return cbor2.dumps({"pending": self.pool.pending_by_queue()}), [
+        status: dict[str, object] = {"pending": self.pool.pending_by_queue()}
+        if backlog:
+            status[shard_writer.BACKLOG_FIELD] = overload_policy.encode(backlog)
+        return cbor2.dumps(status), [
             cluster.RowWrite(
                 fleet_rows.LOADS_TABLE,
                 fleet_rows.LOAD_KEY,
@@ -246,6 +251,8 @@
         worker_count = len(load.load_by_worker)
         node_metrics.set_gauge(f"pool_pending_jobs/{service}", pending)
         node_metrics.set_gauge(f"pool_workers/{service}", worker_count)
+        for name, seconds in self.pool.backlog._asdict().items():
+            node_metrics.set_gauge(f"pool_backlog_{name}/{service}", seconds)
         node_metrics.set_gauge(
             f"pool_needed_millicores/{service}", load.needed.cpu
         )
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -7,6 +7,7 @@
 
 from wisteriasill import events
 from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import overload_policy
 from wisteriasill.contracts import stragglers
 from wisteriasill.contracts import work_order
 from wisteriasill.contracts import worker_choice
@@ -86,9 +87,46 @@
             running_core_seconds,
             self._rescue_budget.core_seconds,
         )
+        self.free_cores = cores
         self.backlog = schedule.backlog(cores)
         return schedule
 
+    def published_backlog(
+        self, now: float
+    ) -> overload_policy.PublishedBacklog | None:
+        """Returns the backlog for the nodes; None for a short one."""
+        with self.lock:
+            self._backlog_window.add(self.backlog, now)
+            least = self._backlog_window.least
+            if least.useful_seconds < overload_policy.MIN_PUBLISHED_SECONDS:
+                return None
+            return overload_policy.PublishedBacklog(
+                least,
+                overload_policy.admitted_share(
+                    self.free_cores, self._offered_cpu.per_second(now)
+                ),
+                {
+                    name: overload_policy.QueueNorm(
+                        self._mean_core_seconds_by_queue[name],
+                        self._time_factor_by_queue.get(name, 1.0),
+                    )
+                    for name in self._last_queues()
+                    if name in self._mean_core_seconds_by_queue
+                },
+            )
+
+    def _last_queues(self) -> list[str]:
+        """Returns the queues whose jobs no waiting job has to wait for."""
+        waiting = {
+            job.record.queue: queue.priority
+            for job in self.job_by_id.values()
+            if job.ready
+            and not job.record.spec.lasting
+            and (queue := self._queue_by_name.get(job.record.queue))
+        }
+        last = max(waiting.values(), default=0)
+        return [name for name, priority in waiting.items() if priority == last]
+
     def _accepts_tasks(self, worker: workers.Worker, now: float) -> bool:
         return (
             worker.is_reachable
--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -55,7 +55,9 @@
         """Handles a changed job row: a new job, or a cancellation."""
         with self.lock:
             job = self.job_by_id.get(row.key)
-            if job is None:
+            if refusal := job_spec.decode_refusal(row.value):
+                self._offered_cpu.add(refusal.core_seconds, time.monotonic())
+            elif job is None:
                 if row.key not in self.ended_at_by_id:
                     self._add_job(row, None, is_new=True)
             elif record := self._decode_record(row):
@@ -110,7 +112,7 @@
         self, row: cluster.StoredRow
     ) -> job_spec.JobRecord | None:
         """Returns the record of a job to run; None if there is none."""
-        if row.value in (None, job_spec.TOMBSTONE) or (
+        if not job_spec.holds_job(row.value) or (
             row.key in self._unreadable_ids
         ):
             return None
@@ -154,6 +156,7 @@
 
     def _record_arrival(self, steps: tuple[job_spec.StepSpec, ...]) -> None:
         now = time.monotonic()
+        self._offered_cpu.add(job_spec.core_seconds(steps), now)
         for step in steps:
             task_seconds = step.tasks * step.estimate_seconds
             for rate in self._cpu_arrivals:
@@ -168,6 +171,11 @@
         self._mean_core_seconds_by_queue[name] = mean + MEAN_WEIGHT * (
             work - mean
         )
+        declared_seconds = job_spec.critical_path_seconds(job.record.spec.steps)
+        if declared_seconds:
+            self._time_factor_by_queue[name] = (
+                job.critical_path_seconds / declared_seconds
+            )
 
     def _restore(
         self, job: batch_job.Job, progress: batch_job.Progress
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -16,6 +16,7 @@
 from wisteriasill import events
 from wisteriasill.contracts import arrival_rate
 from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import overload_policy
 from wisteriasill.contracts import queue as queues
 from wisteriasill.contracts import run_times
 from wisteriasill.contracts import work_order
@@ -108,6 +109,13 @@
         ] = {}
         self._straggler_check_at = 0.0
         self.backlog = work_order.NO_BACKLOG
+        self._backlog_window = overload_policy.BacklogWindow(claimed_at)
+        # Processor time of all arriving jobs, also of those turned away.
+        self._offered_cpu = arrival_rate.ArrivalRate(
+            arrival_rate.SLOW_SPAN_SECONDS
+        )
+        self.free_cores = 0.0
+        self._time_factor_by_queue: dict[str, float] = {}
         self._rescue_budget = work_order.RescueBudget()
         self._mean_core_seconds_by_queue: dict[str, float] = {}
 
--- a/wisteriasill/machines/job_api.py
+++ b/wisteriasill/machines/job_api.py
@@ -23,6 +23,7 @@
 from wisteriasill.links import submission_relay
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_tables
+from wisteriasill.machines import job_admission
 from wisteriasill.zones import shard_writer
 
 Outcome = result.Result[batch_job.JobState, errors.Failure]
@@ -47,6 +48,7 @@
         store: The platform's store.
         relay: Stores jobs through other nodes; None for no relay.
         view_store: Returns what the node knows of its connection to the store.
+        view_backlog: Returns what the node knows of a pool's backlog.
     """
 
     def __init__(
@@ -56,8 +58,10 @@
         view_store: Callable[[], submission_policy.StoreView] = lambda: (
             HEALTHY_STORE
         ),
+        view_backlog: job_admission.BacklogView = lambda service: None,
     ) -> None:
         self._store = store
+        self._admission = job_admission.JobAdmission(store, view_backlog)
         self._relay = relay
         self._view_store = view_store
         self._pending_by_service: dict[str, tuple[float, dict[str, Any]]] = {}
@@ -69,7 +73,7 @@
         spec: job_spec.JobSpec,
         deadline: float,
     ) -> Outcome:
-        """Accepts a job; a repeated submission is the same job.
+        """Accepts a job or turns it away; a repeated one is the same job.
 
         Args:
             queue: The queue.
@@ -78,8 +82,23 @@
             deadline: Monotonic time until which the caller waits.
 
         Returns:
-            The job's state, or why its acceptance is not known.
+            The job's state, or why it is not accepted or that is not known.
         """
+        retry_after_seconds = self._admission.turn_away(
+            queue,
+            job_id,
+            spec,
+            submission_policy.insert_timeout_seconds(self._view_store()),
+        )
+        if retry_after_seconds is not None:
+            return result.Failure(
+                errors.failure(
+                    errors.ErrorKind.OVERLOADED,
+                    f"job {job_id}: the pool of queue {queue.name} can't run "
+                    "it while it is of use",
+                    retry_after_seconds=retry_after_seconds,
+                )
+            )
         record = job_spec.JobRecord(
             queue.name, int(time.time() * 1000), False, spec
         )
@@ -133,24 +152,46 @@
         Returns:
             Whether the row is stored; an existing row counts as stored.
         """
+        give_up_at = min(
+            deadline,
+            time.monotonic()
+            + submission_policy.insert_timeout_seconds(self._view_store()),
+        )
+        outcome, row = self._insert(submission, 0, give_up_at)
+        if row is not None and job_spec.decode_refusal(row.value):
+            # The caller was turned away before and returns.
+            outcome, row = self._insert(submission, row.version, give_up_at)
+            if row is not None and job_spec.decode_refusal(row.value):
+                return submission_relay.Outcome.REFUSED
+        return outcome
+
+    def _insert(
+        self,
+        submission: submission_relay.Submission,
+        version: int,
+        give_up_at: float,
+    ) -> tuple[submission_relay.Outcome, cluster.StoredRow | None]:
+        """Stores a job's row in place of the row of a version.
+
+        Returns:
+            The outcome, and the row that was there instead.
+        """
         service, job_id, value = submission
         table = batch_tables.jobs_table(service)
-        wait_seconds = submission_policy.insert_timeout_seconds(
-            self._view_store()
-        )
         written = self._store.transact(
             batch_tables.jobs_partition(service, job_id),
-            [cluster.RowVersion(table, job_id, 0)],
+            [cluster.RowVersion(table, job_id, version)],
             [cluster.RowWrite(table, job_id, value)],
-            min(max(deadline - time.monotonic(), 0.0), wait_seconds),
+            max(give_up_at - time.monotonic(), 0.0),
         )
-        if isinstance(written, result.Success) or (
-            written.failure().kind is cluster.StoreFaultKind.CONFLICT
-        ):
-            return submission_relay.Outcome.STORED
-        if written.failure().kind is cluster.StoreFaultKind.OUTCOME_UNKNOWN:
-            return submission_relay.Outcome.UNKNOWN
-        return submission_relay.Outcome.REFUSED
+        if isinstance(written, result.Success):
+            return submission_relay.Outcome.STORED, None
+        fault = written.failure()
+        if fault.kind is cluster.StoreFaultKind.CONFLICT:
+            return submission_relay.Outcome.STORED, next(iter(fault.rows), None)
+        if fault.kind is cluster.StoreFaultKind.OUTCOME_UNKNOWN:
+            return submission_relay.Outcome.UNKNOWN, None
+        return submission_relay.Outcome.REFUSED, None
 
     def state(self, queue: queues.Queue, job_id: str) -> Outcome:
         """Reads the state of a job."""
@@ -186,7 +227,7 @@
             if not isinstance(read, result.Success):
                 return result.Failure(read.failure())
             row = read.unwrap()
-            if row is None or row.value in (None, job_spec.TOMBSTONE):
+            if row is None or not job_spec.holds_job(row.value):
                 return result.Failure(_no_such_job(job_id))
             assert row.value is not None
             record = job_spec.decode(cbor2.loads(row.value))
@@ -255,7 +296,7 @@
 
 
 def _queued(row: cluster.StoredRow | None) -> Outcome:
-    if row is None or row.value in (None, job_spec.TOMBSTONE):
+    if row is None or not job_spec.holds_job(row.value):
         return result.Failure(_no_such_job(row.key if row else "with this id"))
     return result.Success(batch_job.JobState.QUEUED)
 
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -78,11 +78,6 @@
     ) -> None:
         self._settings = settings
         self._links = links
-        self.api = job_api.JobApi(
-            links.store,
-            submission_relay.PeerRelay(self._relay_addresses),
-            self._view_store,
-        )
         self.configuration: queues.SiteConfiguration | None = None
         self.wave_by_number: dict[int, queues.WaveOrder] = {}
         self._stopping = threading.Event()
@@ -93,6 +88,12 @@
             self._make_controller,
             shard_claims.NodeEntry(strength(settings), settings.relay_address),
         )
+        self.api = job_api.JobApi(
+            links.store,
+            submission_relay.PeerRelay(self._relay_addresses),
+            self._view_store,
+            self._claims.backlog,
+        )
 
     @property
     def name(self) -> str:
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -16,6 +16,7 @@
 import xxhash
 
 from wisteriasill import events
+from wisteriasill.contracts import overload_policy
 from wisteriasill.contracts import shard_choice
 from wisteriasill.links import cluster
 from wisteriasill.zones import shard_writer
@@ -117,6 +118,7 @@
         self._observation_by_shard: dict[str, ShardObservation] = {}
         self._row_by_key: dict[tuple[str, str], cluster.StoredRow] = {}
         self._entry_by_node: dict[str, NodeEntry] = {}
+        self._heartbeat_at_by_shard: dict[str, float] = {}
         self._version: int | None = None
         self.last_read_at = 0.0
         self.read_seconds = 0.0
@@ -209,8 +211,11 @@
         return isinstance(written, result.Success)
 
     def _store_rows(self, rows: Iterable[cluster.StoredRow]) -> None:
+        now = time.monotonic()
         for row in rows:
             self._row_by_key[row.partition_key, row.key] = row
+            if row.key == shard_writer.HEARTBEAT:
+                self._heartbeat_at_by_shard[row.partition_key] = now
             if row.partition_key == NODES_PARTITION and row.value is not None:
                 self._entry_by_node[row.key] = decode_entry(row.value)
 
@@ -225,6 +230,19 @@
         }
         return {shard: self._state(shard) for shard in sorted(shards)}
 
+    def backlog(self, shard: str) -> overload_policy.ObservedBacklog | None:
+        """Returns the backlog of a pool as its holder last published it."""
+        read_at = self._heartbeat_at_by_shard.get(shard)
+        status = self._state(shard).status
+        published = overload_policy.decode(
+            status.get(shard_writer.BACKLOG_FIELD)
+        )
+        if read_at is None or published is None:
+            return None
+        return overload_policy.ObservedBacklog(
+            published, time.monotonic() - read_at
+        )
+
     def _state(self, shard: str) -> shard_writer.ShardState:
         rows = (
             self._row_by_key.get((shard, key))
--- a/wisteriasill/zones/shard_writer.py
+++ b/wisteriasill/zones/shard_writer.py
@@ -20,6 +20,8 @@
 TABLE = "shards"
 OWNER = "owner"
 HEARTBEAT = "beat"
+# Field of the status with the backlog of a pool.
+BACKLOG_FIELD = "backlog"
 
 # Writes of a transaction. With as many conditions and the two rows of the owner
 # it stays below the platform's limit of 100 entries.
@@ -129,6 +131,14 @@
 
     def claim(self, seen: ShardState) -> bool:
         """Claims the shard if its state is still as observed."""
+        # A former holder's backlog must not look as if it were a new one.
+        status = cbor2.dumps(
+            {
+                key: value
+                for key, value in seen.status.items()
+                if key != BACKLOG_FIELD
+            }
+        )
         written = self._store.transact(
             self.shard,
             [
@@ -137,14 +147,14 @@
             ],
             [
                 cluster.RowWrite(TABLE, OWNER, self._node.encode()),
-                cluster.RowWrite(TABLE, HEARTBEAT, cbor2.dumps(seen.status)),
+                cluster.RowWrite(TABLE, HEARTBEAT, status),
             ],
             TRANSACTION_TIMEOUT_SECONDS,
         )
         if not isinstance(written, result.Success):
             return False
         self.epoch = written.unwrap()
-        self._last_heartbeat = cbor2.dumps(seen.status)
+        self._last_heartbeat = status
         self.was_released = not seen.holder
         self._version_by_row = {(TABLE, HEARTBEAT): self.epoch}
         self.stored_at = time.monotonic()
