Begin the maintenance of idle hosts at once, and let a holder order a host again

Ruled out: the limit of hosts down at a time (35 of 97, never reached).

Change: only hosts with tasks count against the drains of a pool, more drain as the end of the wave demands; settled orders stay stored for a successor but do not bar the holder; hosts that are due move last.

Four new tests failed on the code before.

--- a/tests/contracts/test_host_moves.py
+++ b/tests/contracts/test_host_moves.py
@@ -105,3 +105,48 @@
     data = host_moves.encode_load(load)
     assert host_moves.decode_load(data) == load
     assert host_moves.decode_load(data[:2]) == load._replace(spread=0)
+
+
+def wave(hosts: int, at_once: int = 100) -> queues.WaveOrder:
+    ids = tuple(f"m{number}" for number in range(hosts))
+    return queues.WaveOrder(1, ids, 25.0, at_once, seen_at=100.0)
+
+
+def test_hosts_that_a_wave_will_maintain_move_last() -> None:
+    """They can be maintained in standby, where nobody needs them."""
+    hosts = [host(1, "standby"), host(2, "standby"), host(3, "a")]
+    loads = {"a": pool(2.0, {3: BUSY})}
+    moves = host_moves.plan_moves(
+        hosts, loads, {"standby"}, (), {}, due_host_ids={"m1"}
+    )
+    assert [move.host_id for move in moves] == ["m2"]
+
+
+def test_a_wave_maintains_idle_hosts_all_at_once() -> None:
+    """Idle hosts must not wait behind hosts with tasks of their pool.
+
+    On quiet days of the grown and the large sites 70 to 90 hosts were idle for
+    seconds while a wave began one to five a second, and it ended late.
+    """
+    hosts = [host(number, "a") for number in range(20)]
+    load_by_number = dict.fromkeys(range(20), IDLE) | {0: BUSY, 1: LASTING}
+    chosen = host_moves.plan_maintenance(
+        wave(20), hosts, {"a": pool(2.0, load_by_number)}, (), (), 0, 101.0
+    )
+    assert len(chosen) == 20
+
+
+def test_a_wave_drains_as_many_hosts_with_tasks_as_its_end_demands() -> None:
+    """Load: half of the fleet is due while each pool peaks in turn."""
+    hosts = [host(number, "a") for number in range(40)]
+    loads = {"a": pool(40.0, dict.fromkeys(range(40), BUSY))}
+
+    def draining(now: float) -> int:
+        return len(
+            host_moves.plan_maintenance(wave(40), hosts, loads, (), (), 0, now)
+        )
+
+    rounds = 0.8 * 25.0 / host_moves.DRAIN_SECONDS
+    assert draining(100.0) == 40 / rounds
+    assert draining(110.0) > draining(100.0)
+    assert draining(130.0) == 40
--- a/tests/machines/test_fleet_controller.py
+++ b/tests/machines/test_fleet_controller.py
@@ -61,8 +61,9 @@
     def move(
         self, host_id: str, service: str, fencing_epoch: int
     ) -> cluster.HostOrderOutcome:
-        """Records a move."""
+        """Records a move, which takes effect at once."""
         self.orders[host_id] = service, time.monotonic()
+        self.service_by_host[host_id] = service
         return cluster.HostOrderOutcome.DONE
 
     def maintain(
@@ -142,9 +143,17 @@
 
 def need_hosts(store: row_store.MemoryRowStore, count: int) -> None:
     """Stores a load of the pool `bench` that needs `count` hosts."""
+    store_load(store, count, {"w-h1": host_moves.WorkerLoad(1, 0, 0.0, False)})
+
+
+def store_load(
+    store: row_store.MemoryRowStore,
+    needed_hosts: int,
+    load_by_worker: dict[str, host_moves.WorkerLoad],
+) -> None:
+    """Stores a load of the pool `bench`."""
     load = host_moves.PoolLoad(
-        job_spec.Resources(16_000 * count, 1000, 0),
-        {"w-h1": host_moves.WorkerLoad(1, 0, 0.0, False)},
+        job_spec.Resources(16_000 * needed_hosts, 1000, 0), load_by_worker
     )
     store_row(
         store,
@@ -174,6 +183,34 @@
     assert hosts.orders["h2"][0] == "bench"
 
 
+def test_the_same_holder_orders_a_host_again_when_it_has_arrived(
+    store: row_store.MemoryRowStore,
+    start: Start,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Only another holder has to wait after an order.
+
+    A host that had moved could neither be maintained nor move on for 3.2 s, a
+    third of all hosts at a time on quiet days of the grown Shila Hire site.
+    """
+    monkeypatch.setattr(fleet_controller, "HOST_ORDER_LEASE_SECONDS", 60.0)
+    hosts = RecordedHosts({f"h{number}": "bench" for number in range(5)})
+    hosts.service_by_host["h9"] = "rest"
+    start(hosts)
+    need_hosts(store, 6)
+    moved_at = await_order(hosts, "h9")
+    hosts.orders.clear()
+    idle = host_moves.WorkerLoad(0, 0, 9.0, False)
+    released = idle._replace(idle_seconds=0.0, released=True)
+    deadline = time.monotonic() + 4.0
+    while "h9" not in hosts.orders and time.monotonic() < deadline:
+        for load in (idle, released):
+            store_load(store, 0, {"w-h9": load})
+            time.sleep(0.3)
+    assert hosts.orders["h9"][0] == "rest"
+    assert hosts.orders["h9"][1] - moved_at < 4.0
+
+
 @pytest.mark.parametrize(
     ("age_seconds", "longest_wait"),
     [(0.0, 2.0), (10.0, 0.4)],
--- a/wisteriasill/contracts/host_moves.py
+++ b/wisteriasill/contracts/host_moves.py
@@ -26,8 +26,14 @@
 MOVE_IDLE_SECONDS = 0.3
 # Hosts that a pool keeps without demand, so that one survives a crash.
 MIN_HOSTS = 3
-# Maximum number of hosts of one pool that drain for a wave at the same time.
-MAX_DRAINING_PER_POOL = 2
+# Hosts with tasks of one pool that drain for a wave at the same time, unless
+# the wave would be late.
+MIN_DRAINING_PER_POOL = 2
+# Time in which a host with tasks drains: a long task, or the move of its
+# long-running ones.
+DRAIN_SECONDS = 4.0
+# Share of the time of a wave in which all its maintenance should have begun.
+WAVE_TIME_SHARE = 0.8
 
 
 class WorkerLoad(NamedTuple):
@@ -128,6 +134,7 @@
     standby: Collection[str],
     busy_host_ids: Collection[str],
     arriving_by_service: Mapping[str, int],
+    due_host_ids: Collection[str] = (),
 ) -> list[DrainRequest]:
     """Plans moves to pools that lack hosts, and of idle hosts to standby.
 
@@ -137,6 +144,8 @@
         standby: Services whose hosts are off.
         busy_host_ids: Hosts that have an order or are about to get one.
         arriving_by_service: Number of hosts that are moving to each pool.
+        due_host_ids: Hosts that a wave has yet to maintain. They move last, as
+            their maintenance disturbs nobody while they are idle.
 
     Returns:
         The hosts to drain, with their target pools.
@@ -170,7 +179,12 @@
         if _idle_seconds(host, load_by_service) >= MOVE_IDLE_SECONDS
     ]
     in_standby = [host for host in movable if host.service in standby]
-    sources = iter([*in_standby, *movable_surplus])
+    sources = iter(
+        sorted(
+            [*in_standby, *movable_surplus],
+            key=lambda host: host.host_id in due_host_ids,
+        )
+    )
     moves: list[DrainRequest] = []
     wanted_by_service = {
         service: needed
@@ -229,11 +243,16 @@
     done: Collection[str],
     requests: Iterable[DrainRequest],
     down: int,
+    now: float = 0.0,
 ) -> list[DrainRequest]:
     """Chooses the hosts that a wave drains next.
 
     Hosts without tasks come first, then those with the fewest long-running
-    tasks, because each of these has to move to another worker first.
+    tasks, because each of these has to move to another worker first. Of hosts
+    with tasks only so many drain at a time as the end of the wave demands.
+
+    Load pattern: half of all hosts are due within 25 s, in which each pool
+    has a peak; whole racks of them may be lost meanwhile.
 
     Args:
         wave: The wave that the operator requested.
@@ -242,6 +261,7 @@
         done: Hosts of the wave whose maintenance has begun.
         requests: Drain requests in progress.
         down: Number of the wave's hosts in maintenance now.
+        now: Monotonic time.
 
     Returns:
         The hosts to drain.
@@ -276,15 +296,31 @@
             (worker_load.lasting, worker_load.finite) if worker_load else (0, 0)
         )
 
+    draining_per_pool = _draining_per_pool(
+        wave, len(remaining_host_ids), len(load_by_service), now
+    )
     chosen: list[DrainRequest] = []
     for host in sorted(due, key=drain_cost):
         if len(chosen) >= allowed:
             break
-        if host.service in load_by_service:
-            if draining.get(host.service, 0) >= MAX_DRAINING_PER_POOL:
+        if host.service in load_by_service and (
+            _idle_seconds(host, load_by_service) < MOVE_IDLE_SECONDS
+        ):
+            if draining.get(host.service, 0) >= draining_per_pool:
                 continue
             draining[host.service] = draining.get(host.service, 0) + 1
         chosen.append(
             DrainRequest(host.host_id, host.worker_id, "", wave.number)
         )
     return chosen
+
+
+def _draining_per_pool(
+    wave: queues.WaveOrder, remaining: int, pools: int, now: float
+) -> int:
+    """Returns how many hosts with tasks of a pool drain at a time."""
+    end_at = wave.seen_at + WAVE_TIME_SHARE * wave.duration_seconds
+    rounds = max(1.0, (end_at - now) / DRAIN_SECONDS)
+    return max(
+        MIN_DRAINING_PER_POOL, math.ceil(remaining / rounds / max(1, pools))
+    )
--- a/wisteriasill/contracts/queue.py
+++ b/wisteriasill/contracts/queue.py
@@ -108,9 +108,11 @@
         host_ids: Hosts to maintain.
         duration_seconds: Duration that the operator requested.
         most_at_once: Maximum number of hosts in maintenance at a time.
+        seen_at: Monotonic time at which this node first read the order.
     """
 
     number: int
     host_ids: tuple[str, ...]
     duration_seconds: float
     most_at_once: int
+    seen_at: float = 0.0
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -109,6 +109,9 @@
         self._requested_at: dict[str, float] = {}
         self._stored_requests: dict[str, host_moves.DrainRequest] = {}
         self._order_by_host: dict[str, SentOrder] = {}
+        # Orders that took effect. They stay stored for a successor, which must
+        # not send orders to their hosts at once; this holder may.
+        self._settled_order_by_host: dict[str, SentOrder] = {}
         self._stored_down: dict[str, str] = {}
         self.lost = False
         self._rounds: threading.Thread | None = None
@@ -248,11 +251,16 @@
                 if order.inherited
                 else ORDER_TIMEOUT_SECONDS
             )
-            age_seconds = now - order.sent_at
-            if age_seconds > timeout_seconds or (
-                took_effect and age_seconds > HOST_ORDER_LEASE_SECONDS
-            ):
+            if now - order.sent_at > timeout_seconds:
+                del self._order_by_host[host_id]
+            elif took_effect and not order.inherited:
                 del self._order_by_host[host_id]
+                self._settled_order_by_host[host_id] = order
+        self._settled_order_by_host = {
+            host_id: order
+            for host_id, order in self._settled_order_by_host.items()
+            if now - order.sent_at <= HOST_ORDER_LEASE_SECONDS
+        }
 
     def _withdraw_requests(self, now: float) -> None:
         """Withdraws drain requests that are outdated or were not met."""
@@ -284,9 +292,13 @@
         for number, wave in sorted(wave_by_number.items()):
             if self._waves.is_finished(number):
                 continue
+            # The list of hosts may lag, so settled orders count as well.
             down = sum(
                 order.request.wave == number
-                for order in self._order_by_host.values()
+                for order in (
+                    *self._order_by_host.values(),
+                    *self._settled_order_by_host.values(),
+                )
             )
             new_requests += host_moves.plan_maintenance(
                 wave,
@@ -299,6 +311,7 @@
                 self._waves.started_hosts(number),
                 [*self._request_by_host.values(), *new_requests],
                 down,
+                now,
             )
         standby_services = {
             pool.name
@@ -324,12 +337,24 @@
                 *(request.host_id for request in new_requests),
             },
             arriving_by_service,
+            self._due_host_ids(wave_by_number),
         )
         for request in new_requests:
             self._request_by_host[request.host_id] = request
             self._requested_at[request.host_id] = now
         self._log_pools(now, loads)
 
+    def _due_host_ids(
+        self, wave_by_number: Mapping[int, queues.WaveOrder]
+    ) -> set[str]:
+        """Returns the hosts whose maintenance has yet to begin."""
+        return {
+            host_id
+            for number, wave in wave_by_number.items()
+            for host_id in {*wave.host_ids}
+            - {*self._waves.started_hosts(number)}
+        }
+
     def _log_pools(
         self, now: float, loads: Mapping[str, host_moves.PoolLoad]
     ) -> None:
@@ -368,12 +393,13 @@
         writes = []
         # Requests of ordered hosts stay stored, so that their workers get no
         # tasks until they are gone.
+        sent_by_host = {**self._settled_order_by_host, **self._order_by_host}
         requests = {
-            **self._request_by_host,
             **{
                 host_id: order.request
-                for host_id, order in self._order_by_host.items()
+                for host_id, order in sent_by_host.items()
             },
+            **self._request_by_host,
         }
         if requests != self._stored_requests:
             writes.append(
@@ -383,8 +409,9 @@
                     fleet_rows.encode_drain_requests(
                         fleet_rows.StoredDrainRequest(
                             request,
-                            now - self._order_by_host[host_id].sent_at
-                            if host_id in self._order_by_host
+                            now - sent_by_host[host_id].sent_at
+                            if host_id in sent_by_host
+                            and host_id not in self._request_by_host
                             else 0.0,
                         )
                         for host_id, request in requests.items()
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -221,7 +221,12 @@
             version = page.unwrap().version
 
     def _adopt(self, page: cluster.OperatorPage) -> None:
-        self.wave_by_number.update((wave.number, wave) for wave in page.waves)
+        now = time.monotonic()
+        for wave in page.waves:
+            known = self.wave_by_number.get(wave.number)
+            self.wave_by_number[wave.number] = wave._replace(
+                seen_at=known.seen_at if known else now
+            )
         configuration = page.configuration
         if configuration is None:
             return
