Keep long-running tasks off hosts that a wave has yet to maintain

Change: the fleet's controller stores which workers are due (row 0, which the release before reads as a wave that does not exist); the choice of a worker avoids them; a share of the wave's limit is left to hosts with such tasks.

--- a/tests/contracts/test_host_moves.py
+++ b/tests/contracts/test_host_moves.py
@@ -150,3 +150,19 @@
     assert draining(100.0) == 40 / rounds
     assert draining(110.0) > draining(100.0)
     assert draining(130.0) == 40
+
+
+def test_hosts_with_long_running_tasks_drain_from_the_beginning() -> None:
+    """Their tasks move one by one, so a wave that begins with them last is late.
+
+    On quiet days of the grown and the large sites the last ten of a hundred
+    hosts, all with long-running tasks, took a third of the wave's time.
+    """
+    hosts = [host(number, "a") for number in range(40)]
+    load_by_number = dict.fromkeys(range(40), IDLE) | {7: LASTING, 9: LASTING}
+    loads = {"a": pool(2.0, load_by_number)}
+    chosen = host_moves.plan_maintenance(
+        wave(40, 12), hosts, loads, (), (), 0, 101.0
+    )
+    assert len(chosen) == 12
+    assert {"m7", "m9"} <= {request.host_id for request in chosen}
--- a/tests/contracts/test_job_placement.py
+++ b/tests/contracts/test_job_placement.py
@@ -73,6 +73,18 @@
     assert worker_choice.choose([Candidate("w")], full) is None
 
 
+def test_long_running_tasks_avoid_hosts_that_a_wave_will_maintain() -> None:
+    """Each of them moved two to three times in waves of the large site."""
+    candidates = [
+        Candidate("w1", 9000, rack="r2"),
+        Candidate("w2", 2500, rack="r1"),
+    ]
+    request = need(lasting=True)._replace(tasks_by_rack={"r1": 1}, due={"w1"})
+    chosen = worker_choice.choose(candidates, request)
+    assert chosen is not None
+    assert chosen.worker_id == "w2"
+
+
 @pytest.mark.parametrize(
     ("percent", "latency_shares", "next_percent"),
     [
--- a/wisteriasill/contracts/host_moves.py
+++ b/wisteriasill/contracts/host_moves.py
@@ -32,6 +32,9 @@
 # Time in which a host with tasks drains: a long task, or the move of its
 # long-running ones.
 DRAIN_SECONDS = 4.0
+# Share of a wave's limit for hosts with long-running tasks from its beginning.
+# These move one by one, within the disruption budget of their step.
+SLOW_DRAIN_SHARE = 0.25
 # Share of the time of a wave in which all its maintenance should have begun.
 WAVE_TIME_SHARE = 0.8
 
@@ -248,8 +251,10 @@
     """Chooses the hosts that a wave drains next.
 
     Hosts without tasks come first, then those with the fewest long-running
-    tasks, because each of these has to move to another worker first. Of hosts
-    with tasks only so many drain at a time as the end of the wave demands.
+    tasks, because each of these has to move to another worker first. A share of
+    the hosts in maintenance is left to hosts with long-running tasks, which
+    take longest. Of hosts with tasks only so many drain at a time as the end of
+    the wave demands.
 
     Load pattern: half of all hosts are due within 25 s, in which each pool
     has a peak; whole racks of them may be lost meanwhile.
@@ -296,23 +301,36 @@
             (worker_load.lasting, worker_load.finite) if worker_load else (0, 0)
         )
 
+    by_cost = sorted(due, key=drain_cost)
+    host_by_worker = {host.worker_id: host for host in hosts}
+    drained_slowly = sum(
+        drain_cost(host)[0] > 0
+        for request in draining_requests
+        if (host := host_by_worker.get(request.worker_id))
+    )
+    slots = max(0, int(SLOW_DRAIN_SHARE * wave.most_at_once) - drained_slowly)
+    slowest = itertools.islice(
+        (host for host in by_cost if drain_cost(host)[0]), slots
+    )
     draining_per_pool = _draining_per_pool(
         wave, len(remaining_host_ids), len(load_by_service), now
     )
-    chosen: list[DrainRequest] = []
-    for host in sorted(due, key=drain_cost):
+    chosen: dict[str, DrainRequest] = {}
+    for host in itertools.chain(slowest, by_cost):
         if len(chosen) >= allowed:
             break
+        if host.host_id in chosen:
+            continue
         if host.service in load_by_service and (
             _idle_seconds(host, load_by_service) < MOVE_IDLE_SECONDS
         ):
             if draining.get(host.service, 0) >= draining_per_pool:
                 continue
             draining[host.service] = draining.get(host.service, 0) + 1
-        chosen.append(
-            DrainRequest(host.host_id, host.worker_id, "", wave.number)
+        chosen[host.host_id] = DrainRequest(
+            host.host_id, host.worker_id, "", wave.number
         )
-    return chosen
+    return [*chosen.values()]
 
 
 def _draining_per_pool(
--- a/wisteriasill/contracts/worker_choice.py
+++ b/wisteriasill/contracts/worker_choice.py
@@ -48,6 +48,7 @@
         tasks_by_rack: Number of tasks of the same step by rack.
         avoided: Workers on which the task failed.
         permitted: Workers that the queue's policy allows; None for any.
+        due: Workers whose hosts a wave has yet to maintain.
     """
 
     step: job_spec.StepSpec
@@ -55,6 +56,7 @@
     tasks_by_rack: Mapping[str, int]
     avoided: Collection[str] = ()
     permitted: Collection[str] | None = None
+    due: Collection[str] = ()
 
 
 def fits(candidate: Candidate, request: PlacementRequest) -> bool:
@@ -87,7 +89,8 @@
     """Chooses the worker for a task.
 
     Long-running tasks are spread over racks and the emptiest workers, so that
-    the loss of a rack hits few tasks of a step. Others go to the fullest
+    the loss of a rack hits few tasks of a step, and kept off hosts that a wave
+    would have to move them from again. Others go to the fullest
     worker on which they fit (best fit), which keeps room for wide tasks.
 
     Args:
@@ -104,6 +107,7 @@
         return (
             candidate.worker_id in request.avoided,
             bool(step.data_rack) and candidate.rack != step.data_rack,
+            step.lasting and candidate.worker_id in request.due,
             request.tasks_by_rack.get(candidate.rack, 0) if step.lasting else 0,
             tasks_here if step.lasting else 0,
             -candidate.free_cpu if step.lasting else candidate.free_cpu,
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -243,7 +243,12 @@
                 return False
             permitted = permits.advice.ticket_by_worker.keys()
         request = worker_choice.PlacementRequest(
-            unit.step, tasks_by_worker, tasks_by_rack, unit.avoided, permitted
+            unit.step,
+            tasks_by_worker,
+            tasks_by_rack,
+            unit.avoided,
+            permitted,
+            self.due_worker_ids,
         )
         chosen = self._reserve_in_one_rack(unit, candidates, request) or (
             _reserve_workers(unit, candidates, request)
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -97,6 +97,7 @@
         self._changed = changed
         self._drain_requested_ids: set[str] = set()
         self._down_ids: set[str] = set()
+        self.due_worker_ids: set[str] = set()
         self._orphans_by_worker: dict[str, list[batch_job.Run]] = {}
         self._restored_runs_by_worker: dict[str, list[RestoredRun]] = {}
         self._queue_by_name: Mapping[str, queues.Queue] = {}
--- a/wisteriasill/machines/batch_watch.py
+++ b/wisteriasill/machines/batch_watch.py
@@ -187,6 +187,8 @@
             elif row.key == fleet_rows.DOWN_KEY and row.value is not None:
                 worker_by_host = fleet_rows.decode_down(row.value)
                 self.pool.set_down_workers(set(worker_by_host.values()))
+            elif row.key == fleet_rows.DUE_KEY and row.value is not None:
+                self.pool.due_worker_ids = fleet_rows.decode_due(row.value)
 
     def _watch_drain_requests(self) -> None:
         """Watches which workers the fleet controller wants drained."""
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -113,6 +113,8 @@
         # not send orders to their hosts at once; this holder may.
         self._settled_order_by_host: dict[str, SentOrder] = {}
         self._stored_down: dict[str, str] = {}
+        self._due_host_ids: set[str] = set()
+        self._stored_due: set[str] = set()
         self.lost = False
         self._rounds: threading.Thread | None = None
 
@@ -147,6 +149,8 @@
             elif row.key == fleet_rows.DOWN_KEY:
                 self._fleet.down_by_host = fleet_rows.decode_down(row.value)
                 self._stored_down = dict(self._fleet.down_by_host)
+            elif row.key == fleet_rows.DUE_KEY:
+                self._stored_due = fleet_rows.decode_due(row.value)
             else:
                 self._waves.load(int(row.key), row.value)
         self._rounds, _ = (
@@ -288,6 +292,12 @@
         wave_by_number: Mapping[int, queues.WaveOrder],
     ) -> None:
         loads = self._recent_loads(now)
+        self._due_host_ids = {
+            host_id
+            for number, wave in wave_by_number.items()
+            for host_id in {*wave.host_ids}
+            - {*self._waves.started_hosts(number)}
+        }
         new_requests: list[host_moves.DrainRequest] = []
         for number, wave in sorted(wave_by_number.items()):
             if self._waves.is_finished(number):
@@ -337,24 +347,13 @@
                 *(request.host_id for request in new_requests),
             },
             arriving_by_service,
-            self._due_host_ids(wave_by_number),
+            self._due_host_ids,
         )
         for request in new_requests:
             self._request_by_host[request.host_id] = request
             self._requested_at[request.host_id] = now
         self._log_pools(now, loads)
 
-    def _due_host_ids(
-        self, wave_by_number: Mapping[int, queues.WaveOrder]
-    ) -> set[str]:
-        """Returns the hosts whose maintenance has yet to begin."""
-        return {
-            host_id
-            for number, wave in wave_by_number.items()
-            for host_id in {*wave.host_ids}
-            - {*self._waves.started_hosts(number)}
-        }
-
     def _log_pools(
         self, now: float, loads: Mapping[str, host_moves.PoolLoad]
     ) -> None:
@@ -428,6 +427,20 @@
                     fleet_rows.encode_down(self._stored_down),
                 )
             )
+        due = {
+            host.worker_id
+            for host in self._fleet.hosts
+            if host.host_id in self._due_host_ids and host.worker_id
+        }
+        if due != self._stored_due:
+            self._stored_due = due
+            writes.append(
+                cluster.RowWrite(
+                    fleet_rows.TABLE,
+                    fleet_rows.DUE_KEY,
+                    fleet_rows.encode_due(due),
+                )
+            )
         status = None
         if now - self._heartbeat_at >= HEARTBEAT_SECONDS:
             status = cbor2.dumps({})
--- a/wisteriasill/machines/fleet_rows.py
+++ b/wisteriasill/machines/fleet_rows.py
@@ -13,6 +13,9 @@
 TABLE = "fleet"
 DRAIN_REQUESTS_KEY = "asks"
 DOWN_KEY = "down"
+# A number that no wave has, as the release before reads any other key as the
+# number of a wave.
+DUE_KEY = "0"
 LOADS_TABLE = "loads"
 LOAD_KEY = "load"
 
@@ -53,6 +56,16 @@
     ]
 
 
+def encode_due(worker_ids: Iterable[str]) -> bytes:
+    """Encodes the workers whose hosts a wave has yet to maintain."""
+    return cbor2.dumps(sorted(worker_ids))
+
+
+def decode_due(value: bytes) -> set[str]:
+    """Decodes a value written by `encode_due`."""
+    return set(cbor2.loads(value))
+
+
 def encode_down(worker_by_host: Mapping[str, str]) -> bytes:
     """Encodes the workers of hosts that are down."""
     return cbor2.dumps(dict(worker_by_host))
