Drain hosts with the most long-running tasks of a pool from the beginning

Cause: the moves of a step with a disruption budget of one take 1.75 s each and began at second 10 of a wave of 25 s, as the hosts with fewest came first.

--- a/tests/contracts/test_host_moves.py
+++ b/tests/contracts/test_host_moves.py
@@ -159,10 +159,16 @@
     hosts, all with long-running tasks, took a third of the wave's time.
     """
     hosts = [host(number, "a") for number in range(40)]
-    load_by_number = dict.fromkeys(range(40), IDLE) | {7: LASTING, 9: LASTING}
+    many = LASTING._replace(lasting=3)
+    load_by_number = dict.fromkeys(range(40), IDLE) | {
+        **dict.fromkeys(range(7), LASTING),
+        7: many,
+        9: many,
+        11: many,
+    }
     loads = {"a": pool(2.0, load_by_number)}
     chosen = host_moves.plan_maintenance(
         wave(40, 12), hosts, loads, (), (), 0, 101.0
     )
     assert len(chosen) == 12
-    assert {"m7", "m9"} <= {request.host_id for request in chosen}
+    assert [request.host_id for request in chosen[:3]] == ["m7", "m9", "m11"]
--- a/wisteriasill/contracts/host_moves.py
+++ b/wisteriasill/contracts/host_moves.py
@@ -302,21 +302,25 @@
         )
 
     by_cost = sorted(due, key=drain_cost)
-    host_by_worker = {host.worker_id: host for host in hosts}
-    drained_slowly = sum(
-        drain_cost(host)[0] > 0
-        for request in draining_requests
-        if (host := host_by_worker.get(request.worker_id))
-    )
-    slots = max(0, int(SLOW_DRAIN_SHARE * wave.most_at_once) - drained_slowly)
-    slowest = itertools.islice(
-        (host for host in by_cost if drain_cost(host)[0]), slots
+    slots = _slow_slots_by_service(
+        wave, hosts, load_by_service, draining_requests
     )
+    slowest = [
+        host
+        for service, service_hosts in itertools.groupby(
+            sorted(
+                (host for host in due if drain_cost(host)[0]),
+                key=lambda host: (host.service, -drain_cost(host)[0]),
+            ),
+            key=lambda host: host.service,
+        )
+        for host in itertools.islice(service_hosts, slots.get(service, 0))
+    ]
     draining_per_pool = _draining_per_pool(
         wave, len(remaining_host_ids), len(load_by_service), now
     )
     chosen: dict[str, DrainRequest] = {}
-    for host in itertools.chain(slowest, by_cost):
+    for host in [*slowest, *by_cost]:
         if len(chosen) >= allowed:
             break
         if host.host_id in chosen:
@@ -333,6 +337,34 @@
     return [*chosen.values()]
 
 
+def _slow_slots_by_service(
+    wave: queues.WaveOrder,
+    hosts: Iterable[host_record.HostRecord],
+    load_by_service: Mapping[str, PoolLoad],
+    draining_requests: Iterable[DrainRequest],
+) -> dict[str, int]:
+    """Returns how many more hosts with long-running tasks drain in each pool.
+
+    They drain from the beginning, those with the most of these tasks first, so
+    that the disruption budget of each step is in use all the time.
+    """
+    requested = {request.worker_id for request in draining_requests}
+    share = int(SLOW_DRAIN_SHARE * wave.most_at_once) / max(
+        1, len(load_by_service)
+    )
+    return {
+        service: max(
+            0,
+            math.ceil(share)
+            - sum(
+                worker_load.lasting > 0 and worker_id in requested
+                for worker_id, worker_load in load.load_by_worker.items()
+            ),
+        )
+        for service, load in load_by_service.items()
+    }
+
+
 def _draining_per_pool(
     wave: queues.WaveOrder, remaining: int, pools: int, now: float
 ) -> int:
