Store starts and ends of jobs first while the store is slow

A round of planning stored all changed jobs, four transactions of 0.26 s one after the other, before it sent any start. The fleet's controller stored a wave's progress in a transaction of its own.

Ruled out: more partitions for progress, as each transaction needs the owner row of the shard in its partition.

--- a/tests/machines/batch/test_pool.py
+++ b/tests/machines/batch/test_pool.py
@@ -301,3 +301,29 @@
     site.poll(worker)
     assert waits[0] <= 0.2
     assert waits[2] >= 1.0
+
+
+def test_an_end_is_acknowledged_only_once_its_job_is_stored(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """A slow store gets rows of jobs later than others of the same worker."""
+    worker = started(batch_site.step(2))
+    site.pool.on_record(batch_site.job_row("j2", [batch_site.step(1)]))
+    site.run_round()
+    site.deliver(worker)
+    site.poll(worker)
+    site.pool.dirty_job_by_id.clear()
+    link.finish(TASK)
+    link.finish(job_spec.TaskKey("j2", 0, 0, 0))
+    site.poll(worker)
+    slow_store_seconds, now = 0.3, time.monotonic()
+    filled = {f"x{number}": site.pool.job_by_id["j1"] for number in range(60)}
+    site.pool.dirty_job_by_id = {**filled, **site.pool.dirty_job_by_id}
+    first = site.pool.take_changed(slow_store_seconds, now)
+    assert first.jobs[0].job_id == "j2"
+    assert "j1" in site.pool.dirty_job_by_id
+    assert first.last_end_by_worker[worker] == 0
+    later = site.pool.take_changed(slow_store_seconds, now + 2.0)
+    assert later.last_end_by_worker[worker] == 2
--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
 import itertools
 import threading
 import time
@@ -170,32 +171,31 @@
         pool.drain_workers(now)
         pool.plan(now)
         pool.handle_stragglers(now)
+        table = batch_tables.progress_table(self._service)
         with pool.lock:
-            planned, pool.planned = pool.planned, []
-            dirty_job_by_id, pool.dirty_job_by_id = pool.dirty_job_by_id, {}
-            last_end_by_worker = {
-                worker: worker.last_received_end
-                for worker in pool.worker_by_id.values()
-            }
-            table = batch_tables.progress_table(self._service)
+            changed = pool.take_changed(self._writer.response_seconds, now)
             writes = [
                 cluster.RowWrite(
                     table, job.job_id, batch_job.encode_progress(job)
                 )
-                for job in dirty_job_by_id.values()
+                for job in changed.jobs
             ]
-            writes += self._deletions(now)
+            deletions = self._deletions(now)
         status, load_writes = self._heartbeat(now)
-        writes += load_writes
+        writes = [*load_writes, *writes, *deletions]
         if writes or status:
-            outcome = self._writer.commit(writes, status)
+            outcome = self._writer.commit(
+                writes,
+                status,
+                lambda stored: self._send_starts(changed.planned, stored),
+            )
             if outcome is not shard_writer.CommitOutcome.STORED:
                 self._handle_commit_failure(outcome)
                 return
             pool.stored_at = time.monotonic()
             self._links.metrics.count("pool_commits")
             self._links.metrics.count("pool_rows_written", len(writes))
-        self._send(planned, last_end_by_worker)
+        self._acknowledge(changed.last_end_by_worker)
 
     def _heartbeat(
         self, now: float
@@ -319,17 +319,26 @@
             )
         return writes
 
-    def _send(
+    def _send_starts(
         self,
-        planned: list[batch_job.Run],
-        last_end_by_worker: dict[workers.Worker, int],
+        planned: Sequence[batch_job.Run],
+        stored: Sequence[cluster.RowWrite],
     ) -> None:
-        """Sends the stored start orders and acknowledges stored run ends."""
+        """Sends the start orders of jobs whose rows are stored."""
+        job_ids = {write.key for write in stored}
         with self.pool.lock:
             for run in planned:
-                if run.state is batch_job.RunState.PLANNED:
+                if (
+                    run.task.job_id in job_ids
+                    and run.state is batch_job.RunState.PLANNED
+                ):
                     run.state = batch_job.RunState.ORDERED
                     run.worker.send(workers.WorkerOrder("start", run))
+
+    def _acknowledge(
+        self, last_end_by_worker: Mapping[workers.Worker, int]
+    ) -> None:
+        """Lets workers forget run ends that are stored."""
         for worker, last_end in last_end_by_worker.items():
             if last_end > worker.last_stored_end:
                 worker.last_stored_end = last_end
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -4,8 +4,10 @@
 
 import collections
 import time
+from typing import NamedTuple
 
 from wisteriasill import events
+from wisteriasill.contracts import commit_order
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import overload_policy
 from wisteriasill.contracts import stragglers
@@ -17,12 +19,27 @@
 from wisteriasill.machines import batch_runs
 from wisteriasill.machines import worker as workers
 from wisteriasill.machines import worker_quarantine
+from wisteriasill.zones import shard_writer
 
 MAX_ADVISED_WORKERS = 100  # The platform's limit for one request.
 STRAGGLER_CHECK_SECONDS = 0.25  # Interval between checks for stragglers.
 WAITING_LOG_SECONDS = 1.0
 
 
+class ChangedJobs(NamedTuple):
+    """What a planning round stores, and sends once it is stored.
+
+    Attributes:
+        jobs: Jobs to store, the most urgent first.
+        planned: Runs to start.
+        last_end_by_worker: Run end up to which each worker may forget.
+    """
+
+    jobs: list[batch_job.Job]
+    planned: list[batch_job.Run]
+    last_end_by_worker: dict[workers.Worker, int]
+
+
 class BatchPool(batch_reports.PoolReports):
     """Plans the runs of a pool; the pool's controller stores and sends them."""
 
@@ -91,6 +108,52 @@
         self.backlog = schedule.backlog(cores)
         return schedule
 
+    def take_changed(self, response_seconds: float, now: float) -> ChangedJobs:
+        """Returns what a round stores and sends, and forgets its changes.
+
+        Args:
+            response_seconds: Response time of the store.
+            now: Monotonic time.
+        """
+        with self.lock:
+            planned, self.planned = self.planned, []
+            starting_ids = {run.task.job_id for run in planned}
+            for job_id in self.dirty_job_by_id:
+                self._delayed_since_by_job.setdefault(job_id, now)
+            job_ids = commit_order.rows_to_store(
+                (
+                    commit_order.ChangedJob(
+                        job_id,
+                        job_id in starting_ids,
+                        job.finished,
+                        self._delayed_since_by_job[job_id],
+                    )
+                    for job_id, job in self.dirty_job_by_id.items()
+                ),
+                response_seconds,
+                shard_writer.JOBS_PER_TRANSACTION,
+                now,
+            )
+            jobs = [self.dirty_job_by_id.pop(job_id) for job_id in job_ids]
+            for job_id in job_ids:
+                self.first_end_by_job.pop(job_id, None)
+                del self._delayed_since_by_job[job_id]
+            return ChangedJobs(jobs, planned, self._ends_to_acknowledge())
+
+    def _ends_to_acknowledge(self) -> dict[workers.Worker, int]:
+        """Returns up to which end each worker may forget its runs."""
+        last_end_by_worker = {
+            worker: worker.last_received_end
+            for worker in self.worker_by_id.values()
+        }
+        for first_end_by_worker in self.first_end_by_job.values():
+            for worker, first_end in first_end_by_worker.items():
+                if worker in last_end_by_worker:
+                    last_end_by_worker[worker] = min(
+                        last_end_by_worker[worker], first_end - 1
+                    )
+        return last_end_by_worker
+
     def published_backlog(
         self, now: float
     ) -> overload_policy.PublishedBacklog | None:
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -50,6 +50,11 @@
                 if run_end.number > worker.last_received_end:
                     self._record_end(worker, run_end, now)
                     worker.last_received_end = run_end.number
+                    job_id = run_end.task.job_id
+                    if job_id in self.dirty_job_by_id:
+                        self.first_end_by_job.setdefault(job_id, {}).setdefault(
+                            worker, run_end.number
+                        )
             for run_report in report.runs:
                 self._record_running(worker, run_report, now)
             if len(report.ends) < MAX_REPORTED_ENDS:
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -82,6 +82,10 @@
         self.job_by_id: dict[str, batch_job.Job] = {}
         self.worker_by_id: dict[str, workers.Worker] = {}
         self.dirty_job_by_id: dict[str, batch_job.Job] = {}
+        # For each job to store, the first end from each worker that its row
+        # does not show yet.
+        self._delayed_since_by_job: dict[str, float] = {}
+        self.first_end_by_job: dict[str, dict[workers.Worker, int]] = {}
         self.planned: list[batch_job.Run] = []
         self.ended_at_by_id: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -118,6 +118,7 @@
         # Workers that ended with an order to their hosts, and when.
         self._ended_at_by_worker: dict[str, float] = {}
         self._due_host_ids: set[str] = set()
+        self._unstored_waves: set[int] = set()
         self._stored_due: set[str] = set()
         self.lost = False
         self._rounds: threading.Thread | None = None
@@ -464,6 +465,8 @@
                     fleet_rows.encode_due(due),
                 )
             )
+        writes += self._waves.row_writes(self._unstored_waves)
+        self._unstored_waves = set()
         status = None
         if now - self._heartbeat_at >= HEARTBEAT_SECONDS:
             status = cbor2.dumps({})
@@ -505,8 +508,11 @@
             due, self._executor.map(self._send_order, due), strict=True
         ):
             self._record_order(request, outcome, now)
-        if writes := self._waves.row_writes(due):
-            self._commit(writes)
+        # A successor that does not know of a maintenance order repeats it, and
+        # the platform answers it as the first, so the next round stores it.
+        self._unstored_waves |= {
+            request.wave for request in due if request.wave
+        }
 
     def _send_order(
         self, request: host_moves.DrainRequest
--- a/wisteriasill/machines/fleet_waves.py
+++ b/wisteriasill/machines/fleet_waves.py
@@ -44,17 +44,15 @@
             request.host_id
         )
 
-    def row_writes(
-        self, requests: Iterable[host_moves.DrainRequest]
-    ) -> list[cluster.RowWrite]:
-        """Returns writes for the waves that drain requests belong to."""
+    def row_writes(self, numbers: Iterable[int]) -> list[cluster.RowWrite]:
+        """Returns writes with the progress of waves."""
         return [
             cluster.RowWrite(
                 fleet_rows.TABLE,
                 str(number),
                 cbor2.dumps(sorted(self.started_hosts(number))),
             )
-            for number in {request.wave for request in requests if request.wave}
+            for number in numbers
         ]
 
     def report(
--- a/wisteriasill/zones/shard_writer.py
+++ b/wisteriasill/zones/shard_writer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 import contextlib
 import enum
 import itertools
@@ -26,6 +26,8 @@
 # Writes of a transaction. With as many conditions and the two rows of the owner
 # it stays below the platform's limit of 100 entries.
 WRITES_PER_TRANSACTION = 48
+# Rows of jobs beside the heartbeat and the load of the pool.
+JOBS_PER_TRANSACTION = WRITES_PER_TRANSACTION - 2
 # Bytes of a transaction; the platform accepts 1 MB of base64 text.
 BYTES_PER_TRANSACTION = 500_000
 
@@ -107,6 +109,10 @@
         shard: Name of the shard and of the partition with all its rows.
         node: Name of this node.
         stopping: Interrupts retries.
+
+    Attributes:
+        stored_at: Monotonic time of the last stored transaction.
+        response_seconds: Response time of the last answered transaction.
     """
 
     def __init__(
@@ -125,6 +131,7 @@
         self._last_heartbeat = b""
         self._version_by_row: dict[tuple[str, str], int] = {}
         self.stored_at = 0.0
+        self.response_seconds = 0.0
         self._timeout = call_timeout.CallTimeout(
             MIN_COMMIT_TIMEOUT_SECONDS, TRANSACTION_TIMEOUT_SECONDS
         )
@@ -166,7 +173,12 @@
             self._version_by_row[row.table, row.key] = row.version
 
     def commit(
-        self, writes: Sequence[cluster.RowWrite], status: bytes | None = None
+        self,
+        writes: Sequence[cluster.RowWrite],
+        status: bytes | None = None,
+        on_stored: Callable[[Sequence[cluster.RowWrite]], None] = lambda _: (
+            None
+        ),
     ) -> CommitOutcome:
         """Stores rows, with retries until the outcome is known.
 
@@ -174,6 +186,7 @@
             writes: Rows to write, each at most once.
             status: Status to publish, which also renews the ownership; None to
                 write the rows only.
+            on_stored: Called with the rows of each transaction that is stored.
 
         Returns:
             Whether all rows are stored, the shard was lost or the node is
@@ -186,6 +199,7 @@
             outcome = self._store_batch(batch)
             if outcome is not CommitOutcome.STORED:
                 return outcome
+            on_stored(batch)
         return CommitOutcome.STORED
 
     @contextlib.contextmanager
@@ -244,7 +258,8 @@
                 self.shard, conditions, batch, self._timeout.seconds
             )
             if _is_answered(written):
-                self._timeout.record_response(time.monotonic() - sent_at)
+                self.response_seconds = time.monotonic() - sent_at
+                self._timeout.record_response(self.response_seconds)
             else:
                 self._timeout.record_timeout()
             if isinstance(written, result.Success):
