--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -392,6 +392,13 @@
                 )
                 for service, load in loads.items()
             },
+            lasting={
+                service: sum(
+                    worker_load.lasting > 0
+                    for worker_load in load.load_by_worker.values()
+                )
+                for service, load in loads.items()
+            },
             asked=len(self._request_by_host),
             ordered=len(self._order_by_host),
             list_age_seconds=round(now - self._fleet.listed_at, 3),
