--- a/wisteriasill/__main__.py
+++ b/wisteriasill/__main__.py
@@ -20,6 +20,7 @@
 from wisteriasill.commands import order_arguments
 from wisteriasill.commands import plan
 from wisteriasill.commands import publish
+from wisteriasill.commands import report
 from wisteriasill.commands import status
 from wisteriasill.commands import trace
 from wisteriasill.commands import waves
@@ -63,6 +64,32 @@
         """Shows what happened to one request, from the logs of all nodes."""
         return trace.run(request_id, files, as_json)
 
+    @cappa.command(
+        description=arguments.example("report --output day.png node-*.log")
+    )
+    def report(
+        self,
+        files: Annotated[
+            tuple[str, ...],
+            cappa.Arg(
+                help="Log files of all nodes; - for standard input.",
+                num_args=-1,
+            ),
+        ] = (),
+        output: Annotated[
+            str,
+            cappa.Arg(
+                long=True,
+                value_name="FILE",
+                show_default=False,
+                help="Page to draw; .png, .svg or .pdf.",
+            ),
+        ] = "",
+        as_json: arguments.Json = False,
+    ) -> int:
+        """Counts and plots jobs, hosts and hand-overs from the logs."""
+        return report.run(files, output, as_json)
+
     @cappa.command(
         description=arguments.example("explain examples/malabar/bench-tilt")
     )
--- a/wisteriasill/commands/trace.py
+++ b/wisteriasill/commands/trace.py
@@ -24,6 +24,7 @@
 
     Attributes:
         at: Unix time. Clocks of nodes differ, by seconds after a clock jump.
+        job: Id of the job that it is about; empty for none.
     """
 
     at: float
@@ -31,6 +32,7 @@
     name: str
     message: str
     fields: dict[str, Any]
+    job: str = ""
 
 
 class RequestTrace(NamedTuple):
@@ -58,7 +60,7 @@
         Exit status: 1 if no log line names the request.
     """
     try:
-        request_trace = trace_request(request_id, _read(files))
+        request_trace = trace_request(request_id, read_texts(files))
     except OSError as error:
         print(f"{error.filename}: {error.strerror}", file=sys.stderr)
         return console.EXIT_USAGE
@@ -123,10 +125,12 @@
         str(data["name"]),
         str(data.get("message", "")),
         {key: value for key, value in data.items() if key not in COMMON_FIELDS},
+        str(data.get("job", "")),
     )
 
 
-def _read(files: Sequence[str]) -> Iterator[str]:
+def read_texts(files: Sequence[str]) -> Iterator[str]:
+    """Returns the lines of files; `-` or no file for standard input."""
     for name in files or ["-"]:
         if name == "-":
             yield from sys.stdin
