Send no order to a host after a pause of the fleet's holder

Cause, looked for after reports of other operators: the request of a host is stored before its order is sent. A holder that was paused in between sent it afterwards, though a successor may have ordered the host elsewhere, and the platform does not check the fencing numbers of such orders (require_fencing false). The monotonic clock does not show a suspended machine.

Ruled out: the fence of the store, as it guards rows only.

Change: orders to hosts are sent only within 1.2 s of a renewal that was stored, by the clock that goes on while the machine is suspended; another node claims the shard 2 s after it at the earliest.

Measured: both new tests fail on the code before (no such check) and pass.

--- a/tests/machines/test_fleet_controller.py
+++ b/tests/machines/test_fleet_controller.py
@@ -284,3 +284,26 @@
     request = host_moves.DrainRequest("h2", "w-h2", "rest", 0)
     (stored,) = fleet_rows.decode_drain_requests(cbor2.dumps([[*request]]))
     assert stored == fleet_rows.StoredDrainRequest(request, 0.0)
+
+
+def test_a_paused_holder_sends_no_order_to_a_host(
+    store: row_store.MemoryRowStore,
+    start: Start,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Nobody checks the fencing token of an order to a host.
+
+    A holder that wakes up between storing a request and sending its order
+    would otherwise move a host that its successor has ordered elsewhere.
+    """
+    hosts = RecordedHosts({"h1": "bench", "h2": "rest"})
+    controller = start(hosts)
+    monkeypatch.setattr(
+        shard_writer.ShardWriter, "is_sole_holder", property(lambda _: False)
+    )
+    request = host_moves.DrainRequest("h2", "", "bench", 0)
+    outcome = controller._send_order(request)
+    assert outcome is cluster.HostOrderOutcome.UNKNOWN
+    need_hosts(store, 2)
+    time.sleep(0.5)
+    assert not hosts.orders
--- a/tests/zones/test_shard_writer.py
+++ b/tests/zones/test_shard_writer.py
@@ -124,3 +124,21 @@
     outcome = writer.commit([cluster.RowWrite("t", "k", b"1")])
     assert outcome is STORED
     assert store.unanswered_seconds + time.monotonic() - began < 1.0
+
+
+def test_a_holder_that_was_paused_is_not_certainly_alone(
+    store: row_store.MemoryRowStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Another node may have claimed the shard during the pause.
+
+    The monotonic clock stands still while a machine is suspended.
+    """
+    writer = claim(store, "n1")
+    assert writer.is_sole_holder
+    boot_seconds = time.clock_gettime(shard_writer.BOOT_CLOCK)
+    monkeypatch.setattr(time, "clock_gettime", lambda _: boot_seconds + 2.0)
+    assert not writer.is_sole_holder
+    assert writer.commit([]) is STORED
+    assert not writer.is_sole_holder
+    assert writer.commit([], b"\xa0") is STORED
+    assert writer.is_sole_holder
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -524,6 +524,9 @@
     def _send_order(
         self, request: host_moves.DrainRequest
     ) -> cluster.HostOrderOutcome:
+        if not self._writer.is_sole_holder:
+            # This node was paused, or the store is away.
+            return cluster.HostOrderOutcome.UNKNOWN
         fencing_epoch = self._writer.epoch
         if request.wave:
             return self._links.hosts.maintain(
--- a/wisteriasill/zones/shard_writer.py
+++ b/wisteriasill/zones/shard_writer.py
@@ -6,6 +6,7 @@
 import contextlib
 import enum
 import itertools
+import math
 import threading
 import time
 from typing import NamedTuple
@@ -34,6 +35,11 @@
 TRANSACTION_TIMEOUT_SECONDS = 1.5  # A slow store needs 0.4 s for one.
 # Shortest timeout of a commit; a busy holder may need 0.1 s to read a response.
 MIN_COMMIT_TIMEOUT_SECONDS = 0.25
+# Time since its last renewal for which a holder is certainly alone. Others
+# claim the shard after 2 s without one; an order takes up to half a second.
+SOLE_HOLDER_SECONDS = 1.2
+# Unlike the monotonic clock, this one goes on while the machine is suspended.
+BOOT_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 KEEPALIVE_SECONDS = 0.5  # The renewal period of a running controller.
 # The backoff doubles until the store counts as down; the last delay repeats.
 RETRY_SECONDS = (0.05, 0.1, 0.2, 0.4)
@@ -132,6 +138,7 @@
         self._version_by_row: dict[tuple[str, str], int] = {}
         self.stored_at = 0.0
         self.response_seconds = 0.0
+        self._renewed_at = -math.inf
         self._timeout = call_timeout.CallTimeout(
             MIN_COMMIT_TIMEOUT_SECONDS, TRANSACTION_TIMEOUT_SECONDS
         )
@@ -146,6 +153,7 @@
                 if key != BACKLOG_FIELD
             }
         )
+        sent_at = time.clock_gettime(BOOT_CLOCK)
         written = self._store.transact(
             self.shard,
             [
@@ -165,6 +173,7 @@
         self.was_released = not seen.holder
         self._version_by_row = {(TABLE, HEARTBEAT): self.epoch}
         self.stored_at = time.monotonic()
+        self._renewed_at = sent_at
         return True
 
     def adopt(self, rows: Sequence[cluster.StoredRow]) -> None:
@@ -195,13 +204,27 @@
         if status is not None:
             self._last_heartbeat = status
             writes = [cluster.RowWrite(TABLE, HEARTBEAT, status), *writes]
+        renews = status is not None
         for batch in batches(writes):
+            sent_at = time.clock_gettime(BOOT_CLOCK)
             outcome = self._store_batch(batch)
             if outcome is not CommitOutcome.STORED:
                 return outcome
+            if renews:  # The first transaction has the heartbeat.
+                self._renewed_at, renews = sent_at, False
             on_stored(batch)
         return CommitOutcome.STORED
 
+    @property
+    def is_sole_holder(self) -> bool:
+        """Whether no other node can have claimed the shard yet.
+
+        For orders that nobody checks the fencing token of; a holder that was
+        paused must not send them.
+        """
+        age_seconds = time.clock_gettime(BOOT_CLOCK) - self._renewed_at
+        return age_seconds < SOLE_HOLDER_SECONDS
+
     @contextlib.contextmanager
     def keepalive(self) -> Iterator[None]:
         """Renews the ownership while the new holder reads its rows.
