Split requests and orders of the fleet controller into a module of their own

Change: moves only; FleetOrders holds requests, orders, settled ones and ended workers; the stored rows are the same. Ruled out: a split by waves and moves, as both use the same orders.

--- a/tests/machines/test_fleet_controller.py
+++ b/tests/machines/test_fleet_controller.py
@@ -19,6 +19,7 @@
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import fleet_controller
+from wisteriasill.machines import fleet_orders
 from wisteriasill.machines import fleet_rows
 from wisteriasill.machines import site_links
 from wisteriasill.zones import shard_writer
@@ -98,7 +99,7 @@
 ) -> Iterator[Start]:
     """Returns a function that starts a controller with a claimed shard."""
     monkeypatch.setattr(
-        fleet_controller, "HOST_ORDER_LEASE_SECONDS", HOST_ORDER_LEASE_SECONDS
+        fleet_orders, "HOST_ORDER_LEASE_SECONDS", HOST_ORDER_LEASE_SECONDS
     )
     controllers: list[fleet_controller.FleetController] = []
 
@@ -193,7 +194,7 @@
     A host that had moved could neither be maintained nor move on for 3.2 s, a
     third of all hosts at a time on quiet days of the grown Shila Hire site.
     """
-    monkeypatch.setattr(fleet_controller, "HOST_ORDER_LEASE_SECONDS", 60.0)
+    monkeypatch.setattr(fleet_orders, "HOST_ORDER_LEASE_SECONDS", 60.0)
     hosts = RecordedHosts({f"h{number}": "bench" for number in range(5)})
     hosts.service_by_host["h9"] = "rest"
     start(hosts)
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -19,11 +19,11 @@
 from wisteriasill import events
 from wisteriasill import restarting_task
 from wisteriasill.contracts import host_moves
-from wisteriasill.contracts import host_record
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_tables
 from wisteriasill.machines import fleet_hosts
+from wisteriasill.machines import fleet_orders
 from wisteriasill.machines import fleet_rows
 from wisteriasill.machines import fleet_waves
 from wisteriasill.machines import site_links
@@ -38,37 +38,8 @@
 # The platform accepts 64 orders a second; each takes about 10 ms.
 MAX_PARALLEL_ORDERS = 8
 LOG_INTERVAL_SECONDS = 1.0
-# `lease_ms` of the platform's documentation plus a margin. Two holders must not
-# send orders to the same host within it, so the request of a host stays stored
-# for this long after its order, and a new holder sends no order to it before.
-HOST_ORDER_LEASE_SECONDS = 3.2
 # An older load of a pool is outdated and ignored.
 STALE_LOAD_SECONDS = 3.0
-# A drain request that its pool can't satisfy is withdrawn after this time, so
-# that other hosts can be chosen.
-REQUEST_TIMEOUT_SECONDS = 8.0
-# Time in which the host list shows the effect of an order to a host in standby.
-# Such a host has no worker whose change could show it.
-STANDBY_SETTLE_SECONDS = 1.0
-# The registry lists a worker for three heartbeats of 1.5 s after its end.
-REGISTRATION_SECONDS = 6.0
-# An order whose effect does not show within this time counts as failed.
-ORDER_TIMEOUT_SECONDS = 12.0
-
-
-class SentOrder(NamedTuple):
-    """A host to which an order was sent.
-
-    Attributes:
-        worker_id: Its worker before the order.
-        sent_at: Monotonic time of the order, or the latest possible time.
-        inherited: Whether a former holder sent it, or was about to.
-    """
-
-    request: host_moves.DrainRequest
-    worker_id: str
-    sent_at: float
-    inherited: bool = False
 
 
 class ReceivedLoad(NamedTuple):
@@ -107,16 +78,9 @@
         self._fleet = fleet_hosts.FleetHosts(links.hosts)
         self._waves = fleet_waves.FleetWaves(links.operators)
         self._load_by_service: dict[str, ReceivedLoad] = {}
-        self._request_by_host: dict[str, host_moves.DrainRequest] = {}
-        self._requested_at: dict[str, float] = {}
-        self._stored_requests: dict[str, host_moves.DrainRequest] = {}
-        self._order_by_host: dict[str, SentOrder] = {}
-        # Orders that took effect. They stay stored for a successor, which must
-        # not send orders to their hosts at once; this holder may.
-        self._settled_order_by_host: dict[str, SentOrder] = {}
+        self._orders = fleet_orders.FleetOrders()
+        self._stored_requests: set[host_moves.DrainRequest] = set()
         self._stored_down: dict[str, str] = {}
-        # Workers that ended with an order to their hosts, and when.
-        self._ended_at_by_worker: dict[str, float] = {}
         self._due_host_ids: set[str] = set()
         self._unstored_waves: set[int] = set()
         self._stored_due: set[str] = set()
@@ -139,18 +103,9 @@
                 # The former holder may have sent orders to these hosts.
                 stored_requests = fleet_rows.decode_drain_requests(row.value)
                 self._stored_requests = {
-                    stored_request.request.host_id: stored_request.request
-                    for stored_request in stored_requests
-                }
-                self._order_by_host = {
-                    request.host_id: SentOrder(
-                        request,
-                        request.worker_id,
-                        self._claimed_at - age_seconds,
-                        inherited=True,
-                    )
-                    for request, age_seconds in stored_requests
+                    stored_request.request for stored_request in stored_requests
                 }
+                self._orders.inherit(stored_requests, self._claimed_at)
             elif row.key == fleet_rows.DOWN_KEY:
                 self._stored_down = fleet_rows.decode_down(row.value)
                 self._fleet.down_by_host = {
@@ -158,11 +113,14 @@
                     for host_id, worker_id in self._stored_down.items()
                     if host_id != worker_id
                 }
-                self._ended_at_by_worker = {
-                    worker_id: self._claimed_at
-                    for host_id, worker_id in self._stored_down.items()
-                    if host_id == worker_id
-                }
+                self._orders.inherit_ended(
+                    (
+                        worker_id
+                        for host_id, worker_id in self._stored_down.items()
+                        if host_id == worker_id
+                    ),
+                    self._claimed_at,
+                )
             elif row.key == fleet_rows.DUE_KEY:
                 self._stored_due = fleet_rows.decode_due(row.value)
             else:
@@ -233,8 +191,7 @@
         configuration, wave_by_number = self._read_site()
         self._fleet.refresh(now)
         if self._fleet.listed_at:
-            self._remove_settled_orders(now)
-            self._withdraw_requests(now)
+            self._orders.refresh(self._fleet, now)
             self._plan(now, configuration, wave_by_number)
         if not self._store(now):
             return
@@ -244,54 +201,6 @@
                 wave_by_number, {host.host_id for host in self._fleet.hosts}
             )
 
-    def _remove_settled_orders(self, now: float) -> None:
-        """Removes orders that took effect or timed out."""
-        host_by_id = {host.host_id: host for host in self._fleet.hosts}
-        for host_id, order in [*self._order_by_host.items()]:
-            host = host_by_id.get(host_id)
-            # A host in standby has no worker, before or after the order.
-            worker_replaced = host is not None and (
-                host.worker_id != order.worker_id
-                or (
-                    not host.worker_id
-                    and now - order.sent_at > STANDBY_SETTLE_SECONDS
-                )
-            )
-            took_effect = (
-                host is not None
-                and self._fleet.listed_at > order.sent_at
-                and host.state is host_record.HostState.UP
-                and worker_replaced
-            )
-            # The former holder may not have sent an inherited order.
-            timeout_seconds = (
-                HOST_ORDER_LEASE_SECONDS
-                if order.inherited
-                else ORDER_TIMEOUT_SECONDS
-            )
-            if now - order.sent_at > timeout_seconds:
-                del self._order_by_host[host_id]
-            elif took_effect and not order.inherited:
-                del self._order_by_host[host_id]
-                self._settled_order_by_host[host_id] = order
-        self._settled_order_by_host = {
-            host_id: order
-            for host_id, order in self._settled_order_by_host.items()
-            if now - order.sent_at <= HOST_ORDER_LEASE_SECONDS
-        }
-
-    def _withdraw_requests(self, now: float) -> None:
-        """Withdraws drain requests that are outdated or were not met."""
-        host_by_id = {host.host_id: host for host in self._fleet.hosts}
-        for host_id, request in [*self._request_by_host.items()]:
-            host = host_by_id.get(host_id)
-            if (
-                host is None
-                or host.worker_id != request.worker_id
-                or now - self._requested_at[host_id] > REQUEST_TIMEOUT_SECONDS
-            ):
-                del self._request_by_host[host_id]
-
     def _recent_loads(self, now: float) -> dict[str, host_moves.PoolLoad]:
         return {
             service: received.load
@@ -316,25 +225,17 @@
         for number, wave in sorted(wave_by_number.items()):
             if self._waves.is_finished(number):
                 continue
-            # The list of hosts may lag, so settled orders count as well.
-            down = sum(
-                order.request.wave == number
-                for order in (
-                    *self._order_by_host.values(),
-                    *self._settled_order_by_host.values(),
-                )
-            )
             new_requests += host_moves.plan_maintenance(
                 wave,
                 [
                     host
                     for host in self._fleet.hosts
-                    if host.host_id not in self._order_by_host
+                    if host.host_id not in self._orders.order_by_host
                 ],
                 loads,
                 self._waves.started_hosts(number),
-                [*self._request_by_host.values(), *new_requests],
-                down,
+                [*self._orders.request_by_host.values(), *new_requests],
+                self._orders.in_maintenance(number),
                 now,
             )
         standby_services = {
@@ -342,30 +243,19 @@
             for pool in configuration.service_by_name.values()
             if pool.standby
         }
-        arriving_by_service: dict[str, int] = {}
-        for request in (
-            *self._request_by_host.values(),
-            *(order.request for order in self._order_by_host.values()),
-        ):
-            if request.service:
-                arriving_by_service[request.service] = (
-                    arriving_by_service.get(request.service, 0) + 1
-                )
         new_requests += host_moves.plan_moves(
             self._fleet.hosts,
             loads,
             standby_services,
             {
-                *self._request_by_host,
-                *self._order_by_host,
+                *self._orders.request_by_host,
+                *self._orders.order_by_host,
                 *(request.host_id for request in new_requests),
             },
-            arriving_by_service,
+            self._orders.arriving_by_service(),
             self._due_host_ids,
         )
-        for request in new_requests:
-            self._request_by_host[request.host_id] = request
-            self._requested_at[request.host_id] = now
+        self._orders.request(new_requests, now)
         self._log_pools(now, loads)
 
     def _log_pools(
@@ -399,8 +289,8 @@
                 )
                 for service, load in loads.items()
             },
-            asked=len(self._request_by_host),
-            ordered=len(self._order_by_host),
+            asked=len(self._orders.request_by_host),
+            ordered=len(self._orders.order_by_host),
             list_age_seconds=round(now - self._fleet.listed_at, 3),
         )
 
@@ -411,43 +301,24 @@
             Whether all is stored, so that orders may be sent.
         """
         writes = []
-        # Requests of ordered hosts stay stored, so that their workers get no
-        # tasks until they are gone.
-        sent_by_host = {**self._settled_order_by_host, **self._order_by_host}
-        requests = {
-            **{
-                host_id: order.request
-                for host_id, order in sent_by_host.items()
-            },
-            **self._request_by_host,
-        }
+        stored_requests = self._orders.to_store(now)
+        requests = {stored.request for stored in stored_requests}
         if requests != self._stored_requests:
+            self._stored_requests = requests
             writes.append(
                 cluster.RowWrite(
                     fleet_rows.TABLE,
                     fleet_rows.DRAIN_REQUESTS_KEY,
-                    fleet_rows.encode_drain_requests(
-                        fleet_rows.StoredDrainRequest(
-                            request,
-                            now - sent_by_host[host_id].sent_at
-                            if host_id in sent_by_host
-                            and host_id not in self._request_by_host
-                            else 0.0,
-                        )
-                        for host_id, request in requests.items()
-                    ),
+                    fleet_rows.encode_drain_requests(stored_requests),
                 )
             )
-            self._stored_requests = requests
-        self._ended_at_by_worker = {
-            worker_id: ended_at
-            for worker_id, ended_at in self._ended_at_by_worker.items()
-            if now - ended_at < REGISTRATION_SECONDS
-        }
         # The workers that an order ended are stored under their own ids.
         down = {
             **self._fleet.down_by_host,
-            **{worker_id: worker_id for worker_id in self._ended_at_by_worker},
+            **{
+                worker_id: worker_id
+                for worker_id in self._orders.ended_worker_ids(now)
+            },
         }
         if down != self._stored_down:
             self._stored_down = down
@@ -497,12 +368,11 @@
     ) -> None:
         """Sends the orders for hosts that are drained or in standby."""
         loads = self._recent_loads(now)
-        service_by_host = {
-            host.host_id: host.service for host in self._fleet.hosts
-        }
+        host_by_id = self._fleet.host_by_id
         due: list[host_moves.DrainRequest] = []
-        for request in self._request_by_host.values():
-            service = service_by_host.get(request.host_id, "")
+        for request in self._orders.request_by_host.values():
+            host = host_by_id.get(request.host_id)
+            service = host.service if host else ""
             pool = configuration.service_by_name.get(service)
             load = loads.get(service)
             worker = (
@@ -552,18 +422,6 @@
             outcome=outcome.value,
             list_age_seconds=round(now - self._fleet.listed_at, 3),
         )
-        if outcome is cluster.HostOrderOutcome.DONE:
-            self._order_by_host[request.host_id] = SentOrder(
-                request, request.worker_id, now
-            )
-            del self._request_by_host[request.host_id]
-            if request.worker_id:
-                self._ended_at_by_worker[request.worker_id] = now
-            if request.wave:
-                self._waves.record_start(request)
-        elif outcome in (
-            cluster.HostOrderOutcome.BUSY,
-            cluster.HostOrderOutcome.INVALID,
-            cluster.HostOrderOutcome.NOT_OF_WAVE,
-        ):
-            del self._request_by_host[request.host_id]
+        self._orders.record(request, outcome, now)
+        if request.wave and outcome is cluster.HostOrderOutcome.DONE:
+            self._waves.record_start(request)
--- a/wisteriasill/machines/fleet_hosts.py
+++ b/wisteriasill/machines/fleet_hosts.py
@@ -33,6 +33,11 @@
         self.listed_at = 0.0
         self.down_by_host: dict[str, str] = {}
 
+    @property
+    def host_by_id(self) -> dict[str, host_record.HostRecord]:
+        """The hosts by their ids."""
+        return {host.host_id: host for host in self.hosts}
+
     def refresh(self, now: float) -> None:
         """Reads the list again if a read is due."""
         if now - self.listed_at < LIST_INTERVAL_SECONDS:
