Choose workers at a peak by comparisons of room alone

Each choice of a worker looked at properties of all 140 workers (2,774 tasks took 1.14 s of a full core), each round searched again for 354 jobs that fit nowhere (0.07 s).

Ruled out: hosts (all 179 were in pools, none idle), the fleet's holder on the same node (nothing was left to order), refused starts.

Change: room is compared first and without calls; what needs at least as much as a task that fitted nowhere in this round is not searched for; tasks of a step are counted only where its limits need it.

The hand-over itself (2.6 s) is left as it is.

--- a/tests/contracts/test_job_placement.py
+++ b/tests/contracts/test_job_placement.py
@@ -53,6 +53,80 @@
     assert worker_choice.fits(full, need(fills=True))
 
 
+def test_a_task_larger_than_one_that_fitted_nowhere_is_excluded() -> None:
+    full = worker_choice.FullPool()
+    full.record(need())
+    larger = need()._replace(
+        step=need().step._replace(need=job_spec.Resources(2000, 101, 0))
+    )
+    smaller = need()._replace(
+        step=need().step._replace(need=job_spec.Resources(1999, 900, 0))
+    )
+    assert full.excludes(larger.step)
+    assert not full.excludes(smaller.step)
+    assert not full.excludes(need(fills=True).step)
+
+
+@pytest.mark.parametrize(
+    "request_with_other_limits",
+    [
+        need(label="gpu"),
+        need(most_per_worker=1),
+        need(gang=True),
+        need(fills=True),
+        need()._replace(permitted=()),
+    ],
+    ids=["label", "bound for each worker", "gang", "best effort", "policy"],
+)
+def test_a_task_that_lacks_more_than_room_excludes_no_other(
+    request_with_other_limits: worker_choice.PlacementRequest,
+) -> None:
+    full = worker_choice.FullPool()
+    full.record(request_with_other_limits)
+    assert not full.excludes(need().step)
+
+
+class FullWorker(NamedTuple):
+    """A full worker of which nothing but its room may be looked at."""
+
+    free_cpu: int = 100
+    free_memory_mb: int = 1000
+    free_accelerators: int = 0
+
+    @property
+    def worker_id(self) -> str:
+        """Fails, as a property costs more than all comparisons of room."""
+        raise AssertionError("a full worker was looked at")
+
+    @property
+    def rack(self) -> str:
+        """Fails as well."""
+        raise AssertionError("a full worker was looked at")
+
+    @property
+    def labels(self) -> tuple[str, ...]:
+        """Fails as well."""
+        raise AssertionError("a full worker was looked at")
+
+
+def test_a_peak_costs_one_comparison_for_each_full_worker() -> None:
+    """The choice of workers must not take the time that the holder has.
+
+    On a day with 500 starts a second in a pool of 140 workers, each choice took
+    0.4 ms of a half core. 2,774 tasks took 1.14 s and take 0.19 s.
+    """
+    full = [FullWorker() for _ in range(140)]
+    candidates: list[worker_choice.Candidate] = [
+        *full,
+        Candidate("w1"),
+        Candidate("w2", 3000),
+        *full,
+    ]
+    for request in (need(), need(data_rack="r1"), need(lasting=True)):
+        chosen = worker_choice.choose(candidates, request)
+        assert isinstance(chosen, Candidate)
+
+
 def test_short_tasks_fill_the_fullest_worker() -> None:
     candidates = [Candidate("w1", 4000), Candidate("w2", 2500)]
     chosen = worker_choice.choose(candidates, need())
--- a/wisteriasill/contracts/worker_choice.py
+++ b/wisteriasill/contracts/worker_choice.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Mapping
+import sys
 from typing import NamedTuple, Protocol, TypeVar
 
 from wisteriasill.contracts import job_spec
@@ -80,6 +81,38 @@
     )
 
 
+class FullPool:
+    """Requests of a planning round that fit on no worker.
+
+    Load pattern: hundreds of jobs wait for a pool of 140 full workers. A search
+    of all workers for each of them takes longer than the tasks run. Room only
+    shrinks within a round, so a task that needs at least as much as one that
+    fitted nowhere needs no search.
+    """
+
+    def __init__(self) -> None:
+        self._needs: list[job_spec.Resources] = []
+
+    def record(self, request: PlacementRequest) -> None:
+        """Records a request that fits on no worker."""
+        step = request.step
+        only_room_binds = not (
+            step.label
+            or step.most_per_worker
+            or step.fills
+            or step.gang
+            or request.permitted is not None
+        )
+        if only_room_binds and not self.excludes(step):
+            self._needs.append(step.need)
+
+    def excludes(self, step: job_spec.StepSpec) -> bool:
+        """Whether a step's tasks certainly fit on no worker."""
+        return not step.fills and any(
+            step.need.holds(need) for need in self._needs
+        )
+
+
 AnyCandidate = TypeVar("AnyCandidate", bound=Candidate)
 
 
@@ -101,6 +134,21 @@
         The worker, or None if the task fits on none.
     """
     step = request.step
+    needed = step.need
+    # A best-effort task needs no unreserved processor time.
+    needed_cpu = -sys.maxsize if step.fills else needed.cpu
+    # Most workers are full at a peak, so room is compared first, without calls.
+    with_room = [
+        candidate
+        for candidate in candidates
+        if candidate.free_cpu >= needed_cpu
+        and candidate.free_memory_mb >= needed.memory_mb
+        and candidate.free_accelerators >= needed.accelerators
+    ]
+    if step.label or step.most_per_worker or request.permitted is not None:
+        with_room = [worker for worker in with_room if fits(worker, request)]
+    if not (step.lasting or step.data_rack or request.avoided):
+        return min(with_room, key=_free_cpu, default=None)
 
     def cost(candidate: AnyCandidate) -> tuple[float, ...]:
         tasks_here = request.tasks_by_worker.get(candidate.worker_id, 0)
@@ -113,8 +161,8 @@
             -candidate.free_cpu if step.lasting else candidate.free_cpu,
         )
 
-    return min(
-        (worker for worker in candidates if fits(worker, request)),
-        key=cost,
-        default=None,
-    )
+    return min(with_room, key=cost, default=None)
+
+
+def _free_cpu(candidate: Candidate) -> int:
+    return candidate.free_cpu
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -63,6 +63,7 @@
                 if self._accepts_tasks(worker, now)
             ]
             schedule = self._schedule(waiting, candidates, now)
+            self._full = worker_choice.FullPool()
             for job_id in schedule.job_ids:
                 job = self.job_by_id[job_id]
                 core_seconds = job.core_seconds_to_start()
@@ -232,7 +233,11 @@
         full_steps: set[tuple[int, int]] = set()
         for unit in [*job.ready.values()]:
             step_id = unit.occurrence, unit.step_number
-            if now < unit.retry_at or step_id in full_steps:
+            if (
+                now < unit.retry_at
+                or step_id in full_steps
+                or self._full.excludes(unit.step)
+            ):
                 continue
             if self._plan_unit(unit, candidates, now):
                 placed += 1
@@ -284,20 +289,15 @@
         candidates: list[workers.Worker],
         now: float,
     ) -> bool:
-        tasks_by_worker = collections.Counter(
-            run.worker.worker_id
+        tasks_by_worker: collections.Counter[str] = collections.Counter()
+        tasks_by_rack: collections.Counter[str] = collections.Counter()
+        if unit.step.lasting or unit.step.most_per_worker:
             for other in unit.job.units_by_step[
                 unit.occurrence, unit.step_number
-            ]
-            for run in other.runs
-        )
-        tasks_by_rack = collections.Counter(
-            run.worker.rack
-            for other in unit.job.units_by_step[
-                unit.occurrence, unit.step_number
-            ]
-            for run in other.runs
-        )
+            ]:
+                for run in other.runs:
+                    tasks_by_worker[run.worker.worker_id] += 1
+                    tasks_by_rack[run.worker.rack] += 1
         permitted = None
         queue = self._queue_by_name.get(unit.job.record.queue)
         if queue and queue.advice:
@@ -317,6 +317,7 @@
             _reserve_workers(unit, candidates, request)
         )
         if not chosen:
+            self._full.record(request)
             return False
         unit.last_run += 1
         for index, worker in chosen:
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -20,6 +20,7 @@
 from wisteriasill.contracts import queue as queues
 from wisteriasill.contracts import run_times
 from wisteriasill.contracts import work_order
+from wisteriasill.contracts import worker_choice
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import worker as workers
@@ -126,6 +127,7 @@
         self.free_cores = 0.0
         self._time_factor_by_queue: dict[str, float] = {}
         self._rescue_budget = work_order.RescueBudget()
+        self._full = worker_choice.FullPool()
         self._mean_core_seconds_by_queue: dict[str, float] = {}
 
     @property
