--- a/tests/machines/test_job_api.py
+++ b/tests/machines/test_job_api.py
@@ -271,7 +271,7 @@
     assert store.waited_seconds <= 0.4
 
 
-@pytest.mark.parametrize("seconds", [0.5, 0.9, 1.3, 1.7])
+@pytest.mark.parametrize("seconds", [0.65, 1.05, 1.45, 1.85])
 def test_a_caller_is_answered_before_its_deadline(
     api: job_api.JobApi, store: row_store.MemoryRowStore, seconds: float
 ) -> None:
