Count a worker as ended only if the list of hosts shows it

So it, or the holder before it, took a living worker for one that had ended.

Change, of what could do it: the platform's 200 to an order no longer counts as the end of a worker, as it confirms repeated orders too, only the list of hosts after it does; an order is sent only on a load that was read after its request; a host counts as removed only if two lists lack it.

--- /dev/null
+++ b/tests/machines/test_fleet_orders.py
@@ -0,0 +1,98 @@
+"""Tests of what follows from an order to a host."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from wisteriasill.contracts import host_moves
+from wisteriasill.contracts import host_record
+from wisteriasill.contracts import job_spec
+from wisteriasill.links import cluster
+from wisteriasill.machines import fleet_hosts
+from wisteriasill.machines import fleet_orders
+
+UP = host_record.HostState.UP
+REQUEST = host_moves.DrainRequest("h1", "w1", "", 1)
+
+
+class ListedHosts:
+    """Implements the list of `cluster.HostControl`; orders change nothing."""
+
+    def __init__(self) -> None:
+        self.record = host_record.HostRecord(
+            "h1", "bench", UP, "zone", job_spec.Resources(1, 1, 0), "r1", "w1"
+        )
+
+    def list_hosts(self) -> tuple[host_record.HostRecord, ...]:
+        """Returns the only host."""
+        return (self.record,)
+
+    def move(
+        self, host_id: str, service: str, fencing_epoch: int
+    ) -> cluster.HostOrderOutcome:
+        """Does nothing."""
+        return cluster.HostOrderOutcome.DONE
+
+    def maintain(
+        self, host_id: str, wave: int, fencing_epoch: int
+    ) -> cluster.HostOrderOutcome:
+        """Confirms maintenance that was done before."""
+        return cluster.HostOrderOutcome.DONE
+
+
+@pytest.fixture
+def listed() -> ListedHosts:
+    return ListedHosts()
+
+
+@pytest.fixture
+def ended_after_order(listed: ListedHosts) -> Callable[[], set[str]]:
+    """Returns a function that orders, reads the list and returns the ended."""
+
+    def run() -> set[str]:
+        fleet = fleet_hosts.FleetHosts(listed)
+        orders = fleet_orders.FleetOrders()
+        fleet.refresh(100.0)
+        orders.request([REQUEST], 100.0)
+        orders.record(REQUEST, cluster.HostOrderOutcome.DONE, 100.0)
+        orders.refresh(fleet, 100.1)
+        assert not orders.ended_worker_ids(100.1)
+        fleet.refresh(101.0)
+        orders.refresh(fleet, 101.0)
+        return orders.ended_worker_ids(101.0)
+
+    return run
+
+
+def test_an_order_that_was_carried_out_before_ends_no_worker(
+    ended_after_order: Callable[[], set[str]],
+) -> None:
+    """The platform confirms it again and leaves the worker alone.
+
+    After a hand-over in the middle of a wave a holder repeated such an order,
+    and the pool started the tasks of a living worker elsewhere: two runs of one
+    task, on a fresh day of Shila Hire.
+    """
+    assert not ended_after_order()
+
+
+@pytest.mark.parametrize(
+    ("state", "worker_id"),
+    [
+        (UP, "w2"),
+        (UP, ""),
+        (host_record.HostState.MOVING, "w1"),
+        (host_record.HostState.UPKEEP, "w1"),
+    ],
+)
+def test_the_list_shows_that_a_worker_ended(
+    listed: ListedHosts,
+    ended_after_order: Callable[[], set[str]],
+    state: host_record.HostState,
+    worker_id: str,
+) -> None:
+    before = listed.record
+    listed.record = before._replace(state=state, worker_id=worker_id)
+    assert ended_after_order() == {"w1"}
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -374,9 +374,16 @@
             host = host_by_id.get(request.host_id)
             service = host.service if host else ""
             pool = configuration.service_by_name.get(service)
-            load = loads.get(service)
+            received = self._load_by_service.get(service)
             worker = (
-                load.load_by_worker.get(request.worker_id) if load else None
+                loads[service].load_by_worker.get(request.worker_id)
+                # An older load may show the answer to an earlier request.
+                if received
+                and service in loads
+                and self._orders.requested_before(
+                    request.host_id, received.received_at
+                )
+                else None
             )
             in_standby = pool is not None and pool.standby
             if in_standby or (worker is not None and worker.released):
--- a/wisteriasill/machines/fleet_hosts.py
+++ b/wisteriasill/machines/fleet_hosts.py
@@ -32,6 +32,7 @@
         self.hosts: tuple[host_record.HostRecord, ...] = ()
         self.listed_at = 0.0
         self.down_by_host: dict[str, str] = {}
+        self._missing_hosts: dict[str, host_record.HostRecord] = {}
 
     @property
     def host_by_id(self) -> dict[str, host_record.HostRecord]:
@@ -57,10 +58,25 @@
             if (host := host_by_id.get(host_id)) is None
             or host.state is host_record.HostState.DOWN
         }
-        for former_host in self.hosts:
+        # A host that moves while the list is read in pages may be on none of
+        # them, so it counts as removed only if two lists lack it.
+        gone = [
+            former_host
+            for former_host in self._missing_hosts.values()
+            if former_host.host_id not in host_by_id
+        ]
+        self._missing_hosts = {
+            former_host.host_id: former_host
+            for former_host in self.hosts
+            if former_host.host_id not in host_by_id
+        }
+        for former_host in [*self.hosts, *gone]:
             host = host_by_id.get(former_host.host_id)
-            if former_host.worker_id and (
-                host is None or host.state is host_record.HostState.DOWN
+            is_missing = former_host.host_id in self._missing_hosts
+            if (
+                former_host.worker_id
+                and not is_missing
+                and (host is None or host.state is host_record.HostState.DOWN)
             ):
                 self.down_by_host[former_host.host_id] = former_host.worker_id
                 events.log(
--- a/wisteriasill/machines/fleet_orders.py
+++ b/wisteriasill/machines/fleet_orders.py
@@ -27,6 +27,9 @@
 # The registry lists a worker for three heartbeats of 1.5 s after its end.
 REGISTRATION_SECONDS = 6.0
 
+CHANGING_STATES = frozenset(
+    (host_record.HostState.MOVING, host_record.HostState.UPKEEP)
+)
 REJECTED = frozenset(
     (
         cluster.HostOrderOutcome.BUSY,
@@ -48,6 +51,23 @@
     sent_at: float
     inherited: bool = False
 
+    def ended_worker(self, fleet: fleet_hosts.FleetHosts) -> bool:
+        """Whether the host list shows that the order ended a worker.
+
+        The platform's word on the order does not: it also confirms one that
+        was carried out before, which leaves the worker and its runs alone.
+        """
+        host = fleet.host_by_id.get(self.request.host_id)
+        return (
+            host is not None
+            and bool(self.request.worker_id)
+            and fleet.listed_at > self.sent_at
+            and (
+                host.worker_id != self.request.worker_id
+                or host.state in CHANGING_STATES
+            )
+        )
+
     def took_effect(self, fleet: fleet_hosts.FleetHosts, now: float) -> bool:
         """Whether the host list shows the effect."""
         host = fleet.host_by_id.get(self.request.host_id)
@@ -107,9 +127,17 @@
             self.request_by_host[request.host_id] = request
             self._requested_at[request.host_id] = now
 
+    def requested_before(self, host_id: str, at: float) -> bool:
+        """Whether a host's request was made before a monotonic time."""
+        return self._requested_at[host_id] < at
+
     def refresh(self, fleet: fleet_hosts.FleetHosts, now: float) -> None:
         """Removes what took effect, timed out or is outdated."""
         for host_id, order in [*self.order_by_host.items()]:
+            if order.ended_worker(fleet):
+                self._ended_at_by_worker.setdefault(
+                    order.request.worker_id, now
+                )
             # The former holder may not have sent an inherited order.
             timeout_seconds = (
                 HOST_ORDER_LEASE_SECONDS
@@ -145,8 +173,6 @@
         if outcome is cluster.HostOrderOutcome.DONE:
             self.order_by_host[request.host_id] = SentOrder(request, now)
             del self.request_by_host[request.host_id]
-            if request.worker_id:
-                self._ended_at_by_worker[request.worker_id] = now
         elif outcome in REJECTED:
             del self.request_by_host[request.host_id]
 
