Log the configuration that decided each request, and how old the node's knowledge was

The CONFIG report can't be told apart by the logs: a node that shuts down, one that has lost the store and one whose watch has ended all look alike. No logic changes.

--- a/tests/adapter/test_refusals.py
+++ b/tests/adapter/test_refusals.py
@@ -27,6 +27,10 @@
         self.store = row_store.MemoryRowStore()
         self.api = job_api.JobApi(self.store)
 
+    def store_age_seconds(self) -> float:
+        """Returns a fixed age."""
+        return 0.25
+
 
 @pytest.fixture
 def node() -> Node:
@@ -90,3 +94,5 @@
     assert line.fields["status"] == str(status)
     assert line.fields["job"] == path.rpartition("/")[2]
     assert line.fields["configuration"] == "1"
+    assert line.fields["store_age_seconds"] == "0.25"
+    assert line.fields["stopping"] == "False"
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -216,11 +216,21 @@
                 version = None
                 self._stopping.wait(RETRY_SECONDS)
                 continue
-            self._store_seen_at = time.monotonic()
-            self._adopt(page.unwrap())
+            now = time.monotonic()
+            silent_seconds = now - (self._store_seen_at or now)
+            self._store_seen_at = now
+            self._adopt(page.unwrap(), silent_seconds)
             version = page.unwrap().version
 
-    def _adopt(self, page: cluster.OperatorPage) -> None:
+    def _adopt(
+        self, page: cluster.OperatorPage, silent_seconds: float
+    ) -> None:
+        """Applies what the operators have changed.
+
+        Args:
+            page: The changes.
+            silent_seconds: Time between the last two responses of the store.
+        """
         now = time.monotonic()
         for wave in page.waves:
             known = self.wave_by_number.get(wave.number)
@@ -240,6 +250,8 @@
             version=configuration.version,
             former=current.version if current else 0,
             queues=len(configuration.queue_by_name),
+            silent_seconds=round(silent_seconds, 3),
+            stopping=self._stopping.is_set(),
         )
         for controller in [*self._claims.controller_by_shard.values()]:
             if isinstance(controller, batch_controller.BatchController):
