Follow the configuration until the last caller of a stopping node is served

Callers saw: an answer by a replaced configuration, such as 404 for a route that had been added, from a node that was shutting down.

Cause: SIGTERM ended the thread that follows the configuration at once, but the node serves open connections for up to six seconds more. Class of fault: a part that others still depend on is stopped before them.

That this is what the users saw is likely, not proven.

--- /dev/null
+++ b/tests/machines/test_site_node.py
@@ -0,0 +1,98 @@
+"""Tests of a node that starts, serves and shuts down."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import cast
+
+import pytest
+from returns import result
+
+from standins import row_store
+from tests import waiting
+from tests.machines import batch_site
+from wisteriasill import metrics
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+from wisteriasill.machines import site_links
+from wisteriasill.machines import site_node
+
+
+class OneConfiguration:
+    """Implements `cluster.OperatorOrders` with a configuration to replace."""
+
+    def __init__(self) -> None:
+        self._configuration = batch_site.CONFIGURATION
+
+    def publish(self, version: int) -> None:
+        """Replaces the configuration by one that differs in its version."""
+        self._configuration = self._configuration._replace(version=version)
+
+    def read(self) -> result.Result[cluster.OperatorPage, cluster.StoreFault]:
+        """Reads the configuration."""
+        return result.Success(
+            cluster.OperatorPage(
+                self._configuration, (), self._configuration.version
+            )
+        )
+
+    def watch(
+        self, after: int, wait_seconds: float
+    ) -> result.Result[cluster.OperatorPage, cluster.StoreFault]:
+        """Reads the configuration once it is newer, or after the wait."""
+        waiting.wait_until(
+            lambda: self._configuration.version > after, wait_seconds
+        )
+        return self.read()
+
+    def report_wave(
+        self, number: int, finished: bool
+    ) -> result.Result[int, cluster.StoreFault]:
+        """Accepts a report."""
+        return result.Success(1)
+
+
+@pytest.fixture
+def operators() -> OneConfiguration:
+    return OneConfiguration()
+
+
+@pytest.fixture
+def node(operators: OneConfiguration) -> Iterator[site_node.SiteNode]:
+    """A started node, whose store refuses all shards."""
+    store = row_store.MemoryRowStore()
+    store.down = True
+    new_node = site_node.SiteNode(
+        site_node.NodeSettings("n1", "zone-a", 6.0),
+        site_links.SiteLinks(
+            store=store,
+            registry=cast(cluster.WorkerRegistry, None),
+            operators=operators,
+            hosts=cast(cluster.HostControl, None),
+            advice=None,
+            open_worker=lambda entry: cast(cluster.WorkerLink, None),
+            metrics=metrics.Metrics(),
+        ),
+    )
+    new_node.start()
+    yield new_node
+    new_node.stop()
+    new_node.close()
+
+
+def version_in_force(node: site_node.SiteNode) -> int:
+    configuration: queues.SiteConfiguration | None = node.configuration
+    return configuration.version if configuration else 0
+
+
+def test_a_node_that_shuts_down_serves_by_the_newest_configuration(
+    node: site_node.SiteNode, operators: OneConfiguration
+) -> None:
+    """Callers on open connections were answered by replaced versions."""
+    assert waiting.wait_until(lambda: version_in_force(node) == 1)
+    node.stop()
+    # A long poll that was under way at the stop must not hide the fault.
+    operators.publish(2)
+    assert waiting.wait_until(lambda: version_in_force(node) == 2)
+    operators.publish(3)
+    assert waiting.wait_until(lambda: version_in_force(node) == 3)
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -81,6 +81,7 @@
         self.configuration: queues.SiteConfiguration | None = None
         self.wave_by_number: dict[int, queues.WaveOrder] = {}
         self._stopping = threading.Event()
+        self._closed = threading.Event()
         self._store_seen_at = 0.0
         self._claims = shard_claims.ShardClaims(
             links.store,
@@ -151,17 +152,24 @@
 
     def start(self) -> None:
         """Starts the node's threads."""
-        for name, run in (
-            ("operators watch", self._watch_operators),
-            ("shard claims", self._claim_shards),
+        for name, run, closing in (
+            ("operators watch", self._watch_operators, self._closed),
+            ("shard claims", self._claim_shards, self._stopping),
         ):
-            restarting_task.start(name, run, self._stopping)
+            restarting_task.start(name, run, closing)
 
     def stop(self) -> None:
-        """Releases all shards; callers are still served."""
+        """Releases all shards.
+
+        Callers are still served, by the configuration in force, until `close`.
+        """
         self._stopping.set()
         self._claims.stop()
 
+    def close(self) -> None:
+        """Stops watching the configuration, once no caller is served."""
+        self._closed.set()
+
     def _make_controller(
         self, writer: shard_writer.ShardWriter
     ) -> shard_claims.ClaimedShardController:
@@ -205,7 +213,7 @@
     def _watch_operators(self) -> None:
         operators = self._links.operators
         version: int | None = None
-        while not self._stopping.is_set():
+        while not self._closed.is_set():
             page = (
                 operators.read()
                 if version is None
@@ -214,7 +222,7 @@
             if not isinstance(page, result.Success):
                 # A full read also covers changes that the failed call missed.
                 version = None
-                self._stopping.wait(RETRY_SECONDS)
+                self._closed.wait(RETRY_SECONDS)
                 continue
             now = time.monotonic()
             silent_seconds = now - (self._store_seen_at or now)
@@ -222,9 +230,7 @@
             self._adopt(page.unwrap(), silent_seconds)
             version = page.unwrap().version
 
-    def _adopt(
-        self, page: cluster.OperatorPage, silent_seconds: float
-    ) -> None:
+    def _adopt(self, page: cluster.OperatorPage, silent_seconds: float) -> None:
         """Applies what the operators have changed.
 
         Args:
