Give up a task that crashes its workers, on evidence that outlives the holder

Cause: a run lost with its worker was nobody's failure, so its task was queued again for ever. Class of fault: a retry without a limit, as the count of attempts covered only one kind of end. The same holds for a crash that only showed as an expired lease, so that counts as well once the worker is known to be gone.

Change: contracts/crash_evidence.py judges crashes. Runs that a crashed worker had not yet shown alive for 0.25 s are suspected. A suspected task starts as the only new run of its worker: if that worker crashes too, the task is convicted, its job fails and the other suspects of these crashes are cleared; if the run survives, it is cleared itself. Crashes together with the rack convict nobody before the third, ends by an order or a drain count for nothing. The counts are stored in the job's progress row, so a new holder knows them; a release before this one reads no such row and leaves that job alone. Suspected tasks are not copied.

Ruled out: a count of crashes alone, which gives up bystanders of a small pool.

--- /dev/null
+++ b/tests/machines/batch/test_deadly_tasks.py
@@ -0,0 +1,221 @@
+"""Tests of tasks that crash the workers that start them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+import itertools
+import time
+
+import pytest
+
+from standins import batch_worker
+from tests.machines import batch_site
+from wisteriasill.contracts import crash_evidence
+from wisteriasill.contracts import job_spec
+from wisteriasill.machines import batch_job
+from wisteriasill.machines import worker as workers
+
+DEADLY = job_spec.TaskKey("j1", 0, 0, 0)
+MAX_STARTS = 5  # The third start after three crashes breaks the rule.
+WORKERS = 3
+ROUNDS = 60
+
+
+class CrashingWorker(batch_worker.MemoryWorker):
+    """A worker that crashes when it starts a certain task."""
+
+    def __init__(self) -> None:
+        super().__init__(batch_site.ROOM)
+
+    @property
+    def crashed(self) -> bool:
+        """Whether the task was started here."""
+        return any(task == DEADLY for task, _, _ in self.starts)
+
+
+class CrashSite:
+    """A pool whose crashed workers come back at once, under new ids.
+
+    Attributes:
+        links: All workers ever added, by id.
+        down_ids: Ids of the workers that went down.
+    """
+
+    def __init__(self, pool: batch_site.SteppedPool) -> None:
+        self.pool = pool
+        self.links: dict[str, CrashingWorker] = {}
+        self.down_ids: set[str] = set()
+        self._ids = (f"w{number}" for number in itertools.count(1))
+        self._now = time.monotonic()
+        for _ in range(WORKERS):
+            self.add_worker()
+
+    def add_worker(self) -> None:
+        """Adds an empty worker on a rack of its own."""
+        worker_id = next(self._ids)
+        self.links[worker_id] = CrashingWorker()
+        worker = self.pool.add_worker(
+            worker_id, self.links[worker_id], f"rack-{worker_id}"
+        )
+        self.pool.poll(worker)
+
+    def step(self) -> None:
+        """Runs a round, delivers its orders and replaces crashed workers."""
+        self._now += 0.5
+        self.pool.run_round(self._now)
+        for worker in [*self.live_workers()]:
+            self._deliver(worker)
+        self.pool.pool.set_down_workers(set(self.down_ids))
+
+    def live_workers(self) -> Iterator[workers.Worker]:
+        """Returns the pool's workers."""
+        yield from self.pool.pool.worker_by_id.values()
+
+    def _deliver(self, worker: workers.Worker) -> None:
+        link = self.links[worker.worker_id]
+        while not link.crashed and worker.send_once():
+            pass
+        if link.crashed:
+            self.down_ids.add(worker.worker_id)
+            self.add_worker()
+            return
+        # The worker shows the runs that it had before alive for a while.
+        for run in worker.run_by_task.values():
+            if run.acked_at:
+                run.acked_at -= 2 * crash_evidence.PROBATION_SECONDS
+        self.pool.poll(worker)
+        for task in link.running:
+            if not self._lasts(task):
+                link.finish(task)
+
+    def _lasts(self, task: job_spec.TaskKey) -> bool:
+        job = self.pool.pool.job_by_id.get(task.job_id)
+        return job is not None and job.record.spec.lasting
+
+    def starts(self, task: job_spec.TaskKey) -> int:
+        """Returns how often workers have started a task."""
+        return sum(
+            started == task
+            for link in self.links.values()
+            for started, _, _ in link.starts
+        )
+
+    def state(self, job_id: str) -> batch_job.JobState | None:
+        """Returns the state of a job in its stored row."""
+        value = self.pool.progress_by_id.get(job_id)
+        return batch_job.decode_state(value) if value else None
+
+
+@pytest.fixture
+def crash_site(site: batch_site.SteppedPool) -> CrashSite:
+    return CrashSite(site)
+
+
+@pytest.mark.parametrize("lasting", [False, True])
+def test_a_task_that_crashes_its_workers_is_given_up(
+    crash_site: CrashSite, lasting: bool
+) -> None:
+    """One task crashed a worker every half second for the rest of the day.
+
+    Run deadly at Kochi, seed 11: run 109 at 51 s.
+    """
+    crash_site.pool.pool.on_record(
+        batch_site.job_row("j1", [batch_site.step(3, lasting=lasting)])
+    )
+    for _ in range(ROUNDS):
+        crash_site.step()
+    assert crash_site.state("j1") is batch_job.JobState.FAILED
+    assert 2 <= crash_site.starts(DEADLY) <= MAX_STARTS
+
+
+def test_tasks_beside_one_that_crashes_workers_complete(
+    crash_site: CrashSite,
+) -> None:
+    """A count of crashes alone would give up the tasks beside it too."""
+    for number in range(1, 13):
+        crash_site.pool.pool.on_record(
+            batch_site.job_row(f"j{number}", [batch_site.step(3)])
+        )
+    for _ in range(ROUNDS):
+        crash_site.step()
+    assert crash_site.state("j1") is batch_job.JobState.FAILED
+    assert crash_site.starts(DEADLY) <= MAX_STARTS
+    assert {crash_site.state(f"j{number}") for number in range(2, 13)} == {
+        batch_job.JobState.COMPLETED
+    }
+
+
+def test_a_new_holder_knows_which_tasks_crashed_workers(
+    crash_site: CrashSite,
+) -> None:
+    """What is known of a task must outlive the holder that learnt it."""
+    row = batch_site.job_row("j1", [batch_site.step(1)])
+    crash_site.pool.pool.on_record(row)
+    crash_site.step()
+    assert crash_site.starts(DEADLY) == 1
+    # Stores the progress; it is too early to start the task again.
+    crash_site.pool.run_round(time.monotonic() - 1)
+    new_holder = batch_site.SteppedPool(
+        2, [row], crash_site.pool.progress_rows()
+    )
+    successor = CrashSite(new_holder)
+    for _ in range(ROUNDS):
+        successor.step()
+    assert successor.state("j1") is batch_job.JobState.FAILED
+    assert 1 + successor.starts(DEADLY) <= MAX_STARTS
+
+
+def test_planned_ends_of_workers_are_no_evidence(
+    crash_site: CrashSite,
+) -> None:
+    """A worker whose host is moved must not count as crashed."""
+    pool = crash_site.pool.pool
+    pool.on_record(batch_site.job_row("j2", [batch_site.step(3, lasting=True)]))
+    crash_site.pool.run_round()
+    ids = {worker.worker_id for worker in crash_site.live_workers()}
+    for worker in crash_site.live_workers():
+        crash_site.pool.deliver(worker)
+    pool.set_down_workers(ids, ids)
+    units = pool.job_by_id["j2"].unit_by_key.values()
+    assert [unit.crash_record.crashes for unit in units] == [0, 0, 0]
+
+
+def test_a_cut_off_worker_that_reports_again_is_no_evidence(
+    site: batch_site.SteppedPool, link: batch_worker.MemoryWorker
+) -> None:
+    """An expired lease alone must not count as a crash."""
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j2", [batch_site.step(1)]))
+    site.run_round()
+    site.deliver(worker)
+    later = time.monotonic() + 3 * workers.LEASE_SECONDS
+    site.pool.end_expired_runs(later)
+    site.poll(worker)
+    site.pool.set_down_workers({"w1"})
+    unit = next(iter(site.pool.job_by_id["j2"].unit_by_key.values()))
+    assert unit.crash_record.crashes == 0
+
+
+@pytest.mark.parametrize("listed", [True, False])
+def test_a_lease_that_expired_on_a_crashed_worker_is_evidence(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    listed: bool,
+) -> None:
+    """The list of hosts may show a crash late, or never.
+
+    It never shows a worker that crashed within 0.4 s of its start: run
+    deadly-2 at Kochi, seed 61.
+    """
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j2", [batch_site.step(1)]))
+    site.run_round()
+    site.deliver(worker)
+    worker.listed = listed
+    site.pool.end_expired_runs(time.monotonic() + 3 * workers.LEASE_SECONDS)
+    site.pool.set_down_workers({"w1"} if listed else set())
+    unit = next(iter(site.pool.job_by_id["j2"].unit_by_key.values()))
+    assert unit.crash_record.needs_trial
+    assert unit.crash_record.crashes == 1
--- /dev/null
+++ b/wisteriasill/contracts/crash_evidence.py
@@ -0,0 +1,124 @@
+"""Decides from crashes of workers which tasks cause them.
+
+Load pattern: jobs arrive of which one task crashes every worker that starts it.
+Several tasks run on each worker that goes down, and workers also crash by
+themselves, alone or with their rack.
+
+A task that crashes its worker does so soon after its start. So a crash is
+evidence against the runs that had just started, the last one most of all, and
+none against runs that the worker showed alive for a while. A suspected task
+runs as the only new run of its worker: a crash then convicts it and explains
+the crashes before, and survival acquits it.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+# A run that its worker showed alive for this long did not crash it by starting.
+PROBATION_SECONDS = 0.25
+# Number of crashes before a job may fail for them: a worker may crash by itself
+# under any task once.
+MIN_CRASHES = 2
+# Crashes right after a start that convict a task whatever else happened.
+MAX_SUSPICIONS = 3
+# Crashes at any age of the run that convict a task: the platform bars the third
+# start after three crashes.
+MAX_CRASHES = 5
+# Crashes of workers of one rack within this time have a common cause.
+RACK_LOSS_SECONDS = 1.0
+# The crash of a worker under a run that it showed alive for this long is no
+# evidence: under a long-running task, many workers crash over days.
+ACQUITTAL_SECONDS = 2.0
+
+
+class CrashRecord(NamedTuple):
+    """What crashes tell about a task.
+
+    Attributes:
+        crashes: Workers that crashed while a run of the task was on them.
+        suspicions: Those that crashed right after the start of the run.
+        convicted: Whether the task crashes its workers.
+    """
+
+    crashes: int = 0
+    suspicions: int = 0
+    convicted: bool = False
+
+    @property
+    def needs_trial(self) -> bool:
+        """Whether the task must be the only new run of its worker."""
+        return self.suspicions > 0 or self.crashes >= MAX_SUSPICIONS
+
+
+NO_CRASHES = CrashRecord()
+
+
+def record_crash(
+    record: CrashRecord,
+    survived_seconds: float,
+    is_only_suspect: bool,
+    lost_with_rack: bool,
+) -> CrashRecord:
+    """Adds the crash of a worker to the record of a task that ran there.
+
+    Args:
+        record: What earlier crashes told.
+        survived_seconds: Time for which the worker showed the run alive.
+        is_only_suspect: Whether all other runs there had survived their
+            probation.
+        lost_with_rack: Whether another worker of the rack crashed at the time.
+
+    Returns:
+        The new record.
+    """
+    if survived_seconds >= ACQUITTAL_SECONDS:
+        return record
+    crashes = record.crashes + 1
+    suspected = survived_seconds < PROBATION_SECONDS
+    suspicions = record.suspicions + suspected
+    proved = (
+        suspected
+        and is_only_suspect
+        and not lost_with_rack
+        and record.suspicions > 0
+        and crashes >= MIN_CRASHES
+    )
+    return CrashRecord(
+        crashes,
+        suspicions,
+        proved
+        or (suspected and suspicions >= MAX_SUSPICIONS)
+        or crashes >= MAX_CRASHES,
+    )
+
+
+def record_survival(
+    record: CrashRecord, survived_seconds: float
+) -> CrashRecord:
+    """Clears what the survival of a run disproves.
+
+    Args:
+        record: What crashes told.
+        survived_seconds: Time for which the worker showed the run alive.
+
+    Returns:
+        The new record.
+    """
+    if survived_seconds >= ACQUITTAL_SECONDS:
+        return NO_CRASHES
+    if survived_seconds >= PROBATION_SECONDS:
+        return record._replace(suspicions=0)
+    return record
+
+
+def record_explanation(record: CrashRecord) -> CrashRecord:
+    """Takes back a suspicion, as the crash has been explained by another task.
+
+    Args:
+        record: What crashes told.
+
+    Returns:
+        The new record.
+    """
+    return record._replace(suspicions=max(0, record.suspicions - 1))
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -13,6 +13,7 @@
 
 import cbor2
 
+from wisteriasill.contracts import crash_evidence
 from wisteriasill.contracts import job_spec
 
 if TYPE_CHECKING:
@@ -138,6 +139,9 @@
 
     Attributes:
         last_run: Number of the last run.
+        crash_record: Crashes of workers under its runs.
+        suspected_with: The suspects of each of these crashes, this one
+            included.
         avoided: Workers that a new run avoids: a run failed there, or was
             much slower than others.
         retry_at: Monotonic time before which it is not started again.
@@ -146,6 +150,7 @@
     __slots__ = (
         "avoided",
         "checkpoint",
+        "crash_record",
         "done",
         "failed_run",
         "failures",
@@ -158,6 +163,7 @@
         "runs",
         "step",
         "step_number",
+        "suspected_with",
     )
 
     def __init__(
@@ -175,6 +181,8 @@
         self.last_run = 0
         self.failures = 0
         self.failed_run = 0
+        self.crash_record = crash_evidence.NO_CRASHES
+        self.suspected_with: list[list[Unit]] = []
         self.done = False
         self.checkpoint = ""
         self.runs: list[Run] = []
@@ -357,6 +365,7 @@
     done: bool
     checkpoint: str
     runs: tuple[StoredRun, ...]
+    crash_record: crash_evidence.CrashRecord = crash_evidence.NO_CRASHES
 
 
 class Progress(NamedTuple):
@@ -387,6 +396,13 @@
                 ]
                 for run in unit.runs
             ],
+            # A release that does not know of crashes reads no such row, so it
+            # leaves the job alone.
+            *(
+                [[unit.crash_record.crashes, unit.crash_record.suspicions]]
+                if unit.crash_record.crashes
+                else []
+            ),
         ]
         for unit in job.unit_by_key.values()
         if unit.last_run
@@ -425,6 +441,7 @@
                 done,
                 checkpoint,
                 tuple(StoredRun(*run) for run in runs),
+                crash_evidence.CrashRecord(*(crashes[0] if crashes else ())),
             )
             for (
                 occurrence,
@@ -435,6 +452,7 @@
                 done,
                 checkpoint,
                 runs,
+                *crashes,
             ) in units
         ),
     )
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import time
 from typing import NamedTuple
 
 from wisteriasill import events
 from wisteriasill.contracts import commit_order
+from wisteriasill.contracts import crash_evidence
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import overload_policy
 from wisteriasill.contracts import stragglers
@@ -24,6 +26,8 @@
 MAX_ADVISED_WORKERS = 100  # The platform's limit for one request.
 STRAGGLER_CHECK_SECONDS = 0.25  # Interval between checks for stragglers.
 WAITING_LOG_SECONDS = 1.0
+# One of so many workers at a time gets suspected tasks only.
+WORKERS_PER_TRIAL = 2
 
 
 class ChangedJobs(NamedTuple):
@@ -63,6 +67,7 @@
                 if self._accepts_tasks(worker, now)
             ]
             schedule = self._schedule(waiting, candidates, now)
+            self._plan_trials(candidates, now)
             self._full = worker_choice.FullPool()
             for job_id in schedule.job_ids:
                 job = self.job_by_id[job_id]
@@ -76,6 +81,83 @@
                         core_seconds - job.core_seconds_to_start()
                     )
 
+    def _plan_trials(
+        self, candidates: list[workers.Worker], now: float
+    ) -> None:
+        """Starts suspected tasks, each as the only new run of its worker.
+
+        Args:
+            candidates: Workers that accept tasks; those with a trial, and those
+                kept free for one, are removed.
+            now: Monotonic time.
+        """
+        self._trial_runs = [
+            run
+            for run in self._trial_runs
+            if run.state is not batch_job.RunState.ENDED
+            and run.worker.survived_seconds(run)
+            < crash_evidence.PROBATION_SECONDS
+        ]
+        trial_workers = {run.worker for run in self._trial_runs}
+        accepting = len(candidates)
+        candidates[:] = [
+            worker for worker in candidates if worker not in trial_workers
+        ]
+        self.suspect_by_key = {
+            key: unit
+            for key, unit in self.suspect_by_key.items()
+            if unit.crash_record.needs_trial
+            and not unit.done
+            and not unit.job.finished
+        }
+        most_trials = max(1, accepting // WORKERS_PER_TRIAL)
+        trials = len(trial_workers)
+        for unit in self.suspect_by_key.values():
+            if unit.key not in unit.job.ready or now < unit.retry_at:
+                continue
+            # Beyond that share, only idle workers get suspected tasks.
+            choices = [
+                worker
+                for worker in candidates
+                if trials < most_trials or not worker.run_by_task
+            ]
+            if not choices:
+                return
+            used = self._plan_trial(unit, choices, now)
+            candidates[:] = [
+                worker for worker in candidates if worker not in used
+            ]
+            trials += len(used)
+
+    def _plan_trial(
+        self, unit: batch_job.Unit, choices: list[workers.Worker], now: float
+    ) -> set[workers.Worker]:
+        """Starts a suspected task, or keeps a worker free for it.
+
+        Returns:
+            The workers that get no other start in this round.
+        """
+        by_runs = sorted(choices, key=lambda worker: len(worker.run_by_task))
+        quiet = [worker for worker in by_runs if not worker.has_unproven_run()]
+        groups = [quiet] if unit.step.gang else [[worker] for worker in quiet]
+        if any(self._plan_unit(unit, group, now) for group in groups):
+            self._trial_runs += unit.runs
+            self._record_placed(unit.job, 1, choices, now)
+            return {run.worker for run in unit.runs}
+        # The runs of a worker with room for it end while it gets no new ones.
+        step = unit.step
+        return {
+            *itertools.islice(
+                (
+                    worker
+                    for worker in by_runs
+                    if worker.entry.room.holds(step.need)
+                    and (not step.label or step.label in worker.labels)
+                ),
+                1,
+            )
+        }
+
     def _schedule(
         self,
         waiting: list[batch_job.Job],
@@ -235,6 +317,7 @@
             step_id = unit.occurrence, unit.step_number
             if (
                 now < unit.retry_at
+                or unit.crash_record.needs_trial
                 or step_id in full_steps
                 or self._full.excludes(unit.step)
             ):
@@ -246,6 +329,15 @@
         if not placed:
             self._log_waiting(job, candidates, now)
             return
+        self._record_placed(job, placed, candidates, now)
+
+    def _record_placed(
+        self,
+        job: batch_job.Job,
+        placed: int,
+        candidates: list[workers.Worker],
+        now: float,
+    ) -> None:
         if job.state is batch_job.JobState.QUEUED:
             job.state = batch_job.JobState.RUNNING
         self.dirty_job_by_id[job.job_id] = job
@@ -411,6 +503,7 @@
             and not run.stopping
             and not unit.step.lasting
             and not unit.step.gang
+            and not unit.crash_record.crashes
             and len(unit.runs) == 1
         )
 
--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -220,6 +220,9 @@
             unit.last_run = stored.last_run
             unit.failures = stored.failures
             unit.checkpoint = stored.checkpoint
+            unit.crash_record = stored.crash_record
+            if unit.crash_record.needs_trial and not stored.done:
+                self.suspect_by_key[job.job_id, unit.key] = unit
         for stored in progress.units:
             unit = job.unit_by_key[stored.key]
             if stored.done:
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -22,6 +22,9 @@
 # acknowledged.
 MAX_REPORTED_ENDS = 500
 REJECTION_BACKOFF_SECONDS = 0.3
+_RESTARTED = batch_workers.Removal(
+    "worker restarted", restarted=True, crashed=True
+)
 # A worker that refused a start for lack of resources gets no starts until its
 # reports have caught up.
 RESOURCE_BACKOFF_SECONDS = 0.25
@@ -38,7 +41,7 @@
     ) -> None:
         """Handles a report of the runs and run ends of a worker."""
         if report.started_ms not in (None, worker.entry.started_ms):
-            self.remove_worker(worker, "worker restarted", restarted=True)
+            self.remove_worker(worker, _RESTARTED)
             return
         with self.lock:
             if worker.is_removed:
@@ -57,6 +60,7 @@
                         )
             for run_report in report.runs:
                 self._record_running(worker, run_report, now)
+            self._record_survivals(worker)
             if len(report.ends) < MAX_REPORTED_ENDS:
                 self._end_missing_runs(worker, sent_at, report)
             self._adjust_pace(worker)
@@ -227,13 +231,7 @@
         if unit.step.lasting or queue is None or job.finished:
             return
         if unit.failures >= queue.max_attempts:
-            for other in [*job.live_runs()]:
-                self._stop_run(other)
-            self._finish(
-                job,
-                batch_job.JobState.FAILED,
-                f"task {run.task} failed {unit.failures} times",
-            )
+            self._fail_job(job, f"task {run.task} failed {unit.failures} times")
 
     def on_poll_failure(
         self, worker: workers.Worker, outcome: cluster.OrderOutcome
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -56,6 +56,17 @@
     stored: batch_job.StoredRun
 
 
+class LostRun(NamedTuple):
+    """A run whose lease expired, until it is known what became of its worker.
+
+    Attributes:
+        survived_seconds: Time for which the worker showed the run alive.
+    """
+
+    run: batch_job.Run
+    survived_seconds: float
+
+
 class PoolRuns:
     """A pool's jobs, workers and runs.
 
@@ -109,6 +120,13 @@
         self.due_worker_ids: set[str] = set()
         self._orphans_by_worker: dict[str, list[batch_job.Run]] = {}
         self._restored_runs_by_worker: dict[str, list[RestoredRun]] = {}
+        # Tasks that may have crashed a worker.
+        self.suspect_by_key: dict[
+            tuple[str, batch_job.UnitKey], batch_job.Unit
+        ] = {}
+        self._crashed_at_by_rack: dict[str, dict[str, float]] = {}
+        self._trial_runs: list[batch_job.Run] = []
+        self._lapsed_runs_by_worker: dict[str, list[LostRun]] = {}
         self._queue_by_name: Mapping[str, queues.Queue] = {}
         self._cpu_arrivals = arrival_rate.fast_and_slow()
         self._memory_arrivals = arrival_rate.fast_and_slow()
@@ -173,6 +191,11 @@
             age_seconds=round(now - job.age_since, 3),
         )
 
+    def _fail_job(self, job: batch_job.Job, reason: str) -> None:
+        for run in [*job.live_runs()]:
+            self._stop_run(run)
+        self._finish(job, batch_job.JobState.FAILED, reason)
+
     def _end_run(self, run: batch_job.Run) -> None:
         """Ends a run, releases its resources and queues its unit again."""
         if run.state is batch_job.RunState.ENDED:
--- a/wisteriasill/machines/batch_watch.py
+++ b/wisteriasill/machines/batch_watch.py
@@ -11,6 +11,7 @@
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_pool
 from wisteriasill.machines import batch_tables
+from wisteriasill.machines import batch_workers
 from wisteriasill.machines import fleet_rows
 from wisteriasill.machines import site_links
 from wisteriasill.machines import worker as workers
@@ -139,8 +140,11 @@
         if known_worker:
             pool.remove_worker(
                 known_worker,
-                "registered with a new incarnation",
-                restarted=True,
+                batch_workers.Removal(
+                    "registered with a new incarnation",
+                    restarted=True,
+                    crashed=True,
+                ),
             )
         worker = workers.Worker(
             entry,
@@ -186,7 +190,10 @@
                 )
             elif row.key == fleet_rows.DOWN_KEY and row.value is not None:
                 worker_by_host = fleet_rows.decode_down(row.value)
-                self.pool.set_down_workers(set(worker_by_host.values()))
+                self.pool.set_down_workers(
+                    set(worker_by_host.values()),
+                    fleet_rows.planned_ends(worker_by_host),
+                )
             elif row.key == fleet_rows.DUE_KEY and row.value is not None:
                 self.pool.due_worker_ids = fleet_rows.decode_due(row.value)
 
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 import itertools
 import math
 import time
+from typing import NamedTuple
 
 from wisteriasill import events
 from wisteriasill.contracts import arrival_rate
+from wisteriasill.contracts import crash_evidence
 from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_records
+from wisteriasill.machines import batch_runs
 from wisteriasill.machines import worker as workers
 
 # Hosts for each host-second of work that arrives in a second; more than 1 as
@@ -22,6 +25,23 @@
 ARRIVAL_HEADROOM = 1.2
 # A rise by most of a host is published before the next heartbeat.
 URGENT_RISE_HOSTS = 0.7
+# Silent workers whose runs are kept until it is known whether they crashed.
+MAX_LAPSED_WORKERS = 200
+
+
+class Removal(NamedTuple):
+    """Why a worker is removed.
+
+    Attributes:
+        restarted: Whether a new incarnation may have its id; it may have
+            received start orders that were sent since the last poll.
+        crashed: Whether its incarnation ended without an order, unless it
+            drained.
+    """
+
+    reason: str
+    restarted: bool = False
+    crashed: bool = False
 
 
 class PoolWorkers(batch_records.PoolRecords):
@@ -38,7 +58,7 @@
             restored_runs = self._restored_runs_by_worker.pop(worker_id, [])
             for unit, stored in restored_runs:
                 if stored.started_ms != worker.entry.started_ms:
-                    unit.job.requeue(unit)
+                    self._requeue_crashed(unit)
                     continue
                 self._add_uncertain_run(worker, unit, stored)
         self._changed.set()
@@ -66,16 +86,12 @@
         if unit.done or unit.job.finished:
             self._stop_run(run)
 
-    def remove_worker(
-        self, worker: workers.Worker, reason: str, restarted: bool = False
-    ) -> None:
+    def remove_worker(self, worker: workers.Worker, removal: Removal) -> None:
         """Removes a worker whose incarnation has certainly ended, and its runs.
 
         Args:
             worker: The worker.
-            reason: Why its incarnation ended.
-            restarted: Whether a new incarnation may have its id; it may have
-                received start orders that were sent since the last poll.
+            removal: Why its incarnation ended.
         """
         with self.lock:
             if self.worker_by_id.get(worker.worker_id) is not worker:
@@ -85,26 +101,23 @@
             orphans = [
                 run
                 for run in worker.run_by_task.values()
-                if restarted and run.ordered_at > worker.last_polled_at
+                if removal.restarted and run.ordered_at > worker.last_polled_at
             ]
             if orphans:
                 self._orphans_by_worker[worker.worker_id] = orphans
-            self._end_lost_runs(
-                worker,
-                [
-                    run
-                    for run in worker.run_by_task.values()
-                    if run not in orphans
-                ],
-                reason,
-            )
+            lost_runs = [
+                run for run in worker.run_by_task.values() if run not in orphans
+            ]
+            if removal.crashed:
+                self._record_crash(worker, lost_runs)
+            self._end_lost_runs(worker, lost_runs, removal.reason)
         worker.close()
         events.log(
             events.Event.WORKER_LOST,
             "A worker was removed",
             service=self.service,
             worker=worker.worker_id,
-            reason=reason,
+            reason=removal.reason,
             uncertain_runs=len(orphans),
         )
         self._changed.set()
@@ -128,22 +141,171 @@
             )
             self._end_run(run)
 
-    def set_down_workers(self, worker_ids: set[str]) -> None:
+    def _record_crash(
+        self, worker: workers.Worker, lost_runs: Iterable[batch_job.Run]
+    ) -> None:
+        """Records a worker's crash as evidence against the tasks on it."""
+        now = time.monotonic()
+        lost = [
+            *self._lapsed_runs_by_worker.pop(worker.worker_id, []),
+            *(
+                batch_runs.LostRun(run, worker.survived_seconds(run))
+                for run in lost_runs
+                if run.may_be_on_worker
+            ),
+        ]
+        with_rack = self._others_crashed(worker, now)
+        self._note_crash(worker, now)
+        if (
+            worker.drain_requested
+            or worker.entry.state is not cluster.WorkerState.READY
+        ):
+            return
+        self._record_evidence(lost, with_rack)
+
+    def _others_crashed(self, worker: workers.Worker, now: float) -> bool:
+        """Whether other workers of the rack have crashed at about this time."""
+        crashed_at_by_worker = self._crashed_at_by_rack.get(worker.rack, {})
+        return any(
+            now - crashed_at < crash_evidence.RACK_LOSS_SECONDS
+            for worker_id, crashed_at in crashed_at_by_worker.items()
+            if worker_id != worker.worker_id
+        )
+
+    def _note_crash(self, worker: workers.Worker, now: float) -> None:
+        crashed_at_by_worker = self._crashed_at_by_rack.get(worker.rack, {})
+        self._crashed_at_by_rack[worker.rack] = {
+            worker_id: crashed_at
+            for worker_id, crashed_at in crashed_at_by_worker.items()
+            if now - crashed_at < crash_evidence.RACK_LOSS_SECONDS
+        } | {worker.worker_id: now}
+
+    def _record_evidence(
+        self, lost: Iterable[batch_runs.LostRun], lost_with_rack: bool
+    ) -> None:
+        survived_by_unit: dict[batch_job.Unit, float] = {}
+        # The run that started last is the likeliest cause: its trial is first.
+        for run, survived_seconds in sorted(
+            lost, key=lambda lost_run: -lost_run.run.ordered_at
+        ):
+            survived_by_unit[run.unit] = min(
+                survived_seconds, survived_by_unit.get(run.unit, math.inf)
+            )
+        suspects = [
+            unit
+            for unit, survived_seconds in survived_by_unit.items()
+            if survived_seconds < crash_evidence.PROBATION_SECONDS
+        ]
+        for unit, survived_seconds in survived_by_unit.items():
+            if unit.done or unit.job.finished:
+                continue
+            unit.crash_record = crash_evidence.record_crash(
+                unit.crash_record,
+                survived_seconds,
+                len(suspects) == 1,
+                lost_with_rack,
+            )
+            if unit in suspects:
+                unit.suspected_with.append(suspects)
+            self._judge(unit)
+
+    def _judge(self, unit: batch_job.Unit) -> None:
+        """Acts on a task's changed record of crashes."""
+        job, record = unit.job, unit.crash_record
+        self.dirty_job_by_id[job.job_id] = job
+        events.log(
+            events.Event.TASK_SUSPECTED,
+            "A worker crashed under a task",
+            level="WARNING" if record.convicted else "INFO",
+            job=job.job_id,
+            unit=unit.key,
+            needs_trial=record.needs_trial,
+            **record._asdict(),
+        )
+        if record.convicted:
+            self._clear_others(unit)
+            self._fail_job(
+                job, f"task {unit.key} crashed {record.crashes} workers"
+            )
+        elif record.needs_trial:
+            self.suspect_by_key[job.job_id, unit.key] = unit
+
+    def _clear_others(self, convict: batch_job.Unit) -> None:
+        """Takes back the suspicions that a convicted task explains."""
+        for suspects in convict.suspected_with:
+            for unit in suspects:
+                if unit is convict or suspects not in unit.suspected_with:
+                    continue
+                unit.suspected_with.remove(suspects)
+                unit.crash_record = crash_evidence.record_explanation(
+                    unit.crash_record
+                )
+
+    def _requeue_crashed(self, unit: batch_job.Unit) -> None:
+        """Queues a unit whose worker ended while no holder watched it."""
+        unit.crash_record = crash_evidence.record_crash(
+            unit.crash_record, 0.0, False, False
+        )
+        self._judge(unit)
+        unit.job.requeue(unit)
+
+    def _record_survivals(self, worker: workers.Worker) -> None:
+        """Clears tasks that did not crash the worker that has just reported."""
+        self._lapsed_runs_by_worker.pop(worker.worker_id, None)
+        for run in worker.run_by_task.values():
+            unit = run.unit
+            if not unit.crash_record.crashes:
+                continue
+            unit.crash_record = crash_evidence.record_survival(
+                unit.crash_record, worker.survived_seconds(run)
+            )
+            if not unit.crash_record.suspicions:
+                unit.suspected_with.clear()
+
+    def set_down_workers(
+        self, worker_ids: set[str], planned_ids: Collection[str] = ()
+    ) -> None:
         """Removes workers whose hosts the platform lists as down.
 
         The list distinguishes a crash from a network partition, so the tasks
         restart without a wait for the leases to expire. A worker that is still
         in the set but has registered since is a new incarnation and stays.
+
+        Args:
+            worker_ids: All workers that have ended.
+            planned_ids: Those of them that ended by an order to their hosts.
         """
         with self.lock:
-            for worker_id in worker_ids - self._down_ids:
-                if worker := self.worker_by_id.get(worker_id):
-                    self.remove_worker(worker, "its host is down")
-                for unit, _ in self._restored_runs_by_worker.pop(worker_id, []):
-                    unit.job.requeue(unit)
+            new_ids = sorted(worker_ids - self._down_ids)
+            now = time.monotonic()
+            crashed = [
+                worker
+                for worker_id in new_ids
+                if worker_id not in planned_ids
+                and (worker := self.worker_by_id.get(worker_id))
+            ]
+            # Workers that the list shows as down together went down together.
+            for worker in crashed:
+                self._note_crash(worker, now)
+            for worker_id in new_ids:
+                self._remove_down_worker(worker_id, worker_id in planned_ids)
             self._down_ids = worker_ids
         self._changed.set()
 
+    def _remove_down_worker(self, worker_id: str, planned: bool) -> None:
+        if worker := self.worker_by_id.get(worker_id):
+            self.remove_worker(
+                worker, Removal("its host is down", crashed=not planned)
+            )
+        lapsed = self._lapsed_runs_by_worker.pop(worker_id, [])
+        if not planned:
+            self._record_evidence(lapsed, lost_with_rack=False)
+        for unit, _ in self._restored_runs_by_worker.pop(worker_id, []):
+            if planned:
+                unit.job.requeue(unit)
+            else:
+                self._requeue_crashed(unit)
+
     def end_expired_runs(self, now: float) -> None:
         """Ends the runs whose leases have certainly expired."""
         with self.lock:
@@ -154,9 +316,15 @@
                     if run.may_be_on_worker
                 ]
                 if sent_runs and worker.leases_expired(now):
+                    # The worker may have crashed or only be cut off.
+                    self._keep_lapsed_runs(worker, sent_runs)
                     self._end_lost_runs(worker, sent_runs, "lease expired")
                 if not worker.run_by_task and not worker.listed:
-                    self.remove_worker(worker, "no longer registered")
+                    # The list of hosts may never have shown a worker that
+                    # crashed soon after it had joined.
+                    self.remove_worker(
+                        worker, Removal("no longer registered", crashed=True)
+                    )
             for orphans in self._orphans_by_worker.values():
                 for run in [*orphans]:
                     if now - run.ordered_at > _MAX_ORPHAN_SECONDS:
@@ -166,9 +334,20 @@
                 for unit, _ in itertools.chain.from_iterable(
                     self._restored_runs_by_worker.values()
                 ):
-                    unit.job.requeue(unit)
+                    self._requeue_crashed(unit)
                 self._restored_runs_by_worker.clear()
 
+    def _keep_lapsed_runs(
+        self, worker: workers.Worker, runs: Iterable[batch_job.Run]
+    ) -> None:
+        lapsed_by_worker = self._lapsed_runs_by_worker
+        lapsed_by_worker[worker.worker_id] = [
+            batch_runs.LostRun(run, worker.survived_seconds(run))
+            for run in runs
+        ]
+        if len(lapsed_by_worker) > MAX_LAPSED_WORKERS:
+            del lapsed_by_worker[next(iter(lapsed_by_worker))]
+
     def set_drain_requests(self, worker_ids: set[str]) -> None:
         """Sets which workers the fleet controller wants drained."""
         with self.lock:
--- a/wisteriasill/machines/fleet_rows.py
+++ b/wisteriasill/machines/fleet_rows.py
@@ -67,10 +67,22 @@
 
 
 def encode_down(worker_by_host: Mapping[str, str]) -> bytes:
-    """Encodes the workers of hosts that are down."""
+    """Encodes the workers of hosts that are down.
+
+    A worker that ended by an order is its own key.
+    """
     return cbor2.dumps(dict(worker_by_host))
 
 
 def decode_down(value: bytes) -> dict[str, str]:
     """Decodes a value written by `encode_down`."""
     return dict(cbor2.loads(value))
+
+
+def planned_ends(worker_by_host: Mapping[str, str]) -> set[str]:
+    """Returns the workers that ended by an order to their hosts."""
+    return {
+        worker_id
+        for host_id, worker_id in worker_by_host.items()
+        if host_id == worker_id
+    }
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple, Protocol
 
 from wisteriasill import restarting_task
+from wisteriasill.contracts import crash_evidence
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
@@ -30,7 +31,7 @@
 CLOCK_SLACK_MS = 60.0
 
 # While a long-running task starts: the next one of its step may be disrupted
-# as soon as it serves.
+# as soon as it serves. Also while a suspected task is on trial.
 STARTING_POLL_WAIT_SECONDS = 0.2
 POLL_WAIT_SECONDS = 1.0  # Renews the lease four times before it expires.
 FILLER_POLL_WAIT_SECONDS = 0.4  # With best-effort tasks, which may slow others.
@@ -226,6 +227,19 @@
             and now - self._clock_at < RECENT_REPORT_SECONDS
         )
 
+    def survived_seconds(self, run: batch_job.Run) -> float:
+        """Returns for how long its responses show a run alive."""
+        if run.state is not batch_job.RunState.RUNNING or not run.acked_at:
+            return 0.0
+        return max(0.0, self._clock_at - run.acked_at)
+
+    def has_unproven_run(self) -> bool:
+        """Whether a run here may still crash it by its start."""
+        return any(
+            self.survived_seconds(run) < crash_evidence.PROBATION_SECONDS
+            for run in self.run_by_task.values()
+        )
+
     def leases_expired(self, now: float) -> bool:
         """Whether every lease on the worker has certainly expired."""
         if not self._clock_at:
@@ -291,11 +305,19 @@
 
     def _poll_wait_seconds(self) -> float:
         runs = [*self.run_by_task.values()]
-        if any(_is_starting_to_serve(run) for run in runs):
+        if any(
+            _is_starting_to_serve(run) or self._is_on_trial(run) for run in runs
+        ):
             return STARTING_POLL_WAIT_SECONDS
         fills = any(run.unit.step.fills for run in runs)
         return FILLER_POLL_WAIT_SECONDS if fills else POLL_WAIT_SECONDS
 
+    def _is_on_trial(self, run: batch_job.Run) -> bool:
+        return (
+            run.unit.crash_record.needs_trial
+            and self.survived_seconds(run) < crash_evidence.PROBATION_SECONDS
+        )
+
     def _wait_before_poll(self) -> None:
         """Waits for run ends to be stored, or for work if there is none."""
         deadline = time.monotonic() + STORE_WAIT_SECONDS
