Try the likeliest cause of a crash first, and say that a task waits for a trial

Cause: suspects were tried in the order of the crashes, so the tasks cleared one by one came before the cause that would have cleared them all.

Change: of the suspects of a crash, the one that had started last is tried first. TASKS_NOT_PLACED tells 'trial' where a task waits for one.

--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -141,7 +141,7 @@
         last_run: Number of the last run.
         crash_record: Crashes of workers under its runs.
         suspected_with: The suspects of each of these crashes, this one
-            included.
+            included; the last one started comes first.
         avoided: Workers that a new run avoids: a run failed there, or was
             much slower than others.
         retry_at: Monotonic time before which it is not started again.
@@ -195,6 +195,14 @@
         """Key of the unit within its job."""
         return UnitKey(self.occurrence, self.step_number, self.indexes[0])
 
+    @property
+    def doubt(self) -> int:
+        """Number of likelier causes of the crashes; 0 if there is none."""
+        return min(
+            (suspects.index(self) for suspects in self.suspected_with),
+            default=0,
+        )
+
     @property
     def step_key(self) -> job_spec.StepKey:
         """Key of the unit's step."""
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -112,9 +112,13 @@
         }
         most_trials = max(1, accepting // WORKERS_PER_TRIAL)
         trials = len(trial_workers)
-        for unit in self.suspect_by_key.values():
-            if unit.key not in unit.job.ready or now < unit.retry_at:
-                continue
+        waiting = [
+            unit
+            for unit in self.suspect_by_key.values()
+            if unit.key in unit.job.ready and now >= unit.retry_at
+        ]
+        # The conviction of the likeliest cause clears the others.
+        for unit in sorted(waiting, key=lambda suspect: suspect.doubt):
             # Beyond that share, only idle workers get suspected tasks.
             choices = [
                 worker
@@ -367,7 +371,11 @@
             queue=job.record.queue,
             waiting=len(job.ready),
             need=[*unit.step.need],
-            binding="workers" if not candidates else "room",
+            binding="trial"
+            if unit.crash_record.needs_trial
+            else "room"
+            if candidates
+            else "workers",
             workers=len(candidates),
             largest_free_cpu=max(
                 (worker.free_cpu for worker in candidates), default=0
