Count starts on the capacity that a worker reports now

Callers could see: starts refused over and over by a worker whose capacity had shrunk, and, where workers don't guard themselves, a start that brings one over its capacity (LIMIT).

Cause: the unreserved resources of a worker were worked out once, when it joined; later entries only replaced the entry. Class of fault: a value derived once from an input that changes.

Fix: a newer entry of the same incarnation changes what is unreserved by the difference. What runs stays; nothing starts until enough has ended.

--- a/wisteriasill/machines/batch_watch.py
+++ b/wisteriasill/machines/batch_watch.py
@@ -135,7 +135,8 @@
         if known_worker and known_worker.entry.started_ms == entry.started_ms:
             known_worker.listed = True
             if known_worker.entry.address == entry.address:
-                known_worker.entry = entry
+                with pool.lock:
+                    known_worker.update_entry(entry)
                 return
         if known_worker:
             pool.remove_worker(
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -208,6 +208,21 @@
         self._order_ready.release()
         self._wake.set()
 
+    def update_entry(self, entry: cluster.WorkerEntry) -> None:
+        """Takes over what the worker says of itself, such as its capacity.
+
+        A capacity below what runs hold leaves less than nothing unreserved, so
+        that nothing starts until enough has ended.
+
+        Args:
+            entry: A newer entry of the same incarnation.
+        """
+        former, room = self.entry.room, entry.room
+        self.entry = entry
+        self.free_cpu += room.cpu - former.cpu
+        self.free_memory_mb += room.memory_mb - former.memory_mb
+        self.free_accelerators += room.accelerators - former.accelerators
+
     def reserve(self, need: job_spec.Resources, fills: bool) -> None:
         """Reserves resources for a run; a best-effort one reserves no CPU."""
         self.free_cpu -= 0 if fills else need.cpu
