Change the configuration in the soak, and check that nodes follow it

The soak never changed the configuration, so nothing checked the promise that a confirmed change is in force in time beside restarts, pauses and store faults. A series of its own publishes configurations that each add one route; a probe asks every node for the newest route over a connection that stays open until the node's process is gone. An answer 404 counts if the change was acknowledged over 2 s before and neither the node nor the store was disturbed in the last 3 s.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 import time
 
 from soak import callers as soak_callers
+from soak import configurations
 from soak import faults
 from soak import known_seeds
 from soak import site as sites
@@ -22,6 +23,8 @@
 SETTLE_TIMEOUT_SECONDS = 30.0
 FAULT_SERIES = 2  # Concurrent series, so that faults overlap.
 READY_TIMEOUT_SECONDS = 20.0
+# Changes of the configuration come in quick succession or some seconds apart.
+CHANGE_PAUSES_SECONDS = (0.2, 1.0, 3.0, 6.0)
 FINAL_STATES = ("completed", "cancelled")
 
 
@@ -96,15 +99,22 @@
     """
     site = sites.Site(directory, nodes, workers, loss_share)
     callers = soak_callers.Callers(site, seed, 5.0)
+    probe = configurations.ConfigurationProbe(site)
     try:
         for node in site.nodes:
             node.start()
         _wait_until_served(callers)
         callers.start()
+        probe.start()
         injected = _inject_faults(site, seed, seconds)
         callers.close()
+        probe.close()
         unfinished = _wait_until_ended(callers)
-        violations = [*site.log.violations, *_check(site, callers, unfinished)]
+        violations = [
+            *site.log.violations,
+            *probe.violations,
+            *_check(site, callers, unfinished),
+        ]
         return violations, {
             "seed": seed,
             "jobs": len(callers.jobs),
@@ -115,6 +125,7 @@
             "starts": sum(
                 run_event.event == "start" for run_event in site.log.run_events
             ),
+            "probes": probe.probes,
             "acts": injected,
         }
     finally:
@@ -144,9 +155,18 @@
             time.sleep(rng.random())
             injected.append(rng.choice(faults.FAULTS)(site, rng))
 
+    def publish_series() -> None:
+        rng = random.Random(f"{seed}/configurations")
+        while time.monotonic() < deadline:
+            time.sleep(rng.choice(CHANGE_PAUSES_SECONDS))
+            injected.append(configurations.publish(site, rng))
+
     threads = [
-        threading.Thread(target=inject_series, args=(number,))
-        for number in range(FAULT_SERIES)
+        threading.Thread(target=publish_series),
+        *(
+            threading.Thread(target=inject_series, args=(number,))
+            for number in range(FAULT_SERIES)
+        ),
     ]
     for thread in threads:
         thread.start()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,7 +18,7 @@
 def kill_node(site: sites.Site, rng: random.Random) -> str:
     """Kills a node and restarts it."""
     node = rng.choice(site.nodes)
-    with node.lock:
+    with node.lock, node.disturbance:
         node.stop(signal.SIGKILL)
         time.sleep(rng.choice(PAUSES_SECONDS[:2]))
         node.start()
@@ -37,7 +37,7 @@
 def pause_node(site: sites.Site, rng: random.Random) -> str:
     """Pauses a node, so that others claim shards it still treats as its own."""
     node = rng.choice(site.nodes)
-    with node.lock:
+    with node.lock, node.disturbance:
         node.send(signal.SIGSTOP)
         time.sleep(rng.choice(PAUSES_SECONDS))
         node.send(signal.SIGCONT)
@@ -47,21 +47,23 @@
 def degrade_store_link(site: sites.Site, rng: random.Random) -> str:
     """Degrades a node's link to the store for some time."""
     node = rng.choice(site.nodes)
-    node.store_proxy.mode = rng.choice([*proxy.Mode][1:])
-    mode = node.store_proxy.mode
-    if rng.random() < 0.5:
+    mode = rng.choice([*proxy.Mode][1:])
+    with node.disturbance:
+        node.store_proxy.mode = mode
+        if rng.random() < 0.5:
+            node.store_proxy.reset_all()
+        time.sleep(rng.choice(PAUSES_SECONDS))
+        node.store_proxy.mode = proxy.Mode.PASS
         node.store_proxy.reset_all()
-    time.sleep(rng.choice(PAUSES_SECONDS))
-    node.store_proxy.mode = proxy.Mode.PASS
-    node.store_proxy.reset_all()
     return f"link of {node.name} {mode}"
 
 
 def disable_store(site: sites.Site, rng: random.Random) -> str:
     """Makes the store unavailable to all for some time."""
-    site.store.down = True
-    time.sleep(rng.choice(PAUSES_SECONDS))
-    site.store.down = False
+    with site.store_disturbance:
+        site.store.down = True
+        time.sleep(rng.choice(PAUSES_SECONDS))
+        site.store.down = False
     return "store down"
 
 
@@ -73,16 +75,18 @@
 
 def delay_writes(site: sites.Site, rng: random.Random) -> str:
     """Delays writes by seconds; each applies if its conditions still hold."""
-    site.store.delayed_writes += rng.randint(1, 6)
-    time.sleep(rng.choice(PAUSES_SECONDS))
-    site.store.delayed_writes = 0
-    site.store.deliver_delayed()
+    with site.store_disturbance:
+        site.store.delayed_writes += rng.randint(1, 6)
+        time.sleep(rng.choice(PAUSES_SECONDS))
+        site.store.delayed_writes = 0
+        site.store.deliver_delayed()
     return "writes late"
 
 
 def drop_history(site: sites.Site, rng: random.Random) -> str:
     """Drops the store's history of changes."""
-    site.store.drop_history()
+    with site.store_disturbance:
+        site.store.drop_history()
     return "history dropped"
 
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -9,7 +9,11 @@
 import subprocess
 import sys
 import threading
+from typing import TYPE_CHECKING, Any
 
+from returns import result
+
+from soak import disturbances
 from soak import ports
 from soak import proxy
 from standins import platform_http
@@ -18,27 +22,41 @@
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
 
+if TYPE_CHECKING:
+    from soak import configurations
+
 ROOT = pathlib.Path(__file__).parents[1]
 SERVICE = "bench"
 PREFIX = "/jobs/"
 HOST = "jobs.example"
 ROOM = job_spec.Resources(4000, 64_000, 0)
-CONFIGURATION = {
-    "version": 3,
-    "routes": [
-        {
-            "name": "r-1",
-            "host": HOST,
-            "prefix": PREFIX,
-            "service": SERVICE,
-            "max_attempts": 3,
-            "stretch": 2,
-            "target_latency_ms": 1000,
-            "timeout_ms": 3000,
-        }
-    ],
-    "services": [{"name": SERVICE, "admission_control": True}],
-}
+FIRST_VERSION = 3
+
+
+def added_prefix(version: int) -> str:
+    """Returns the prefix of the route that only one version has."""
+    return f"/added-{version}/"
+
+
+def configuration(version: int) -> dict[str, Any]:
+    """Builds a configuration: the callers' route, and one of its own."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": f"r-{number}",
+                "host": HOST,
+                "prefix": prefix,
+                "service": SERVICE,
+                "max_attempts": 3,
+                "stretch": 2,
+                "target_latency_ms": 1000,
+                "timeout_ms": 3000,
+            }
+            for number, prefix in enumerate((PREFIX, added_prefix(version)), 1)
+        ],
+        "services": [{"name": SERVICE, "admission_control": True}],
+    }
 
 
 class Node:
@@ -76,11 +94,13 @@
             )
         )
         self._process: subprocess.Popen[bytes] | None = None
+        self.disturbance = disturbances.Disturbance()
         # Serializes faults, as two series may choose the same node.
         self.lock = threading.Lock()
 
     def start(self) -> None:
         """Starts the process."""
+        self.disturbance.note()
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, str(ROOT / "platform/entry.py")],
@@ -151,7 +171,11 @@
                 )
             )
         self._closing = threading.Event()
-        self._write("op", "config", json.dumps(CONFIGURATION).encode())
+        self.configuration_lock = threading.Lock()
+        self.last_change: configurations.Change | None = None
+        self.store_disturbance = disturbances.Disturbance()
+        self.version = 0
+        assert self.publish(FIRST_VERSION)
         self._registration = threading.Thread(
             target=self._register, daemon=True
         )
@@ -162,6 +186,29 @@
         for node in self.nodes:
             node.store_proxy.loss_share = loss_share
 
+    def publish(self, version: int) -> bool:
+        """Stores a configuration in place of the last one, as operators do.
+
+        Returns:
+            Whether the store acknowledged it.
+        """
+        self.version = version
+        page = self.store.read("op", "").value_or(None)
+        if page is None:
+            return False
+        row_version = next((row.version for row in page.rows), 0)
+        written = self.store.transact(
+            "",
+            [cluster.RowVersion("op", "config", row_version)],
+            [
+                cluster.RowWrite(
+                    "op", "config", json.dumps(configuration(version)).encode()
+                )
+            ],
+            1.0,
+        )
+        return isinstance(written, result.Success)
+
     def _write(self, table: str, key: str, value: bytes) -> None:
         self.store.transact("", [], [cluster.RowWrite(table, key, value)], 1.0)
 
