Let an operators' row of another shape hide no other row

Callers could see: a confirmed configuration or a wave that no node follows.

Cause: a row whose top level, or whose 'limits', is no object raised an AttributeError that the decoder of operators' rows does not catch. The watch started again, read the same row and failed again, four times a second. Class of fault: one malformed message stops what handles all of them.

--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -6,13 +6,14 @@
 import pathlib
 import subprocess
 import sys
-from typing import Any
+from typing import Any, cast
 
 import pytest
 from returns import result
 import settings_file
 import wire_callers
 import wire_operators
+import wire_store
 import wire_workers
 
 from wisteriasill.contracts import job_spec
@@ -127,6 +128,48 @@
         wire_callers.decode_job(body)
 
 
+class OperatorRows:
+    """Implements the reads of `wire_store.WireStore` with fixed rows."""
+
+    def __init__(self, value_by_key: dict[str, object]) -> None:
+        self._rows = tuple(
+            cluster.StoredRow("op", "", key, json.dumps(value).encode(), 3)
+            for key, value in value_by_key.items()
+        )
+
+    def read(
+        self, table: str, partition_key: str
+    ) -> result.Result[cluster.RowPage, cluster.StoreFault]:
+        """Reads all rows."""
+        return result.Success(cluster.RowPage(self._rows, True, 3))
+
+
+@pytest.mark.parametrize(
+    "configuration",
+    [
+        [1],
+        "text",
+        7,
+        {"version": 2, "limits": "text"},
+        {"version": 2, "routes": [7]},
+    ],
+)
+def test_a_row_of_operators_that_cannot_be_read_hides_no_other(
+    configuration: object,
+) -> None:
+    """A row of another shape made each read fail, so nothing was followed."""
+    wave = {"wave": 4, "machines": ["m-1"], "duration_s": 20, "max_count": 2}
+    operators = wire_operators.WireOperators(
+        cast(
+            wire_store.WireStore,
+            OperatorRows({"config": configuration, "wave/4": wave}),
+        )
+    )
+    page = operators.read().unwrap()
+    assert page.configuration is None
+    assert [order.number for order in page.waves] == [4]
+
+
 def test_a_configuration() -> None:
     configuration = wire_operators.decode_configuration(
         {
