Call a wave finished only if two lists lack a host that was not maintained

Cause, likely: a host that moves while the pages of the list are read may be on none of them. Hosts that go down already need two lists for that reason; the report on waves took the newest list alone. Class of fault: absence from one reading taken for an end.

Ruled out by reading: a start counted without its order (only 'done' counts), a host that is down (it stays listed).

Fix: a host has left if the last two lists lack it, and nothing is reported before two lists were read. The new test failed before for the first and a later list.

--- a/tests/machines/test_fleet_controller.py
+++ b/tests/machines/test_fleet_controller.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 import threading
 import time
 from typing import cast
@@ -12,6 +12,7 @@
 from returns import result
 
 from standins import row_store
+from tests import waiting
 from wisteriasill import metrics
 from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import host_record
@@ -34,6 +35,7 @@
     ],
     100_000,
 )
+NO_WAVES: Mapping[int, queues.WaveOrder] = {}
 HOST_ORDER_LEASE_SECONDS = 0.6  # Shortened, so that the tests take less time.
 
 
@@ -43,9 +45,13 @@
     def __init__(self, hosts: dict[str, str]) -> None:
         self.service_by_host = hosts
         self.orders: dict[str, tuple[str, float]] = {}
+        self.missing_by_list: dict[int, set[str]] = {}
+        self.lists_read = 0
 
     def list_hosts(self) -> tuple[host_record.HostRecord, ...]:
         """Lists hosts; those in standby have no worker."""
+        self.lists_read += 1
+        missing = self.missing_by_list.get(self.lists_read, set())
         return tuple(
             host_record.HostRecord(
                 host_id,
@@ -57,6 +63,7 @@
                 "" if service == "rest" else f"w-{host_id}",
             )
             for host_id, service in self.service_by_host.items()
+            if host_id not in missing
         )
 
     def move(
@@ -75,17 +82,26 @@
         return cluster.HostOrderOutcome.DONE
 
 
-class NoWaveOrders:
-    """Implements reports to operators who ordered no waves."""
+class WaveReports:
+    """Records the reports on waves to operators."""
+
+    def __init__(self) -> None:
+        self.finished_by_wave: dict[int, list[bool]] = {}
 
     def report_wave(
         self, number: int, finished: bool
     ) -> result.Result[int, cluster.StoreFault]:
         """Accepts a report."""
+        self.finished_by_wave.setdefault(number, []).append(finished)
         return result.Success(1)
 
 
-Start = Callable[[RecordedHosts], fleet_controller.FleetController]
+Start = Callable[..., fleet_controller.FleetController]
+
+
+@pytest.fixture
+def reports() -> WaveReports:
+    return WaveReports()
 
 
 @pytest.fixture
@@ -95,7 +111,9 @@
 
 @pytest.fixture
 def start(
-    store: row_store.MemoryRowStore, monkeypatch: pytest.MonkeyPatch
+    store: row_store.MemoryRowStore,
+    reports: WaveReports,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> Iterator[Start]:
     """Returns a function that starts a controller with a claimed shard."""
     monkeypatch.setattr(
@@ -103,7 +121,9 @@
     )
     controllers: list[fleet_controller.FleetController] = []
 
-    def make(hosts: RecordedHosts) -> fleet_controller.FleetController:
+    def make(
+        hosts: RecordedHosts, waves: Mapping[int, queues.WaveOrder] = NO_WAVES
+    ) -> fleet_controller.FleetController:
         writer = shard_writer.ShardWriter(
             store, fleet_rows.SHARD, "n1", threading.Event()
         )
@@ -112,14 +132,14 @@
         links = site_links.SiteLinks(
             store=store,
             registry=cast(cluster.WorkerRegistry, None),
-            operators=cast(cluster.OperatorOrders, NoWaveOrders()),
+            operators=cast(cluster.OperatorOrders, reports),
             hosts=hosts,
             advice=None,
             open_worker=lambda entry: cast(cluster.WorkerLink, None),
             metrics=metrics.Metrics(),
         )
         controller = fleet_controller.FleetController(
-            links, writer, lambda: (CONFIGURATION, {})
+            links, writer, lambda: (CONFIGURATION, dict(waves))
         )
         controllers.append(controller)
         assert controller.open()
@@ -308,3 +328,31 @@
     need_hosts(store, 2)
     time.sleep(0.5)
     assert not hosts.orders
+
+
+@pytest.mark.parametrize("number", [1, 3])
+def test_a_wave_is_not_finished_while_one_list_lacks_its_last_host(
+    store: row_store.MemoryRowStore,
+    start: Start,
+    reports: WaveReports,
+    number: int,
+) -> None:
+    """A host that moves while the pages of a list are read is on none of them.
+
+    The wave was reported as finished, and the host never maintained.
+    """
+    hosts = RecordedHosts({"h1": "bench", "h2": "bench"})
+    hosts.missing_by_list = {number: {"h2"}}
+    start(hosts, {4: queues.WaveOrder(4, ("h2",), 20.0, 1)})
+    assert waiting.wait_until(lambda: hosts.lists_read > number + 1)
+    assert reports.finished_by_wave[4] == [False]
+
+
+def test_a_wave_is_finished_once_its_last_host_has_left(
+    store: row_store.MemoryRowStore, start: Start, reports: WaveReports
+) -> None:
+    hosts = RecordedHosts({"h1": "bench", "h2": "bench"})
+    start(hosts, {4: queues.WaveOrder(4, ("h2",), 20.0, 1)})
+    assert waiting.wait_until(lambda: 4 in reports.finished_by_wave)
+    del hosts.service_by_host["h2"]
+    assert waiting.wait_until(lambda: True in reports.finished_by_wave[4])
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -197,9 +197,9 @@
             return
         if self._fleet.listed_at:
             self._send_due_orders(now, configuration)
-            self._waves.report(
-                wave_by_number, {host.host_id for host in self._fleet.hosts}
-            )
+        # A single list may lack a host that moves while its pages are read.
+        if self._fleet.present_ids is not None:
+            self._waves.report(wave_by_number, self._fleet.present_ids)
 
     def _recent_loads(self, now: float) -> dict[str, host_moves.PoolLoad]:
         return {
--- a/wisteriasill/machines/fleet_hosts.py
+++ b/wisteriasill/machines/fleet_hosts.py
@@ -24,6 +24,8 @@
     Attributes:
         hosts: All hosts as of the last read.
         listed_at: Monotonic time of the last read; 0 before the first.
+        present_ids: Hosts that one of the last two lists has; None before two
+            lists were read.
         down_by_host: Last worker of each host that is down.
     """
 
@@ -31,6 +33,7 @@
         self._control = control
         self.hosts: tuple[host_record.HostRecord, ...] = ()
         self.listed_at = 0.0
+        self.present_ids: set[str] | None = None
         self.down_by_host: dict[str, str] = {}
         self._missing_hosts: dict[str, host_record.HostRecord] = {}
 
@@ -46,6 +49,10 @@
         hosts = self._control.list_hosts()
         if hosts is not None:
             self._record_down(hosts)
+            if self.listed_at:
+                self.present_ids = {
+                    host.host_id for host in (*self.hosts, *hosts)
+                }
             self.hosts = hosts
             self.listed_at = now
 
--- a/wisteriasill/machines/fleet_waves.py
+++ b/wisteriasill/machines/fleet_waves.py
@@ -58,18 +58,18 @@
     def report(
         self,
         wave_by_number: Mapping[int, queues.WaveOrder],
-        listed_ids: Collection[str],
+        present_ids: Collection[str],
     ) -> None:
         """Reports waves that started or finished to the operators.
 
         Args:
             wave_by_number: The waves that operators ordered.
-            listed_ids: Ids of the hosts that the platform lists.
+            present_ids: Ids of the hosts that have not left the platform.
         """
         for number, wave in wave_by_number.items():
             if self.is_finished(number):
                 continue
-            remaining_ids = ({*listed_ids} & {*wave.host_ids}) - {
+            remaining_ids = ({*present_ids} & {*wave.host_ids}) - {
                 *self.started_hosts(number)
             }
             finished = not remaining_ids
