Take the crash of a worker that nobody watched for no suspicion

Callers saw, in the soak: a job given up after a worker had crashed while the pool's holder changed and another had crashed by itself 0.9 s later.

Cause: a successor that found a stored run's worker gone took it for a crash right after the start, though it can't know how long the run had worked. The next crash then convicted the task. Class of fault: a missing measurement read as zero.

Fix: such a crash counts towards the five that no task outlives, but not as a suspicion. A task that does crash its workers is convicted one crash later in that case, still before the third start after three crashes. test_a_crash_during_a_change_of_holder_and_one_more_fail_no_job failed before.

--- a/soak/known_seeds.py
+++ b/soak/known_seeds.py
@@ -28,6 +28,8 @@
     58: "another process took a port between its choice and its use; a run now "
     "has a loopback address of its own",
     59: "not traced by itself; passes since the fixes for 6 and 13",
+    705: "a worker's crash during a change of the holder counted as if its run "
+    "had just started, so that the next crash convicted its task",
 }
 # Run in CI, a few seconds each.
 CI_SEEDS = (1, 3, 6, 45)
--- a/tests/contracts/test_crash_evidence.py
+++ b/tests/contracts/test_crash_evidence.py
@@ -93,3 +93,16 @@
     """
     for crash in (ALONE, AMONG_OTHERS, WITH_RACK, LONG_AFTER_START):
         assert record_of(*[crash] * 5).convicted
+
+
+def test_a_crash_that_nobody_watched_is_no_suspicion() -> None:
+    """A worker crashed while its holder changed, and the next one by itself.
+
+    The job was given up after these two crashes. Found by soak seed 705.
+    """
+    record = crash_evidence.record_unwatched_crash(crash_evidence.NO_CRASHES)
+    assert not record.needs_trial
+    assert not crash_evidence.record_crash(record, *ALONE).convicted
+    for _ in range(4):
+        record = crash_evidence.record_unwatched_crash(record)
+    assert record.convicted
--- a/tests/machines/batch/test_deadly_tasks.py
+++ b/tests/machines/batch/test_deadly_tasks.py
@@ -219,3 +219,30 @@
     unit = next(iter(site.pool.job_by_id["j2"].unit_by_key.values()))
     assert unit.crash_record.needs_trial
     assert unit.crash_record.crashes == 1
+
+
+def test_a_crash_during_a_change_of_holder_and_one_more_fail_no_job(
+    site: batch_site.SteppedPool, link: batch_worker.MemoryWorker
+) -> None:
+    """The first crash tells nothing about when its run had started.
+
+    Found by soak seed 705.
+    """
+    row = batch_site.job_row("j1", [batch_site.step(1)])
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(row)
+    site.run_round()
+    site.deliver(worker)
+    successor = batch_site.SteppedPool(2, [row], site.progress_rows())
+    for started_ms in (2, 3):
+        restarted = batch_worker.MemoryWorker(batch_site.ROOM, started_ms)
+        if started_ms == 3:
+            successor.pool.set_down_workers({"w1"})
+        worker = successor.add_worker("w1", restarted)
+        successor.poll(worker)
+        successor.run_round(time.monotonic() + 1)
+        successor.deliver(worker)
+    unit = next(iter(successor.pool.job_by_id["j1"].unit_by_key.values()))
+    assert unit.crash_record.crashes == 2
+    assert not unit.crash_record.convicted
--- a/wisteriasill/contracts/crash_evidence.py
+++ b/wisteriasill/contracts/crash_evidence.py
@@ -93,6 +93,22 @@
     )
 
 
+def record_unwatched_crash(record: CrashRecord) -> CrashRecord:
+    """Adds the crash of a worker that nobody watched, as its holder changed.
+
+    It tells nothing about the time between the start and the crash, so it is no
+    suspicion.
+
+    Args:
+        record: What earlier crashes told.
+
+    Returns:
+        The new record.
+    """
+    crashes = record.crashes + 1
+    return CrashRecord(crashes, record.suspicions, crashes >= MAX_CRASHES)
+
+
 def record_survival(
     record: CrashRecord, survived_seconds: float
 ) -> CrashRecord:
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -243,8 +243,8 @@
 
     def _requeue_crashed(self, unit: batch_job.Unit) -> None:
         """Queues a unit whose worker ended while no holder watched it."""
-        unit.crash_record = crash_evidence.record_crash(
-            unit.crash_record, 0.0, False, False
+        unit.crash_record = crash_evidence.record_unwatched_crash(
+            unit.crash_record
         )
         self._judge(unit)
         unit.job.requeue(unit)
