Don't take a refused repeat of a start for the outcome of the first call

Callers and operators could see: a task started on a second worker while its first run was at work (TWICE).

Cause: a start whose answer was lost is sent once more. If the repeat was refused, as the worker could not be reached or called itself unhealthy, the run counted as never started, though the first call may have started it; its task was queued and started elsewhere.

Fix: after a first call without an answer only 'done' is believed. Anything else leaves the outcome unknown, so the run is stopped, and its task starts elsewhere once a later poll does not list it.

--- a/tests/machines/batch/test_worker_loss.py
+++ b/tests/machines/batch/test_worker_loss.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 import time
 
+import pytest
+
 from standins import batch_worker
 from tests.machines import batch_site
 from wisteriasill.contracts import job_spec
@@ -320,3 +322,46 @@
     worker.link.start = lose_shard  # type: ignore[method-assign]
     assert worker.send_once()
     assert len(sent) == 1
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        cluster.OrderOutcome.UNREACHABLE,
+        cluster.OrderOutcome.UNHEALTHY,
+        cluster.OrderOutcome.NO_ROOM,
+        cluster.OrderOutcome.RUN_TOO_OLD,
+    ],
+)
+def test_a_refused_repeat_of_a_start_leaves_the_first_one_unknown(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    outcome: cluster.OrderOutcome,
+) -> None:
+    """The first call, whose answer was lost, may have started the run.
+
+    The task was started elsewhere at once, beside the run that was at work.
+    """
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    site.run_round()
+    start = link.start
+
+    def start_then_refuse(order: cluster.StartOrder) -> cluster.OrderAnswer:
+        link.start = refuse  # type: ignore[method-assign]
+        start(order)
+        return cluster.OrderAnswer(cluster.OrderOutcome.UNKNOWN)
+
+    def refuse(order: cluster.StartOrder) -> cluster.OrderAnswer:
+        return cluster.OrderAnswer(outcome)
+
+    link.start = start_then_refuse  # type: ignore[method-assign]
+    assert worker.send_once()
+    assert link.running == {TASK: 1}
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    site.run_round(time.monotonic() + 1)
+    site.deliver(other)
+    assert not other_link.running
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -408,6 +408,10 @@
             # first, so a run whose answer was lost goes on.
             run.ordered_at = time.monotonic()
             answer = self.link.start(order)
+            if answer.outcome is not cluster.OrderOutcome.DONE:
+                # A refusal of the repeat says nothing about the first call,
+                # which may have started the run.
+                answer = answer._replace(outcome=cluster.OrderOutcome.UNKNOWN)
         self._check_incarnation(answer)
         self.record_clock(answer.clock_ms, time.monotonic())
         self._owner.on_start_answer(run, answer)
