Log why each run is stopped, refused a stop or counts as ended

Change: events 627 to 630 (run stopped with reason, stop refused, unknown run reported, runs restored by a new holder), the reason and both incarnations for a stored run that counts as ended, and the incarnation of a worker that joins. No decision changes.

--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -546,7 +546,7 @@
                 now,
                 "a task ran much longer than others of its step",
             )
-            self._stop_run(run)
+            self._stop_run(run, "it is slower than others of its step")
             return
         candidates = [
             worker
--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -55,6 +55,16 @@
             for row in loaded.records:
                 self._track_short_row(row)
                 self._add_job(row, progress_by_id.get(row.key), is_new=False)
+            restored = self._restored_runs_by_worker
+            events.log(
+                events.Event.RUNS_RESTORED,
+                "A new holder read the jobs and runs of its pool",
+                service=self.service,
+                jobs=len(self.job_by_id),
+                runs=sum(len(runs) for runs in restored.values()),
+                workers=len(restored),
+                epoch=self.fencing_epoch,
+            )
 
     def on_record(self, row: cluster.StoredRow) -> None:
         """Handles a changed job row: a new job, or a cancellation."""
@@ -238,7 +248,7 @@
         if job.finished:
             return
         for run in [*job.live_runs()]:
-            self._stop_run(run)
+            self._stop_run(run, "its job was cancelled")
         self._finish(job, batch_job.JobState.CANCELLED, "cancelled by caller")
 
     def pending_by_queue(self) -> dict[str, int]:
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -105,6 +105,18 @@
             unit, run_report.task.position, run_report.run, worker
         )
         run.state = batch_job.RunState.RUNNING
+        events.log(
+            events.Event.RUN_UNKNOWN,
+            "A worker reports a run that should not be there; it is stopped",
+            level="WARNING",
+            job=run.task.job_id,
+            task=run.task,
+            run=run.number,
+            worker=worker.worker_id,
+            known_run=known.number
+            if (known := worker.run_by_task.get(run_report.task))
+            else 0,
+        )
         worker.send(workers.WorkerOrder("stop", run))
 
     def _end_missing_runs(
@@ -140,6 +152,9 @@
                     run=run.number,
                     worker=worker.worker_id,
                     reason="not reported",
+                    state=run.state.name.lower(),
+                    started_ms=report.started_ms,
+                    confirmed_seconds=round(sent_at - confirmed_at, 3),
                 )
                 self._end_run(run)
 
@@ -174,7 +189,7 @@
             self._record_failure(unit, run)
         for other in [*unit.runs]:
             if unit.step.gang:
-                self._stop_run(other)
+                self._stop_run(other, "another run of its gang ended")
 
     def _record_duration(self, run: batch_job.Run, now: float) -> None:
         if not run.acked_at:
@@ -212,7 +227,7 @@
         job = unit.job
         if not unit.step.gang:  # All members of a gang end together.
             for other_run in [*unit.runs]:
-                self._stop_run(other_run)
+                self._stop_run(other_run, "its task is done")
         if job.finished:
             return
         job.mark_done(unit)
@@ -331,8 +346,19 @@
         with self.lock:
             if answer.outcome is cluster.OrderOutcome.DONE:
                 run.start_blocked_at = time.monotonic()
-            elif answer.outcome is cluster.OrderOutcome.FENCED:
-                self._record_fenced(run.worker)
+            else:
+                events.log(
+                    events.Event.STOP_REFUSED,
+                    "A worker refused a stop",
+                    level="WARNING",
+                    job=run.task.job_id,
+                    task=run.task,
+                    run=run.number,
+                    worker=run.worker.worker_id,
+                    outcome=answer.outcome.value,
+                )
+                if answer.outcome is cluster.OrderOutcome.FENCED:
+                    self._record_fenced(run.worker)
         run.worker.wake()
 
     def _adjust_pace(self, worker: workers.Worker) -> None:
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -193,7 +193,7 @@
 
     def _fail_job(self, job: batch_job.Job, reason: str) -> None:
         for run in [*job.live_runs()]:
-            self._stop_run(run)
+            self._stop_run(run, "its job failed")
         self._finish(job, batch_job.JobState.FAILED, reason)
 
     def _end_run(self, run: batch_job.Run) -> None:
@@ -218,10 +218,20 @@
         )
         unit.job.requeue(unit)
 
-    def _stop_run(self, run: batch_job.Run) -> None:
+    def _stop_run(self, run: batch_job.Run, reason: str) -> None:
         if run.stopping or run.state is batch_job.RunState.ENDED:
             return
         run.stopping = True
+        events.log(
+            events.Event.RUN_STOPPED,
+            "A run is stopped",
+            job=run.task.job_id,
+            task=run.task,
+            run=run.number,
+            worker=run.worker.worker_id,
+            state=run.state.name.lower(),
+            reason=reason,
+        )
         if run.state is batch_job.RunState.PLANNED:
             self._end_run(run)
         else:
--- a/wisteriasill/machines/batch_watch.py
+++ b/wisteriasill/machines/batch_watch.py
@@ -162,6 +162,7 @@
             worker=entry.worker_id,
             rack=entry.rack,
             cpu=entry.room.cpu,
+            started_ms=entry.started_ms,
         )
 
     def _read_drain_requests(self) -> int:
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -58,6 +58,11 @@
             restored_runs = self._restored_runs_by_worker.pop(worker_id, [])
             for unit, stored in restored_runs:
                 if stored.started_ms != worker.entry.started_ms:
+                    self._log_lost_restored_run(
+                        batch_runs.RestoredRun(unit, stored),
+                        "its worker has another incarnation",
+                        worker.entry.started_ms,
+                    )
                     self._requeue_crashed(unit)
                     continue
                 self._add_uncertain_run(worker, unit, stored)
@@ -84,7 +89,7 @@
         worker.run_by_task[run.task] = run
         worker.reserve(unit.step.need, unit.step.fills)
         if unit.done or unit.job.finished:
-            self._stop_run(run)
+            self._stop_run(run, "its job ended before the worker was known")
 
     def remove_worker(self, worker: workers.Worker, removal: Removal) -> None:
         """Removes a worker whose incarnation has certainly ended, and its runs.
@@ -241,6 +246,27 @@
                     unit.crash_record
                 )
 
+    def _log_lost_restored_run(
+        self,
+        restored: batch_runs.RestoredRun,
+        reason: str,
+        started_ms: int | None = None,
+    ) -> None:
+        """Logs that a stored run of a former holder counts as ended."""
+        unit, stored = restored
+        events.log(
+            events.Event.RUN_LOST,
+            "A run of a former holder was lost",
+            level="WARNING",
+            job=unit.job.job_id,
+            unit=unit.key,
+            run=stored.number,
+            worker=stored.worker_id,
+            reason=reason,
+            stored_started_ms=stored.started_ms,
+            started_ms=started_ms,
+        )
+
     def _requeue_crashed(self, unit: batch_job.Unit) -> None:
         """Queues a unit whose worker ended while no holder watched it."""
         unit.crash_record = crash_evidence.record_unwatched_crash(
@@ -300,11 +326,12 @@
         lapsed = self._lapsed_runs_by_worker.pop(worker_id, [])
         if not planned:
             self._record_evidence(lapsed, lost_with_rack=False)
-        for unit, _ in self._restored_runs_by_worker.pop(worker_id, []):
+        for restored in self._restored_runs_by_worker.pop(worker_id, []):
+            self._log_lost_restored_run(restored, "its host is down")
             if planned:
-                unit.job.requeue(unit)
+                restored.unit.job.requeue(restored.unit)
             else:
-                self._requeue_crashed(unit)
+                self._requeue_crashed(restored.unit)
 
     def end_expired_runs(self, now: float) -> None:
         """Ends the runs whose leases have certainly expired."""
@@ -331,10 +358,13 @@
                         orphans.remove(run)
                         self._end_run(run)
             if now >= self.former_leases_end_at:
-                for unit, _ in itertools.chain.from_iterable(
+                for restored in itertools.chain.from_iterable(
                     self._restored_runs_by_worker.values()
                 ):
-                    self._requeue_crashed(unit)
+                    self._log_lost_restored_run(
+                        restored, "former lease expired"
+                    )
+                    self._requeue_crashed(restored.unit)
                 self._restored_runs_by_worker.clear()
 
     def _keep_lapsed_runs(
@@ -372,7 +402,12 @@
                     if run.unit.step.lasting and (
                         draining or self._may_disrupt(run)
                     ):
-                        self._stop_run(run)
+                        self._stop_run(
+                            run,
+                            "its worker drains"
+                            if draining
+                            else "its host is to be drained",
+                        )
 
     def _may_disrupt(self, run: batch_job.Run) -> bool:
         """Whether a step's disruption budget allows one more stopped task."""
