Renew no leases after a pause, on a clock that counts suspensions

A holder that is cut from the store renews leases for 6 s, and its successor waits as long before it starts tasks of workers that it can't reach. A holder that was suspended, or read the response of its last transaction only after a pause, went on for longer than that.

Class of fault: a paused process acts on a permission that has run out.

Change: `ShardWriter.confirmed_at` is the boot time at which the last stored transaction was sent, as for orders to hosts; `may_renew` goes by it.

--- a/tests/zones/test_shard_writer.py
+++ b/tests/zones/test_shard_writer.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from standins import row_store
+from wisteriasill import clock
 from wisteriasill.links import cluster
 from wisteriasill.zones import shard_writer
 
@@ -135,10 +136,24 @@
     """
     writer = claim(store, "n1")
     assert writer.is_sole_holder
-    boot_seconds = time.clock_gettime(shard_writer.BOOT_CLOCK)
-    monkeypatch.setattr(time, "clock_gettime", lambda _: boot_seconds + 2.0)
+    boot_seconds = clock.boot_seconds()
+    monkeypatch.setattr(clock, "boot_seconds", lambda: boot_seconds + 2.0)
     assert not writer.is_sole_holder
     assert writer.commit([]) is STORED
     assert not writer.is_sole_holder
     assert writer.commit([], b"\xa0") is STORED
     assert writer.is_sole_holder
+
+
+def test_a_response_read_after_a_pause_confirms_nothing_newer(
+    store: row_store.MemoryRowStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Another node may have claimed the shard before the response was read."""
+    writer = claim(store, "n1")
+    sent_at = clock.boot_seconds()
+    times = iter((sent_at, sent_at))
+    monkeypatch.setattr(
+        clock, "boot_seconds", lambda: next(times, sent_at + 5.0)
+    )
+    assert writer.commit([cluster.RowWrite("t", "k", b"1")]) is STORED
+    assert writer.confirmed_at == sent_at
--- a/wisteriasill/clock.py
+++ b/wisteriasill/clock.py
@@ -6,6 +6,14 @@
 import time
 from typing import Protocol
 
+# Unlike the monotonic clock, this one goes on while the machine is suspended.
+_BOOT_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
+def boot_seconds() -> float:
+    """Returns seconds since the start of the machine, suspensions included."""
+    return time.clock_gettime(_BOOT_CLOCK)
+
 
 class Clock(Protocol):
     """A source of monotonic time and of bounded waits."""
--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -13,6 +13,7 @@
 import cbor2
 from returns import result
 
+from wisteriasill import clock as clocks
 from wisteriasill import events
 from wisteriasill import restarting_task
 from wisteriasill.contracts import host_moves
@@ -76,6 +77,7 @@
             writer.stored_at + max_former_lease_seconds(writer.was_released),
             self._changed,
         )
+        self.pool.confirmed_at = writer.confirmed_at
         self.pool.configure(configuration)
         self._watcher = batch_watch.PoolWatcher(
             links, self.pool, self._changed, self._closing
@@ -97,6 +99,7 @@
         with self._writer.keepalive():
             if not self._load():
                 return False
+        self.pool.confirmed_at = self._writer.confirmed_at
         self._rounds, _ = (
             restarting_task.start(name, run, self._closing, shard=self.shard)
             for name, run in (
@@ -192,7 +195,7 @@
             if outcome is not shard_writer.CommitOutcome.STORED:
                 self._handle_commit_failure(outcome)
                 return
-            pool.stored_at = time.monotonic()
+            pool.confirmed_at = self._writer.confirmed_at
             self._links.metrics.count("pool_commits")
             self._links.metrics.count("pool_rows_written", len(writes))
         self._acknowledge(changed.last_end_by_worker)
@@ -257,7 +260,8 @@
             f"pool_needed_millicores/{service}", load.needed.cpu
         )
         node_metrics.set_gauge(
-            f"shard_store_age_seconds/{service}", now - self.pool.stored_at
+            f"shard_store_age_seconds/{service}",
+            clocks.boot_seconds() - self.pool.confirmed_at,
         )
 
     def _compact_records(self) -> None:
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -13,6 +13,7 @@
 import time
 from typing import NamedTuple
 
+from wisteriasill import clock as clocks
 from wisteriasill import events
 from wisteriasill.contracts import arrival_rate
 from wisteriasill.contracts import job_spec
@@ -109,7 +110,9 @@
         ] = collections.OrderedDict()
         self._unreadable_ids: set[str] = set()
         self.permits_by_step: dict[job_spec.StepKey, Permits] = {}
-        self.stored_at = claimed_at
+        # Time since boot at which this node certainly held the shard. A
+        # response that is read after a pause proves nothing newer.
+        self.confirmed_at = clocks.boot_seconds()
         self.fenced = False
         self._fencing_epoch = fencing_epoch
         self.claimed_at = claimed_at
@@ -157,7 +160,8 @@
         """Whether this holder may still renew leases."""
         return (
             not self.fenced
-            and time.monotonic() - self.stored_at < MAX_STORE_OUTAGE_SECONDS
+            and clocks.boot_seconds() - self.confirmed_at
+            < MAX_STORE_OUTAGE_SECONDS
         )
 
     def may_start(self, run: batch_job.Run) -> bool:
--- a/wisteriasill/zones/shard_writer.py
+++ b/wisteriasill/zones/shard_writer.py
@@ -14,6 +14,7 @@
 import cbor2
 from returns import result
 
+from wisteriasill import clock as clocks
 from wisteriasill import events
 from wisteriasill.contracts import call_timeout
 from wisteriasill.links import cluster
@@ -38,8 +39,6 @@
 # Time since its last renewal for which a holder is certainly alone. Others
 # claim the shard after 2 s without one; an order takes up to half a second.
 SOLE_HOLDER_SECONDS = 1.2
-# Unlike the monotonic clock, this one goes on while the machine is suspended.
-BOOT_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 KEEPALIVE_SECONDS = 0.5  # The renewal period of a running controller.
 # The backoff doubles until the store counts as down; the last delay repeats.
 RETRY_SECONDS = (0.05, 0.1, 0.2, 0.4)
@@ -118,6 +117,8 @@
 
     Attributes:
         stored_at: Monotonic time of the last stored transaction.
+        confirmed_at: Time since boot at which the last stored transaction was
+            sent. This node held the shard at that time or later.
         response_seconds: Response time of the last answered transaction.
     """
 
@@ -137,6 +138,7 @@
         self._last_heartbeat = b""
         self._version_by_row: dict[tuple[str, str], int] = {}
         self.stored_at = 0.0
+        self.confirmed_at = -math.inf
         self.response_seconds = 0.0
         self._renewed_at = -math.inf
         self._timeout = call_timeout.CallTimeout(
@@ -153,7 +155,7 @@
                 if key != BACKLOG_FIELD
             }
         )
-        sent_at = time.clock_gettime(BOOT_CLOCK)
+        sent_at = clocks.boot_seconds()
         written = self._store.transact(
             self.shard,
             [
@@ -173,7 +175,7 @@
         self.was_released = not seen.holder
         self._version_by_row = {(TABLE, HEARTBEAT): self.epoch}
         self.stored_at = time.monotonic()
-        self._renewed_at = sent_at
+        self.confirmed_at = self._renewed_at = sent_at
         return True
 
     def adopt(self, rows: Sequence[cluster.StoredRow]) -> None:
@@ -206,7 +208,7 @@
             writes = [cluster.RowWrite(TABLE, HEARTBEAT, status), *writes]
         renews = status is not None
         for batch in batches(writes):
-            sent_at = time.clock_gettime(BOOT_CLOCK)
+            sent_at = clocks.boot_seconds()
             outcome = self._store_batch(batch)
             if outcome is not CommitOutcome.STORED:
                 return outcome
@@ -222,7 +224,7 @@
         For orders that nobody checks the fencing token of; a holder that was
         paused must not send them.
         """
-        age_seconds = time.clock_gettime(BOOT_CLOCK) - self._renewed_at
+        age_seconds = clocks.boot_seconds() - self._renewed_at
         return age_seconds < SOLE_HOLDER_SECONDS
 
     @contextlib.contextmanager
@@ -277,6 +279,7 @@
             RETRY_SECONDS, itertools.repeat(last_delay)
         ):
             sent_at = time.monotonic()
+            confirmed_at = clocks.boot_seconds()
             written = self._store.transact(
                 self.shard, conditions, batch, self._timeout.seconds
             )
@@ -294,11 +297,15 @@
                         after_seconds=round(time.monotonic() - failed_at, 3),
                     )
                 self._record_versions(batch, written.unwrap())
+                self.confirmed_at = confirmed_at
                 return CommitOutcome.STORED
             failed_at = failed_at or time.monotonic()
             fault = written.failure()
             if fault.kind is cluster.StoreFaultKind.CONFLICT:
-                return self._resolve_conflict(batch, fault)
+                outcome = self._resolve_conflict(batch, fault)
+                if outcome is CommitOutcome.STORED:
+                    self.confirmed_at = confirmed_at
+                return outcome
             events.log(
                 events.Event.STORE_FAILED,
                 "Transaction was not stored; retrying",
