Keep the age of a seizure over a release of the shard

Holder 1 is cut from the store and renews leases for 6 s; holder 2 seizes its pool and is stopped, so it releases the pool; holder 3 takes the release for the last holder's word and starts tasks of workers that it can't reach 4.6 s later, while holder 1 may keep them alive for 10.6 s after holder 2's claim. Rolling restarts make such chains.

Cause: `was_released` looked at the last hand-over only. Class of fault: around a hand-over, both act for a moment.

Change: a holder that releases a shard stores with it how long ago the shard was seized; `former_leases_end_at` counts from there. Older nodes ignore the field.

--- a/tests/zones/test_shard_writer.py
+++ b/tests/zones/test_shard_writer.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import threading
 import time
 
+import cbor2
 import pytest
 from returns import result
 
@@ -157,3 +159,41 @@
     )
     assert writer.commit([cluster.RowWrite("t", "k", b"1")]) is STORED
     assert writer.confirmed_at == sent_at
+
+
+def test_a_released_shard_keeps_how_long_ago_it_was_seized(
+    store: row_store.MemoryRowStore,
+) -> None:
+    """The holder that lost it may renew leases while another came and went."""
+    claim(store, "n1")
+    seizing = claim(store, "n2")
+    assert seizing.seized_at == seizing.stored_at
+    seizing.seized_at -= 2.0
+    seizing.release()
+    third = claim(store, "n3")
+    assert third.seized_at == pytest.approx(seizing.seized_at, abs=0.5)
+    third.release()
+    assert claim(store, "n4").seized_at == pytest.approx(
+        seizing.seized_at, abs=0.5
+    )
+
+
+def test_a_shard_that_was_only_ever_released_was_not_seized(
+    store: row_store.MemoryRowStore,
+) -> None:
+    claim(store, "n1").release()
+    assert claim(store, "n2").seized_at == -math.inf
+
+
+def test_an_odd_age_of_a_seizure_is_ignored(
+    store: row_store.MemoryRowStore,
+) -> None:
+    writer = claim(store, "n1")
+    row = cluster.RowWrite(
+        shard_writer.TABLE,
+        shard_writer.HEARTBEAT,
+        cbor2.dumps({shard_writer.SEIZED_FIELD: "long ago"}),
+    )
+    writer.release()
+    store.transact("s", [], [row], 1.0)
+    assert claim(store, "n2").seized_at == -math.inf
--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -74,7 +74,7 @@
             writer.shard,
             writer.epoch,
             writer.stored_at,
-            writer.stored_at + max_former_lease_seconds(writer.was_released),
+            former_leases_end_at(writer),
             self._changed,
         )
         self.pool.confirmed_at = writer.confirmed_at
@@ -375,13 +375,17 @@
             )
 
 
-def max_former_lease_seconds(was_released: bool) -> float:
-    """Returns how long worker leases of a shard's former holder may last.
+def former_leases_end_at(writer: shard_writer.ShardWriter) -> float:
+    """Returns the monotonic time at which all former leases have expired.
 
     A holder that released the shard renews no lease afterwards; any other may
-    renew leases for a while without reaching the store.
+    renew leases for a while without reaching the store, also while a later
+    holder has come and gone.
+
+    Args:
+        writer: The shard, just claimed.
     """
-    lease_seconds = workers.LEASE_SECONDS / workers.MIN_CLOCK_RATE
-    if was_released:
-        return lease_seconds
-    return lease_seconds + batch_runs.MAX_STORE_OUTAGE_SECONDS
+    return workers.LEASE_SECONDS / workers.MIN_CLOCK_RATE + max(
+        writer.stored_at,
+        writer.seized_at + batch_runs.MAX_STORE_OUTAGE_SECONDS,
+    )
--- a/wisteriasill/zones/shard_writer.py
+++ b/wisteriasill/zones/shard_writer.py
@@ -24,6 +24,9 @@
 HEARTBEAT = "beat"
 # Field of the status with the backlog of a pool.
 BACKLOG_FIELD = "backlog"
+# Field of the status of a released shard: seconds since a holder lost it
+# without a release. That holder may not know yet.
+SEIZED_FIELD = "seized"
 
 # Writes of a transaction. With as many conditions and the two rows of the owner
 # it stays below the platform's limit of 100 entries.
@@ -93,6 +96,23 @@
     )
 
 
+def _lasting_status(status: dict[str, object]) -> dict[str, object]:
+    """Returns the part of a holder's status that a successor takes over.
+
+    A former holder's backlog must not look as if it were a new one.
+    """
+    return {
+        key: value
+        for key, value in status.items()
+        if key not in (BACKLOG_FIELD, SEIZED_FIELD)
+    }
+
+
+def _seized_seconds(status: dict[str, object]) -> float:
+    seconds = status.get(SEIZED_FIELD)
+    return seconds if isinstance(seconds, float) else math.inf
+
+
 def _decode_status(value: bytes) -> dict[str, object]:
     """Decodes a holder's status; one that can't be read counts as empty."""
     try:
@@ -117,6 +137,9 @@
 
     Attributes:
         stored_at: Monotonic time of the last stored transaction.
+        seized_at: Earliest monotonic time at which the shard was last claimed
+            from a holder that had not released it; minus infinity if that is
+            not known.
         confirmed_at: Time since boot at which the last stored transaction was
             sent. This node held the shard at that time or later.
         response_seconds: Response time of the last answered transaction.
@@ -134,7 +157,7 @@
         self._node = node
         self._stopping = stopping
         self.epoch = 0
-        self.was_released = False
+        self.seized_at = -math.inf
         self._last_heartbeat = b""
         self._version_by_row: dict[tuple[str, str], int] = {}
         self.stored_at = 0.0
@@ -147,14 +170,7 @@
 
     def claim(self, seen: ShardState) -> bool:
         """Claims the shard if its state is still as observed."""
-        # A former holder's backlog must not look as if it were a new one.
-        status = cbor2.dumps(
-            {
-                key: value
-                for key, value in seen.status.items()
-                if key != BACKLOG_FIELD
-            }
-        )
+        status = cbor2.dumps(_lasting_status(seen.status))
         sent_at = clocks.boot_seconds()
         written = self._store.transact(
             self.shard,
@@ -172,9 +188,13 @@
             return False
         self.epoch = written.unwrap()
         self._last_heartbeat = status
-        self.was_released = not seen.holder
         self._version_by_row = {(TABLE, HEARTBEAT): self.epoch}
         self.stored_at = time.monotonic()
+        self.seized_at = (
+            self.stored_at
+            if seen.holder
+            else self.stored_at - _seized_seconds(seen.status)
+        )
         self.confirmed_at = self._renewed_at = sent_at
         return True
 
@@ -254,10 +274,16 @@
 
     def release(self) -> None:
         """Releases the shard, so that another node can claim it at once."""
+        status = _lasting_status(_decode_status(self._last_heartbeat))
+        if self.seized_at > -math.inf:
+            status[SEIZED_FIELD] = time.monotonic() - self.seized_at
         self._store.transact(
             self.shard,
             [cluster.RowVersion(TABLE, OWNER, self.epoch)],
-            [cluster.RowWrite(TABLE, OWNER, b"")],
+            [
+                cluster.RowWrite(TABLE, OWNER, b""),
+                cluster.RowWrite(TABLE, HEARTBEAT, cbor2.dumps(status)),
+            ],
             TRANSACTION_TIMEOUT_SECONDS,
         )
 
