End runs on a down worker only if the list of hosts is newer than the worker

Callers saw a task run twice around a hand-over. The stored list of workers that are down names worker ids. A successor of the pool that read the row meanwhile queued the runs of the new incarnation at once, and a live holder removed it, while they were at work.

The fleet controller now stores with each end the newest store version that it knew before it read the list. Versions come from a single counter, so an incarnation that had registered by that version, or whose run was stored by it, was there before the list was read and has ended. Any other incarnation may be younger than the list: it is polled, and its leases decide. The next list that shows the host as down confirms the end with a newer version, as a worker may have registered just before it crashed. Versions are never renewed otherwise, so an inherited end names no later incarnation.

The row stays readable for the former release, which takes the versions for a host that no list has. Rows of the former release have no version and end nothing: leases decide during a rolling upgrade.

Existing tests pass a version with each id; what they ask is unchanged.

--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -75,6 +75,7 @@
         cluster.WorkerState.READY,
         job_spec.Resources(16000, 32768, 0),
         ("a", "r1-3"),
+        3,
     )
 
 
--- a/tests/machines/batch/test_deadly_tasks.py
+++ b/tests/machines/batch/test_deadly_tasks.py
@@ -65,7 +65,7 @@
         self.pool.run_round(self._now)
         for worker in [*self.live_workers()]:
             self._deliver(worker)
-        self.pool.pool.set_down_workers(set(self.down_ids))
+        self.pool.pool.set_down_workers(dict.fromkeys(self.down_ids, 10))
 
     def live_workers(self) -> Iterator[workers.Worker]:
         """Returns the pool's workers."""
@@ -175,7 +175,7 @@
     ids = {worker.worker_id for worker in crash_site.live_workers()}
     for worker in crash_site.live_workers():
         crash_site.pool.deliver(worker)
-    pool.set_down_workers(ids, ids)
+    pool.set_down_workers(dict.fromkeys(ids, 10), ids)
     units = pool.job_by_id["j2"].unit_by_key.values()
     assert [unit.crash_record.crashes for unit in units] == [0, 0, 0]
 
@@ -192,7 +192,7 @@
     later = time.monotonic() + 3 * workers.LEASE_SECONDS
     site.pool.end_expired_runs(later)
     site.poll(worker)
-    site.pool.set_down_workers({"w1"})
+    site.pool.set_down_workers({"w1": 10})
     unit = next(iter(site.pool.job_by_id["j2"].unit_by_key.values()))
     assert unit.crash_record.crashes == 0
 
@@ -215,7 +215,7 @@
     site.deliver(worker)
     worker.listed = listed
     site.pool.end_expired_runs(time.monotonic() + 3 * workers.LEASE_SECONDS)
-    site.pool.set_down_workers({"w1"} if listed else set())
+    site.pool.set_down_workers({"w1": 10} if listed else {})
     unit = next(iter(site.pool.job_by_id["j2"].unit_by_key.values()))
     assert unit.crash_record.needs_trial
     assert unit.crash_record.crashes == 1
@@ -238,8 +238,8 @@
     for started_ms in (2, 3):
         restarted = batch_worker.MemoryWorker(batch_site.ROOM, started_ms)
         if started_ms == 3:
-            successor.pool.set_down_workers({"w1"})
-        worker = successor.add_worker("w1", restarted)
+            successor.pool.set_down_workers({"w1": 25})
+        worker = successor.add_worker("w1", restarted, version=10 * started_ms)
         successor.poll(worker)
         successor.run_round(time.monotonic() + 1)
         successor.deliver(worker)
--- a/tests/machines/batch/test_worker_loss.py
+++ b/tests/machines/batch/test_worker_loss.py
@@ -153,7 +153,7 @@
     other = site.add_worker("w2", other_link)
     site.poll(other)
     link.unreachable = True
-    site.pool.set_down_workers({"w1"})
+    site.pool.set_down_workers({"w1": 10})
     site.run_round(time.monotonic() + 0.1)
     site.deliver(other)
     assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
@@ -162,9 +162,9 @@
 def test_a_worker_that_registers_after_its_host_was_down_is_kept(
     site: batch_site.SteppedPool, link: batch_worker.MemoryWorker
 ) -> None:
-    site.pool.set_down_workers({"w1"})
-    worker = site.add_worker("w1", link)
-    site.pool.set_down_workers({"w1", "w9"})
+    site.pool.set_down_workers({"w1": 10})
+    worker = site.add_worker("w1", link, version=11)
+    site.pool.set_down_workers({"w1": 10, "w9": 12})
     assert site.pool.worker_by_id["w1"] is worker
 
 
@@ -188,7 +188,7 @@
     new_holder.run_round()
     new_holder.deliver(other)
     assert not other_link.starts
-    new_holder.pool.set_down_workers({"w1"})
+    new_holder.pool.set_down_workers({"w1": 10})
     new_holder.run_round()
     new_holder.deliver(other)
     assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
--- a/tests/machines/batch_site.py
+++ b/tests/machines/batch_site.py
@@ -90,8 +90,16 @@
         worker_id: str,
         link: batch_worker.MemoryWorker,
         rack: str = "r1",
+        version: int = 1,
     ) -> workers.Worker:
-        """Registers a worker without starting its threads."""
+        """Registers a worker without starting its threads.
+
+        Args:
+            worker_id: Id of the worker.
+            link: The worker.
+            rack: Rack of its host.
+            version: Store version of its registry entry.
+        """
         entry = cluster.WorkerEntry(
             worker_id,
             link.started_ms,
@@ -101,6 +109,7 @@
             cluster.WorkerState.READY,
             link.room,
             ("a", rack),
+            version,
         )
         worker = workers.Worker(
             entry, link, self.pool, self.pool.former_leases_end_at
@@ -136,9 +145,11 @@
         while worker.send_once():
             pass
 
-    def progress_rows(self) -> list[cluster.StoredRow]:
+    def progress_rows(self, version: int = 9) -> list[cluster.StoredRow]:
         """Returns the stored progress rows as a new holder reads them."""
         return [
-            cluster.StoredRow(f"progress.{SERVICE}", SERVICE, key, value, 9)
+            cluster.StoredRow(
+                f"progress.{SERVICE}", SERVICE, key, value, version
+            )
             for key, value in self.progress_by_id.items()
         ]
--- a/tests/machines/test_fleet_controller.py
+++ b/tests/machines/test_fleet_controller.py
@@ -254,10 +254,11 @@
     while not (moved and moved <= ended) and time.monotonic() < deadline:
         rows = store.read(fleet_rows.TABLE, fleet_rows.SHARD).unwrap().rows
         ended = {
-            worker_id
+            down.worker_id
             for row in rows
             if row.key == fleet_rows.DOWN_KEY and row.value is not None
-            for worker_id in fleet_rows.decode_down(row.value).values()
+            for down in fleet_rows.decode_down(row.value).values()
+            if down.version
         }
         time.sleep(0.05)
     assert moved
@@ -305,6 +306,22 @@
     request = host_moves.DrainRequest("h2", "w-h2", "rest", 0)
     (stored,) = fleet_rows.decode_drain_requests(cbor2.dumps([[*request]]))
     assert stored == fleet_rows.StoredDrainRequest(request, 0.0)
+    down = fleet_rows.decode_down(cbor2.dumps({"h1": "w-h1"}))
+    assert down == {"h1": fleet_rows.DownWorker("w-h1", 0)}
+
+
+def test_the_previous_release_reads_a_row_of_ended_workers() -> None:
+    """It takes a dictionary of texts, planned ends under their own ids."""
+    down_by_host = {
+        "h1": fleet_rows.DownWorker("w-h1", 7),
+        "w-h2": fleet_rows.DownWorker("w-h2", 8),
+    }
+    value = fleet_rows.encode_down(down_by_host)
+    text_by_key = cbor2.loads(value)
+    assert {"w-h1", "w-h2"} <= {*text_by_key.values()}
+    assert all(isinstance(text, str) for text in text_by_key.values())
+    assert [key for key, text in text_by_key.items() if key == text] == ["w-h2"]
+    assert fleet_rows.decode_down(value) == down_by_host
 
 
 def test_a_paused_holder_sends_no_order_to_a_host(
--- a/tests/machines/test_fleet_orders.py
+++ b/tests/machines/test_fleet_orders.py
@@ -12,6 +12,7 @@
 from wisteriasill.links import cluster
 from wisteriasill.machines import fleet_hosts
 from wisteriasill.machines import fleet_orders
+from wisteriasill.machines import fleet_rows
 
 UP = host_record.HostState.UP
 REQUEST = host_moves.DrainRequest("h1", "w1", "", 1)
@@ -48,26 +49,28 @@
 
 
 @pytest.fixture
-def ended_after_order(listed: ListedHosts) -> Callable[[], set[str]]:
+def ended_after_order(
+    listed: ListedHosts,
+) -> Callable[[], dict[str, fleet_rows.DownWorker]]:
     """Returns a function that orders, reads the list and returns the ended."""
 
-    def run() -> set[str]:
+    def run() -> dict[str, fleet_rows.DownWorker]:
         fleet = fleet_hosts.FleetHosts(listed)
         orders = fleet_orders.FleetOrders()
-        fleet.refresh(100.0)
+        fleet.refresh(100.0, 7)
         orders.request([REQUEST], 100.0)
         orders.record(REQUEST, cluster.HostOrderOutcome.DONE, 100.0)
         orders.refresh(fleet, 100.1)
-        assert not orders.ended_worker_ids(100.1)
-        fleet.refresh(101.0)
+        assert not orders.ended_workers(100.1)
+        fleet.refresh(101.0, 9)
         orders.refresh(fleet, 101.0)
-        return orders.ended_worker_ids(101.0)
+        return orders.ended_workers(101.0)
 
     return run
 
 
 def test_an_order_that_was_carried_out_before_ends_no_worker(
-    ended_after_order: Callable[[], set[str]],
+    ended_after_order: Callable[[], dict[str, fleet_rows.DownWorker]],
 ) -> None:
     """The platform confirms it again and leaves the worker alone.
 
@@ -89,10 +92,18 @@
 )
 def test_the_list_shows_that_a_worker_ended(
     listed: ListedHosts,
-    ended_after_order: Callable[[], set[str]],
+    ended_after_order: Callable[[], dict[str, fleet_rows.DownWorker]],
     state: host_record.HostState,
     worker_id: str,
 ) -> None:
     before = listed.record
     listed.record = before._replace(state=state, worker_id=worker_id)
-    assert ended_after_order() == {"w1"}
+    assert ended_after_order() == {"w1": fleet_rows.DownWorker("w1", 9)}
+
+
+def test_a_new_holder_keeps_the_version_of_an_ended_worker() -> None:
+    """A newer one would name incarnations that have registered since."""
+    orders = fleet_orders.FleetOrders()
+    ended = fleet_rows.DownWorker("w1", 9)
+    orders.inherit_ended([ended], 100.0)
+    assert orders.ended_workers(101.0) == {"w1": ended}
--- a/wisteriasill/links/cluster.py
+++ b/wisteriasill/links/cluster.py
@@ -153,6 +153,7 @@
         state: Whether the worker accepts new tasks.
         room: Capacity of the worker.
         labels: Kind and rack of the host, in this order.
+        version: Store version of the entry; 0 if unknown.
     """
 
     worker_id: str
@@ -163,6 +164,7 @@
     state: WorkerState
     room: job_spec.Resources
     labels: tuple[str, ...]
+    version: int = 0
 
     @property
     def rack(self) -> str:
--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -29,6 +29,13 @@
     progress: tuple[cluster.StoredRow, ...]
 
 
+class StoredProgress(NamedTuple):
+    """Progress of a job and the store version of its row."""
+
+    progress: batch_job.Progress
+    version: int
+
+
 class PoolRecords(batch_runs.PoolRuns):
     """Handles job records, cancellations and stored progress."""
 
@@ -43,12 +50,14 @@
 
     def load(self, loaded: LoadedPool) -> None:
         """Loads the rows that the former holder and the entry hosts wrote."""
-        progress_by_id: dict[str, batch_job.Progress] = {}
+        progress_by_id: dict[str, StoredProgress] = {}
         for row in loaded.progress:
             if row.value is None:
                 continue
             try:
-                progress_by_id[row.key] = batch_job.decode_progress(row.value)
+                progress_by_id[row.key] = StoredProgress(
+                    batch_job.decode_progress(row.value), row.version
+                )
             except ValueError as error:
                 self._ignore_job(row.key, error)
         with self.lock:
@@ -86,10 +95,10 @@
     def _add_job(
         self,
         row: cluster.StoredRow,
-        progress: batch_job.Progress | None,
+        loaded: StoredProgress | None,
         is_new: bool,
     ) -> None:
-        if progress and progress.state in batch_job.FINAL_STATES:
+        if loaded and loaded.progress.state in batch_job.FINAL_STATES:
             self.ended_at_by_id[row.key] = time.monotonic()
             return
         record = self._decode_record(row)
@@ -117,8 +126,8 @@
         self._update_mean_work(job)
         if is_new and not record.spec.lasting:
             self._record_arrival(job.steps)
-        if progress:
-            self._restore(job, progress)
+        if loaded:
+            self._restore(job, loaded)
         if record.cancelled:
             self._cancel(job)
             return
@@ -219,9 +228,8 @@
                 job.critical_path_seconds / declared_seconds
             )
 
-    def _restore(
-        self, job: batch_job.Job, progress: batch_job.Progress
-    ) -> None:
+    def _restore(self, job: batch_job.Job, loaded: StoredProgress) -> None:
+        progress = loaded.progress
         job.state = progress.state
         for occurrence in range(progress.opened_occurrences):
             job.open_occurrence(occurrence)
@@ -241,7 +249,7 @@
             for run in stored.runs:
                 self._restored_runs_by_worker.setdefault(
                     run.worker_id, []
-                ).append(batch_runs.RestoredRun(unit, run))
+                ).append(batch_runs.RestoredRun(unit, run, loaded.version))
                 job.ready.pop(unit.key, None)
 
     def _cancel(self, job: batch_job.Job) -> None:
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -50,10 +50,16 @@
 
 
 class RestoredRun(NamedTuple):
-    """A stored run whose worker this holder has not seen yet."""
+    """A stored run whose worker this holder has not seen yet.
+
+    Attributes:
+        version: Store version of the row that holds it; its worker had
+            registered before.
+    """
 
     unit: batch_job.Unit
     stored: batch_job.StoredRun
+    version: int
 
 
 class LostRun(NamedTuple):
@@ -116,7 +122,8 @@
         self.former_leases_end_at = former_leases_end_at
         self._changed = changed
         self._drain_requested_ids: set[str] = set()
-        self._down_ids: set[str] = set()
+        self._down_version_by_id: dict[str, int] = {}
+        self._planned_end_ids: frozenset[str] = frozenset()
         self.due_worker_ids: set[str] = set()
         self._orphans_by_worker: dict[str, list[batch_job.Run]] = {}
         self._restored_runs_by_worker: dict[str, list[RestoredRun]] = {}
--- a/wisteriasill/machines/batch_watch.py
+++ b/wisteriasill/machines/batch_watch.py
@@ -154,6 +154,8 @@
             pool.former_leases_end_at,
         )
         pool.add_worker(worker)
+        if worker.is_removed:
+            return
         worker.open()
         events.log(
             events.Event.WORKER_JOINED,
@@ -191,10 +193,10 @@
                     }
                 )
             elif row.key == fleet_rows.DOWN_KEY and row.value is not None:
-                worker_by_host = fleet_rows.decode_down(row.value)
+                down_by_host = fleet_rows.decode_down(row.value)
                 self.pool.set_down_workers(
-                    set(worker_by_host.values()),
-                    fleet_rows.planned_ends(worker_by_host),
+                    dict(sorted(down_by_host.values())),
+                    fleet_rows.planned_ends(down_by_host),
                 )
             elif row.key == fleet_rows.DUE_KEY and row.value is not None:
                 self.pool.due_worker_ids = fleet_rows.decode_due(row.value)
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 import itertools
 import math
 import time
@@ -55,17 +55,22 @@
             worker.drain_requested = worker_id in self._drain_requested_ids
             for run in self._orphans_by_worker.pop(worker_id, []):
                 self._adopt_orphan(worker, run)
-            restored_runs = self._restored_runs_by_worker.pop(worker_id, [])
-            for unit, stored in restored_runs:
+            is_down = self._is_down(worker.registered_version, worker_id)
+            for restored in self._restored_runs_by_worker.pop(worker_id, []):
+                unit, stored = restored.unit, restored.stored
                 if stored.started_ms != worker.entry.started_ms:
                     self._log_lost_restored_run(
-                        batch_runs.RestoredRun(unit, stored),
+                        restored,
                         "its worker has another incarnation",
                         worker.entry.started_ms,
                     )
                     self._requeue_crashed(unit)
-                    continue
-                self._add_uncertain_run(worker, unit, stored)
+                elif is_down:
+                    self._requeue_down(restored)
+                else:
+                    self._add_uncertain_run(worker, unit, stored)
+            if is_down:
+                self.remove_worker(worker, self._down_removal(worker_id))
         self._changed.set()
 
     def _adopt_orphan(self, worker: workers.Worker, run: batch_job.Run) -> None:
@@ -253,7 +258,7 @@
         started_ms: int | None = None,
     ) -> None:
         """Logs that a stored run of a former holder counts as ended."""
-        unit, stored = restored
+        unit, stored = restored.unit, restored.stored
         events.log(
             events.Event.RUN_LOST,
             "A run of a former holder was lost",
@@ -289,49 +294,88 @@
                 unit.suspected_with.clear()
 
     def set_down_workers(
-        self, worker_ids: set[str], planned_ids: Collection[str] = ()
+        self,
+        version_by_id: Mapping[str, int],
+        planned_ids: Collection[str] = (),
     ) -> None:
         """Removes workers whose hosts the platform lists as down.
 
         The list distinguishes a crash from a network partition, so the tasks
-        restart without a wait for the leases to expire. A worker that is still
-        in the set but has registered since is a new incarnation and stays.
+        restart without a wait for the leases to expire. It names no
+        incarnation, and a worker may be back before the list is read again
+        and stored. So it ends only an incarnation that had registered before
+        the list was read; any other one is polled.
 
         Args:
-            worker_ids: All workers that have ended.
+            version_by_id: Newest store version known before the list was read,
+                by the ids of all workers that have ended.
             planned_ids: Those of them that ended by an order to their hosts.
         """
         with self.lock:
-            new_ids = sorted(worker_ids - self._down_ids)
+            new_ids = sorted(
+                worker_id
+                for worker_id, version in version_by_id.items()
+                if version > self._down_version_by_id.get(worker_id, 0)
+            )
+            self._down_version_by_id = {**version_by_id}
+            self._planned_end_ids = frozenset(planned_ids)
             now = time.monotonic()
-            crashed = [
+            down = [
                 worker
                 for worker_id in new_ids
-                if worker_id not in planned_ids
-                and (worker := self.worker_by_id.get(worker_id))
+                if (worker := self.worker_by_id.get(worker_id))
+                and self._is_down(worker.registered_version, worker_id)
             ]
             # Workers that the list shows as down together went down together.
-            for worker in crashed:
-                self._note_crash(worker, now)
+            for worker in down:
+                if worker.worker_id not in planned_ids:
+                    self._note_crash(worker, now)
+            for worker in down:
+                self.remove_worker(worker, self._down_removal(worker.worker_id))
             for worker_id in new_ids:
-                self._remove_down_worker(worker_id, worker_id in planned_ids)
-            self._down_ids = worker_ids
+                self._end_runs_of_down_worker(worker_id)
         self._changed.set()
 
-    def _remove_down_worker(self, worker_id: str, planned: bool) -> None:
-        if worker := self.worker_by_id.get(worker_id):
-            self.remove_worker(
-                worker, Removal("its host is down", crashed=not planned)
-            )
-        lapsed = self._lapsed_runs_by_worker.pop(worker_id, [])
-        if not planned:
-            self._record_evidence(lapsed, lost_with_rack=False)
+    def _is_down(self, registered_version: int, worker_id: str) -> bool:
+        """Whether the list shows the end of an incarnation of a worker.
+
+        Args:
+            registered_version: Store version as of which the incarnation had
+                registered; 0 if unknown.
+            worker_id: The worker.
+        """
+        listed_version = self._down_version_by_id.get(worker_id, 0)
+        return 0 < registered_version <= listed_version
+
+    def _down_removal(self, worker_id: str) -> Removal:
+        return Removal(
+            "its host is down", crashed=worker_id not in self._planned_end_ids
+        )
+
+    def _end_runs_of_down_worker(self, worker_id: str) -> None:
+        """Ends runs on a down worker that the pool does not know any more."""
+        lapsed = self._lapsed_runs_by_worker.get(worker_id, [])
+        if all(
+            self._is_down(lost.run.worker.registered_version, worker_id)
+            for lost in lapsed
+        ):
+            self._lapsed_runs_by_worker.pop(worker_id, None)
+            if worker_id not in self._planned_end_ids:
+                self._record_evidence(lapsed, lost_with_rack=False)
         for restored in self._restored_runs_by_worker.pop(worker_id, []):
-            self._log_lost_restored_run(restored, "its host is down")
-            if planned:
-                restored.unit.job.requeue(restored.unit)
+            if self._is_down(restored.version, worker_id):
+                self._requeue_down(restored)
             else:
-                self._requeue_crashed(restored.unit)
+                self._restored_runs_by_worker.setdefault(worker_id, []).append(
+                    restored
+                )
+
+    def _requeue_down(self, restored: batch_runs.RestoredRun) -> None:
+        self._log_lost_restored_run(restored, "its host is down")
+        if restored.stored.worker_id in self._planned_end_ids:
+            restored.unit.job.requeue(restored.unit)
+        else:
+            self._requeue_crashed(restored.unit)
 
     def end_expired_runs(self, now: float) -> None:
         """Ends the runs whose leases have certainly expired."""
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -80,7 +80,8 @@
         self._load_by_service: dict[str, ReceivedLoad] = {}
         self._orders = fleet_orders.FleetOrders()
         self._stored_requests: set[host_moves.DrainRequest] = set()
-        self._stored_down: dict[str, str] = {}
+        self._stored_down: dict[str, fleet_rows.DownWorker] = {}
+        self._watched_version = 0
         self._due_host_ids: set[str] = set()
         self._unstored_waves: set[int] = set()
         self._stored_due: set[str] = set()
@@ -108,16 +109,18 @@
                 self._orders.inherit(stored_requests, self._claimed_at)
             elif row.key == fleet_rows.DOWN_KEY:
                 self._stored_down = fleet_rows.decode_down(row.value)
-                self._fleet.down_by_host = {
-                    host_id: worker_id
-                    for host_id, worker_id in self._stored_down.items()
-                    if host_id != worker_id
-                }
+                self._fleet.inherit(
+                    {
+                        host_id: down
+                        for host_id, down in self._stored_down.items()
+                        if host_id != down.worker_id
+                    }
+                )
                 self._orders.inherit_ended(
                     (
-                        worker_id
-                        for host_id, worker_id in self._stored_down.items()
-                        if host_id == worker_id
+                        down
+                        for host_id, down in self._stored_down.items()
+                        if host_id == down.worker_id
                     ),
                     self._claimed_at,
                 )
@@ -161,6 +164,7 @@
                         time.monotonic(),
                     )
             version = max(version, page.unwrap().version)
+            self._watched_version = version
             self._changed.set()
 
     def _newest_version(self, version: int) -> int:
@@ -189,7 +193,9 @@
     def _run_round(self) -> None:
         now = time.monotonic()
         configuration, wave_by_number = self._read_site()
-        self._fleet.refresh(now)
+        self._fleet.refresh(
+            now, max(self._writer.stored_version, self._watched_version)
+        )
         if self._fleet.listed_at:
             self._orders.refresh(self._fleet, now)
             self._plan(now, configuration, wave_by_number)
@@ -312,15 +318,16 @@
                     fleet_rows.encode_drain_requests(stored_requests),
                 )
             )
+        heartbeat_due = now - self._heartbeat_at >= HEARTBEAT_SECONDS
         # The workers that an order ended are stored under their own ids.
         down = {
             **self._fleet.down_by_host,
-            **{
-                worker_id: worker_id
-                for worker_id in self._orders.ended_worker_ids(now)
-            },
+            **self._orders.ended_workers(now),
         }
-        if down != self._stored_down:
+        # A newer version of a known end can wait for the next heartbeat.
+        if down != self._stored_down and (
+            heartbeat_due or _worker_ids(down) != _worker_ids(self._stored_down)
+        ):
             self._stored_down = down
             writes.append(
                 cluster.RowWrite(
@@ -346,7 +353,7 @@
         writes += self._waves.row_writes(self._unstored_waves)
         self._unstored_waves = set()
         status = None
-        if now - self._heartbeat_at >= HEARTBEAT_SECONDS:
+        if heartbeat_due:
             status = cbor2.dumps({})
             self._heartbeat_at = now
         if not writes and status is None:
@@ -432,3 +439,9 @@
         self._orders.record(request, outcome, now)
         if request.wave and outcome is cluster.HostOrderOutcome.DONE:
             self._waves.record_start(request)
+
+
+def _worker_ids(
+    down_by_host: Mapping[str, fleet_rows.DownWorker],
+) -> dict[str, str]:
+    return {host_id: down.worker_id for host_id, down in down_by_host.items()}
--- a/wisteriasill/machines/fleet_orders.py
+++ b/wisteriasill/machines/fleet_orders.py
@@ -83,6 +83,13 @@
         )
 
 
+class EndedWorker(NamedTuple):
+    """A worker that an order to its host ended, and when that showed."""
+
+    worker: fleet_rows.DownWorker
+    ended_at: float
+
+
 class FleetOrders:
     """Requests that wait for their hosts to drain, and orders that were sent.
 
@@ -98,7 +105,7 @@
         # Orders that took effect. They stay stored for a successor, which must
         # not send orders to their hosts at once; this holder may.
         self._settled_order_by_host: dict[str, SentOrder] = {}
-        self._ended_at_by_worker: dict[str, float] = {}
+        self._ended_by_worker: dict[str, EndedWorker] = {}
 
     def inherit(
         self,
@@ -114,10 +121,13 @@
         }
 
     def inherit_ended(
-        self, worker_ids: Iterable[str], claimed_at: float
+        self, ended: Iterable[fleet_rows.DownWorker], claimed_at: float
     ) -> None:
         """Takes over which workers ended with an order to their hosts."""
-        self._ended_at_by_worker = dict.fromkeys(worker_ids, claimed_at)
+        self._ended_by_worker = {
+            worker.worker_id: EndedWorker(worker, claimed_at)
+            for worker in ended
+        }
 
     def request(
         self, requests: Iterable[host_moves.DrainRequest], now: float
@@ -135,8 +145,13 @@
         """Removes what took effect, timed out or is outdated."""
         for host_id, order in [*self.order_by_host.items()]:
             if order.ended_worker(fleet):
-                self._ended_at_by_worker.setdefault(
-                    order.request.worker_id, now
+                worker_id = order.request.worker_id
+                self._ended_by_worker.setdefault(
+                    worker_id,
+                    EndedWorker(
+                        fleet_rows.DownWorker(worker_id, fleet.listed_version),
+                        now,
+                    ),
                 )
             # The former holder may not have sent an inherited order.
             timeout_seconds = (
@@ -221,11 +236,21 @@
             ),
         ]
 
-    def ended_worker_ids(self, now: float) -> set[str]:
-        """Returns workers that ended, but that the registry may still list."""
-        self._ended_at_by_worker = {
-            worker_id: ended_at
-            for worker_id, ended_at in self._ended_at_by_worker.items()
-            if now - ended_at < REGISTRATION_SECONDS
+    def ended_workers(self, now: float) -> dict[str, fleet_rows.DownWorker]:
+        """Returns workers that ended, but that the registry may still list.
+
+        Args:
+            now: Monotonic time.
+
+        Returns:
+            The workers by their ids.
+        """
+        self._ended_by_worker = {
+            worker_id: ended
+            for worker_id, ended in self._ended_by_worker.items()
+            if now - ended.ended_at < REGISTRATION_SECONDS
+        }
+        return {
+            worker_id: ended.worker
+            for worker_id, ended in self._ended_by_worker.items()
         }
-        return {*self._ended_at_by_worker}
--- a/wisteriasill/machines/fleet_rows.py
+++ b/wisteriasill/machines/fleet_rows.py
@@ -16,6 +16,9 @@
 # A number that no wave has, as the release before reads any other key as the
 # number of a wave.
 DUE_KEY = "0"
+# Keys of versions in the row of ended workers; ids contain no such character.
+# The release before takes them for a host without a listing and its worker.
+VERSION_SUFFIX = "\0"
 LOADS_TABLE = "loads"
 LOAD_KEY = "load"
 
@@ -32,6 +35,19 @@
     age_seconds: float
 
 
+class DownWorker(NamedTuple):
+    """A worker that ended with its host or by an order to it.
+
+    Attributes:
+        version: Newest store version known before the list of hosts that shows
+            the end was read; 0 if unknown. The list says nothing of an
+            incarnation that registered later.
+    """
+
+    worker_id: str
+    version: int
+
+
 def encode_drain_requests(
     stored_requests: Iterable[StoredDrainRequest],
 ) -> bytes:
@@ -66,23 +82,34 @@
     return set(cbor2.loads(value))
 
 
-def encode_down(worker_by_host: Mapping[str, str]) -> bytes:
+def encode_down(down_by_host: Mapping[str, DownWorker]) -> bytes:
     """Encodes the workers of hosts that are down.
 
     A worker that ended by an order is its own key.
     """
-    return cbor2.dumps(dict(worker_by_host))
+    return cbor2.dumps(
+        {host_id: down.worker_id for host_id, down in down_by_host.items()}
+        | {
+            host_id + VERSION_SUFFIX: str(down.version)
+            for host_id, down in down_by_host.items()
+        }
+    )
 
 
-def decode_down(value: bytes) -> dict[str, str]:
-    """Decodes a value written by `encode_down`."""
-    return dict(cbor2.loads(value))
+def decode_down(value: bytes) -> dict[str, DownWorker]:
+    """Decodes ended workers; rows of older releases have no versions."""
+    text_by_key = cbor2.loads(value)
+    return {
+        key: DownWorker(text, int(text_by_key.get(key + VERSION_SUFFIX, 0)))
+        for key, text in text_by_key.items()
+        if not key.endswith(VERSION_SUFFIX)
+    }
 
 
-def planned_ends(worker_by_host: Mapping[str, str]) -> set[str]:
+def planned_ends(down_by_host: Mapping[str, DownWorker]) -> set[str]:
     """Returns the workers that ended by an order to their hosts."""
     return {
-        worker_id
-        for host_id, worker_id in worker_by_host.items()
-        if host_id == worker_id
+        down.worker_id
+        for host_id, down in down_by_host.items()
+        if host_id == down.worker_id
     }
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -120,6 +120,8 @@
             responds.
         listed: Whether the worker registry still lists it.
         is_removed: Whether the pool removed this incarnation.
+        registered_version: Store version as of which this incarnation had
+            registered; 0 if unknown.
         no_starts_until: Monotonic time until which it gets no starts, as it
             refused one for lack of resources.
         outcomes: Time, success and job of its latest run ends.
@@ -152,6 +154,7 @@
         self.idle_since = time.monotonic()
         self.listed = True
         self.is_removed = False
+        self.registered_version = entry.version
         self.no_starts_until = 0.0
         self.outcomes: collections.deque[tuple[float, bool, str]] = (
             collections.deque(maxlen=12)
--- a/wisteriasill/zones/shard_writer.py
+++ b/wisteriasill/zones/shard_writer.py
@@ -118,6 +118,7 @@
 
     Attributes:
         stored_at: Monotonic time of the last stored transaction.
+        stored_version: Version of the store as of the last stored transaction.
         response_seconds: Response time of the last answered transaction.
     """
 
@@ -137,6 +138,7 @@
         self._last_heartbeat = b""
         self._version_by_row: dict[tuple[str, str], int] = {}
         self.stored_at = 0.0
+        self.stored_version = 0
         self.response_seconds = 0.0
         self._renewed_at = -math.inf
         self._timeout = call_timeout.CallTimeout(
@@ -169,6 +171,7 @@
         if not isinstance(written, result.Success):
             return False
         self.epoch = written.unwrap()
+        self.stored_version = self.epoch
         self._last_heartbeat = status
         self.was_released = not seen.holder
         self._version_by_row = {(TABLE, HEARTBEAT): self.epoch}
@@ -346,6 +349,7 @@
         self, batch: Sequence[cluster.RowWrite], version: int
     ) -> None:
         self.stored_at = time.monotonic()
+        self.stored_version = max(self.stored_version, version)
         for write in batch:
             if write.value is None:
                 self._version_by_row.pop((write.table, write.key), None)
