Ignore a registry entry without a start time

Callers could see a task run twice. An entry without the start time, which another writer may leave in the registry, read as an incarnation that had started at 0. It named a worker in use, so its runs counted as lost with a restart and were started elsewhere while they were at work.

--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -89,6 +89,11 @@
         ENTRY | {"service": 7},
         ENTRY | {"capacity": {"cpu": "many"}},
         {key: value for key, value in ENTRY.items() if key != "address"},
+        {key: value for key, value in ENTRY.items() if key != "born"},
+        ENTRY | {"born": "17"},
+        ENTRY | {"born": 17.0},
+        ENTRY | {"born": None},
+        ENTRY | {"born": True},
     ],
 )
 def test_an_invalid_registry_entry_is_ignored(value: object) -> None:
