--- a/wisteriasill/zones/shard_writer.py
+++ b/wisteriasill/zones/shard_writer.py
@@ -142,6 +142,7 @@
             not known.
         confirmed_at: Time since boot at which the last stored transaction was
             sent. This node held the shard at that time or later.
+        stored_version: Version of the store as of the last stored transaction.
         response_seconds: Response time of the last answered transaction.
     """
 
@@ -162,6 +163,7 @@
         self._version_by_row: dict[tuple[str, str], int] = {}
         self.stored_at = 0.0
         self.confirmed_at = -math.inf
+        self.stored_version = 0
         self.response_seconds = 0.0
         self._renewed_at = -math.inf
         self._timeout = call_timeout.CallTimeout(
@@ -187,6 +189,7 @@
         if not isinstance(written, result.Success):
             return False
         self.epoch = written.unwrap()
+        self.stored_version = self.epoch
         self._last_heartbeat = status
         self._version_by_row = {(TABLE, HEARTBEAT): self.epoch}
         self.stored_at = time.monotonic()
@@ -379,6 +382,7 @@
         self, batch: Sequence[cluster.RowWrite], version: int
     ) -> None:
         self.stored_at = time.monotonic()
+        self.stored_version = max(self.stored_version, version)
         for write in batch:
             if write.value is None:
                 self._version_by_row.pop((write.table, write.key), None)
