Keep restored runs in a job's row until their workers are known

A cancelled or failed job in such a row is stopped by chance only, as nobody knows its runs.

Cause: `encode_progress` wrote `unit.runs`. A new holder keeps the runs that it read in `_restored_runs_by_worker` until their workers have joined, so any write of the job before that dropped them from its row, and nothing wrote the job again when they joined. The next holder found no run and started the task. The list of down workers is read before the registry, so a worker that goes down around a hand-over makes such a write likely. Class of fault: state that was read but isn't confirmed yet is lost when the record is written back. A gang of which one member's worker is lost was queued although other members' runs were restored only, for the same reason.

Both new tests fail without the change (run 2 started beside run 1; the gang is ready).

Change: restored runs belong to their unit, are written with it, and keep it from being queued. Neither is anything special for a kind of trouble, so the same write can't drop them on another path.

--- /dev/null
+++ b/tests/machines/batch/test_hand_over.py
@@ -0,0 +1,72 @@
+"""Tests of runs over several changes of a pool's holder."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from standins import batch_worker
+from tests.machines import batch_site
+from wisteriasill.contracts import job_spec
+from wisteriasill.links import cluster
+from wisteriasill.machines import worker as workers
+
+TASK = job_spec.TaskKey("j1", 0, 0, 0)
+
+
+def successor(
+    former: batch_site.SteppedPool,
+    epoch: int,
+    record: cluster.StoredRow,
+) -> batch_site.SteppedPool:
+    """Returns the next holder of a pool, with all that is stored."""
+    holder = batch_site.SteppedPool(epoch, [record], former.progress_rows())
+    holder.progress_by_id |= former.progress_by_id
+    return holder
+
+
+def test_a_job_stored_before_its_workers_are_known_keeps_its_runs(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """The holder after next must not start running tasks a second time.
+
+    A holder that stored a job before its workers had joined dropped their runs
+    from the job's row.
+    """
+    step = batch_site.step(2, cpu=9_000, lasting=True)
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    started(step)
+    site.deliver(other)
+    record = batch_site.job_row("j1", [step])
+    second = successor(site, 2, record)
+    lost = next(iter(other_link.running))
+    second.pool.set_down_workers({"w2": 10**6})
+    second.run_round()
+    third = successor(second, 3, record)
+    worker = third.add_worker("w1", link)
+    third.poll(worker)
+    third.run_round()
+    third.deliver(worker)
+    assert {*link.running.values()} == {1}
+    assert lost not in link.running
+
+
+def test_a_gang_is_not_queued_while_a_former_run_may_be_at_work(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """One member's worker is lost before another member's worker is known."""
+    step = batch_site.step(2, cpu=9_000, gang=True)
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    started(step)
+    site.deliver(other)
+    assert link.running and other_link.running
+    second = successor(site, 2, batch_site.job_row("j1", [step]))
+    second.pool.set_down_workers({"w2": 10**6})
+    assert not second.pool.job_by_id["j1"].ready
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -142,6 +142,8 @@
         crash_record: Crashes of workers under its runs.
         suspected_with: The suspects of each of these crashes, this one
             included; the last one started comes first.
+        restored: Stored runs of a former holder whose workers this one does
+            not know yet.
         avoided: Workers that a new run avoids: a run failed there, or was
             much slower than others.
         retry_at: Monotonic time before which it is not started again.
@@ -159,6 +161,7 @@
         "last_run",
         "lost_at",
         "occurrence",
+        "restored",
         "retry_at",
         "runs",
         "step",
@@ -186,6 +189,7 @@
         self.done = False
         self.checkpoint = ""
         self.runs: list[Run] = []
+        self.restored: list[StoredRun] = []
         self.avoided: set[str] = set()
         self.retry_at = 0.0
         self.lost_at = 0.0
@@ -195,6 +199,11 @@
         """Key of the unit within its job."""
         return UnitKey(self.occurrence, self.step_number, self.indexes[0])
 
+    @property
+    def may_run(self) -> bool:
+        """Whether a run may be at work."""
+        return bool(self.runs or self.restored)
+
     @property
     def doubt(self) -> int:
         """Number of likelier causes of the crashes; 0 if there is none."""
@@ -322,7 +331,7 @@
         return self.core_seconds_left - sum(
             self.core_seconds_of(unit)
             for unit in self.unit_by_key.values()
-            if unit.runs and not unit.done
+            if unit.may_run and not unit.done
         )
 
     def critical_path_left_seconds(self) -> float:
@@ -340,7 +349,7 @@
 
     def requeue(self, unit: Unit) -> None:
         """Queues a unit again, unless it has runs or needs none."""
-        if not unit.done and not self.finished and not unit.runs:
+        if not unit.done and not self.finished and not unit.may_run:
             self.ready[unit.key] = unit
 
     def live_runs(self) -> Iterator[Run]:
@@ -351,7 +360,7 @@
 
     def _make_ready(self, occurrence: int, number: int) -> None:
         for unit in self.units_by_step[occurrence, number]:
-            if not unit.done and not unit.runs:
+            if not unit.done and not unit.may_run:
                 self.ready[unit.key] = unit
 
 
@@ -396,13 +405,16 @@
             unit.done,
             unit.checkpoint,
             [
-                [
-                    run.index,
-                    run.number,
-                    run.worker.entry.worker_id,
-                    run.worker.entry.started_ms,
-                ]
-                for run in unit.runs
+                *(
+                    [
+                        run.index,
+                        run.number,
+                        run.worker.entry.worker_id,
+                        run.worker.entry.started_ms,
+                    ]
+                    for run in unit.runs
+                ),
+                *([*stored] for stored in unit.restored),
             ],
             # A release that does not know of crashes reads no such row, so it
             # leaves the job alone.
--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -246,6 +246,7 @@
             if stored.done:
                 job.mark_done(unit)
                 continue
+            unit.restored.extend(stored.runs)
             for run in stored.runs:
                 self._restored_runs_by_worker.setdefault(
                     run.worker_id, []
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -59,7 +59,7 @@
             for restored in self._restored_runs_by_worker.pop(worker_id, []):
                 unit, stored = restored.unit, restored.stored
                 if stored.started_ms != worker.entry.started_ms:
-                    self._log_lost_restored_run(
+                    self._lose_restored_run(
                         restored,
                         "its worker has another incarnation",
                         worker.entry.started_ms,
@@ -90,6 +90,7 @@
     ) -> None:
         run = batch_job.Run(unit, stored.position, stored.number, worker)
         run.state = batch_job.RunState.UNCERTAIN
+        unit.restored.remove(stored)
         unit.runs.append(run)
         worker.run_by_task[run.task] = run
         worker.reserve(unit.step.need, unit.step.fills)
@@ -251,14 +252,15 @@
                     unit.crash_record
                 )
 
-    def _log_lost_restored_run(
+    def _lose_restored_run(
         self,
         restored: batch_runs.RestoredRun,
         reason: str,
         started_ms: int | None = None,
     ) -> None:
-        """Logs that a stored run of a former holder counts as ended."""
+        """Drops a stored run of a former holder, which counts as ended."""
         unit, stored = restored.unit, restored.stored
+        unit.restored.remove(stored)
         events.log(
             events.Event.RUN_LOST,
             "A run of a former holder was lost",
@@ -371,7 +373,7 @@
                 )
 
     def _requeue_down(self, restored: batch_runs.RestoredRun) -> None:
-        self._log_lost_restored_run(restored, "its host is down")
+        self._lose_restored_run(restored, "its host is down")
         if restored.stored.worker_id in self._planned_end_ids:
             restored.unit.job.requeue(restored.unit)
         else:
@@ -405,9 +407,7 @@
                 for restored in itertools.chain.from_iterable(
                     self._restored_runs_by_worker.values()
                 ):
-                    self._log_lost_restored_run(
-                        restored, "former lease expired"
-                    )
+                    self._lose_restored_run(restored, "former lease expired")
                     self._requeue_crashed(restored.unit)
                 self._restored_runs_by_worker.clear()
 
