Log stops that nobody asked for as warnings

Change: a stop whose job was neither cancelled nor done with the task is a warning, which the log keeps. tests/machines/batch pass.

--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -236,6 +236,10 @@
         events.log(
             events.Event.RUN_STOPPED,
             "A run is stopped",
+            # Warnings are kept when routine lines are dropped at a peak.
+            level="INFO"
+            if run.unit.done or run.unit.job.record.cancelled
+            else "WARNING",
             job=run.task.job_id,
             task=run.task,
             run=run.number,
