Repeat a stop until the run is gone

Callers would see a task of a cancelled job run on after the cancellation was acknowledged (UNASKED), and a task whose start got no answer wait for ever.

Cause: a run counted as being stopped from the first order on. A stop that the worker refused (429, 503, 421, 400) was dropped and never sent again, while polls went on renewing the run's lease. Besides, a stop waited behind all queued starts, each of which may take a timeout, and a repeat slept in the thread that sends the orders.

Change: a worker keeps the runs that should be gone, each with the time of its next stop. An answer other than success repeats the stop after 0.2 s, an accepted one after 1.5 s, until the run has ended: its end is listed, it is reported no more, or its worker is gone. A holder that is fenced repeats nothing. An answer that the run is too old to start confirms a stop as success does. Stops go before other orders, the one that is due for the longest time first, so that no repeat delays another run's first stop. A run that is reported and should not be there is told to stop once and followed until it is reported no more, instead of a further order with each report. A run that a next incarnation takes over is confirmed by that incarnation only.

--- a/standins/batch_worker.py
+++ b/standins/batch_worker.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import collections
 import threading
 
 from wisteriasill.contracts import job_spec
@@ -21,6 +22,8 @@
         unreachable: Whether calls get no response and have no effect.
         lost_starts: Number of upcoming starts that take effect without a
             response.
+        stop_outcomes: Outcomes of upcoming stops that have no effect.
+        stops: All stops that arrived: task and run.
         starts: All starts that took effect: task, run and fencing token.
         percent: Speed limit that the reports show.
         measure: Measured load that the reports show.
@@ -33,6 +36,10 @@
         self.clock_ms = 1000
         self.unreachable = False
         self.lost_starts = 0
+        self.stop_outcomes: collections.deque[cluster.OrderOutcome] = (
+            collections.deque()
+        )
+        self.stops: list[tuple[job_spec.TaskKey, int]] = []
         self.starts: list[tuple[job_spec.TaskKey, int, int]] = []
         self.percent = 100
         self.measure = 0.0
@@ -96,6 +103,9 @@
         with self._lock:
             if self.unreachable:
                 return cluster.OrderAnswer(cluster.OrderOutcome.UNKNOWN)
+            self.stops.append((task, run))
+            if self.stop_outcomes:
+                return cluster.OrderAnswer(self.stop_outcomes.popleft())
             if fencing_epoch < self._fencing_token:
                 return self._answer(cluster.OrderOutcome.FENCED)
             self._fencing_token = fencing_epoch
--- /dev/null
+++ b/tests/machines/batch/test_stops.py
@@ -0,0 +1,197 @@
+"""Tests of stops: until the last run of a job is gone from its workers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import time
+
+import pytest
+
+from standins import batch_worker
+from tests.machines import batch_site
+from wisteriasill.contracts import job_spec
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_job
+from wisteriasill.machines import worker as workers
+
+TASK = job_spec.TaskKey("j1", 0, 0, 0)
+REFUSALS = (
+    cluster.OrderOutcome.UNHEALTHY,
+    cluster.OrderOutcome.INVALID,
+    cluster.OrderOutcome.OTHER_WORKER,
+    cluster.OrderOutcome.UNREACHABLE,
+    cluster.OrderOutcome.UNKNOWN,
+)
+
+
+@pytest.fixture(autouse=True)
+def _short_delays(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(workers, "STOP_RETRY_SECONDS", 0.02)
+    monkeypatch.setattr(workers, "ACCEPTED_STOP_RETRY_SECONDS", 0.05)
+
+
+def cancel(
+    site: batch_site.SteppedPool, *steps: job_spec.StepSpec, version: int = 2
+) -> None:
+    site.pool.on_record(
+        batch_site.job_row("j1", steps, cancelled=True, version=version)
+    )
+
+
+@pytest.mark.parametrize("outcome", REFUSALS)
+def test_a_stop_that_a_worker_does_not_accept_is_sent_again(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+    outcome: cluster.OrderOutcome,
+) -> None:
+    """A task of a cancelled job must not run on as its stop was refused."""
+    worker = started(batch_site.step(1))
+    link.stop_outcomes.extend([outcome, outcome])
+    cancel(site, batch_site.step(1))
+    for _ in range(3):
+        site.deliver(worker)
+        time.sleep(2 * workers.STOP_RETRY_SECONDS)
+    assert link.stops == [(TASK, 1)] * 3
+    assert not link.running
+
+
+def test_a_refused_stop_is_not_sent_again_at_once(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(workers, "STOP_RETRY_SECONDS", 60.0)
+    worker = started(batch_site.step(1))
+    link.stop_outcomes.extend([cluster.OrderOutcome.UNHEALTHY] * 5)
+    cancel(site, batch_site.step(1))
+    site.deliver(worker)
+    site.poll(worker)
+    site.deliver(worker)
+    assert len(link.stops) == 1
+
+
+def test_a_stop_ends_with_the_run(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    worker = started(batch_site.step(1))
+    cancel(site, batch_site.step(1))
+    site.deliver(worker)
+    site.poll(worker)
+    time.sleep(2 * workers.ACCEPTED_STOP_RETRY_SECONDS)
+    assert not worker.send_once()
+    assert len(link.stops) == 1
+
+
+def test_a_former_holder_repeats_no_stop(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    worker = started(batch_site.step(1))
+    link.poll(2, 0, None, 0.0)
+    cancel(site, batch_site.step(1))
+    site.deliver(worker)
+    time.sleep(2 * workers.STOP_RETRY_SECONDS)
+    assert not worker.send_once()
+    assert site.pool.fenced
+
+
+@pytest.mark.parametrize("outcome", REFUSALS)
+def test_a_run_whose_start_got_no_response_ends_after_a_refused_stop(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    outcome: cluster.OrderOutcome,
+) -> None:
+    """Its task waited for ever for a stop that was never sent again."""
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    link.unreachable = True
+    site.run_round()
+    worker.send_once()
+    link.unreachable = False
+    link.stop_outcomes.append(outcome)
+    site.deliver(worker)
+    run = worker.run_by_task[TASK]
+    assert not run.start_blocked_at
+    time.sleep(2 * workers.STOP_RETRY_SECONDS)
+    site.deliver(worker)
+    blocked_at = run.start_blocked_at
+    assert blocked_at
+    time.sleep(2 * workers.ACCEPTED_STOP_RETRY_SECONDS)
+    site.deliver(worker)
+    assert run.start_blocked_at == blocked_at
+    site.poll(worker)
+    assert run.state is batch_job.RunState.ENDED
+    site.run_round(time.monotonic() + 1)
+    site.deliver(worker)
+    assert link.running == {TASK: 2}
+
+
+def test_an_unknown_run_is_stopped_until_it_is_reported_no_more(
+    site: batch_site.SteppedPool, link: batch_worker.MemoryWorker
+) -> None:
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    late = cluster.StartOrder(TASK, 1, "", 99_999, 1)
+    link.start(late)
+    link.stop_outcomes.append(cluster.OrderOutcome.UNHEALTHY)
+    for _ in range(2):
+        site.poll(worker)
+        site.deliver(worker)
+        time.sleep(2 * workers.STOP_RETRY_SECONDS)
+    assert len(link.stops) == 2
+    assert not link.running
+    site.poll(worker)
+    time.sleep(2 * workers.ACCEPTED_STOP_RETRY_SECONDS)
+    assert not worker.send_once()
+
+
+def test_a_stop_is_sent_before_starts_that_wait(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """Each unanswered start ahead of a stop would hold it up for a second."""
+    worker = started(batch_site.step(1))
+    site.pool.on_record(batch_site.job_row("j2", [batch_site.step(3)]))
+    site.run_round()
+    cancel(site, batch_site.step(1))
+    worker.send_once()
+    assert not link.running
+
+
+def test_neither_start_nor_stop_of_a_run_is_sent_if_both_wait(
+    site: batch_site.SteppedPool, link: batch_worker.MemoryWorker
+) -> None:
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(2)]))
+    site.run_round()
+    cancel(site, batch_site.step(2))
+    site.deliver(worker)
+    assert not link.starts
+    assert not link.stops
+    assert not worker.run_by_task
+    assert worker.free_cpu == batch_site.ROOM.cpu
+
+
+def test_every_stop_is_sent_before_one_is_repeated(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(workers, "STOP_RETRY_SECONDS", 0.0)
+    worker = started(batch_site.step(5))
+    link.stop_outcomes.extend([cluster.OrderOutcome.UNKNOWN] * 5)
+    cancel(site, batch_site.step(5))
+    for _ in range(5):
+        worker.send_once()
+    assert len(set(link.stops)) == 5
+    site.deliver(worker)
+    assert not link.running
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -63,6 +63,8 @@
         pace: Share of full speed that this holder orders, in percent.
         measure: Tail latency or CPU use, see `cluster.RunReport`.
         stopping: Whether a stop was ordered.
+        stop_refused: Whether the worker has refused a stop, which is logged
+            once.
         ordered_at: When this holder sent the start order.
         acked_at: When the worker first confirmed that it runs.
         full_speed_at: When a report first showed the ordered speed.
@@ -83,6 +85,7 @@
         "planned_at",
         "start_blocked_at",
         "state",
+        "stop_refused",
         "stopping",
         "unit",
         "worker",
@@ -101,6 +104,7 @@
         self.pace = 100
         self.measure = 0.0
         self.stopping = False
+        self.stop_refused = False
         self.planned_at = 0.0
         self.ordered_at = 0.0
         self.acked_at = 0.0
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -60,6 +60,7 @@
                         )
             for run_report in report.runs:
                 self._record_running(worker, run_report, now)
+            self._forget_unknown_runs(worker, report)
             self._record_survivals(worker)
             if len(report.ends) < MAX_REPORTED_ENDS:
                 self._end_missing_runs(worker, sent_at, report)
@@ -88,6 +89,9 @@
         self, worker: workers.Worker, run_report: cluster.RunReport
     ) -> None:
         """Stops a run unknown to the pool, such as one counted as lost."""
+        run_key = run_report.task, run_report.run
+        if run_key in worker.unknown_run_by_key:
+            return  # The worker is being told to stop it.
         job = self.job_by_id.get(run_report.task.job_id)
         key = batch_job.UnitKey(
             run_report.task.occurrence,
@@ -105,6 +109,7 @@
             unit, run_report.task.position, run_report.run, worker
         )
         run.state = batch_job.RunState.RUNNING
+        worker.unknown_run_by_key[run_key] = run
         events.log(
             events.Event.RUN_UNKNOWN,
             "A worker reports a run that should not be there; it is stopped",
@@ -119,6 +124,16 @@
         )
         worker.send(workers.WorkerOrder("stop", run))
 
+    def _forget_unknown_runs(
+        self, worker: workers.Worker, report: cluster.WorkerReport
+    ) -> None:
+        reported_keys = {
+            (run_report.task, run_report.run) for run_report in report.runs
+        }
+        for run_key in worker.unknown_run_by_key.keys() - reported_keys:
+            run = worker.unknown_run_by_key.pop(run_key)
+            run.state = batch_job.RunState.ENDED
+
     def _end_missing_runs(
         self,
         worker: workers.Worker,
@@ -344,9 +359,11 @@
     ) -> None:
         """Handles the outcome of a stop; a later report has the run end."""
         with self.lock:
-            if answer.outcome is cluster.OrderOutcome.DONE:
-                run.start_blocked_at = time.monotonic()
-            else:
+            if answer.outcome in workers.STOP_ACCEPTED:
+                # Repeats must not delay the report that counts.
+                run.start_blocked_at = run.start_blocked_at or time.monotonic()
+            elif not run.stop_refused:
+                run.stop_refused = True
                 events.log(
                     events.Event.STOP_REFUSED,
                     "A worker refused a stop",
@@ -357,8 +374,8 @@
                     worker=run.worker.worker_id,
                     outcome=answer.outcome.value,
                 )
-                if answer.outcome is cluster.OrderOutcome.FENCED:
-                    self._record_fenced(run.worker)
+            if answer.outcome is cluster.OrderOutcome.FENCED:
+                self._record_fenced(run.worker)
         run.worker.wake()
 
     def _adjust_pace(self, worker: workers.Worker) -> None:
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -73,6 +73,7 @@
         run.worker = worker
         run.state = batch_job.RunState.UNCERTAIN
         run.stopping = True
+        run.start_blocked_at = 0.0
         worker.run_by_task[run.task] = run
         worker.reserve(run.unit.step.need, run.unit.step.fills)
         worker.send(workers.WorkerOrder("stop", run))
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -44,13 +44,21 @@
 STALE_ORDER_SECONDS = 1.5
 # A call that fails sooner did not time out: its connection was lost.
 SOON_SECONDS = 0.5
-STOP_RETRY_SECONDS = 0.2  # Delay before an unanswered stop is retried.
+# Delay before a stop that a worker did not accept is retried.
+STOP_RETRY_SECONDS = 0.2
+# The same for an accepted one: a run has up to 0.9 s to stop.
+ACCEPTED_STOP_RETRY_SECONDS = 1.5
 
 
 _UNANSWERED = (
     cluster.OrderOutcome.UNKNOWN,
     cluster.OrderOutcome.UNREACHABLE,
 )
+# A worker that gives one of these answers to a stop starts the run no more.
+STOP_ACCEPTED = (
+    cluster.OrderOutcome.DONE,
+    cluster.OrderOutcome.RUN_TOO_OLD,
+)
 
 
 class WorkerOrder(NamedTuple):
@@ -111,6 +119,8 @@
 
     Attributes:
         run_by_task: Runs that may be on the worker, by task.
+        unknown_run_by_key: Runs that it reported and that should not be there,
+            by task and number, until it reports them no more.
         free_cpu: Millicores that no run reserves.
         last_received_end: Number of the last run end that was received.
         last_stored_end: Number of the last run end that is stored.
@@ -140,6 +150,9 @@
         self.link = link
         self._owner = owner
         self.run_by_task: dict[job_spec.TaskKey, batch_job.Run] = {}
+        self.unknown_run_by_key: dict[
+            tuple[job_spec.TaskKey, int], batch_job.Run
+        ] = {}
         self.free_cpu = entry.room.cpu
         self.free_memory_mb = entry.room.memory_mb
         self.free_accelerators = entry.room.accelerators
@@ -163,7 +176,9 @@
         self._lease_until_ms = 0
         self._former_leases_end_at = former_leases_end_at
         self._orders: collections.deque[WorkerOrder] = collections.deque()
-        self._order_ready = threading.Semaphore(0)
+        # When to send the next stop of each run that should be gone.
+        self._stop_due_at_by_run: dict[batch_job.Run, float] = {}
+        self._order_ready = threading.Event()
         self._closing = threading.Event()
         self._wake = threading.Event()
 
@@ -196,16 +211,25 @@
         """Stops the worker's threads without waiting for their calls."""
         self._closing.set()
         self._wake.set()
-        self._order_ready.release()
+        self._order_ready.set()
 
     def wake(self) -> None:
         """Ends the wait between two polls."""
         self._wake.set()
 
     def send(self, order: WorkerOrder) -> None:
-        """Queues an order."""
-        self._orders.append(order)
-        self._order_ready.release()
+        """Queues an order.
+
+        A stop is repeated until the run has ended.
+
+        Args:
+            order: The order.
+        """
+        if order.verb == "stop":
+            self._stop_due_at_by_run.setdefault(order.run, time.monotonic())
+        else:
+            self._orders.append(order)
+        self._order_ready.set()
         self._wake.set()
 
     def update_entry(self, entry: cluster.WorkerEntry) -> None:
@@ -346,37 +370,59 @@
             self._wake.clear()
             if self.last_stored_end < self.last_received_end:
                 self._wake.wait(remaining_seconds)
-        if not self.run_by_task and not self._orders:
+        if not self._is_in_use():
             self._wake.clear()
-            if not self.run_by_task and not self._orders:
+            if not self._is_in_use():
                 self._wake.wait(IDLE_POLL_SECONDS)
 
+    def _is_in_use(self) -> bool:
+        return bool(self.run_by_task or self._orders)
+
     def _send_orders(self) -> None:
-        while True:
-            self._order_ready.acquire()
-            if self._closing.is_set():
-                return
-            self.send_once()
+        while not self._closing.is_set():
+            self._order_ready.clear()
+            if not self.send_once():
+                self._order_ready.wait(self._seconds_until_stop())
+
+    def _seconds_until_stop(self) -> float | None:
+        """Returns the time until a stop is due; None if there is none."""
+        due_at = min([*self._stop_due_at_by_run.values()], default=None)
+        return None if due_at is None else max(0.0, due_at - time.monotonic())
 
     def send_once(self) -> bool:
-        """Sends the oldest queued order.
+        """Sends one order: a stop that is due, else the oldest other order.
 
         Returns:
-            Whether an order was queued.
+            Whether an order was due.
         """
+        if self.is_removed:
+            return False
+        if run := self._next_stop():
+            self._stop(run)
+            return True
         if not self._orders:
             return False
         order = self._orders.popleft()
-        if order.run.state is batch_job.RunState.ENDED or self.is_removed:
+        if order.run.state is batch_job.RunState.ENDED:
             return True
         if order.verb == "start":
             self._start(order.run)
-        elif order.verb == "stop":
-            self._stop(order.run)
         else:
             self._pace(order.run, order.percent)
         return True
 
+    def _next_stop(self) -> batch_job.Run | None:
+        """Returns the run whose stop has been due for the longest time."""
+        due_at_by_run = self._stop_due_at_by_run
+        for run, due_at in sorted(
+            due_at_by_run.items(), key=lambda item: item[1]
+        ):
+            if run.state is batch_job.RunState.ENDED:
+                del due_at_by_run[run]
+            elif due_at <= time.monotonic():
+                return run
+        return None
+
     def _start(self, run: batch_job.Run) -> None:
         stale = time.monotonic() - run.planned_at > STALE_ORDER_SECONDS
         if stale or self.silent_since or not self._owner.may_start(run):
@@ -438,12 +484,31 @@
             self.silent_since = time.monotonic()
 
     def _stop(self, run: batch_job.Run) -> None:
-        answer = self.link.stop(run.task, run.number, self._owner.fencing_epoch)
-        if answer.outcome in _UNANSWERED:
-            self._closing.wait(STOP_RETRY_SECONDS)
-            self.send(WorkerOrder("stop", run))
+        if run.state is batch_job.RunState.ORDERED and not run.ordered_at:
+            # Its start is still queued behind this stop.
+            self._owner.on_start_answer(
+                run, cluster.OrderAnswer(cluster.OrderOutcome.LEASE_TOO_OLD)
+            )
             return
-        self._owner.on_stop_answer(run, answer)
+        # Set before the call, so that an error leaves the stop to be repeated.
+        self._delay_stop(run, STOP_RETRY_SECONDS)
+        answer = self.link.stop(run.task, run.number, self._owner.fencing_epoch)
+        if run.worker is not self:
+            return  # The next incarnation stops it.
+        if answer.outcome is cluster.OrderOutcome.FENCED:
+            del self._stop_due_at_by_run[run]
+        else:
+            self._delay_stop(
+                run,
+                ACCEPTED_STOP_RETRY_SECONDS
+                if answer.outcome in STOP_ACCEPTED
+                else STOP_RETRY_SECONDS,
+            )
+        if answer.outcome not in _UNANSWERED:
+            self._owner.on_stop_answer(run, answer)
+
+    def _delay_stop(self, run: batch_job.Run, seconds: float) -> None:
+        self._stop_due_at_by_run[run] = time.monotonic() + seconds
 
     def _pace(self, run: batch_job.Run, percent: int) -> None:
         if run.pace != percent:
