Stop a run whose start ended in an unexpected error

Callers would see a task that never starts, or one that runs on after its job was cancelled, once an order to a worker ends in an unexpected error.

Cause: the order was taken from the queue before it was sent, and the restarted thread did not know of it. The run stayed ordered: nothing repeated its stop, and no report could end it, so it held its room for ever.

Change: a start that ends in an error counts as one without an answer, so the run is stopped before its task starts again. Orders of speed are repeated with each report already.

Now tests/machines, zones, links, adapter and docs pass.

--- a/tests/machines/batch/test_stops.py
+++ b/tests/machines/batch/test_stops.py
@@ -195,3 +195,56 @@
     assert len(set(link.stops)) == 5
     site.deliver(worker)
     assert not link.running
+
+
+def test_a_stop_that_ends_in_an_error_is_sent_again(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    worker = started(batch_site.step(1))
+    with monkeypatch.context() as patch:
+        patch.setattr(link, "stop", _raise_error)
+        cancel(site, batch_site.step(1))
+        with pytest.raises(RuntimeError):
+            worker.send_once()
+    time.sleep(2 * workers.STOP_RETRY_SECONDS)
+    site.deliver(worker)
+    assert not link.running
+
+
+@pytest.mark.parametrize("sent", [True, False])
+def test_a_start_that_ends_in_an_error_may_have_been_sent(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    monkeypatch: pytest.MonkeyPatch,
+    sent: bool,
+) -> None:
+    """Its run must not hold room for ever, nor run on as another starts."""
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    site.run_round()
+    start = link.start
+
+    def start_and_fail(order: cluster.StartOrder) -> cluster.OrderAnswer:
+        if sent:
+            start(order)
+        raise RuntimeError("unexpected")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(link, "start", start_and_fail)
+        with pytest.raises(RuntimeError):
+            worker.send_once()
+    site.deliver(worker)
+    assert link.stops == [(TASK, 1)]
+    time.sleep(0.1)
+    site.poll(worker)
+    site.run_round(time.monotonic() + 1)
+    site.deliver(worker)
+    assert link.running == {TASK: 2}
+
+
+def _raise_error(*args: object) -> cluster.OrderAnswer:
+    raise RuntimeError("unexpected")
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -405,10 +405,17 @@
         order = self._orders.popleft()
         if order.run.state is batch_job.RunState.ENDED:
             return True
-        if order.verb == "start":
-            self._start(order.run)
-        else:
+        if order.verb == "pace":
             self._pace(order.run, order.percent)
+            return True
+        try:
+            self._start(order.run)
+        except Exception:
+            # The start may have been sent.
+            self._owner.on_start_answer(
+                order.run, cluster.OrderAnswer(cluster.OrderOutcome.UNKNOWN)
+            )
+            raise
         return True
 
     def _next_stop(self) -> batch_job.Run | None:
