End no run by a registry entry that may be outdated

Callers could see a task run twice. Any entry with another start time than the known one ended the worker's runs, and a known start time with another address did too. Such an entry may be older than the worker in use: the feed starts at the version of the first page of a read, so it repeats changes that later pages had shown; and the store may carry out the last heartbeat of a former incarnation after the first one of the next, most of all when it is slow.

An entry with an older version of its row is skipped now. One with an earlier start time, or with another address, ends nothing: the worker gets no new runs until its next heartbeat and is polled at once, and if the entry was right after all (its clock went back), that report shows the other incarnation. A stored run of a later incarnation than the entry's waits for the entry of its own, or for its lease. A later start time ends the runs at once, as before.

--- a/wisteriasill/machines/batch_watch.py
+++ b/wisteriasill/machines/batch_watch.py
@@ -132,13 +132,24 @@
     def _apply_entry(self, entry: cluster.WorkerEntry) -> None:
         pool = self.pool
         known_worker = pool.worker_by_id.get(entry.worker_id)
-        if known_worker and known_worker.entry.started_ms == entry.started_ms:
-            known_worker.listed = True
-            if known_worker.entry.address == entry.address:
+        if known_worker:
+            known = known_worker.entry
+            if entry.version < known.version:
+                return  # A later page of a read may be newer than the feed.
+            if (entry.started_ms, entry.address) == (
+                known.started_ms,
+                known.address,
+            ):
+                known_worker.listed = True
                 with pool.lock:
                     known_worker.update_entry(entry)
                 return
-        if known_worker:
+            if entry.started_ms <= known.started_ms:
+                # The store may carry out a former incarnation's write late. If
+                # the clock went back instead, the next report shows it.
+                known_worker.listed = False
+                known_worker.wake()
+                return
             pool.remove_worker(
                 known_worker,
                 batch_workers.Removal(
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -58,7 +58,10 @@
             is_down = self._is_down(worker.registered_version, worker_id)
             for restored in self._restored_runs_by_worker.pop(worker_id, []):
                 unit, stored = restored.unit, restored.stored
-                if stored.started_ms != worker.entry.started_ms:
+                if stored.started_ms > worker.entry.started_ms:
+                    # The entry may be a former incarnation's, written late.
+                    self._keep_restored_run(restored)
+                elif stored.started_ms != worker.entry.started_ms:
                     self._log_lost_restored_run(
                         restored,
                         "its worker has another incarnation",
@@ -366,9 +369,12 @@
             if self._is_down(restored.version, worker_id):
                 self._requeue_down(restored)
             else:
-                self._restored_runs_by_worker.setdefault(worker_id, []).append(
-                    restored
-                )
+                self._keep_restored_run(restored)
+
+    def _keep_restored_run(self, restored: batch_runs.RestoredRun) -> None:
+        self._restored_runs_by_worker.setdefault(
+            restored.stored.worker_id, []
+        ).append(restored)
 
     def _requeue_down(self, restored: batch_runs.RestoredRun) -> None:
         self._log_lost_restored_run(restored, "its host is down")
