Poll workers with unknown runs, and let the leases of stopped runs end

Cause: each poll of a worker renewed its lease, also if all runs on it were being stopped, so a stop that never arrived left its run at work for ever. A worker without runs that the pool knows counted as idle even while it reported one that should not be there; it was polled again only if the answer to a stop came after the poll thread had begun its wait of 20 s.

Change: a worker that has reported an unknown run is polled as one in use until it reports the run no more. A worker has one lease: other runs on it keep it up.

--- a/tests/machines/batch/test_stops.py
+++ b/tests/machines/batch/test_stops.py
@@ -8,6 +8,7 @@
 import pytest
 
 from standins import batch_worker
+from tests import waiting
 from tests.machines import batch_site
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
@@ -246,5 +247,74 @@
     assert link.running == {TASK: 2}
 
 
+@pytest.fixture
+def leases(
+    link: batch_worker.MemoryWorker, monkeypatch: pytest.MonkeyPatch
+) -> list[int | None]:
+    """The lease that each poll of a worker asked for; None for no renewal."""
+    requested: list[int | None] = []
+    poll = link.poll
+
+    def record_lease(
+        fencing_epoch: int,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_seconds: float,
+    ) -> cluster.WorkerReport | cluster.OrderOutcome:
+        requested.append(lease_until_ms)
+        time.sleep(min(wait_seconds, 0.01))
+        return poll(fencing_epoch, acknowledged, lease_until_ms, wait_seconds)
+
+    monkeypatch.setattr(link, "poll", record_lease)
+    return requested
+
+
+def test_a_worker_is_polled_while_it_reports_an_unknown_run(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    leases: list[int | None],
+) -> None:
+    """What became of a run that started late was seen after 20 s only."""
+    worker = site.add_worker("w1", link)
+    link.start(cluster.StartOrder(TASK, 1, "", 99_999, 1))
+    link.stop_outcomes.extend([cluster.OrderOutcome.UNKNOWN] * 1000)
+    worker.open()
+    try:
+        assert waiting.wait_until(lambda: len(leases) >= 9)
+        link.stop_outcomes.clear()
+        assert waiting.wait_until(lambda: not link.running)
+        assert waiting.wait_until(lambda: not worker.unknown_run_by_key)
+        time.sleep(0.1)
+        polls = len(leases)
+        time.sleep(0.2)
+        assert len(leases) == polls
+    finally:
+        worker.close()
+    assert not any(leases)
+
+
+def test_the_lease_of_runs_that_should_be_gone_is_not_renewed(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+    leases: list[int | None],
+) -> None:
+    """A task of a cancelled job ends with its lease if no stop arrives."""
+    worker = started(batch_site.step(1))
+    link.stop_outcomes.extend([cluster.OrderOutcome.UNKNOWN] * 9)
+    site.pool.on_record(batch_site.job_row("j2", [batch_site.step(1)]))
+    site.run_round()
+    site.deliver(worker)
+    cancel(site, batch_site.step(1))
+    site.deliver(worker)
+    site.poll(worker)
+    assert leases[-1]
+    link.finish(job_spec.TaskKey("j2", 0, 0, 0))
+    site.poll(worker)
+    site.poll(worker)
+    assert leases[-1] is None
+    assert link.running == {TASK: 1}
+
+
 def _raise_error(*args: object) -> cluster.OrderAnswer:
     raise RuntimeError("unexpected")
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -320,7 +320,8 @@
         sent_at = time.monotonic()
         # The lease of an unresponsive worker must expire, so that its tasks
         # can start elsewhere. It is renewed again after a response.
-        renews = bool(self._clock_at) and not self.silent_since
+        responds = bool(self._clock_at) and not self.silent_since
+        renews = responds and self._needs_lease()
         # A new incarnation under the same id numbers its run ends from the
         # start; an old number would acknowledge ends that nobody received.
         # After any sign of one nothing is acknowledged, and the link passes
@@ -329,7 +330,7 @@
             self._owner.fencing_epoch,
             0 if self.silent_since else self.last_stored_end,
             self._extend_lease() if renews else None,
-            self._poll_wait_seconds() if renews else 0.0,
+            self._poll_wait_seconds() if responds else 0.0,
         )
         if self._closing.is_set():
             return False
@@ -342,6 +343,13 @@
             self.last_polled_at = sent_at
         return True
 
+    def _needs_lease(self) -> bool:
+        """Whether it has runs that should go on.
+
+        The end of the lease ends the others if their stops do not arrive.
+        """
+        return any(not run.stopping for run in [*self.run_by_task.values()])
+
     def _poll_wait_seconds(self) -> float:
         runs = [*self.run_by_task.values()]
         if any(
@@ -376,7 +384,7 @@
                 self._wake.wait(IDLE_POLL_SECONDS)
 
     def _is_in_use(self) -> bool:
-        return bool(self.run_by_task or self._orders)
+        return bool(self.run_by_task or self.unknown_run_by_key or self._orders)
 
     def _send_orders(self) -> None:
         while not self._closing.is_set():
