Start nothing beside runs that a new holder does not know

Callers would see a worker without admission control run more than its capacity (LIMIT) after a change of holder beside cancellations.

Cause: a final state is stored without the runs that are still being stopped. A successor learns of them from the first report of their worker and stops them, but counted their room as free while they ended, for up to 0.9 s.

Change: a worker gets no starts while it reports runs that should not be there.

The successor needs no stored runs to stop them in time: nothing is started on a worker before its first report, the poll for it makes the worker refuse the former holder's orders from then on, and a worker that can't be asked ends its runs with the lease, which nobody renews. test_an_order_of_a_former_holder_that_is_carried_ out_late_starts_nothing shows the second of these.

--- a/tests/machines/batch/test_stops.py
+++ b/tests/machines/batch/test_stops.py
@@ -316,5 +316,58 @@
     assert link.running == {TASK: 1}
 
 
+def test_a_new_holder_starts_nothing_beside_runs_that_it_does_not_know(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """Runs of a job that was cancelled under the former holder take up room.
+
+    The stored final state of a job lists no runs.
+    """
+    steps = [batch_site.step(4, 4000)]
+    started(*steps)
+    cancel(site, *steps)
+    site.run_round()
+    assert len(link.running) == 4
+    new_holder = batch_site.SteppedPool(
+        2,
+        [
+            batch_site.job_row("j1", steps, cancelled=True),
+            batch_site.job_row("j2", steps),
+        ],
+        site.progress_rows(),
+    )
+    worker = new_holder.add_worker("w1", link)
+    new_holder.poll(worker)
+    assert not new_holder.run_round()
+    new_holder.deliver(worker)
+    assert not link.running
+    new_holder.poll(worker)
+    assert len(new_holder.run_round()) == 4
+
+
+def test_an_order_of_a_former_holder_that_is_carried_out_late_starts_nothing(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """The first poll of a new holder blocks all orders of the former one."""
+    started(batch_site.step(1))
+    cancel(site, batch_site.step(1))
+    site.run_round()
+    new_holder = batch_site.SteppedPool(
+        2,
+        [batch_site.job_row("j1", [batch_site.step(1)], cancelled=True)],
+        site.progress_rows(),
+    )
+    worker = new_holder.add_worker("w1", link)
+    new_holder.poll(worker)
+    new_holder.deliver(worker)
+    late = cluster.StartOrder(TASK, 2, "", 99_999, 1)
+    assert link.start(late).outcome is cluster.OrderOutcome.FENCED
+    assert not link.running
+
+
 def _raise_error(*args: object) -> cluster.OrderAnswer:
     raise RuntimeError("unexpected")
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -281,6 +281,8 @@
         return (
             worker.is_reachable
             and worker.listed
+            # Unknown runs hold room that the pool does not count.
+            and not worker.unknown_run_by_key
             and not worker.drain_requested
             and worker.entry.state is cluster.WorkerState.READY
             and now >= worker.no_starts_until
