Take no report without a start time for the known incarnation's

Callers could see a task run twice. A report that did not tell the start of its worker's incarnation counted as one of the incarnation that had got the orders. If the worker had restarted under its id, it lacks the former runs and has seen no fencing token, so the runs counted as ended while old orders could still start them.

Every list of runs has the start time, so a report without it is malformed and is no report, as others that lack a field.

--- a/tests/adapter/test_decoding.py
+++ b/tests/adapter/test_decoding.py
@@ -289,3 +289,14 @@
     """Part of a report must not show that the other runs have gone."""
     decoded = wire_workers._poll_outcome(result.Success(report(runs, ends)))
     assert decoded is cluster.OrderOutcome.UNKNOWN
+
+
+@pytest.mark.parametrize("fields", [{}, {"born": None}, {"born": "1"}])
+def test_a_report_of_an_unknown_incarnation_is_no_report(
+    fields: dict[str, object],
+) -> None:
+    """Its runs may be those of another incarnation."""
+    body = {"clock_ms": 7, "running": [], "finished": [], **fields}
+    response = http_client.HttpResponse(200, (), json.dumps(body).encode())
+    decoded = wire_workers._poll_outcome(result.Success(response))
+    assert decoded is cluster.OrderOutcome.UNKNOWN
--- a/wisteriasill/links/cluster.py
+++ b/wisteriasill/links/cluster.py
@@ -254,13 +254,13 @@
 
     Attributes:
         clock_ms: Monotonic clock of the worker in milliseconds.
-        started_ms: Start of the worker's incarnation; None if not reported.
+        started_ms: Start of the worker's incarnation.
         runs: Runs in progress.
         ends: Ended runs that have not been acknowledged.
     """
 
     clock_ms: int
-    started_ms: int | None
+    started_ms: int
     runs: tuple[RunReport, ...]
     ends: tuple[RunEnd, ...]
 
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -40,7 +40,7 @@
         report: cluster.WorkerReport,
     ) -> None:
         """Handles a report of the runs and run ends of a worker."""
-        if report.started_ms not in (None, worker.entry.started_ms):
+        if report.started_ms != worker.entry.started_ms:
             self.remove_worker(worker, _RESTARTED)
             return
         with self.lock:
