Poll a restarted worker before a new holder counts its runs as ended

Callers could see a task run twice after a hand-over. A new holder counted a stored run as ended as soon as the registry showed another incarnation of its worker, and started the task elsewhere. An order of the former holder that is carried out late reaches the new incarnation, which has seen no fencing token and obeys it: until the new holder's first poll, both could run.

The run is now taken over as uncertain, as one of the same incarnation is. The first poll carries the new fencing token, so a report without the run proves that the old order can't start it any more, and a report with it shows a run to keep. The crash is noted as evidence at once, as before. An unreachable worker delays this until the former holder's leases have expired.

Test: test_a_new_holder_polls_a_restarted_worker_before_its_runs_end; on the former code run 2 was started elsewhere before the worker was polled, in both cases.

--- a/tests/machines/batch/test_worker_loss.py
+++ b/tests/machines/batch/test_worker_loss.py
@@ -365,3 +365,42 @@
     site.run_round(time.monotonic() + 1)
     site.deliver(other)
     assert not other_link.running
+
+
+@pytest.mark.parametrize("late", [True, False])
+def test_a_new_holder_polls_a_restarted_worker_before_its_runs_end(
+    site: batch_site.SteppedPool,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+    late: bool,
+) -> None:
+    """The new incarnation obeys the former holder until it has been polled.
+
+    An order to the former incarnation that was carried out late ran beside the
+    second run, which the new holder had started elsewhere at once.
+    """
+    lasting = batch_site.step(1, lasting=True)
+    started(lasting)
+    new_holder = batch_site.SteppedPool(
+        2, [batch_site.job_row("j1", [lasting])], site.progress_rows()
+    )
+    restarted = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    worker = new_holder.add_worker("w1", restarted)
+    other = new_holder.add_worker("w2", other_link)
+    new_holder.poll(other)
+    new_holder.run_round(time.monotonic() + 1)
+    new_holder.deliver(other)
+    assert not other_link.starts
+    order = cluster.StartOrder(TASK, 1, "", 99_999, 1)
+    if late:
+        restarted.start(order)
+    # A run counts as missing only some time after the claim.
+    new_holder.pool.claimed_at -= 1
+    new_holder.poll(worker)
+    outcome = restarted.start(order).outcome
+    assert outcome is cluster.OrderOutcome.FENCED
+    new_holder.run_round(time.monotonic() + 1)
+    for ordered in (worker, other):
+        new_holder.deliver(ordered)
+    runs = [*restarted.running.items(), *other_link.running.items()]
+    assert runs == [(TASK, 1 if late else 2)]
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -61,16 +61,13 @@
                 if stored.started_ms > worker.entry.started_ms:
                     # The entry may be a former incarnation's, written late.
                     self._keep_restored_run(restored)
-                elif stored.started_ms != worker.entry.started_ms:
-                    self._log_lost_restored_run(
-                        restored,
-                        "its worker has another incarnation",
-                        worker.entry.started_ms,
-                    )
-                    self._requeue_crashed(unit)
                 elif is_down:
                     self._requeue_down(restored)
                 else:
+                    if stored.started_ms != worker.entry.started_ms:
+                        self._record_unwatched_crash(unit)
+                    # Until it has seen this holder's fencing token, the new
+                    # incarnation may carry out the order to the former one.
                     self._add_uncertain_run(worker, unit, stored)
             if is_down:
                 self.remove_worker(worker, self._down_removal(worker_id))
@@ -258,7 +255,6 @@
         self,
         restored: batch_runs.RestoredRun,
         reason: str,
-        started_ms: int | None = None,
     ) -> None:
         """Logs that a stored run of a former holder counts as ended."""
         unit, stored = restored.unit, restored.stored
@@ -272,16 +268,18 @@
             worker=stored.worker_id,
             reason=reason,
             stored_started_ms=stored.started_ms,
-            started_ms=started_ms,
         )
 
     def _requeue_crashed(self, unit: batch_job.Unit) -> None:
         """Queues a unit whose worker ended while no holder watched it."""
+        self._record_unwatched_crash(unit)
+        unit.job.requeue(unit)
+
+    def _record_unwatched_crash(self, unit: batch_job.Unit) -> None:
         unit.crash_record = crash_evidence.record_unwatched_crash(
             unit.crash_record
         )
         self._judge(unit)
-        unit.job.requeue(unit)
 
     def _record_survivals(self, worker: workers.Worker) -> None:
         """Clears tasks that did not crash the worker that has just reported."""
