Count a job as waiting until a worker confirms a task's start

Cause: `_record_placed` sets a job's state to running once its tasks are assigned, and the number of waiting jobs went by the state. Starts that are then refused, or lost and blocked, left the job out for as long as no start got through.

Change: a job counts as waiting until a worker answers a start, reports a run or lists an end of one. A new holder takes a done or failed task, or a checkpoint, for the same.

--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -233,6 +233,7 @@
         steps: Its steps, with predicted instead of declared times.
         record_version: Version of the job's record in the store.
         partition_key: Partition of the job's record.
+        has_begun: Whether a worker has confirmed that it began a task.
         ready: Units that wait for a worker.
         core_seconds_left: Predicted CPU time of the units not done.
     """
@@ -254,6 +255,7 @@
         self.units_by_step: dict[tuple[int, int], list[Unit]] = {}
         self.units_left_by_step: dict[tuple[int, int], int] = {}
         self.done_seconds_by_step: dict[tuple[int, int], list[float]] = {}
+        self.has_begun = False
         self.ready: dict[UnitKey, Unit] = {}
         self.opened_occurrences = 0
         self.waiting_logged_at = age_since
--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -239,6 +239,8 @@
             unit.failures = stored.failures
             unit.checkpoint = stored.checkpoint
             unit.crash_record = stored.crash_record
+            if stored.done or stored.failures or stored.checkpoint:
+                job.has_begun = True
             if unit.crash_record.needs_trial and not stored.done:
                 self.suspect_by_key[job.job_id, unit.key] = unit
         for stored in progress.units:
@@ -261,12 +263,15 @@
         self._finish(job, batch_job.JobState.CANCELLED, "cancelled by caller")
 
     def pending_by_queue(self) -> dict[str, int]:
-        """Counts the jobs of each queue that have not started."""
+        """Counts the jobs of each queue of which no task has begun.
+
+        A task that is only assigned may be refused, or its start be lost.
+        """
         with self.lock:
             return dict(
                 collections.Counter(
                     job.record.queue
                     for job in self.job_by_id.values()
-                    if job.state is batch_job.JobState.QUEUED
+                    if not job.has_begun
                 )
             )
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -74,6 +74,7 @@
         if run is None or run.number != run_report.run:
             self._stop_unknown_run(worker, run_report)
             return
+        run.unit.job.has_begun = True
         if run.state is not batch_job.RunState.RUNNING:
             run.state = batch_job.RunState.RUNNING
             run.acked_at = now
@@ -181,6 +182,7 @@
             self._record_lost_run_end(run_end)
             return
         unit = run.unit
+        unit.job.has_begun = True
         if run_end.checkpoint:
             unit.checkpoint = run_end.checkpoint
         self._end_run(run)
@@ -294,6 +296,7 @@
             if run.state is batch_job.RunState.ENDED:
                 return
             if outcome is cluster.OrderOutcome.DONE:
+                run.unit.job.has_begun = True
                 if run.state is not batch_job.RunState.RUNNING:
                     run.state = batch_job.RunState.RUNNING
                     run.acked_at = time.monotonic()
