Move a straggler less often, and time no run of a former holder

What callers would see: a job that never ends.

Cause: two of one fault. A new holder measured the runs that a former one had started from its own first report, so the queue's mean run time came out far too short, and without finished tasks of a step that mean is the only limit. And nothing kept a task from being moved for ever by a limit that is too short.

Change: only runs that this holder started are timed; each move doubles the limit for the next one.

Evidence: test_a_new_holder_does_not_time_the_runs_of_a_former_one fails without the change (a task of 2 s is stopped); the other test needs the new argument.

--- a/tests/contracts/test_job_placement.py
+++ b/tests/contracts/test_job_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import itertools
 from typing import NamedTuple
 
 import pytest
@@ -236,3 +237,17 @@
 ) -> None:
     judged = stragglers.judge(age_seconds, done_seconds, 4, 1.0, copies)
     assert judged is action
+
+
+def test_each_move_of_a_straggler_needs_a_longer_overrun() -> None:
+    """A task of 2.5 s was moved 16 times, each time after a second."""
+    limits = [
+        next(
+            tenths / 10
+            for tenths in itertools.count()
+            if stragglers.judge(tenths / 10, (), 4, 0.1, False, former_moves)
+            is stragglers.Action.MOVE
+        )
+        for former_moves in range(3)
+    ]
+    assert limits == [1.4, 2.2, 3.8]
--- a/tests/machines/batch/test_hand_over.py
+++ b/tests/machines/batch/test_hand_over.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import time
 
 from standins import batch_worker
 from tests.machines import batch_site
@@ -70,3 +71,24 @@
     second = successor(site, 2, batch_site.job_row("j1", [step]))
     second.pool.set_down_workers({"w2": 10**6})
     assert not second.pool.job_by_id["j1"].ready
+
+
+def test_a_new_holder_does_not_time_the_runs_of_a_former_one(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """They looked shorter than they were, so sound tasks counted as slow."""
+    step = batch_site.step(1)
+    started(step)
+    second = successor(site, 2, batch_site.job_row("j1", [step]))
+    worker = second.add_worker("w1", link)
+    second.poll(worker)
+    link.finish(TASK)
+    second.poll(worker)
+    second.pool.on_record(batch_site.job_row("j2", [step]))
+    second.run_round()
+    second.deliver(worker)
+    second.run_round(time.monotonic() + 2.0)
+    second.deliver(worker)
+    assert link.running == {TASK._replace(job_id="j2"): 1}
--- a/wisteriasill/contracts/stragglers.py
+++ b/wisteriasill/contracts/stragglers.py
@@ -17,6 +17,9 @@
 # Declared times are wrong by a factor of up to ten, so without finished tasks
 # only a long overrun counts.
 DECLARED_FACTOR = 8.0
+# A task that is slow on another worker as well may just take that long, so
+# each move multiplies the limit for the next one.
+MOVE_BACKOFF = 2.0
 # Added to each limit, for the time that starts, reports and writes take.
 SLACK_SECONDS = 0.5
 # Share of a step's tasks that must be done before their times are the
@@ -38,6 +41,7 @@
     tasks: int,
     usual_seconds: float,
     copies: bool,
+    former_moves: int = 0,
 ) -> Action:
     """Compares a running task with the finished tasks of its step.
 
@@ -47,6 +51,7 @@
         tasks: Number of tasks of the step.
         usual_seconds: Mean run time of the queue's tasks; 0 if unknown.
         copies: Whether a speculative copy may run beside it.
+        former_moves: How often the task has been moved as a straggler.
 
     Returns:
         The action on it.
@@ -63,5 +68,6 @@
     if copies:
         late = age_seconds > copy_at + SLACK_SECONDS
         return Action.COPY if late else Action.WAIT
+    move_at *= MOVE_BACKOFF**former_moves
     late = age_seconds > move_at + SLACK_SECONDS
     return Action.MOVE if late else Action.WAIT
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -151,6 +151,7 @@
         avoided: Workers that a new run avoids: a run failed there, or was
             much slower than others.
         retry_at: Monotonic time before which it is not started again.
+        moves: How often it was moved as a straggler.
     """
 
     __slots__ = (
@@ -164,6 +165,7 @@
         "job",
         "last_run",
         "lost_at",
+        "moves",
         "occurrence",
         "restored",
         "retry_at",
@@ -197,6 +199,7 @@
         self.avoided: set[str] = set()
         self.retry_at = 0.0
         self.lost_at = 0.0
+        self.moves = 0
 
     @property
     def key(self) -> UnitKey:
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -526,6 +526,7 @@
             unit.step.tasks,
             self._mean_task_seconds_by_queue.get(unit.job.record.queue, 0.0),
             unit.step.copies,
+            unit.moves,
         )
         if unit.step.copies and run.worker.silent_since:
             action = stragglers.Action.COPY
@@ -543,6 +544,7 @@
         )
         unit.avoided.add(run.worker.worker_id)
         if action is stragglers.Action.MOVE:
+            unit.moves += 1
             worker_quarantine.quarantine(
                 run.worker,
                 now,
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -209,8 +209,8 @@
                 self._stop_run(other, "another run of its gang ended")
 
     def _record_duration(self, run: batch_job.Run, now: float) -> None:
-        if not run.acked_at:
-            return
+        if not run.acked_at or not run.ordered_at:
+            return  # A former holder started it, nobody knows when.
         unit = run.unit
         seconds = now - run.acked_at
         done_seconds = unit.job.done_seconds_by_step.setdefault(
