Record no crash against a task of an ended job

Callers would see a job that they had cancelled turn into a failed one.

Cause: a stored run whose worker had ended while nobody held the pool was counted as a crash under its task without a look at its job. The fifth crash gives the job up, also one that is in a final state already; any earlier one writes its row again, maybe after the row has been deleted.

Change: such a run of a done task or an ended job is dropped.

Evidence: the new test fails on the commit before in its three ways to lose the worker (a next incarnation, a host that is down, the end of the former leases): the row says failed instead of cancelled. Crashes that the holder watches were guarded already. Now tests/machines, zones, links, adapter and docs pass.

--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -270,6 +270,8 @@
 
     def _requeue_crashed(self, unit: batch_job.Unit) -> None:
         """Queues a unit whose worker ended while no holder watched it."""
+        if unit.done or unit.job.finished:
+            return
         unit.crash_record = crash_evidence.record_unwatched_crash(
             unit.crash_record
         )
