Keep a job cancelled that is stored after its cancellation

Cause: a cancellation that found no row, or the refusal of an earlier attempt, changed nothing. The store may carry out an unanswered insert seconds later, as its condition (no row, or that refusal) still held, and a request that was on its way to another node could still be stored.

Change: such a cancellation stores a short mark in place of the row, under the condition that the row is as it was read, and is answered with 410 once that is stored. A late insert fails by its condition. A submission that finds the mark stores its job as cancelled, so that the job is shown as such and no longer as unknown. This costs one write for each cancellation of an unknown job.

--- a/tests/machines/test_job_api.py
+++ b/tests/machines/test_job_api.py
@@ -198,6 +198,93 @@
     assert stored_rows(store) == 2
 
 
+def cancel(api: job_api.JobApi) -> job_api.Outcome:
+    return api.cancel(batch_site.QUEUE, JOB, time.monotonic() + 1.0)
+
+
+def load_pool(store: row_store.MemoryRowStore) -> batch_site.SteppedPool:
+    """Builds the pool that a holder reads from the store."""
+    records = batch_tables.read_records(store, batch_site.SERVICE)
+    assert records is not None
+    return batch_site.SteppedPool(records=records.rows)
+
+
+def test_a_job_cancelled_before_its_submission_is_stored_does_not_run(
+    api: job_api.JobApi, store: row_store.MemoryRowStore
+) -> None:
+    """The store may carry out an insert after a cancellation that found no row.
+
+    The caller was told that the job does not exist, and it ran.
+    """
+    store.delayed_writes = 1000
+    submit(api, 0.3)
+    store.delayed_writes = 0
+    assert kind_of(cancel(api)) is errors.ErrorKind.NO_SUCH_JOB
+    store.deliver_delayed()
+    assert not load_pool(store).pool.job_by_id
+    state = api.state(batch_site.QUEUE, JOB)
+    assert kind_of(state) is errors.ErrorKind.NO_SUCH_JOB
+
+
+def test_a_job_submitted_again_after_its_cancellation_is_cancelled(
+    api: job_api.JobApi, store: row_store.MemoryRowStore
+) -> None:
+    """A repeat of the submission may arrive after the cancellation."""
+    for _ in range(2):
+        assert kind_of(cancel(api)) is errors.ErrorKind.NO_SUCH_JOB
+    assert isinstance(submit(api), result.Success)
+    site = load_pool(store)
+    assert not site.pool.job_by_id
+    site.run_round()
+    assert (
+        batch_job.decode_state(site.progress_by_id[JOB])
+        is batch_job.JobState.CANCELLED
+    )
+    assert cancel(api).unwrap() is batch_job.JobState.CANCELLED
+
+
+def test_a_job_cancelled_after_it_was_turned_away_does_not_run(
+    api: job_api.JobApi, store: row_store.MemoryRowStore
+) -> None:
+    """A caller who returned got no answer and then cancelled the job."""
+    table = batch_tables.jobs_table(batch_site.SERVICE)
+    partition_key = batch_tables.jobs_partition(batch_site.SERVICE, JOB)
+    refusal = job_spec.encode_refusal(job_spec.Refusal(1, 2, 3.0))
+    store.transact(
+        partition_key, [], [cluster.RowWrite(table, JOB, refusal)], 1.0
+    )
+    row = store.read(table, partition_key).unwrap().rows[0]
+    record = batch_site.job_row(JOB, SPEC.steps)
+    store.delayed_writes = 1
+    store.transact(
+        partition_key,
+        [cluster.RowVersion(table, JOB, row.version)],
+        [cluster.RowWrite(table, JOB, record.value)],
+        1.0,
+    )
+    assert kind_of(cancel(api)) is errors.ErrorKind.NO_SUCH_JOB
+    store.deliver_delayed()
+    assert not load_pool(store).pool.job_by_id
+
+
+def test_a_cancellation_that_may_not_be_stored_is_not_acknowledged(
+    api: job_api.JobApi, store: row_store.MemoryRowStore
+) -> None:
+    store.delayed_writes = 1000
+    deadline = time.monotonic() + 0.2
+    failure = api.cancel(batch_site.QUEUE, JOB, deadline).failure()
+    assert failure.kind is errors.ErrorKind.OUTCOME_UNKNOWN
+
+
+def test_a_cancellation_whose_answer_is_lost_is_acknowledged(
+    api: job_api.JobApi, store: row_store.MemoryRowStore
+) -> None:
+    submit(api)
+    store.lost_answers = 1
+    outcome = api.cancel(batch_site.QUEUE, JOB, time.monotonic() + 3.0)
+    assert outcome.unwrap() is batch_job.JobState.CANCELLED
+
+
 def test_reads_without_the_store_fail_with_a_retry_time(
     api: job_api.JobApi, store: row_store.MemoryRowStore
 ) -> None:
--- a/wisteriasill/contracts/job_spec.py
+++ b/wisteriasill/contracts/job_spec.py
@@ -143,7 +143,10 @@
 # Tombstone of a job that ended. It prevents another job with the same id, and
 # a new holder of the shard reads it quickly because it is short.
 TOMBSTONE = b"-"
-
+# Takes the place of a job's row where a job was cancelled that is not stored. A
+# submission that the store carries out late then fails, and one that
+# arrives late is stored as cancelled.
+CANCELLATION = b"x"
 
 REFUSAL_PREFIX = b"!"
 
@@ -181,7 +184,10 @@
 
 def holds_job(value: bytes | None) -> bool:
     """Whether a row's value is a job that has not been shortened."""
-    return value not in (None, TOMBSTONE) and decode_refusal(value) is None
+    return (
+        value not in (None, TOMBSTONE, CANCELLATION)
+        and decode_refusal(value) is None
+    )
 
 
 def encode(record: JobRecord) -> dict[str, Any]:
--- a/wisteriasill/machines/job_api.py
+++ b/wisteriasill/machines/job_api.py
@@ -169,6 +169,10 @@
             outcome, row = self._insert(submission, row.version, give_up_at)
             if row is not None and job_spec.decode_refusal(row.value):
                 return submission_relay.Outcome.REFUSED
+        if row is not None and row.value == job_spec.CANCELLATION:
+            record = job_spec.decode_row(submission.value)
+            cancelled = submission._replace(value=_cancelled_value(record))
+            outcome, _ = self._insert(cancelled, row.version, give_up_at)
         return outcome
 
     def _insert(
@@ -226,28 +230,45 @@
     def cancel(
         self, queue: queues.Queue, job_id: str, deadline: float
     ) -> Outcome:
-        """Marks a job as cancelled; a repeated cancellation changes nothing."""
+        """Marks a job as cancelled; a repeated cancellation changes nothing.
+
+        A job that is not stored is marked as well, as the store may still carry
+        out its submission.
+
+        Args:
+            queue: The queue.
+            job_id: The caller's id for the job.
+            deadline: Monotonic time until which the caller waits.
+
+        Returns:
+            The job's state, or why it is not cancelled or that is not known.
+        """
         table = batch_tables.jobs_table(queue.service)
         while True:
             read = self._read_record(queue.service, job_id)
             if not isinstance(read, result.Success):
                 return result.Failure(read.failure())
             row = read.unwrap()
-            if row is None or not job_spec.holds_job(row.value):
+            record = None
+            if row is not None and job_spec.holds_job(row.value):
+                assert row.value is not None
+                record = job_spec.decode(cbor2.loads(row.value))
+                if record.cancelled:
+                    return result.Success(batch_job.JobState.CANCELLED)
+            elif row is not None and not job_spec.decode_refusal(row.value):
                 return result.Failure(_no_such_job(job_id))
-            assert row.value is not None
-            record = job_spec.decode(cbor2.loads(row.value))
-            if record.cancelled:
-                return result.Success(batch_job.JobState.CANCELLED)
-            cancelled_record = record._replace(cancelled=True)
             written = self._store.transact(
-                row.partition_key,
-                [cluster.RowVersion(table, job_id, row.version)],
+                row.partition_key
+                if row
+                else batch_tables.jobs_partition(queue.service, job_id),
+                [cluster.RowVersion(table, job_id, row.version if row else 0)],
                 [
                     cluster.RowWrite(
                         table,
                         job_id,
-                        cbor2.dumps(job_spec.encode(cancelled_record)),
+                        _cancelled_value(record)
+                        if record
+                        else job_spec.CANCELLATION,
                     )
                 ],
                 CALL_TIMEOUT_SECONDS,
@@ -258,7 +279,10 @@
                     "A caller cancelled a job",
                     job=job_id,
                     queue=queue.name,
+                    accepted=record is not None,
                 )
+                if record is None:
+                    return result.Failure(_no_such_job(job_id))
                 return result.Success(batch_job.JobState.CANCELLED)
             if time.monotonic() > deadline - CALL_TIMEOUT_SECONDS:
                 return result.Failure(
@@ -309,6 +333,10 @@
             time.sleep(RETRY_SECONDS)
 
 
+def _cancelled_value(record: job_spec.JobRecord) -> bytes:
+    return cbor2.dumps(job_spec.encode(record._replace(cancelled=True)))
+
+
 def _queued(row: cluster.StoredRow | None) -> Outcome:
     if row is None or not job_spec.holds_job(row.value):
         return result.Failure(_no_such_job(row.key if row else "with this id"))
