Block orders that a restarted worker's former incarnation never confirmed

Callers could see a task run twice. When a worker had restarted under its id, only runs ordered since the last answered poll were stopped at the new incarnation before they counted as ended. An order can wait for its connection, or be carried out late, while the former incarnation answers a poll over the other connection; it then reached the new incarnation, and its run counted as ended and was started elsewhere while it was at work.

A run counts as confirmed now if its worker showed or answered it before the last answered poll was sent: only then was it the former incarnation. All others are stopped at the new one first. A run of a former holder has no time of its order, so its wait for the new incarnation starts at the claim.

A confirmed run still moves at once (also tested).

--- a/tests/machines/batch/test_worker_loss.py
+++ b/tests/machines/batch/test_worker_loss.py
@@ -404,3 +404,65 @@
         new_holder.deliver(ordered)
     runs = [*restarted.running.items(), *other_link.running.items()]
     assert runs == [(TASK, 1 if late else 2)]
+
+
+@pytest.mark.parametrize("answered", [False, True])
+def test_an_order_that_a_restarted_worker_carries_out_late_is_not_lost(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    answered: bool,
+) -> None:
+    """The former incarnation may have answered a poll after the order.
+
+    The run counted as ended, and the task was started elsewhere beside it.
+    """
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    site.run_round()
+    restarted = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    orders: list[cluster.StartOrder] = []
+
+    def delay(order: cluster.StartOrder) -> cluster.OrderAnswer:
+        orders.append(order)
+        if not answered:
+            return cluster.OrderAnswer(cluster.OrderOutcome.UNKNOWN)
+        # Meanwhile the poll's connection works.
+        site.poll(worker)
+        worker.link = restarted
+        return restarted.start(order)
+
+    link.start = delay  # type: ignore[method-assign]
+    assert worker.send_once()
+    if not answered:
+        site.poll(worker)
+        worker.link = restarted
+        restarted.start(orders[0])
+    site.poll(worker)
+    assert worker.is_removed
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    site.run_round(time.monotonic() + 1)
+    site.deliver(other)
+    assert not other_link.starts
+    new_worker = site.add_worker("w1", restarted)
+    site.deliver(new_worker)
+    assert not restarted.running
+
+
+def test_a_confirmed_run_of_a_restarted_worker_starts_elsewhere_at_once(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    worker = started(batch_site.step(1))
+    site.poll(worker)
+    worker.link = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    site.poll(worker)
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    site.run_round(time.monotonic() + 1)
+    site.deliver(other)
+    assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -34,7 +34,7 @@
 
     Attributes:
         restarted: Whether a new incarnation may have its id; it may have
-            received start orders that were sent since the last poll.
+            received start orders that the former one has not confirmed.
         crashed: Whether its incarnation ended without an order, unless it
             drained.
     """
@@ -111,7 +111,7 @@
             orphans = [
                 run
                 for run in worker.run_by_task.values()
-                if removal.restarted and run.ordered_at > worker.last_polled_at
+                if removal.restarted and not worker.has_confirmed(run)
             ]
             if orphans:
                 self._orphans_by_worker[worker.worker_id] = orphans
@@ -402,7 +402,8 @@
                     )
             for orphans in self._orphans_by_worker.values():
                 for run in [*orphans]:
-                    if now - run.ordered_at > _MAX_ORPHAN_SECONDS:
+                    sent_at = max(run.ordered_at, self.claimed_at)
+                    if now - sent_at > _MAX_ORPHAN_SECONDS:
                         orphans.remove(run)
                         self._end_run(run)
             if now >= self.former_leases_end_at:
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -251,6 +251,16 @@
             return 0.0
         return max(0.0, self._clock_at - run.acked_at)
 
+    def has_confirmed(self, run: batch_job.Run) -> bool:
+        """Whether this incarnation received a run's order, or none was sent.
+
+        A response that came after the last answered poll was sent may be that
+        of another incarnation.
+        """
+        return (
+            not run.may_be_on_worker or 0 < run.acked_at <= self.last_polled_at
+        )
+
     def has_unproven_run(self) -> bool:
         """Whether a run here may still crash it by its start."""
         return any(
