--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -78,6 +78,7 @@
         run.worker = worker
         run.state = batch_job.RunState.UNCERTAIN
         run.stopping = True
+        run.start_blocked_at = 0.0
         worker.run_by_task[run.task] = run
         worker.reserve(run.unit.step.need, run.unit.step.fills)
         worker.send(workers.WorkerOrder("stop", run))
@@ -90,6 +91,7 @@
     ) -> None:
         run = batch_job.Run(unit, stored.position, stored.number, worker)
         run.state = batch_job.RunState.UNCERTAIN
+        unit.restored.remove(stored)
         unit.runs.append(run)
         worker.run_by_task[run.task] = run
         worker.reserve(unit.step.need, unit.step.fills)
@@ -251,13 +253,14 @@
                     unit.crash_record
                 )
 
-    def _log_lost_restored_run(
+    def _lose_restored_run(
         self,
         restored: batch_runs.RestoredRun,
         reason: str,
     ) -> None:
-        """Logs that a stored run of a former holder counts as ended."""
+        """Drops a stored run of a former holder, which counts as ended."""
         unit, stored = restored.unit, restored.stored
+        unit.restored.remove(stored)
         events.log(
             events.Event.RUN_LOST,
             "A run of a former holder was lost",
@@ -375,7 +378,7 @@
         ).append(restored)
 
     def _requeue_down(self, restored: batch_runs.RestoredRun) -> None:
-        self._log_lost_restored_run(restored, "its host is down")
+        self._lose_restored_run(restored, "its host is down")
         if restored.stored.worker_id in self._planned_end_ids:
             restored.unit.job.requeue(restored.unit)
         else:
@@ -410,9 +413,7 @@
                 for restored in itertools.chain.from_iterable(
                     self._restored_runs_by_worker.values()
                 ):
-                    self._log_lost_restored_run(
-                        restored, "former lease expired"
-                    )
+                    self._lose_restored_run(restored, "former lease expired")
                     self._requeue_crashed(restored.unit)
                 self._restored_runs_by_worker.clear()
 
