Wait for the longest lease of orders that may reach a restarted worker

Callers could see a task run twice. An order that had reached the new incarnation of a restarted worker, or still could, was kept until that incarnation had stopped it. But the pool knows no clock of a new incarnation before its first poll, and took its leases for those of a former holder, which have expired 5 to 11 s after the claim. So on a pool held for longer, the next planning round ended the run, at times before the first poll, and its task was started elsewhere beside it.

A lease of such an order ends at most the platform's longest lease after it: its end was computed by the clock of the former incarnation, so the usual lease does not bound it. The pool now waits for that, from the order or, for one of a former holder, from the claim; after a poll, from the clock that it showed.

Test: test_a_run_at_a_restarted_worker_outlives_former_leases; on the former code run 2 was started on w2 beside run 1 on w1, unpolled and polled once.

--- a/tests/machines/batch/test_worker_loss.py
+++ b/tests/machines/batch/test_worker_loss.py
@@ -466,3 +466,46 @@
     site.run_round(time.monotonic() + 1)
     site.deliver(other)
     assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
+
+
+@pytest.mark.parametrize("polled", [False, True])
+def test_a_run_at_a_restarted_worker_outlives_former_leases(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    polled: bool,
+) -> None:
+    """Leases of former holders tell nothing of an order of this one.
+
+    Its run was ended in the round that followed the new incarnation's entry,
+    before the worker had been polled, and was started elsewhere beside it.
+    """
+    site.pool.former_leases_end_at = time.monotonic()
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    site.run_round()
+    restarted = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    worker.link = restarted
+    site.deliver(worker)
+    site.poll(worker)
+    assert worker.is_removed
+    new_worker = site.add_worker("w1", restarted)
+    if polled:
+        site.poll(new_worker)
+    restarted.unreachable = True
+    site.poll(new_worker)
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    silent_seconds = workers.LEASE_SECONDS + 1 if polled else 0.0
+    for seconds in (1, 2):
+        site.run_round(time.monotonic() + silent_seconds + seconds)
+    site.deliver(other)
+    assert restarted.running == {TASK: 1}
+    assert not other_link.starts
+    # The platform ends the longest lease.
+    for seconds in (1, 2):
+        later = workers.MAX_LEASE_SECONDS / workers.MIN_CLOCK_RATE + seconds
+        site.run_round(time.monotonic() + later)
+    site.deliver(other)
+    assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -66,6 +66,7 @@
                 else:
                     if stored.started_ms != worker.entry.started_ms:
                         self._record_unwatched_crash(unit)
+                        worker.expect_late_order(self.claimed_at)
                     # Until it has seen this holder's fencing token, the new
                     # incarnation may carry out the order to the former one.
                     self._add_uncertain_run(worker, unit, stored)
@@ -79,10 +80,15 @@
         run.state = batch_job.RunState.UNCERTAIN
         run.stopping = True
         run.start_blocked_at = 0.0
+        worker.expect_late_order(self._latest_order_at(run))
         worker.run_by_task[run.task] = run
         worker.reserve(run.unit.step.need, run.unit.step.fills)
         worker.send(workers.WorkerOrder("stop", run))
 
+    def _latest_order_at(self, run: batch_job.Run) -> float:
+        """Returns when a run was ordered; at the claim if before it."""
+        return max(run.ordered_at, self.claimed_at)
+
     def _add_uncertain_run(
         self,
         worker: workers.Worker,
@@ -405,8 +411,8 @@
                     )
             for orphans in self._orphans_by_worker.values():
                 for run in [*orphans]:
-                    sent_at = max(run.ordered_at, self.claimed_at)
-                    if now - sent_at > _MAX_ORPHAN_SECONDS:
+                    sent_seconds = now - self._latest_order_at(run)
+                    if sent_seconds > _MAX_ORPHAN_SECONDS:
                         orphans.remove(run)
                         self._end_run(run)
             if now >= self.former_leases_end_at:
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -178,6 +178,7 @@
         self._clock_at = 0.0
         self._lease_until_ms = 0
         self._former_leases_end_at = former_leases_end_at
+        self._first_lease_seconds = LEASE_SECONDS
         self._orders: collections.deque[WorkerOrder] = collections.deque()
         # When to send the next stop of each run that should be gone.
         self._stop_due_at_by_run: dict[batch_job.Run, float] = {}
@@ -292,6 +293,21 @@
             for run in self.run_by_task.values()
         )
 
+    def expect_late_order(self, sent_at: float) -> None:
+        """Allows for the lease of an order to a former incarnation.
+
+        The end of such a lease was computed by another clock, so only the
+        platform's longest lease bounds it.
+
+        Args:
+            sent_at: Monotonic time of the order, or the latest possible time.
+        """
+        self._first_lease_seconds = MAX_LEASE_SECONDS
+        self._former_leases_end_at = max(
+            self._former_leases_end_at,
+            sent_at + MAX_LEASE_SECONDS / MIN_CLOCK_RATE,
+        )
+
     def leases_expired(self, now: float) -> bool:
         """Whether every lease on the worker has certainly expired."""
         if not self._clock_at:
@@ -305,7 +321,9 @@
         """Records a reading of the worker's clock."""
         if not self._clock_at:
             # An earlier holder may have granted a lease until just now.
-            self._lease_until_ms = clock_ms + int(LEASE_SECONDS * 1000)
+            self._lease_until_ms = clock_ms + int(
+                self._first_lease_seconds * 1000
+            )
         if clock_ms and clock_ms >= self._clock_ms:
             self._clock_ms = clock_ms
             self._clock_at = received_at
