--- a/tests/machines/batch/test_worker_loss.py
+++ b/tests/machines/batch/test_worker_loss.py
@@ -404,3 +404,108 @@
         new_holder.deliver(ordered)
     runs = [*restarted.running.items(), *other_link.running.items()]
     assert runs == [(TASK, 1 if late else 2)]
+
+
+@pytest.mark.parametrize("answered", [False, True])
+def test_an_order_that_a_restarted_worker_carries_out_late_is_not_lost(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    answered: bool,
+) -> None:
+    """The former incarnation may have answered a poll after the order.
+
+    The run counted as ended, and the task was started elsewhere beside it.
+    """
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    site.run_round()
+    restarted = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    orders: list[cluster.StartOrder] = []
+
+    def delay(order: cluster.StartOrder) -> cluster.OrderAnswer:
+        orders.append(order)
+        if not answered:
+            return cluster.OrderAnswer(cluster.OrderOutcome.UNKNOWN)
+        # Meanwhile the poll's connection works.
+        site.poll(worker)
+        worker.link = restarted
+        return restarted.start(order)
+
+    link.start = delay  # type: ignore[method-assign]
+    assert worker.send_once()
+    if not answered:
+        site.poll(worker)
+        worker.link = restarted
+        restarted.start(orders[0])
+    site.poll(worker)
+    assert worker.is_removed
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    site.run_round(time.monotonic() + 1)
+    site.deliver(other)
+    assert not other_link.starts
+    new_worker = site.add_worker("w1", restarted)
+    site.deliver(new_worker)
+    assert not restarted.running
+
+
+def test_a_confirmed_run_of_a_restarted_worker_starts_elsewhere_at_once(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    worker = started(batch_site.step(1))
+    site.poll(worker)
+    worker.link = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    site.poll(worker)
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    site.run_round(time.monotonic() + 1)
+    site.deliver(other)
+    assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
+
+
+@pytest.mark.parametrize("polled", [False, True])
+def test_a_run_at_a_restarted_worker_outlives_former_leases(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    polled: bool,
+) -> None:
+    """Leases of former holders tell nothing of an order of this one.
+
+    Its run was ended in the round that followed the new incarnation's entry,
+    before the worker had been polled, and was started elsewhere beside it.
+    """
+    site.pool.former_leases_end_at = time.monotonic()
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    site.run_round()
+    restarted = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    worker.link = restarted
+    site.deliver(worker)
+    site.poll(worker)
+    assert worker.is_removed
+    new_worker = site.add_worker("w1", restarted)
+    if polled:
+        site.poll(new_worker)
+    restarted.unreachable = True
+    site.poll(new_worker)
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    silent_seconds = workers.LEASE_SECONDS + 1 if polled else 0.0
+    for seconds in (1, 2):
+        site.run_round(time.monotonic() + silent_seconds + seconds)
+    site.deliver(other)
+    assert restarted.running == {TASK: 1}
+    assert not other_link.starts
+    # The platform ends the longest lease.
+    for seconds in (1, 2):
+        later = workers.MAX_LEASE_SECONDS / workers.MIN_CLOCK_RATE + seconds
+        site.run_round(time.monotonic() + later)
+    site.deliver(other)
+    assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -34,7 +34,7 @@
 
     Attributes:
         restarted: Whether a new incarnation may have its id; it may have
-            received start orders that were sent since the last poll.
+            received start orders that the former one has not confirmed.
         crashed: Whether its incarnation ended without an order, unless it
             drained.
     """
@@ -66,6 +66,7 @@
                 else:
                     if stored.started_ms != worker.entry.started_ms:
                         self._record_unwatched_crash(unit)
+                        worker.expect_late_order(self.claimed_at)
                     # Until it has seen this holder's fencing token, the new
                     # incarnation may carry out the order to the former one.
                     self._add_uncertain_run(worker, unit, stored)
@@ -79,10 +80,15 @@
         run.state = batch_job.RunState.UNCERTAIN
         run.stopping = True
         run.start_blocked_at = 0.0
+        worker.expect_late_order(self._latest_order_at(run))
         worker.run_by_task[run.task] = run
         worker.reserve(run.unit.step.need, run.unit.step.fills)
         worker.send(workers.WorkerOrder("stop", run))
 
+    def _latest_order_at(self, run: batch_job.Run) -> float:
+        """Returns when a run was ordered; at the claim if before it."""
+        return max(run.ordered_at, self.claimed_at)
+
     def _add_uncertain_run(
         self,
         worker: workers.Worker,
@@ -113,7 +119,7 @@
             orphans = [
                 run
                 for run in worker.run_by_task.values()
-                if removal.restarted and run.ordered_at > worker.last_polled_at
+                if removal.restarted and not worker.has_confirmed(run)
             ]
             if orphans:
                 self._orphans_by_worker[worker.worker_id] = orphans
@@ -407,7 +413,8 @@
                     )
             for orphans in self._orphans_by_worker.values():
                 for run in [*orphans]:
-                    if now - run.ordered_at > _MAX_ORPHAN_SECONDS:
+                    sent_seconds = now - self._latest_order_at(run)
+                    if sent_seconds > _MAX_ORPHAN_SECONDS:
                         orphans.remove(run)
                         self._end_run(run)
             if now >= self.former_leases_end_at:
