--- a/tests/machines/batch/test_ended_jobs.py
+++ b/tests/machines/batch/test_ended_jobs.py
@@ -45,7 +45,7 @@
 
 
 def report_host_down(pool: batch_site.SteppedPool) -> None:
-    pool.pool.set_down_workers({"w1"})
+    pool.pool.set_down_workers({"w1": 10})
 
 
 def end_former_leases(pool: batch_site.SteppedPool) -> None:
