Let stand-in workers lose, delay and refuse orders

The stand-ins could not leave an order unanswered and execute it later, refuse a stop, cut a worker from one node only, list hosts, or spoil a registry entry. A crashed worker was back after 0.3 s with the start time of its crash.

OrderFaults describes the faults of the calls to a worker, HostService lists the hosts, and a crash takes a given time, at whose end the next incarnation starts. Two faults of the stand-in itself are repaired: a run whose lease expired before its work was complete ended as done if no call came in between, and a crash could come between the check of an incarnation and the order.

The run log also reports a start between an end `done` and its acknowledgement.

--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import base64
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 import json
 import threading
 import time
@@ -25,7 +25,7 @@
 
 JsonResponse = tuple[int, dict[str, Any]]
 STORE_THREADS = 48  # Each node watches several tables at a time.
-WORKER_THREADS = 10
+WORKER_THREADS = 24  # Calls without a response occupy threads.
 HEARTBEAT_SECONDS = 0.5
 
 REASONS = {
@@ -158,6 +158,10 @@
         worker: The worker.
         address: Address of the interface.
         service: Service that the worker belongs to.
+
+    Attributes:
+        omitted_fields: Fields that the registry entry lacks.
+        entry_malformed: Whether the registry entry can't be decoded.
     """
 
     def __init__(
@@ -167,39 +171,77 @@
         self._address = address
         self._service = service
         self._incarnation_by_peer: dict[tuple[str, str], int] = {}
+        self.omitted_fields: tuple[str, ...] = ()
+        self.entry_malformed = False
 
     def entry(self) -> bytes:
         """Returns the worker's encoded entry in the registry."""
+        if self.entry_malformed:
+            return b"\xff"
         room = self.worker.room
+        fields = {
+            "service": self._service,
+            "address": self._address,
+            "zone": "z1",
+            "state": "ready",
+            "capacity": {"cpu": room.cpu, "mem_mb": room.memory_mb},
+            "labels": ["a", "r1"],
+            "born": self.worker.started_ms,
+            "seq": int(time.monotonic() * 1000),
+        }
         return json.dumps(
             {
-                "service": self._service,
-                "address": self._address,
-                "zone": "z1",
-                "state": "ready",
-                "capacity": {"cpu": room.cpu, "mem_mb": room.memory_mb},
-                "labels": ["a", "r1"],
-                "born": self.worker.started_ms,
-                "seq": int(time.monotonic() * 1000),
+                name: value
+                for name, value in fields.items()
+                if name not in self.omitted_fields
             }
         ).encode()
 
     def answer(self, request: wrappers.Request) -> JsonResponse:
         """Handles one call."""
+        late = self.worker.unreachable
         while self.worker.unreachable:
             time.sleep(timed_worker.POLL_SECONDS)
-        if self.worker.down:
-            return 500, {}  # Represents a reset connection.
-        if self._outlives_its_process(request):
-            return 500, {}
+        peer = request.environ["REMOTE_ADDR"], request.environ["REMOTE_PORT"]
+        with self.worker.lock:
+            # All incarnations share one server here, but the connections of a
+            # real process end with it.
+            incarnation = self._incarnation_by_peer.setdefault(
+                peer, self.worker.started_ms
+            )
+            if incarnation != self.worker.started_ms:
+                del self._incarnation_by_peer[peer]
+                return 500, {}  # Represents a reset connection.
+        return self.execute(request, incarnation, late)
+
+    def execute(
+        self, request: wrappers.Request, incarnation: int, late: bool
+    ) -> JsonResponse:
+        """Executes a call that reached an incarnation of the worker.
+
+        Args:
+            request: The call.
+            incarnation: Start time of the incarnation.
+            late: Whether the call was delivered some time ago.
+        """
         expected_worker = request.headers.get("Wisteriasill-Expect-Instance")
         if expected_worker not in (None, self.worker.worker_id):
             return 421, {}
         body = json.loads(request.get_data())
         if request.path == "/api/hold":
+            if self.worker.down or self.worker.started_ms != incarnation:
+                return 500, {}
             return self._hold(body)
+        with self.worker.lock:
+            if self.worker.down or self.worker.started_ms != incarnation:
+                return 500, {}
+            return self._execute_order(request.path, body, late)
+
+    def _execute_order(
+        self, path: str, body: dict[str, Any], late: bool
+    ) -> JsonResponse:
         task = _task_key(body["task"])
-        if request.path == "/api/run-start":
+        if path == "/api/run-start":
             order = cluster.StartOrder(
                 task,
                 body["run_id"],
@@ -208,28 +250,13 @@
                 body["fencing_token"],
                 body.get("checkpoint", ""),
             )
-            return _order_answer(self.worker.start(order))
-        if request.path == "/api/run-stop":
+            return _order_answer(self.worker.start(order, late))
+        if path == "/api/run-stop":
             return _order_answer(
                 self.worker.stop(task, body["run_id"], body["fencing_token"])
             )
         return 400, {}
 
-    def _outlives_its_process(self, request: wrappers.Request) -> bool:
-        """Returns whether a connection was opened to an earlier incarnation.
-
-        All incarnations share one server here, but the connections of a real
-        process end with it.
-        """
-        peer = request.environ["REMOTE_ADDR"], request.environ["REMOTE_PORT"]
-        incarnation = self._incarnation_by_peer.setdefault(
-            peer, self.worker.started_ms
-        )
-        if incarnation == self.worker.started_ms:
-            return False
-        del self._incarnation_by_peer[peer]
-        return True
-
     def _hold(self, body: dict[str, Any]) -> JsonResponse:
         report = self.worker.poll(
             body["fencing_token"],
@@ -255,6 +282,53 @@
         }
 
 
+class HostService:
+    """HTTP interface that lists the hosts of some workers.
+
+    Args:
+        workers: A worker of each host, whose id is derived from the worker's.
+        service: Service that the workers belong to.
+
+    Attributes:
+        down: Whether all calls are refused.
+        delay_seconds: Delay of each response.
+    """
+
+    def __init__(
+        self, workers: Sequence[timed_worker.TimedWorker], service: str
+    ) -> None:
+        self._workers = workers
+        self._service = service
+        self.down = False
+        self.delay_seconds = 0.0
+
+    def answer(self, request: wrappers.Request) -> JsonResponse:
+        """Handles one call."""
+        time.sleep(self.delay_seconds)
+        if self.down:
+            return 503, {}
+        if request.path != "/api/machines":
+            return 409, {"reason": "busy"}
+        return 200, {
+            "machines": [
+                {
+                    "machine": f"m-{worker.worker_id}",
+                    "pool": self._service,
+                    "state": "down" if worker.down else "up",
+                    "zone": "z1",
+                    "labels": ["a", "r1"],
+                    "capacity": {
+                        "cpu": worker.room.cpu,
+                        "mem_mb": worker.room.memory_mb,
+                    },
+                    "id": worker.worker_id,
+                }
+                for worker in self._workers
+            ],
+            "next_token": "",
+        }
+
+
 def _order_answer(answer: cluster.OrderAnswer) -> JsonResponse:
     if answer.outcome is cluster.OrderOutcome.DONE:
         return 200, {"clock_ms": answer.clock_ms}
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 import threading
 from typing import NamedTuple
 
@@ -21,6 +21,22 @@
 )
 
 
+class Commit(NamedTuple):
+    """A transaction that took effect.
+
+    Attributes:
+        partition_key: Partition of all its rows.
+        version: Version that it gave to the rows that it wrote.
+        required: Rows whose versions it required.
+        writes: Rows that it wrote.
+    """
+
+    partition_key: str
+    version: int
+    required: tuple[cluster.RowVersion, ...]
+    writes: tuple[cluster.RowWrite, ...]
+
+
 class DelayedTransaction(NamedTuple):
     """A transaction whose execution is delayed."""
 
@@ -41,6 +57,8 @@
             take effect at `deliver_delayed`.
         unanswered_seconds: Time that clients would have waited for responses
             that they did not get.
+        on_commit: Called with each transaction that takes effect, before its
+            response.
     """
 
     def __init__(self) -> None:
@@ -50,6 +68,7 @@
         self.delayed_writes = 0
         self.unanswered_seconds = 0.0
         self.history_from = 0
+        self.on_commit: Callable[[Commit], None] = lambda commit: None
         self._version = 0
         self._row_by_key: dict[tuple[str, str, str], cluster.StoredRow] = {}
         self._changes: list[cluster.StoredRow] = []
@@ -129,6 +148,9 @@
                 self._row_by_key.pop(row_key, None)
             else:
                 self._row_by_key[row_key] = row
+        self.on_commit(
+            Commit(partition_key, self._version, tuple(required), tuple(writes))
+        )
         self._changed.notify_all()
         return result.Success(self._version)
 
--- a/standins/timed_worker.py
+++ b/standins/timed_worker.py
@@ -27,6 +27,8 @@
         run: Number of the run.
         worker_id: Id of the worker.
         event: `start`, or how the run ended.
+        fencing_epoch: Fencing token of a start order.
+        late: Whether a start order was executed after its delivery.
     """
 
     at: float
@@ -34,6 +36,8 @@
     run: int
     worker_id: str
     event: str
+    fencing_epoch: int = 0
+    late: bool = False
 
 
 class RunLog:
@@ -42,8 +46,8 @@
     Attributes:
         lock: Guards the log.
         run_events: All starts and ends.
-        violations: Concurrent runs of a task, and starts of a task
-            whose completion has been acknowledged.
+        violations: Concurrent runs of a task, and starts of a task after an
+            end `done` that was acknowledged before or after the start.
     """
 
     def __init__(self) -> None:
@@ -55,7 +59,11 @@
         self._open_runs_by_task: dict[
             job_spec.TaskKey, dict[tuple[str, int], Callable[[], bool]]
         ] = {}
-        self._acknowledged_at_by_task: dict[job_spec.TaskKey, float] = {}
+        # Listed ends `done` that a later acknowledgement makes final.
+        self._done_at_by_run: dict[
+            tuple[job_spec.TaskKey, str, int], float
+        ] = {}
+        self._acknowledged_tasks: set[job_spec.TaskKey] = set()
 
     def started(
         self,
@@ -63,6 +71,8 @@
         run: int,
         worker_id: str,
         is_over: Callable[[], bool],
+        fencing_epoch: int = 0,
+        late: bool = False,
     ) -> None:
         """Records a start and checks that the task runs nowhere else.
 
@@ -73,10 +83,21 @@
             is_over: Returns whether the run time or the lease has ended. A
                 worker records an end only at the next call, which may come
                 much later.
+            fencing_epoch: Fencing token of the order.
+            late: Whether the order was executed after its delivery.
         """
         with self.lock:
-            now = time.monotonic()
-            self.run_events.append(RunEvent(now, task, run, worker_id, "start"))
+            self.run_events.append(
+                RunEvent(
+                    time.monotonic(),
+                    task,
+                    run,
+                    worker_id,
+                    "start",
+                    fencing_epoch,
+                    late,
+                )
+            )
             open_runs = self._open_runs_by_task.setdefault(task, {})
             others = {
                 key
@@ -85,25 +106,77 @@
             }
             if others:
                 self.violations.append(f"two runs of {task}: {run}, {others}")
-            if task in self._acknowledged_at_by_task:
+            if task in self._acknowledged_tasks:
                 self.violations.append(
                     f"{task} starts after its completion was acknowledged"
                 )
             open_runs[worker_id, run] = is_over
 
     def ended(
-        self, task: job_spec.TaskKey, run: int, worker_id: str, event: str
+        self,
+        task: job_spec.TaskKey,
+        run: int,
+        worker_id: str,
+        event: str,
+        at: float | None = None,
     ) -> None:
-        """Records an end."""
+        """Records an end.
+
+        Args:
+            task: The task.
+            run: Number of the run.
+            worker_id: Worker that ran it.
+            event: How it ended.
+            at: Monotonic time of the end; None for now.
+        """
         with self.lock:
-            now = time.monotonic()
-            self.run_events.append(RunEvent(now, task, run, worker_id, event))
+            ended_at = time.monotonic() if at is None else at
+            self.run_events.append(
+                RunEvent(ended_at, task, run, worker_id, event)
+            )
             self._open_runs_by_task.get(task, {}).pop((worker_id, run), None)
+            if event == cluster.RunEndKind.DONE.value:
+                self._done_at_by_run[task, worker_id, run] = ended_at
+
+    def open_tasks(self) -> set[job_spec.TaskKey]:
+        """Returns the tasks with a run that is not over."""
+        with self.lock:
+            return {
+                task
+                for task, open_runs in self._open_runs_by_task.items()
+                if not all(is_over() for is_over in open_runs.values())
+            }
+
+    def forget_done(self, worker_id: str) -> None:
+        """Drops a worker's unacknowledged ends.
+
+        An end counts as taken note of only if the worker's lease did not expire
+        before its acknowledgement. A crash loses the ends.
+        """
+        with self.lock:
+            for key in [
+                key for key in self._done_at_by_run if key[1] == worker_id
+            ]:
+                del self._done_at_by_run[key]
 
-    def acknowledged(self, task: job_spec.TaskKey) -> None:
+    def acknowledged(
+        self, task: job_spec.TaskKey, run: int, worker_id: str
+    ) -> None:
         """Records that the product acknowledged the completion of a task."""
         with self.lock:
-            self._acknowledged_at_by_task.setdefault(task, time.monotonic())
+            done_at = self._done_at_by_run.pop((task, worker_id, run), None)
+            if done_at is None:
+                return
+            self._acknowledged_tasks.add(task)
+            self.violations.extend(
+                f"run {started.run} of {task} started on {started.worker_id} "
+                f"{started.at - done_at:.2f} s after run {run} had ended as "
+                f"done on {worker_id}"
+                for started in self.run_events
+                if started.task == task
+                and started.event == "start"
+                and started.at > done_at
+            )
 
 
 class TimedWorker:
@@ -123,9 +196,10 @@
         self.unreachable = False
         self.down = False
         self.started_ms = 0
+        # Held while an order is executed, so that no restart interrupts it.
+        self.lock = threading.RLock()
         self._log = log
-        self._lock = threading.RLock()
-        self._seconds_by_task: dict[job_spec.TaskKey, float] = {}
+        self._restart_lock = threading.Lock()
         self._ends_at_by_task: dict[job_spec.TaskKey, float] = {}
         self._start_incarnation()
 
@@ -136,19 +210,26 @@
         self._lease_until_ms = 0
         self._ends_at_by_task.clear()
 
-    def crash(self) -> None:
+    def crash(self, seconds: float = RESTART_SECONDS) -> None:
         """Ends this incarnation and its runs; starts another after a delay."""
-        with self._lock:
-            self.down = True
-            for task, run in self._worker.running.items():
-                self._log.ended(task, run, self.worker_id, "crash")
-            self._start_incarnation()
-        time.sleep(RESTART_SECONDS)
-        self.down = False
-
-    def start(self, order: cluster.StartOrder) -> cluster.OrderAnswer:
+        with self._restart_lock:
+            with self.lock:
+                self.down = True
+                self._advance()
+                for task, run in self._worker.running.items():
+                    self._log.ended(task, run, self.worker_id, "crash")
+                self._log.forget_done(self.worker_id)
+                self._start_incarnation()
+            time.sleep(seconds)
+            with self.lock:
+                self._start_incarnation()
+                self.down = False
+
+    def start(
+        self, order: cluster.StartOrder, late: bool = False
+    ) -> cluster.OrderAnswer:
         """Starts a run if there is capacity for it."""
-        with self._lock:
+        with self.lock:
             self._advance()
             is_running = self._worker.running.get(order.task) == order.run
             if (
@@ -171,6 +252,8 @@
                     order.run,
                     self.worker_id,
                     self._over_check(ends_at),
+                    order.fencing_epoch,
+                    late,
                 )
             return answer
 
@@ -198,7 +281,7 @@
         self, task: job_spec.TaskKey, run: int, fencing_epoch: int
     ) -> cluster.OrderAnswer:
         """Stops a run."""
-        with self._lock:
+        with self.lock:
             self._advance()
             was_running = self._worker.running.get(task) == run
             answer = self._worker.stop(task, run, fencing_epoch)
@@ -217,7 +300,7 @@
         deadline = time.monotonic() + wait_seconds
         started_ms = self.started_ms
         while True:
-            with self._lock:
+            with self.lock:
                 if self.started_ms != started_ms:
                     # A crash broke the connection of this call.
                     return cluster.OrderOutcome.UNKNOWN
@@ -235,7 +318,9 @@
                         ended.number <= acknowledged
                         and ended.kind is cluster.RunEndKind.DONE
                     ):
-                        self._log.acknowledged(ended.task)
+                        self._log.acknowledged(
+                            ended.task, ended.run, self.worker_id
+                        )
                 report = self._worker.poll(
                     fencing_epoch, acknowledged, None, 0.0
                 )
@@ -248,13 +333,26 @@
         """Ends runs that are complete or whose lease has expired."""
         now = time.monotonic()
         self._worker.clock_ms = int((now - self._started_at) * 1000) + 1
-        lease_expired = self._worker.clock_ms >= self._lease_until_ms
-        for task, run in self._worker.running.items():
-            if now >= self._ends_at_by_task[task]:
-                kind = cluster.RunEndKind.DONE
-            elif lease_expired:
-                kind = cluster.RunEndKind.LAPSED
-            else:
+        lease_ends_at = self._started_at + self._lease_until_ms / 1000
+        for task, run in sorted(
+            self._worker.running.items(),
+            key=lambda item: self._ends_at_by_task[item[0]],
+        ):
+            done_at = self._ends_at_by_task[task]
+            if min(done_at, lease_ends_at) > now:
                 continue
+            kind = (
+                cluster.RunEndKind.DONE
+                if done_at <= lease_ends_at
+                else cluster.RunEndKind.LAPSED
+            )
             self._worker.finish(task, kind)
-            self._log.ended(task, run, self.worker_id, kind.value)
+            self._log.ended(
+                task,
+                run,
+                self.worker_id,
+                kind.value,
+                min(done_at, lease_ends_at),
+            )
+        if lease_ends_at <= now:
+            self._log.forget_done(self.worker_id)
--- /dev/null
+++ b/tests/test_order_faults.py
@@ -0,0 +1,122 @@
+"""Tests of the faults of calls to a worker."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+import json
+from typing import Any
+
+import pytest
+from werkzeug import test
+from werkzeug import wrappers
+
+from standins import order_faults
+from standins import platform_http
+from standins import timed_worker
+from tests import waiting
+from wisteriasill.contracts import job_spec
+
+CAPACITY = job_spec.Resources(4000, 1000, 0)
+START = {
+    "task": "j1.0.0.0",
+    "run_id": 1,
+    "spec": "9000",
+    "deadline_ms": 60_000,
+    "fencing_token": 5,
+}
+Call = Callable[[str, dict[str, Any]], int]
+
+
+@pytest.fixture
+def log() -> timed_worker.RunLog:
+    return timed_worker.RunLog()
+
+
+@pytest.fixture
+def faulty(
+    log: timed_worker.RunLog, monkeypatch: pytest.MonkeyPatch
+) -> Iterator[order_faults.FaultyWorkerService]:
+    """A worker's interface; the token 5 belongs to the node `node-0`."""
+    monkeypatch.setattr(order_faults, "UNANSWERED_SECONDS", 0.01)
+    service = order_faults.FaultyWorkerService(
+        platform_http.WorkerService(
+            timed_worker.TimedWorker("w1", CAPACITY, log), "ip:1", "bench"
+        ),
+        {5: "node-0", 6: "node-1"}.__getitem__,
+    )
+    yield service
+    service.closing.set()
+
+
+@pytest.fixture
+def call(faulty: order_faults.FaultyWorkerService) -> Call:
+    """Calls the interface and returns the status."""
+
+    def send(path: str, body: dict[str, Any]) -> int:
+        environ = test.EnvironBuilder(
+            path, method="POST", data=json.dumps(body)
+        ).get_environ() | {"REMOTE_ADDR": "ip", "REMOTE_PORT": "2"}
+        return faulty.answer(wrappers.Request(environ))[0]
+
+    return send
+
+
+def test_a_refused_order_has_no_effect(
+    faulty: order_faults.FaultyWorkerService,
+    call: Call,
+    log: timed_worker.RunLog,
+) -> None:
+    faulty.faults = order_faults.OrderFaults(refused_share=1.0)
+    assert call("/api/run-start", START) in (429, 503)
+    assert not log.run_events
+
+
+def test_a_late_order_is_executed_after_its_time(
+    faulty: order_faults.FaultyWorkerService,
+    call: Call,
+    log: timed_worker.RunLog,
+) -> None:
+    faulty.faults = order_faults.OrderFaults(1.0, 0.1, 0.1)
+    assert call("/api/run-start", START) == 500
+    assert faulty.late_calls == 1
+    assert not log.run_events
+    assert waiting.wait_until(lambda: not faulty.late_calls)
+    assert [run_event.late for run_event in log.run_events] == [True]
+
+
+def test_a_late_order_does_not_reach_the_next_incarnation(
+    faulty: order_faults.FaultyWorkerService,
+    call: Call,
+    log: timed_worker.RunLog,
+) -> None:
+    faulty.faults = order_faults.OrderFaults(1.0, 0.1, 0.1)
+    call("/api/run-start", START)
+    faulty.service.worker.crash(0.0)
+    assert waiting.wait_until(lambda: not faulty.late_calls)
+    assert not log.run_events
+
+
+def test_a_worker_is_cut_from_one_node_only(
+    faulty: order_faults.FaultyWorkerService,
+    call: Call,
+    log: timed_worker.RunLog,
+) -> None:
+    faulty.faults = order_faults.OrderFaults(cut_nodes=("node-0",))
+    assert call("/api/run-start", START) == 500
+    assert not log.run_events
+    assert call("/api/run-start", START | {"fencing_token": 6}) == 200
+
+
+@pytest.mark.parametrize("malformed", [False, True])
+def test_a_registry_entry_may_lack_fields(
+    faulty: order_faults.FaultyWorkerService, malformed: bool
+) -> None:
+    service = faulty.service
+    complete = json.loads(service.entry())
+    service.omitted_fields = ("born", "zone")
+    service.entry_malformed = malformed
+    if malformed:
+        with pytest.raises(UnicodeDecodeError):
+            json.loads(service.entry())
+        return
+    assert complete.keys() - json.loads(service.entry()) == {"born", "zone"}
--- a/tests/test_timed_worker.py
+++ b/tests/test_timed_worker.py
@@ -57,3 +57,53 @@
     time.sleep(0.1)
     second.start(order(2, 50, 9000))
     assert len(log.violations) == violations
+
+
+def test_a_run_that_would_have_outlived_its_lease_is_not_done(
+    log: timed_worker.RunLog, first: timed_worker.TimedWorker
+) -> None:
+    """The lease counts although the worker is called only after both ends."""
+    first.start(order(1, 100, 50))
+    time.sleep(0.15)
+    report = first.poll(1, 0, None, 0.0)
+    assert isinstance(report, cluster.WorkerReport)
+    assert [end.kind for end in report.ends] == [cluster.RunEndKind.LAPSED]
+
+
+@pytest.mark.parametrize(
+    ("lease_ms", "violations"),
+    [(9000, 1), (150, 0)],
+    ids=["lease held", "lease expired before the acknowledgement"],
+)
+def test_a_start_between_an_end_and_its_acknowledgement(
+    log: timed_worker.RunLog,
+    first: timed_worker.TimedWorker,
+    second: timed_worker.TimedWorker,
+    lease_ms: int,
+    violations: int,
+) -> None:
+    first.start(order(1, 50, lease_ms))
+    time.sleep(0.1)
+    report = first.poll(1, 0, None, 0.0)
+    assert isinstance(report, cluster.WorkerReport)
+    second.start(order(2, 9000, 9000))
+    time.sleep(0.1)
+    first.poll(1, report.ends[-1].number, None, 0.0)
+    assert len(log.violations) == violations
+
+
+def test_a_worker_is_back_under_its_id_after_a_while(
+    log: timed_worker.RunLog, first: timed_worker.TimedWorker
+) -> None:
+    first.start(order(1, 9000, 9000))
+    former_ms = first.started_ms
+    first.crash(0.2)
+    assert not first.down
+    assert first.started_ms >= former_ms + 200
+    report = first.poll(1, 0, None, 0.0)
+    assert isinstance(report, cluster.WorkerReport)
+    assert not report.runs
+    assert [run_event.event for run_event in log.run_events] == [
+        "start",
+        "crash",
+    ]
