Disturb workers and orders in the soak, and check cancelled jobs

The soak crashed workers for 0.3 s only and knew no list of hosts, so nothing ever stored a list of down workers; it cancelled a tenth of the jobs, at once, and had no tasks that last; and it did not check cancelled jobs at all.

The set of faults 'orders' adds restarts of single workers and of racks under the same ids after 0.3 to 3 s, changes of the holders right after a crash is listed, restarts of all nodes in turn, pauses of a holder right after a commit, late, lost and refused orders, workers that one node can't reach, registry entries that lack fields, and a slow list of hosts. Half of its jobs are cancelled, some are submitted again afterwards, and 15% last. The seeds of the set 'general' draw the same faults as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,30 +4,65 @@
 
 import argparse
 import collections
+from collections.abc import Iterable
 import json
+import math
 import pathlib
 import random
 import tempfile
 import threading
 import time
+from typing import NamedTuple
 
 from soak import callers as soak_callers
+from soak import cancellations
 from soak import configurations
+from soak import disturbances
 from soak import faults
 from soak import known_seeds
 from soak import site as sites
+from standins import order_faults
+from standins import timed_worker
 
 # Time after the last fault in which every accepted job has to end. The longest
 # job takes 2 s, the takeover of a shard 3 s, and the expiry of the leases on an
 # unreachable worker 11 s.
 SETTLE_TIMEOUT_SECONDS = 30.0
-FAULT_SERIES = 2  # Concurrent series, so that faults overlap.
+# Longest time after the last fault in which runs of cancelled jobs may end: a
+# late start, the time from which it counts, and the time to stop it.
+CANCELLED_TIMEOUT_SECONDS = (
+    order_faults.OrderFaults().max_late_seconds
+    + cancellations.CONTACT_SECONDS
+    + cancellations.CANCEL_SECONDS
+    + cancellations.STOP_SECONDS
+    + 1.0
+)
 READY_TIMEOUT_SECONDS = 20.0
 # Changes of the configuration come in quick succession or some seconds apart.
 CHANGE_PAUSES_SECONDS = (0.2, 1.0, 3.0, 6.0)
 FINAL_STATES = ("completed", "cancelled")
 
 
+class RunPlan(NamedTuple):
+    """What a run consists of.
+
+    Attributes:
+        fault_set: Key of `faults.FAULTS_BY_SET`.
+        loss_share: Share of packets that the links to the store lose.
+        per_second: Jobs that are submitted in a second.
+        series: Concurrent series of faults, so that faults overlap.
+    """
+
+    seed: int
+    fault_set: str = "general"
+    seconds: float = 30.0
+    nodes: int = 3
+    workers: int = 5
+    loss_share: float = 0.0
+    per_second: float = 5.0
+    series: int = 2
+
+
 def main() -> int:
     """Runs one seed, or all that failed before.
 
@@ -39,43 +74,53 @@
     parser.add_argument(
         "--known", action="store_true", help="run all seeds that failed before"
     )
+    parser.add_argument("--per-second", type=float, default=5.0)
+    parser.add_argument("--series", type=int, default=2)
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--nodes", type=int, default=3)
     parser.add_argument("--workers", type=int, default=5)
     parser.add_argument(
         "--loss", type=float, default=0.0, help="share of lost packets"
     )
+    parser.add_argument(
+        "--faults", choices=[*faults.FAULTS_BY_SET], default="general"
+    )
     parser.add_argument("--logs", type=pathlib.Path, default=None)
     options = parser.parse_args()
     directory = options.logs or pathlib.Path(tempfile.mkdtemp())
-    seeds = known_seeds.CAUSE_BY_SEED if options.known else (options.seed,)
-    passed = [
-        run_and_print(
+    plans = [
+        RunPlan(
             seed,
+            fault_set,
             options.seconds,
             options.nodes,
             options.workers,
             options.loss,
-            directory / str(seed) if options.known else directory,
+            options.per_second,
+            options.series,
+        )
+        for fault_set, seed in (
+            known_seeds.CAUSE_BY_SEED
+            if options.known
+            else ((options.faults, options.seed),)
         )
-        for seed in seeds
+    ]
+    passed = [
+        run_and_print(
+            plan,
+            directory / f"{plan.fault_set}-{plan.seed}"
+            if options.known
+            else directory,
+        )
+        for plan in plans
     ]
     return 0 if all(passed) else 1
 
 
-def run_and_print(
-    seed: int,
-    seconds: float,
-    nodes: int,
-    workers: int,
-    loss_share: float,
-    directory: pathlib.Path,
-) -> bool:
+def run_and_print(plan: RunPlan, directory: pathlib.Path) -> bool:
     """Runs a seed and prints its figures; returns whether it passed."""
     directory.mkdir(parents=True, exist_ok=True)
-    violations, figures = run(
-        seed, seconds, nodes, workers, directory, loss_share
-    )
+    violations, figures = run(plan, directory)
     for violation in violations:
         print(f"broken: {violation}")
     print(
@@ -85,20 +130,16 @@
 
 
 def run(
-    seed: int,
-    seconds: float,
-    nodes: int,
-    workers: int,
-    directory: pathlib.Path,
-    loss_share: float = 0.0,
+    plan: RunPlan, directory: pathlib.Path
 ) -> tuple[list[str], dict[str, object]]:
     """Runs one seed.
 
     Returns:
         The violated guarantees, and figures of the run.
     """
-    site = sites.Site(directory, nodes, workers, loss_share)
-    callers = soak_callers.Callers(site, seed, 5.0)
+    site = sites.Site(directory, plan.nodes, plan.workers, plan.loss_share)
+    habits = soak_callers.HABITS_BY_FAULT_SET[plan.fault_set]
+    callers = soak_callers.Callers(site, plan.seed, plan.per_second, habits)
     probe = configurations.ConfigurationProbe(site)
     try:
         for node in site.nodes:
@@ -106,17 +147,23 @@
         _wait_until_served(callers)
         callers.start()
         probe.start()
-        injected = _inject_faults(site, seed, seconds)
+        injected = _inject_faults(site, plan)
         callers.close()
         probe.close()
         unfinished = _wait_until_ended(callers)
-        violations = [
-            *site.log.violations,
-            *probe.violations,
-            *_check(site, callers, unfinished),
-        ]
+        _wait_until_cancelled(site, callers)
+        with site.log.lock:
+            violations = [
+                *site.log.violations,
+                *probe.violations,
+                *_check(site, callers, unfinished),
+                *_check_cancelled(site, callers, plan),
+            ]
+        _write_run_events(site, directory / "runs.jsonl")
         return violations, {
-            "seed": seed,
+            "seed": plan.seed,
+            "faults": plan.fault_set,
+            "cancelled": len(callers.cancelled_at_by_job),
             "jobs": len(callers.jobs),
             "accepted": sum(job.accepted for job in callers.jobs),
             "statuses": collections.Counter(
@@ -125,6 +172,9 @@
             "starts": sum(
                 run_event.event == "start" for run_event in site.log.run_events
             ),
+            "late_starts": sum(
+                run_event.late for run_event in site.log.run_events
+            ),
             "probes": probe.probes,
             "acts": injected,
         }
@@ -140,32 +190,38 @@
         time.sleep(0.2)
 
 
-def _inject_faults(site: sites.Site, seed: int, seconds: float) -> list[str]:
+def _inject_faults(site: sites.Site, plan: RunPlan) -> list[str]:
     """Injects faults in overlapping series for some seconds.
 
     Returns:
         A description of each injected fault.
     """
-    deadline = time.monotonic() + seconds
+    deadline = time.monotonic() + plan.seconds
     injected: list[str] = []
 
     def inject_series(number: int) -> None:
-        rng = random.Random(f"{seed}/{number}")
+        rng = random.Random(f"{plan.seed}/{number}")
         while time.monotonic() < deadline:
             time.sleep(rng.random())
-            injected.append(rng.choice(faults.FAULTS)(site, rng))
+            fault = rng.choice(faults.FAULTS_BY_SET[plan.fault_set])
+            started_at = time.monotonic()
+            description = fault(site, rng)
+            injected.append(
+                f"{started_at:.2f}-{time.monotonic():.2f} {description}"
+            )
 
     def publish_series() -> None:
-        rng = random.Random(f"{seed}/configurations")
+        rng = random.Random(f"{plan.seed}/configurations")
         while time.monotonic() < deadline:
             time.sleep(rng.choice(CHANGE_PAUSES_SECONDS))
-            injected.append(configurations.publish(site, rng))
+            published = configurations.publish(site, rng)
+            injected.append(f"{time.monotonic():.2f} {published}")
 
     threads = [
         threading.Thread(target=publish_series),
         *(
             threading.Thread(target=inject_series, args=(number,))
-            for number in range(FAULT_SERIES)
+            for number in range(plan.series)
         ),
     ]
     for thread in threads:
@@ -196,6 +252,21 @@
     return unfinished
 
 
+def _wait_until_cancelled(
+    site: sites.Site, callers: soak_callers.Callers
+) -> None:
+    """Waits until all orders are executed and no cancelled job has a run."""
+    deadline = time.monotonic() + CANCELLED_TIMEOUT_SECONDS
+    while time.monotonic() < deadline and (
+        any(service.late_calls for service in site.services)
+        or any(
+            task.job_id in callers.cancelled_at_by_job
+            for task in site.log.open_tasks()
+        )
+    ):
+        time.sleep(0.2)
+
+
 def _check(
     site: sites.Site, callers: soak_callers.Callers, unfinished: dict[str, str]
 ) -> list[str]:
@@ -228,5 +299,56 @@
     return violations
 
 
+def _check_cancelled(
+    site: sites.Site, callers: soak_callers.Callers, plan: RunPlan
+) -> list[str]:
+    """Checks the tasks of jobs whose cancellation was acknowledged."""
+    lossy = [disturbances.Span(0.0, math.inf)] if plan.loss_share else []
+
+    def node_spans(names: Iterable[str]) -> list[disturbances.Span]:
+        return [
+            *lossy,
+            *site.store_disturbance.spans,
+            *site.lost_answers.spans,
+            *(
+                span
+                for node in site.nodes
+                if node.name in names
+                for span in (*node.disturbance.spans, *node.restarts.spans)
+            ),
+        ]
+
+    def spans_of_run(
+        started: timed_worker.RunEvent, span: disturbances.Span
+    ) -> list[disturbances.Span]:
+        return [
+            *site.worker_disturbances[started.worker_id].spans,
+            *node_spans(site.holders.holders_between(sites.SERVICE, *span)),
+        ]
+
+    near = cancellations.Surroundings(
+        lambda started: node_spans(
+            {site.holders.sender(started.fencing_epoch)}
+        ),
+        spans_of_run,
+    )
+    return cancellations.violations(
+        cancellations.cancelled_runs(
+            site.log.run_events, callers.cancelled_at_by_job
+        ),
+        time.monotonic(),
+        near,
+    )
+
+
+def _write_run_events(site: sites.Site, path: pathlib.Path) -> None:
+    """Writes the starts and ends that workers observed, for later analysis."""
+    path.write_text(
+        "".join(
+            json.dumps(run_event) + "\n" for run_event in site.log.run_events
+        )
+    )
+
+
 if __name__ == "__main__":
     raise SystemExit(main())
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from concurrent import futures
 import json
 import random
 import threading
@@ -17,6 +18,37 @@
 CALL_TIMEOUT_SECONDS = 3.0
 ATTEMPTS = 4
 ATTEMPT_PAUSE_SECONDS = 0.2
+CANCELLING_THREADS = 32
+CANCELLING_SECONDS = 30.0
+CANCELLED_STATUSES = (200, 410)
+MAX_REPEAT_SECONDS = 3.0
+LASTING_MS = 3_600_000
+
+
+class Habits(NamedTuple):
+    """How callers behave.
+
+    Attributes:
+        cancelled_share: Share of the jobs that are cancelled.
+        min_cancel_seconds: Shortest time from acceptance to cancellation.
+        max_cancel_seconds: Longest time from acceptance to cancellation.
+        lasting_share: Share of the jobs whose tasks last until they are
+            cancelled, as they all are.
+        repeated_share: Share of the cancelled jobs that are submitted again
+            after their cancellation.
+    """
+
+    cancelled_share: float
+    min_cancel_seconds: float = 0.0
+    max_cancel_seconds: float = 0.0
+    lasting_share: float = 0.0
+    repeated_share: float = 0.0
+
+
+HABITS_BY_FAULT_SET = {
+    "general": Habits(0.1),
+    "orders": Habits(0.5, 0.3, 2.5, 0.15, 0.4),
+}
 
 
 class SubmittedJob(NamedTuple):
@@ -45,15 +77,27 @@
 
 
 class Callers:
-    """Submits jobs to random nodes until it is closed."""
+    """Submits jobs to random nodes until it is closed.
 
-    def __init__(self, site: sites.Site, seed: int, per_second: float) -> None:
+    Attributes:
+        jobs: All submitted jobs.
+        cancelled_at_by_job: Monotonic time of the acknowledgement of each
+            cancellation.
+    """
+
+    def __init__(
+        self, site: sites.Site, seed: int, per_second: float, habits: Habits
+    ) -> None:
         self._site = site
         self._rng = random.Random(seed)
+        self._habits = habits
         self._pause_seconds = 1.0 / per_second
         self._client = http_client.HttpClient()
         self._closing = threading.Event()
         self.jobs: list[SubmittedJob] = []
+        self.cancelled_at_by_job: dict[str, float] = {}
+        self._executor = futures.ThreadPoolExecutor(CANCELLING_THREADS)
+        self._cancellations: list[futures.Future[None]] = []
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
@@ -61,9 +105,12 @@
         self._thread.start()
 
     def close(self) -> None:
-        """Stops submitting jobs."""
+        """Stops submitting jobs and waits for the cancellations."""
         self._closing.set()
         self._thread.join(30.0)
+        for cancellation in self._cancellations:
+            cancellation.result()
+        self._executor.shutdown()
 
     def _run(self) -> None:
         while not self._closing.wait(self._pause_seconds):
@@ -72,11 +119,15 @@
     def _submit(self) -> SubmittedJob:
         job_id = f"{self._rng.getrandbits(64):016x}"
         tasks = self._rng.randint(1, 4)
+        lasting = self._rng.random() < self._habits.lasting_share
+        step = {"cpu": 1000, "est_runtime_ms": 500}
         body = {
-            "spec": str(self._rng.randint(50, 900)),
-            "steps": [
-                {"count": tasks, "cpu": 1000, "est_runtime_ms": 500},
-                {"count": 1, "cpu": 1000, "est_runtime_ms": 500, "after": [0]},
+            "spec": str(LASTING_MS if lasting else self._rng.randint(50, 900)),
+            "steps": [step | {"count": tasks, "long_running": True}]
+            if lasting
+            else [
+                step | {"count": tasks},
+                step | {"count": 1, "after": [0]},
             ],
         }
         statuses: list[int] = []
@@ -85,10 +136,38 @@
             if statuses[-1] == 200:
                 break
             time.sleep(ATTEMPT_PAUSE_SECONDS)
-        cancelled = statuses[-1] == 200 and self._rng.random() < 0.1
+        cancelled = statuses[-1] == 200 and (
+            lasting or self._rng.random() < self._habits.cancelled_share
+        )
         if cancelled:
-            self.call("DELETE", job_id)
-        return SubmittedJob(job_id, tasks + 1, tuple(statuses), cancelled)
+            delay_seconds = self._rng.uniform(
+                self._habits.min_cancel_seconds, self._habits.max_cancel_seconds
+            )
+            is_repeated = self._rng.random() < self._habits.repeated_share
+            self._cancellations.append(
+                self._executor.submit(
+                    self._cancel,
+                    job_id,
+                    time.monotonic() + delay_seconds,
+                    body if is_repeated else None,
+                )
+            )
+        return SubmittedJob(
+            job_id, tasks + (not lasting), tuple(statuses), cancelled
+        )
+
+    def _cancel(self, job_id: str, at: float, repeated_body: object) -> None:
+        """Cancels a job and may submit it again after the acknowledgement."""
+        time.sleep(max(0.0, at - time.monotonic()))
+        give_up_at = time.monotonic() + CANCELLING_SECONDS
+        while self.call("DELETE", job_id)[0] not in CANCELLED_STATUSES:
+            if time.monotonic() > give_up_at:
+                return
+            time.sleep(ATTEMPT_PAUSE_SECONDS)
+        self.cancelled_at_by_job[job_id] = time.monotonic()
+        if repeated_body:
+            time.sleep(self._rng.uniform(0.0, MAX_REPEAT_SECONDS))
+            self.call("POST", job_id, repeated_body)
 
     def call(
         self, method: str, job_id: str, body: object = None
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,7 @@
 
 from soak import proxy
 from soak import site as sites
+from soak import worker_faults
 
 Fault = Callable[[sites.Site, random.Random], str]
 
@@ -28,7 +29,7 @@
 def stop_node(site: sites.Site, rng: random.Random) -> str:
     """Stops a node gracefully and restarts it."""
     node = rng.choice(site.nodes)
-    with node.lock:
+    with node.lock, node.restarts:
         node.stop(signal.SIGTERM)
         node.start()
     return f"stopped {node.name}"
@@ -69,7 +70,8 @@
 
 def drop_responses(site: sites.Site, rng: random.Random) -> str:
     """Drops responses to some of the next successful writes."""
-    site.store.lost_answers += rng.randint(1, 6)
+    with site.lost_answers:
+        site.store.lost_answers += rng.randint(1, 6)
     return "answers lost"
 
 
@@ -93,20 +95,22 @@
 def crash_worker(site: sites.Site, rng: random.Random) -> str:
     """Crashes a worker, which restarts at once without its runs."""
     worker = rng.choice(site.workers)
-    worker.crash()
+    with site.worker_disturbances[worker.worker_id]:
+        worker.crash()
     return f"crashed {worker.worker_id}"
 
 
 def partition_worker(site: sites.Site, rng: random.Random) -> str:
     """Partitions a worker; its runs continue until their leases expire."""
     worker = rng.choice(site.workers)
-    worker.unreachable = True
-    time.sleep(rng.choice(PAUSES_SECONDS))
-    worker.unreachable = False
+    with site.worker_disturbances[worker.worker_id]:
+        worker.unreachable = True
+        time.sleep(rng.choice(PAUSES_SECONDS))
+        worker.unreachable = False
     return f"cut {worker.worker_id}"
 
 
-FAULTS: tuple[Fault, ...] = (
+GENERAL_FAULTS: tuple[Fault, ...] = (
     kill_node,
     stop_node,
     pause_node,
@@ -118,3 +122,8 @@
     crash_worker,
     partition_worker,
 )
+# A seed draws the same faults only from the same set.
+FAULTS_BY_SET: dict[str, tuple[Fault, ...]] = {
+    "general": GENERAL_FAULTS,
+    "orders": (*GENERAL_FAULTS, *worker_faults.FAULTS),
+}
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -97,8 +97,8 @@
         inbound: bool,
         pair: tuple[socket.socket, socket.socket],
     ) -> None:
-        source.settimeout(None)
         try:
+            source.settimeout(None)
             while data := source.recv(CHUNK_BYTES):
                 self._delay(inbound)
                 if self.mode is Mode.RESET:
--- a/soak/site.py
+++ b/soak/site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import json
 import os
 import pathlib
@@ -14,8 +15,10 @@
 from returns import result
 
 from soak import disturbances
+from soak import holders
 from soak import ports
 from soak import proxy
+from standins import order_faults
 from standins import platform_http
 from standins import row_store
 from standins import timed_worker
@@ -31,6 +34,10 @@
 HOST = "jobs.example"
 ROOM = job_spec.Resources(4000, 64_000, 0)
 FIRST_VERSION = 3
+STORE_THREADS_PER_NODE = 16  # Each node watches several tables at a time.
+HOST_LIST_THREADS = 8
+# Heartbeats that a worker misses before the registry drops its entry.
+MISSED_HEARTBEATS = 3
 
 
 def added_prefix(version: int) -> str:
@@ -65,11 +72,16 @@
     Args:
         number: Number of the node.
         store_port: Port of the store.
+        hosts_port: Port of the service that lists hosts.
         directory: Folder of its settings and its log.
     """
 
     def __init__(
-        self, number: int, store_port: int, directory: pathlib.Path
+        self,
+        number: int,
+        store_port: int,
+        hosts_port: int,
+        directory: pathlib.Path,
     ) -> None:
         self.name = f"node-{number}"
         self.caller_port, ready_port, proxy_port = ports.free_ports(3)
@@ -89,12 +101,14 @@
                     },
                     "port_range": [first_port, first_port + 1],
                     "platform": {"address": f"{ports.ADDRESS}:{proxy_port}"},
-                    "cloud": {"address": f"{ports.ADDRESS}:1"},
+                    "cloud": {"address": f"{ports.ADDRESS}:{hosts_port}"},
                 }
             )
         )
         self._process: subprocess.Popen[bytes] | None = None
         self.disturbance = disturbances.Disturbance()
+        # Graceful restarts, through which a node has to follow configurations.
+        self.restarts = disturbances.Disturbance()
         # Serializes faults, as two series may choose the same node.
         self.lock = threading.Lock()
 
@@ -143,25 +157,36 @@
         loss_share: float = 0.0,
     ) -> None:
         self.store = row_store.MemoryRowStore()
+        self.holders = holders.Holders()
+        self.store.on_commit = self.holders.record
         self.log = timed_worker.RunLog()
-        store_port, *worker_ports = ports.free_ports(workers + 1)
+        store_port, hosts_port, *worker_ports = ports.free_ports(workers + 2)
         self._servers = [
             platform_http.serve(
                 ports.ADDRESS,
                 store_port,
                 platform_http.StoreService(self.store).answer,
-                platform_http.STORE_THREADS,
+                max(
+                    platform_http.STORE_THREADS, STORE_THREADS_PER_NODE * nodes
+                ),
             )
         ]
         self.workers: list[timed_worker.TimedWorker] = []
-        self._services: list[platform_http.WorkerService] = []
+        self.services: list[order_faults.FaultyWorkerService] = []
+        self.worker_disturbances: dict[str, disturbances.Disturbance] = {}
         for number, port in enumerate(worker_ports):
             worker = timed_worker.TimedWorker(f"i-{number:04}", ROOM, self.log)
-            service = platform_http.WorkerService(
-                worker, f"{ports.ADDRESS}:{port}", SERVICE
+            service = order_faults.FaultyWorkerService(
+                platform_http.WorkerService(
+                    worker, f"{ports.ADDRESS}:{port}", SERVICE
+                ),
+                self.holders.sender,
             )
             self.workers.append(worker)
-            self._services.append(service)
+            self.services.append(service)
+            self.worker_disturbances[worker.worker_id] = (
+                disturbances.Disturbance()
+            )
             self._servers.append(
                 platform_http.serve(
                     ports.ADDRESS,
@@ -170,10 +195,21 @@
                     platform_http.WORKER_THREADS,
                 )
             )
+        self.host_list = platform_http.HostService(self.workers, SERVICE)
+        self._servers.append(
+            platform_http.serve(
+                ports.ADDRESS,
+                hosts_port,
+                self.host_list.answer,
+                HOST_LIST_THREADS,
+            )
+        )
         self._closing = threading.Event()
         self.configuration_lock = threading.Lock()
         self.last_change: configurations.Change | None = None
         self.store_disturbance = disturbances.Disturbance()
+        # Lost answers, through which nodes have to follow configurations.
+        self.lost_answers = disturbances.Disturbance()
         self.version = 0
         assert self.publish(FIRST_VERSION)
         self._registration = threading.Thread(
@@ -181,11 +217,16 @@
         )
         self._registration.start()
         self.nodes = [
-            Node(number, store_port, directory) for number in range(nodes)
+            Node(number, store_port, hosts_port, directory)
+            for number in range(nodes)
         ]
         for node in self.nodes:
             node.store_proxy.loss_share = loss_share
 
+    def node(self, name: str) -> Node | None:
+        """Returns the node of a name."""
+        return next((node for node in self.nodes if node.name == name), None)
+
     def publish(self, version: int) -> bool:
         """Stores a configuration in place of the last one, as operators do.
 
@@ -209,16 +250,21 @@
         )
         return isinstance(written, result.Success)
 
-    def _write(self, table: str, key: str, value: bytes) -> None:
+    def _write(self, table: str, key: str, value: bytes | None) -> None:
         self.store.transact("", [], [cluster.RowWrite(table, key, value)], 1.0)
 
     def _register(self) -> None:
+        missed_by_worker: collections.Counter[str] = collections.Counter()
         while not self._closing.is_set():
-            for service in self._services:
-                if not (service.worker.unreachable or service.worker.down):
-                    self._write(
-                        "servers", service.worker.worker_id, service.entry()
-                    )
+            for faulty in self.services:
+                service, worker = faulty.service, faulty.service.worker
+                if not (worker.unreachable or worker.down):
+                    missed_by_worker[worker.worker_id] = 0
+                    self._write("servers", worker.worker_id, service.entry())
+                    continue
+                missed_by_worker[worker.worker_id] += 1
+                if missed_by_worker[worker.worker_id] == MISSED_HEARTBEATS:
+                    self._write("servers", worker.worker_id, None)
             self._closing.wait(platform_http.HEARTBEAT_SECONDS)
 
     def close(self) -> None:
@@ -227,6 +273,8 @@
             node.stop(signal.SIGKILL)
             node.store_proxy.close()
         self._closing.set()
+        for service in self.services:
+            service.closing.set()
         self._registration.join(2.0)
         for server in self._servers:
             server.stop()
