--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,6 +38,10 @@
     + 1.0
 )
 READY_TIMEOUT_SECONDS = 20.0
+MAX_STOP_SECONDS_BY_FAULT_SET = {
+    "general": 0.0,
+    "orders": cancellations.STOP_SECONDS,
+}
 # Changes of the configuration come in quick succession or some seconds apart.
 CHANGE_PAUSES_SECONDS = (0.2, 1.0, 3.0, 6.0)
 FINAL_STATES = ("completed", "cancelled")
@@ -137,7 +141,13 @@
     Returns:
         The violated guarantees, and figures of the run.
     """
-    site = sites.Site(directory, plan.nodes, plan.workers, plan.loss_share)
+    site = sites.Site(
+        directory,
+        plan.nodes,
+        plan.workers,
+        plan.loss_share,
+        MAX_STOP_SECONDS_BY_FAULT_SET[plan.fault_set],
+    )
     habits = soak_callers.HABITS_BY_FAULT_SET[plan.fault_set]
     callers = soak_callers.Callers(site, plan.seed, plan.per_second, habits)
     probe = configurations.ConfigurationProbe(site)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -36,6 +36,7 @@
             cancelled, as they all are.
         repeated_share: Share of the cancelled jobs that are submitted again
             after their cancellation.
+        max_task_ms: Longest run time of a task.
     """
 
     cancelled_share: float
@@ -43,11 +44,12 @@
     max_cancel_seconds: float = 0.0
     lasting_share: float = 0.0
     repeated_share: float = 0.0
+    max_task_ms: int = 900
 
 
 HABITS_BY_FAULT_SET = {
     "general": Habits(0.1),
-    "orders": Habits(0.5, 0.3, 2.5, 0.15, 0.4),
+    "orders": Habits(0.5, 0.3, 2.5, 0.15, 0.4, 2500),
 }
 
 
@@ -122,7 +124,11 @@
         lasting = self._rng.random() < self._habits.lasting_share
         step = {"cpu": 1000, "est_runtime_ms": 500}
         body = {
-            "spec": str(LASTING_MS if lasting else self._rng.randint(50, 900)),
+            "spec": str(
+                LASTING_MS
+                if lasting
+                else self._rng.randint(50, self._habits.max_task_ms)
+            ),
             "steps": [step | {"count": tasks, "long_running": True}]
             if lasting
             else [
--- a/soak/site.py
+++ b/soak/site.py
@@ -155,6 +155,7 @@
         nodes: int,
         workers: int,
         loss_share: float = 0.0,
+        max_stop_seconds: float = 0.0,
     ) -> None:
         self.store = row_store.MemoryRowStore()
         self.holders = holders.Holders()
@@ -176,6 +177,7 @@
         self.worker_disturbances: dict[str, disturbances.Disturbance] = {}
         for number, port in enumerate(worker_ports):
             worker = timed_worker.TimedWorker(f"i-{number:04}", ROOM, self.log)
+            worker.max_stop_seconds = max_stop_seconds
             service = order_faults.FaultyWorkerService(
                 platform_http.WorkerService(
                     worker, f"{ports.ADDRESS}:{port}", SERVICE
--- a/standins/timed_worker.py
+++ b/standins/timed_worker.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import math
+import random
 import threading
 import time
 from typing import NamedTuple
@@ -186,6 +188,9 @@
         worker_id: Id of the worker, kept over restarts.
         room: Capacity of the worker.
         log: Log of the starts and ends of runs.
+
+    Attributes:
+        max_stop_seconds: Longest time that a run goes on after its stop.
     """
 
     def __init__(
@@ -196,11 +201,13 @@
         self.unreachable = False
         self.down = False
         self.started_ms = 0
+        self.max_stop_seconds = 0.0
         # Held while an order is executed, so that no restart interrupts it.
         self.lock = threading.RLock()
         self._log = log
         self._restart_lock = threading.Lock()
         self._ends_at_by_task: dict[job_spec.TaskKey, float] = {}
+        self._stops_at_by_run: dict[tuple[job_spec.TaskKey, int], float] = {}
         self._start_incarnation()
 
     def _start_incarnation(self) -> None:
@@ -209,6 +216,7 @@
         self._worker = batch_worker.MemoryWorker(self.room, self.started_ms)
         self._lease_until_ms = 0
         self._ends_at_by_task.clear()
+        self._stops_at_by_run.clear()
 
     def crash(self, seconds: float = RESTART_SECONDS) -> None:
         """Ends this incarnation and its runs; starts another after a delay."""
@@ -251,18 +259,22 @@
                     order.task,
                     order.run,
                     self.worker_id,
-                    self._over_check(ends_at),
+                    self._over_check(order.task, order.run, ends_at),
                     order.fencing_epoch,
                     late,
                 )
             return answer
 
-    def _over_check(self, ends_at: float) -> Callable[[], bool]:
+    def _over_check(
+        self, task: job_spec.TaskKey, run: int, ends_at: float
+    ) -> Callable[[], bool]:
         """Returns a function that checks whether a run is over.
 
         The function does not call the worker.
 
         Args:
+            task: The task.
+            run: Number of the run.
             ends_at: Monotonic time at which the run completes.
         """
         started_ms, started_at = self.started_ms, self._started_at
@@ -271,6 +283,7 @@
             now = time.monotonic()
             return (
                 now >= ends_at
+                or now >= self._stops_at_by_run.get((task, run), math.inf)
                 or self.started_ms != started_ms
                 or (now - started_at) * 1000 >= self._lease_until_ms
             )
@@ -284,11 +297,28 @@
         with self.lock:
             self._advance()
             was_running = self._worker.running.get(task) == run
+            if was_running and self.max_stop_seconds:
+                return self._stop_later(task, run, fencing_epoch)
             answer = self._worker.stop(task, run, fencing_epoch)
             if was_running and answer.outcome is cluster.OrderOutcome.DONE:
                 self._log.ended(task, run, self.worker_id, "stopped")
             return answer
 
+    def _stop_later(
+        self, task: job_spec.TaskKey, run: int, fencing_epoch: int
+    ) -> cluster.OrderAnswer:
+        # A poll checks the fencing token without any other effect.
+        report = self._worker.poll(fencing_epoch, 0, None, 0.0)
+        if isinstance(report, cluster.OrderOutcome):
+            return cluster.OrderAnswer(report, self._worker.clock_ms)
+        self._stops_at_by_run.setdefault(
+            (task, run),
+            time.monotonic() + random.uniform(0.0, self.max_stop_seconds),
+        )
+        return cluster.OrderAnswer(
+            cluster.OrderOutcome.DONE, self._worker.clock_ms
+        )
+
     def poll(
         self,
         fencing_epoch: int,
@@ -334,25 +364,19 @@
         now = time.monotonic()
         self._worker.clock_ms = int((now - self._started_at) * 1000) + 1
         lease_ends_at = self._started_at + self._lease_until_ms / 1000
-        for task, run in sorted(
-            self._worker.running.items(),
-            key=lambda item: self._ends_at_by_task[item[0]],
-        ):
-            done_at = self._ends_at_by_task[task]
-            if min(done_at, lease_ends_at) > now:
-                continue
-            kind = (
-                cluster.RunEndKind.DONE
-                if done_at <= lease_ends_at
-                else cluster.RunEndKind.LAPSED
-            )
-            self._worker.finish(task, kind)
-            self._log.ended(
-                task,
-                run,
-                self.worker_id,
-                kind.value,
-                min(done_at, lease_ends_at),
+        # Of several ends the first counts, although a call notices them later.
+        for task, run in self._worker.running.items():
+            ended_at, kind = min(
+                (self._ends_at_by_task[task], cluster.RunEndKind.DONE),
+                (
+                    self._stops_at_by_run.get((task, run), math.inf),
+                    cluster.RunEndKind.STOPPED,
+                ),
+                (lease_ends_at, cluster.RunEndKind.LAPSED),
+                key=lambda end: end[0],
             )
+            if ended_at <= now:
+                self._worker.finish(task, kind)
+                self._log.ended(task, run, self.worker_id, kind.value, ended_at)
         if lease_ends_at <= now:
             self._log.forget_done(self.worker_id)
--- a/tests/test_timed_worker.py
+++ b/tests/test_timed_worker.py
@@ -107,3 +107,25 @@
         "start",
         "crash",
     ]
+
+
+def test_a_run_goes_on_for_a_while_after_its_stop(
+    log: timed_worker.RunLog,
+    first: timed_worker.TimedWorker,
+    second: timed_worker.TimedWorker,
+) -> None:
+    first.max_stop_seconds = 0.5
+    first.start(order(1, 9000, 9000))
+    assert first.stop(TASK, 1, 1).outcome is cluster.OrderOutcome.DONE
+    second.start(order(2, 9000, 9000))
+    assert log.violations
+    time.sleep(0.5)
+    report = first.poll(1, 0, None, 0.0)
+    assert isinstance(report, cluster.WorkerReport)
+    assert [end.kind for end in report.ends] == [cluster.RunEndKind.STOPPED]
+
+
+def test_a_slow_stop_is_fenced(first: timed_worker.TimedWorker) -> None:
+    first.max_stop_seconds = 0.5
+    first.start(order(1, 9000, 9000)._replace(fencing_epoch=2))
+    assert first.stop(TASK, 1, 1).outcome is cluster.OrderOutcome.FENCED
