Keep a worker listed as down in the soak until a run is on it

change_holders_at_crash replaced the holder of the pool after a random time, mostly before the next incarnation of the crashed worker had a run. It now waits for one, and keeps the list of down workers stale by a paused holder of the fleet or by an unavailable list of hosts. The set of faults 'takeovers' has no other faults of nodes or of the store.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -41,6 +41,7 @@
 MAX_STOP_SECONDS_BY_FAULT_SET = {
     "general": 0.0,
     "orders": cancellations.STOP_SECONDS,
+    "takeovers": cancellations.STOP_SECONDS,
 }
 # Changes of the configuration come in quick succession or some seconds apart.
 CHANGE_PAUSES_SECONDS = (0.2, 1.0, 3.0, 6.0)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -126,4 +126,5 @@
 FAULTS_BY_SET: dict[str, tuple[Fault, ...]] = {
     "general": GENERAL_FAULTS,
     "orders": (*GENERAL_FAULTS, *worker_faults.FAULTS),
+    "takeovers": worker_faults.TAKEOVER_FAULTS,
 }
--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import contextlib
 import random
 import signal
@@ -61,13 +62,17 @@
 
 
 def change_holders_at_crash(site: sites.Site, rng: random.Random) -> str:
-    """Replaces holders when the list of down workers has a restarted worker.
+    """Replaces a holder while a restarted worker is listed as down.
 
-    The holder of the fleet is paused as soon as it has stored the list, and
-    the holder of the pool stops or is killed when the worker is back.
+    The list of down workers stays as it is, because the holder of the fleet is
+    paused or can't read the hosts. When the next incarnation of a listed worker
+    has a run, the holder of the pool stops or is killed.
     """
     worker = rng.choice(site.workers)
-    downtime_seconds = rng.uniform(0.6, 1.6)
+    downtime_seconds = rng.uniform(0.6, 1.2)
+    pauses_fleet = rng.random() < 0.5
+    how = rng.choice([signal.SIGTERM, signal.SIGKILL])
+    stale_seconds = rng.uniform(0.5, 2.5)
     crash = threading.Thread(
         target=_crash, args=(site, {worker: downtime_seconds})
     )
@@ -90,38 +95,69 @@
         was_listed = listed.wait(COMMIT_WAIT_SECONDS)
     finally:
         site.holders.forget(observe)
-    fleet_node = site.node(site.holders.holder(fleet_rows.SHARD))
-    if fleet_node is None:
-        crash.join()
-        return f"crashed {worker.worker_id}; no holder of the fleet"
-    with fleet_node.lock, fleet_node.disturbance:
-        fleet_node.send(signal.SIGSTOP)
+    with contextlib.ExitStack() as stack:
+        fleet_node = site.node(site.holders.holder(fleet_rows.SHARD))
+        if pauses_fleet and fleet_node:
+            stack.enter_context(_paused(fleet_node))
+        else:
+            stack.enter_context(_unlisted(site))
         crash.join()
-        # The new incarnation registers and may get runs before its pool gets
-        # another holder.
-        time.sleep(rng.uniform(0.0, 1.5))
+        has_run = _wait_for_start(site, worker, time.monotonic())
         pool_node = site.node(site.holders.holder(sites.SERVICE))
-        how = rng.choice([signal.SIGKILL, signal.SIGTERM])
-        if pool_node is fleet_node:
-            pool_node.stop(signal.SIGKILL)
-            pool_node.start()
-        else:
-            if pool_node is not None:
-                _restart(pool_node, how)
-            time.sleep(rng.uniform(0.0, 2.0))
-            fleet_node.send(signal.SIGCONT)
+        if pool_node is not None:
+            _restart(pool_node, how)
+        time.sleep(stale_seconds)
     return (
-        f"crashed {worker.worker_id} (listed as down: {was_listed}), paused "
-        f"{fleet_node.name}, replaced "
-        f"{pool_node.name if pool_node else 'no holder'}"
+        f"crashed {worker.worker_id} (listed as down: {was_listed}, next "
+        f"incarnation has a run: {has_run}), "
+        + ("paused the holder of the fleet" if pauses_fleet else "hid hosts")
+        + f", replaced {pool_node.name if pool_node else 'no holder'}"
     )
 
 
-def _restart(node: sites.Node, how: signal.Signals) -> None:
+@contextlib.contextmanager
+def _paused(node: sites.Node) -> Iterator[None]:
     # Another series may have taken the node; two such faults must not wait for
     # each other.
     if not node.lock.acquire(timeout=COMMIT_WAIT_SECONDS):
+        yield
         return
+    try:
+        with node.disturbance:
+            node.send(signal.SIGSTOP)
+            yield
+            node.send(signal.SIGCONT)
+    finally:
+        node.lock.release()
+
+
+@contextlib.contextmanager
+def _unlisted(site: sites.Site) -> Iterator[None]:
+    site.host_list.down = True
+    yield
+    site.host_list.down = False
+
+
+def _wait_for_start(
+    site: sites.Site, worker: timed_worker.TimedWorker, since: float
+) -> bool:
+    deadline = since + COMMIT_WAIT_SECONDS
+    while time.monotonic() < deadline:
+        with site.log.lock:
+            if any(
+                run_event.event == "start"
+                and run_event.at >= since
+                and run_event.worker_id == worker.worker_id
+                for run_event in reversed(site.log.run_events)
+            ):
+                return True
+        time.sleep(timed_worker.POLL_SECONDS)
+    return False
+
+
+def _restart(node: sites.Node, how: signal.Signals) -> None:
+    if not node.lock.acquire(timeout=COMMIT_WAIT_SECONDS):
+        return  # As in `_paused`.
     try:
         with node.restarts:
             node.stop(how)
@@ -276,3 +312,14 @@
     spoil_entries,
     disturb_host_list,
 )
+# Changes of holders beside crashes and late orders, without other faults of
+# nodes or of the store.
+TAKEOVER_FAULTS = (
+    change_holders_at_crash,
+    change_holders_at_crash,
+    restart_worker,
+    restart_rack,
+    restart_nodes_in_turn,
+    pause_after_commit,
+    delay_orders,
+)
