--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -13,6 +13,7 @@
 import time
 from typing import NamedTuple
 
+from wisteriasill import clock as clocks
 from wisteriasill import events
 from wisteriasill.contracts import arrival_rate
 from wisteriasill.contracts import job_spec
@@ -50,10 +51,16 @@
 
 
 class RestoredRun(NamedTuple):
-    """A stored run whose worker this holder has not seen yet."""
+    """A stored run whose worker this holder has not seen yet.
+
+    Attributes:
+        version: Store version of the row that holds it; its worker had
+            registered before.
+    """
 
     unit: batch_job.Unit
     stored: batch_job.StoredRun
+    version: int
 
 
 class LostRun(NamedTuple):
@@ -109,14 +116,17 @@
         ] = collections.OrderedDict()
         self._unreadable_ids: set[str] = set()
         self.permits_by_step: dict[job_spec.StepKey, Permits] = {}
-        self.stored_at = claimed_at
+        # Time since boot at which this node certainly held the shard. A
+        # response that is read after a pause proves nothing newer.
+        self.confirmed_at = clocks.boot_seconds()
         self.fenced = False
         self._fencing_epoch = fencing_epoch
         self.claimed_at = claimed_at
         self.former_leases_end_at = former_leases_end_at
         self._changed = changed
         self._drain_requested_ids: set[str] = set()
-        self._down_ids: set[str] = set()
+        self._down_version_by_id: dict[str, int] = {}
+        self._planned_end_ids: frozenset[str] = frozenset()
         self.due_worker_ids: set[str] = set()
         self._orphans_by_worker: dict[str, list[batch_job.Run]] = {}
         self._restored_runs_by_worker: dict[str, list[RestoredRun]] = {}
@@ -157,7 +167,8 @@
         """Whether this holder may still renew leases."""
         return (
             not self.fenced
-            and time.monotonic() - self.stored_at < MAX_STORE_OUTAGE_SECONDS
+            and clocks.boot_seconds() - self.confirmed_at
+            < MAX_STORE_OUTAGE_SECONDS
         )
 
     def may_start(self, run: batch_job.Run) -> bool:
@@ -225,6 +236,10 @@
         events.log(
             events.Event.RUN_STOPPED,
             "A run is stopped",
+            # Warnings are kept when routine lines are dropped at a peak.
+            level="INFO"
+            if run.unit.done or run.unit.job.record.cancelled
+            else "WARNING",
             job=run.task.job_id,
             task=run.task,
             run=run.number,
--- a/wisteriasill/machines/batch_watch.py
+++ b/wisteriasill/machines/batch_watch.py
@@ -132,13 +132,24 @@
     def _apply_entry(self, entry: cluster.WorkerEntry) -> None:
         pool = self.pool
         known_worker = pool.worker_by_id.get(entry.worker_id)
-        if known_worker and known_worker.entry.started_ms == entry.started_ms:
-            known_worker.listed = True
-            if known_worker.entry.address == entry.address:
+        if known_worker:
+            known = known_worker.entry
+            if entry.version < known.version:
+                return  # A later page of a read may be newer than the feed.
+            if (entry.started_ms, entry.address) == (
+                known.started_ms,
+                known.address,
+            ):
+                known_worker.listed = True
                 with pool.lock:
                     known_worker.update_entry(entry)
                 return
-        if known_worker:
+            if entry.started_ms <= known.started_ms:
+                # The store may carry out a former incarnation's write late. If
+                # the clock went back instead, the next report shows it.
+                known_worker.listed = False
+                known_worker.wake()
+                return
             pool.remove_worker(
                 known_worker,
                 batch_workers.Removal(
@@ -154,6 +165,8 @@
             pool.former_leases_end_at,
         )
         pool.add_worker(worker)
+        if worker.is_removed:
+            return
         worker.open()
         events.log(
             events.Event.WORKER_JOINED,
@@ -191,10 +204,10 @@
                     }
                 )
             elif row.key == fleet_rows.DOWN_KEY and row.value is not None:
-                worker_by_host = fleet_rows.decode_down(row.value)
+                down_by_host = fleet_rows.decode_down(row.value)
                 self.pool.set_down_workers(
-                    set(worker_by_host.values()),
-                    fleet_rows.planned_ends(worker_by_host),
+                    dict(sorted(down_by_host.values())),
+                    fleet_rows.planned_ends(down_by_host),
                 )
             elif row.key == fleet_rows.DUE_KEY and row.value is not None:
                 self.pool.due_worker_ids = fleet_rows.decode_due(row.value)
--- a/wisteriasill/zones/shard_writer.py
+++ b/wisteriasill/zones/shard_writer.py
@@ -14,6 +14,7 @@
 import cbor2
 from returns import result
 
+from wisteriasill import clock as clocks
 from wisteriasill import events
 from wisteriasill.contracts import call_timeout
 from wisteriasill.links import cluster
@@ -23,6 +24,9 @@
 HEARTBEAT = "beat"
 # Field of the status with the backlog of a pool.
 BACKLOG_FIELD = "backlog"
+# Field of the status of a released shard: seconds since a holder lost it
+# without a release. That holder may not know yet.
+SEIZED_FIELD = "seized"
 
 # Writes of a transaction. With as many conditions and the two rows of the owner
 # it stays below the platform's limit of 100 entries.
@@ -38,8 +42,6 @@
 # Time since its last renewal for which a holder is certainly alone. Others
 # claim the shard after 2 s without one; an order takes up to half a second.
 SOLE_HOLDER_SECONDS = 1.2
-# Unlike the monotonic clock, this one goes on while the machine is suspended.
-BOOT_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 KEEPALIVE_SECONDS = 0.5  # The renewal period of a running controller.
 # The backoff doubles until the store counts as down; the last delay repeats.
 RETRY_SECONDS = (0.05, 0.1, 0.2, 0.4)
@@ -94,6 +96,23 @@
     )
 
 
+def _lasting_status(status: dict[str, object]) -> dict[str, object]:
+    """Returns the part of a holder's status that a successor takes over.
+
+    A former holder's backlog must not look as if it were a new one.
+    """
+    return {
+        key: value
+        for key, value in status.items()
+        if key not in (BACKLOG_FIELD, SEIZED_FIELD)
+    }
+
+
+def _seized_seconds(status: dict[str, object]) -> float:
+    seconds = status.get(SEIZED_FIELD)
+    return seconds if isinstance(seconds, float) else math.inf
+
+
 def _decode_status(value: bytes) -> dict[str, object]:
     """Decodes a holder's status; one that can't be read counts as empty."""
     try:
@@ -118,6 +137,12 @@
 
     Attributes:
         stored_at: Monotonic time of the last stored transaction.
+        seized_at: Earliest monotonic time at which the shard was last claimed
+            from a holder that had not released it; minus infinity if that is
+            not known.
+        confirmed_at: Time since boot at which the last stored transaction was
+            sent. This node held the shard at that time or later.
+        stored_version: Version of the store as of the last stored transaction.
         response_seconds: Response time of the last answered transaction.
     """
 
@@ -133,10 +158,12 @@
         self._node = node
         self._stopping = stopping
         self.epoch = 0
-        self.was_released = False
+        self.seized_at = -math.inf
         self._last_heartbeat = b""
         self._version_by_row: dict[tuple[str, str], int] = {}
         self.stored_at = 0.0
+        self.confirmed_at = -math.inf
+        self.stored_version = 0
         self.response_seconds = 0.0
         self._renewed_at = -math.inf
         self._timeout = call_timeout.CallTimeout(
@@ -145,15 +172,8 @@
 
     def claim(self, seen: ShardState) -> bool:
         """Claims the shard if its state is still as observed."""
-        # A former holder's backlog must not look as if it were a new one.
-        status = cbor2.dumps(
-            {
-                key: value
-                for key, value in seen.status.items()
-                if key != BACKLOG_FIELD
-            }
-        )
-        sent_at = time.clock_gettime(BOOT_CLOCK)
+        status = cbor2.dumps(_lasting_status(seen.status))
+        sent_at = clocks.boot_seconds()
         written = self._store.transact(
             self.shard,
             [
@@ -169,11 +189,16 @@
         if not isinstance(written, result.Success):
             return False
         self.epoch = written.unwrap()
+        self.stored_version = self.epoch
         self._last_heartbeat = status
-        self.was_released = not seen.holder
         self._version_by_row = {(TABLE, HEARTBEAT): self.epoch}
         self.stored_at = time.monotonic()
-        self._renewed_at = sent_at
+        self.seized_at = (
+            self.stored_at
+            if seen.holder
+            else self.stored_at - _seized_seconds(seen.status)
+        )
+        self.confirmed_at = self._renewed_at = sent_at
         return True
 
     def adopt(self, rows: Sequence[cluster.StoredRow]) -> None:
@@ -206,7 +231,7 @@
             writes = [cluster.RowWrite(TABLE, HEARTBEAT, status), *writes]
         renews = status is not None
         for batch in batches(writes):
-            sent_at = time.clock_gettime(BOOT_CLOCK)
+            sent_at = clocks.boot_seconds()
             outcome = self._store_batch(batch)
             if outcome is not CommitOutcome.STORED:
                 return outcome
@@ -222,7 +247,7 @@
         For orders that nobody checks the fencing token of; a holder that was
         paused must not send them.
         """
-        age_seconds = time.clock_gettime(BOOT_CLOCK) - self._renewed_at
+        age_seconds = clocks.boot_seconds() - self._renewed_at
         return age_seconds < SOLE_HOLDER_SECONDS
 
     @contextlib.contextmanager
@@ -252,10 +277,16 @@
 
     def release(self) -> None:
         """Releases the shard, so that another node can claim it at once."""
+        status = _lasting_status(_decode_status(self._last_heartbeat))
+        if self.seized_at > -math.inf:
+            status[SEIZED_FIELD] = time.monotonic() - self.seized_at
         self._store.transact(
             self.shard,
             [cluster.RowVersion(TABLE, OWNER, self.epoch)],
-            [cluster.RowWrite(TABLE, OWNER, b"")],
+            [
+                cluster.RowWrite(TABLE, OWNER, b""),
+                cluster.RowWrite(TABLE, HEARTBEAT, cbor2.dumps(status)),
+            ],
             TRANSACTION_TIMEOUT_SECONDS,
         )
 
@@ -277,6 +308,7 @@
             RETRY_SECONDS, itertools.repeat(last_delay)
         ):
             sent_at = time.monotonic()
+            confirmed_at = clocks.boot_seconds()
             written = self._store.transact(
                 self.shard, conditions, batch, self._timeout.seconds
             )
@@ -294,11 +326,15 @@
                         after_seconds=round(time.monotonic() - failed_at, 3),
                     )
                 self._record_versions(batch, written.unwrap())
+                self.confirmed_at = confirmed_at
                 return CommitOutcome.STORED
             failed_at = failed_at or time.monotonic()
             fault = written.failure()
             if fault.kind is cluster.StoreFaultKind.CONFLICT:
-                return self._resolve_conflict(batch, fault)
+                outcome = self._resolve_conflict(batch, fault)
+                if outcome is CommitOutcome.STORED:
+                    self.confirmed_at = confirmed_at
+                return outcome
             events.log(
                 events.Event.STORE_FAILED,
                 "Transaction was not stored; retrying",
@@ -346,6 +382,7 @@
         self, batch: Sequence[cluster.RowWrite], version: int
     ) -> None:
         self.stored_at = time.monotonic()
+        self.stored_version = max(self.stored_version, version)
         for write in batch:
             if write.value is None:
                 self._version_by_row.pop((write.table, write.key), None)
