--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -84,8 +84,10 @@
                 (write.table, write.key)
                 == (fleet_rows.TABLE, fleet_rows.DOWN_KEY)
                 and write.value
-                and worker.worker_id
-                in fleet_rows.decode_down(write.value).values()
+                and any(
+                    down.worker_id == worker.worker_id
+                    for down in fleet_rows.decode_down(write.value).values()
+                )
             ):
                 listed.set()
 
