Use each port of a soak run once, and keep the plan of each known seed

Seed 4113 (7 nodes) gave two nodes the same port: ports were checked before any node listened. One of them never started, and callers of its port got no response. A run now remembers the ports that it has chosen.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,6 @@
 import tempfile
 import threading
 import time
-from typing import NamedTuple
 
 from soak import callers as soak_callers
 from soak import cancellations
@@ -20,6 +19,7 @@
 from soak import disturbances
 from soak import faults
 from soak import known_seeds
+from soak import plans
 from soak import site as sites
 from standins import order_faults
 from standins import timed_worker
@@ -48,26 +48,6 @@
 FINAL_STATES = ("completed", "cancelled")
 
 
-class RunPlan(NamedTuple):
-    """What a run consists of.
-
-    Attributes:
-        fault_set: Key of `faults.FAULTS_BY_SET`.
-        loss_share: Share of packets that the links to the store lose.
-        per_second: Jobs that are submitted in a second.
-        series: Concurrent series of faults, so that faults overlap.
-    """
-
-    seed: int
-    fault_set: str = "general"
-    seconds: float = 30.0
-    nodes: int = 3
-    workers: int = 5
-    loss_share: float = 0.0
-    per_second: float = 5.0
-    series: int = 2
-
-
 def main() -> int:
     """Runs one seed, or all that failed before.
 
@@ -93,23 +73,20 @@
     parser.add_argument("--logs", type=pathlib.Path, default=None)
     options = parser.parse_args()
     directory = options.logs or pathlib.Path(tempfile.mkdtemp())
-    plans = [
-        RunPlan(
-            seed,
-            fault_set,
-            options.seconds,
-            options.nodes,
-            options.workers,
-            options.loss,
-            options.per_second,
-            options.series,
-        )
-        for fault_set, seed in (
-            known_seeds.CAUSE_BY_SEED
-            if options.known
-            else ((options.faults, options.seed),)
-        )
-    ]
+    run_plans: Iterable[plans.RunPlan] = known_seeds.CAUSE_BY_PLAN
+    if not options.known:
+        run_plans = [
+            plans.RunPlan(
+                options.seed,
+                options.faults,
+                options.seconds,
+                options.nodes,
+                options.workers,
+                options.loss,
+                options.per_second,
+                options.series,
+            )
+        ]
     passed = [
         run_and_print(
             plan,
@@ -117,12 +94,12 @@
             if options.known
             else directory,
         )
-        for plan in plans
+        for plan in run_plans
     ]
     return 0 if all(passed) else 1
 
 
-def run_and_print(plan: RunPlan, directory: pathlib.Path) -> bool:
+def run_and_print(plan: plans.RunPlan, directory: pathlib.Path) -> bool:
     """Runs a seed and prints its figures; returns whether it passed."""
     directory.mkdir(parents=True, exist_ok=True)
     violations, figures = run(plan, directory)
@@ -135,7 +112,7 @@
 
 
 def run(
-    plan: RunPlan, directory: pathlib.Path
+    plan: plans.RunPlan, directory: pathlib.Path
 ) -> tuple[list[str], dict[str, object]]:
     """Runs one seed.
 
@@ -201,7 +178,7 @@
         time.sleep(0.2)
 
 
-def _inject_faults(site: sites.Site, plan: RunPlan) -> list[str]:
+def _inject_faults(site: sites.Site, plan: plans.RunPlan) -> list[str]:
     """Injects faults in overlapping series for some seconds.
 
     Returns:
@@ -311,7 +288,7 @@
 
 
 def _check_cancelled(
-    site: sites.Site, callers: soak_callers.Callers, plan: RunPlan
+    site: sites.Site, callers: soak_callers.Callers, plan: plans.RunPlan
 ) -> list[str]:
     """Checks the tasks of jobs whose cancellation was acknowledged."""
     lossy = [disturbances.Span(0.0, math.inf)] if plan.loss_share else []
--- a/soak/ports.py
+++ b/soak/ports.py
@@ -22,10 +22,12 @@
 
 
 ADDRESS = own_address(os.getpid())
+# A process that has not started yet does not listen on its ports.
+_chosen_ports: set[int] = set()
 
 
 def free_ports(count: int, consecutive: int = 1) -> list[int]:
-    """Returns ports of the own address that were free when checked.
+    """Returns ports of the own address that nothing else uses.
 
     Args:
         count: Number of ports to return.
@@ -36,7 +38,9 @@
     ports: set[int] = set()
     while len(ports) < count:
         port = rng.randrange(PORTS.start, PORTS.stop - consecutive)
-        if all(_is_free(port + offset) for offset in range(consecutive)):
+        chosen = range(port, port + consecutive)
+        if _chosen_ports.isdisjoint(chosen) and all(map(_is_free, chosen)):
+            _chosen_ports.update(chosen)
             ports.add(port)
     return [*ports]
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,13 +8,17 @@
 
 from soak import __main__ as soak
 from soak import known_seeds
+from soak import plans
 
 
-@pytest.mark.parametrize(("fault_set", "seed"), known_seeds.CI_SEEDS)
+@pytest.mark.parametrize(
+    "plan",
+    known_seeds.CI_PLANS,
+    ids=[f"{plan.fault_set}-{plan.seed}" for plan in known_seeds.CI_PLANS],
+)
 def test_no_promise_is_broken(
-    fault_set: str, seed: int, tmp_path: pathlib.Path
+    plan: plans.RunPlan, tmp_path: pathlib.Path
 ) -> None:
-    plan = soak.RunPlan(seed, fault_set, seconds=6.0, nodes=3, workers=4)
     violations, figures = soak.run(plan, tmp_path)
     assert not violations
     assert figures["accepted"]
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -9,6 +9,7 @@
 from soak import cancellations
 from soak import disturbances
 from soak import holders
+from soak import ports
 from standins import row_store
 from standins import timed_worker
 from wisteriasill.contracts import job_spec
@@ -154,3 +155,12 @@
     observed.forget(observe)
     observed.record(commit)
     assert seen == ["node-0"]
+
+
+def test_each_port_is_used_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """In soak seed 4113, two nodes had the same port."""
+    monkeypatch.setattr(ports, "PORTS", range(20_000, 20_060))
+    pairs = ports.free_ports(5, consecutive=2)
+    singles = ports.free_ports(5)
+    used = [*pairs, *(port + 1 for port in pairs), *singles]
+    assert len(set(used)) == len(used)
