--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,7 @@
 from soak import site as sites
 from standins import order_faults
 from standins import timed_worker
+from wisteriasill.machines import fleet_rows
 
 # Time after the last fault in which every accepted job has to end. The longest
 # job takes 2 s, the takeover of a shard 3 s, and the expiry of the leases on an
@@ -38,11 +39,6 @@
     + 1.0
 )
 READY_TIMEOUT_SECONDS = 20.0
-MAX_STOP_SECONDS_BY_FAULT_SET = {
-    "general": 0.0,
-    "orders": cancellations.STOP_SECONDS,
-    "takeovers": cancellations.STOP_SECONDS,
-}
 # Changes of the configuration come in quick succession or some seconds apart.
 CHANGE_PAUSES_SECONDS = (0.2, 1.0, 3.0, 6.0)
 FINAL_STATES = ("completed", "cancelled")
@@ -68,7 +64,7 @@
         "--loss", type=float, default=0.0, help="share of lost packets"
     )
     parser.add_argument(
-        "--faults", choices=[*faults.FAULTS_BY_SET], default="general"
+        "--faults", choices=[*faults.FAULT_SETS], default="general"
     )
     parser.add_argument("--logs", type=pathlib.Path, default=None)
     options = parser.parse_args()
@@ -119,20 +115,24 @@
     Returns:
         The violated guarantees, and figures of the run.
     """
+    fault_set = faults.FAULT_SETS[plan.fault_set]
     site = sites.Site(
         directory,
         plan.nodes,
         plan.workers,
         plan.loss_share,
-        MAX_STOP_SECONDS_BY_FAULT_SET[plan.fault_set],
+        fault_set.max_stop_seconds,
+    )
+    callers = soak_callers.Callers(
+        site, plan.seed, plan.per_second, fault_set.habits
     )
-    habits = soak_callers.HABITS_BY_FAULT_SET[plan.fault_set]
-    callers = soak_callers.Callers(site, plan.seed, plan.per_second, habits)
     probe = configurations.ConfigurationProbe(site)
     try:
         for node in site.nodes:
             node.start()
         _wait_until_served(callers)
+        if fault_set.waits_for_holders:
+            _wait_until_held(site)
         callers.start()
         probe.start()
         injected = _inject_faults(site, plan)
@@ -178,6 +178,19 @@
         time.sleep(0.2)
 
 
+def _wait_until_held(site: sites.Site) -> None:
+    """Waits until all shards have holders and the hosts have been read."""
+    deadline = time.monotonic() + READY_TIMEOUT_SECONDS
+    while not (
+        site.holders.holder(sites.SERVICE)
+        and site.holders.holder(fleet_rows.SHARD)
+        and site.host_list.reads
+    ):
+        if time.monotonic() > deadline:
+            raise TimeoutError("a shard has no holder")
+        time.sleep(0.2)
+
+
 def _inject_faults(site: sites.Site, plan: plans.RunPlan) -> list[str]:
     """Injects faults in overlapping series for some seconds.
 
@@ -191,7 +204,7 @@
         rng = random.Random(f"{plan.seed}/{number}")
         while time.monotonic() < deadline:
             time.sleep(rng.random())
-            fault = rng.choice(faults.FAULTS_BY_SET[plan.fault_set])
+            fault = rng.choice(faults.FAULT_SETS[plan.fault_set].faults)
             started_at = time.monotonic()
             description = fault(site, rng)
             injected.append(
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -47,12 +47,8 @@
     max_task_ms: int = 900
 
 
+# Callers that cancel many jobs and submit some of them again.
 CANCELLING = Habits(0.5, 0.3, 2.5, 0.15, 0.4, 2500)
-HABITS_BY_FAULT_SET = {
-    "general": Habits(0.1),
-    "orders": CANCELLING,
-    "takeovers": CANCELLING,
-}
 
 
 class SubmittedJob(NamedTuple):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,10 @@
 import random
 import signal
 import time
+from typing import NamedTuple
 
+from soak import callers
+from soak import cancellations
 from soak import proxy
 from soak import site as sites
 from soak import worker_faults
@@ -122,9 +125,39 @@
     crash_worker,
     partition_worker,
 )
-# A seed draws the same faults only from the same set.
-FAULTS_BY_SET: dict[str, tuple[Fault, ...]] = {
-    "general": GENERAL_FAULTS,
-    "orders": (*GENERAL_FAULTS, *worker_faults.FAULTS),
-    "takeovers": worker_faults.TAKEOVER_FAULTS,
+
+
+class FaultSet(NamedTuple):
+    """Faults that a run draws from, and what else goes with them.
+
+    A seed draws the same faults only from the same set.
+
+    Attributes:
+        faults: The faults; a fault that is there twice is drawn more often.
+        habits: How callers behave.
+        max_stop_seconds: Longest time that workers take for a stop.
+        waits_for_holders: Whether faults begin only when all shards have
+            holders, not when the first node serves callers.
+    """
+
+    faults: tuple[Fault, ...]
+    habits: callers.Habits
+    max_stop_seconds: float
+    waits_for_holders: bool
+
+
+FAULT_SETS = {
+    "general": FaultSet(GENERAL_FAULTS, callers.Habits(0.1), 0.0, False),
+    "orders": FaultSet(
+        (*GENERAL_FAULTS, *worker_faults.FAULTS),
+        callers.CANCELLING,
+        cancellations.STOP_SECONDS,
+        False,
+    ),
+    "takeovers": FaultSet(
+        worker_faults.TAKEOVER_FAULTS,
+        callers.CANCELLING,
+        cancellations.STOP_SECONDS,
+        True,
+    ),
 }
--- a/soak/plans.py
+++ b/soak/plans.py
@@ -9,7 +9,7 @@
     """What a run consists of.
 
     Attributes:
-        fault_set: Key of `faults.FAULTS_BY_SET`.
+        fault_set: Key of `faults.FAULT_SETS`.
         seconds: Time for which faults are injected.
         loss_share: Share of packets that the links to the store lose.
         per_second: Jobs that are submitted in a second.
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -292,6 +292,7 @@
     Attributes:
         down: Whether all calls are refused.
         delay_seconds: Delay of each response.
+        reads: Number of lists returned.
     """
 
     def __init__(
@@ -301,6 +302,7 @@
         self._service = service
         self.down = False
         self.delay_seconds = 0.0
+        self.reads = 0
 
     def answer(self, request: wrappers.Request) -> JsonResponse:
         """Handles one call."""
@@ -309,6 +311,7 @@
             return 503, {}
         if request.path != "/api/machines":
             return 409, {"reason": "busy"}
+        self.reads += 1
         return 200, {
             "machines": [
                 {
