--- a/standins/order_faults.py
+++ b/standins/order_faults.py
@@ -30,7 +30,7 @@
     """
 
     late_share: float = 0.0
-    min_late_seconds: float = 2.0
+    min_late_seconds: float = 0.3
     max_late_seconds: float = 12.0
     refused_share: float = 0.0
     cut_nodes: tuple[str, ...] = ()
--- a/tests/adapter/test_platform_contract_http.py
+++ b/tests/adapter/test_platform_contract_http.py
@@ -7,6 +7,7 @@
 
 import pytest
 from returns import result
+import wire_hosts
 import wire_operators
 import wire_store
 import wire_workers
@@ -17,6 +18,7 @@
 from standins import row_store
 from standins import timed_worker
 from wisteriasill import metrics
+from wisteriasill.contracts import host_record
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
 
@@ -57,6 +59,17 @@
     server.stop()
 
 
+@pytest.fixture
+def hosts(
+    worker: timed_worker.TimedWorker,
+) -> Iterator[wire_hosts.WireHosts]:
+    (port,) = ports.free_ports(1)
+    service = platform_http.HostService([worker], sites.SERVICE)
+    server = platform_http.serve(ports.ADDRESS, port, service.answer, 8)
+    yield wire_hosts.WireHosts(f"{ports.ADDRESS}:{port}", "node-0")
+    server.stop()
+
+
 def order(
     run: int = 1, fencing_epoch: int = 5, payload: str = "50"
 ) -> cluster.StartOrder:
@@ -198,3 +211,21 @@
     report = worker.poll(5, 0, None, 0.0)
     assert isinstance(report, cluster.WorkerReport)
     assert not report.ends
+
+
+def test_the_list_of_hosts_shows_a_crashed_worker(
+    hosts: wire_hosts.WireHosts, worker: timed_worker.TimedWorker
+) -> None:
+    (up,) = hosts.list_hosts() or ()
+    worker.down = True
+    (down,) = hosts.list_hosts() or ()
+    assert up == host_record.HostRecord(
+        "m-i-1",
+        sites.SERVICE,
+        host_record.HostState.UP,
+        "z1",
+        sites.ROOM,
+        "r1",
+        "i-1",
+    )
+    assert down == up._replace(state=host_record.HostState.DOWN)
