--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -151,6 +151,7 @@
         avoided: Workers that a new run avoids: a run failed there, or was
             much slower than others.
         retry_at: Monotonic time before which it is not started again.
+        moves: How often it was moved as a straggler.
     """
 
     __slots__ = (
@@ -164,6 +165,7 @@
         "job",
         "last_run",
         "lost_at",
+        "moves",
         "occurrence",
         "restored",
         "retry_at",
@@ -197,6 +199,7 @@
         self.avoided: set[str] = set()
         self.retry_at = 0.0
         self.lost_at = 0.0
+        self.moves = 0
 
     @property
     def key(self) -> UnitKey:
@@ -233,6 +236,7 @@
         steps: Its steps, with predicted instead of declared times.
         record_version: Version of the job's record in the store.
         partition_key: Partition of the job's record.
+        has_begun: Whether a worker has confirmed that it began a task.
         ready: Units that wait for a worker.
         core_seconds_left: Predicted CPU time of the units not done.
     """
@@ -254,6 +258,7 @@
         self.units_by_step: dict[tuple[int, int], list[Unit]] = {}
         self.units_left_by_step: dict[tuple[int, int], int] = {}
         self.done_seconds_by_step: dict[tuple[int, int], list[float]] = {}
+        self.has_begun = False
         self.ready: dict[UnitKey, Unit] = {}
         self.opened_occurrences = 0
         self.waiting_logged_at = age_since
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -40,7 +40,7 @@
         report: cluster.WorkerReport,
     ) -> None:
         """Handles a report of the runs and run ends of a worker."""
-        if report.started_ms not in (None, worker.entry.started_ms):
+        if report.started_ms != worker.entry.started_ms:
             self.remove_worker(worker, _RESTARTED)
             return
         with self.lock:
@@ -74,6 +74,7 @@
         if run is None or run.number != run_report.run:
             self._stop_unknown_run(worker, run_report)
             return
+        run.unit.job.has_begun = True
         if run.state is not batch_job.RunState.RUNNING:
             run.state = batch_job.RunState.RUNNING
             run.acked_at = now
@@ -181,6 +182,7 @@
             self._record_lost_run_end(run_end)
             return
         unit = run.unit
+        unit.job.has_begun = True
         if run_end.checkpoint:
             unit.checkpoint = run_end.checkpoint
         self._end_run(run)
@@ -207,8 +209,8 @@
                 self._stop_run(other, "another run of its gang ended")
 
     def _record_duration(self, run: batch_job.Run, now: float) -> None:
-        if not run.acked_at:
-            return
+        if not run.acked_at or not run.ordered_at:
+            return  # A former holder started it, nobody knows when.
         unit = run.unit
         seconds = now - run.acked_at
         done_seconds = unit.job.done_seconds_by_step.setdefault(
@@ -294,6 +296,7 @@
             if run.state is batch_job.RunState.ENDED:
                 return
             if outcome is cluster.OrderOutcome.DONE:
+                run.unit.job.has_begun = True
                 if run.state is not batch_job.RunState.RUNNING:
                     run.state = batch_job.RunState.RUNNING
                     run.acked_at = time.monotonic()
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -34,7 +34,7 @@
 
     Attributes:
         restarted: Whether a new incarnation may have its id; it may have
-            received start orders that were sent since the last poll.
+            received start orders that the former one has not confirmed.
         crashed: Whether its incarnation ended without an order, unless it
             drained.
     """
@@ -61,16 +61,14 @@
                 if stored.started_ms > worker.entry.started_ms:
                     # The entry may be a former incarnation's, written late.
                     self._keep_restored_run(restored)
-                elif stored.started_ms != worker.entry.started_ms:
-                    self._lose_restored_run(
-                        restored,
-                        "its worker has another incarnation",
-                        worker.entry.started_ms,
-                    )
-                    self._requeue_crashed(unit)
                 elif is_down:
                     self._requeue_down(restored)
                 else:
+                    if stored.started_ms != worker.entry.started_ms:
+                        self._record_unwatched_crash(unit)
+                        worker.expect_late_order(self.claimed_at)
+                    # Until it has seen this holder's fencing token, the new
+                    # incarnation may carry out the order to the former one.
                     self._add_uncertain_run(worker, unit, stored)
             if is_down:
                 self.remove_worker(worker, self._down_removal(worker_id))
@@ -82,10 +80,15 @@
         run.state = batch_job.RunState.UNCERTAIN
         run.stopping = True
         run.start_blocked_at = 0.0
+        worker.expect_late_order(self._latest_order_at(run))
         worker.run_by_task[run.task] = run
         worker.reserve(run.unit.step.need, run.unit.step.fills)
         worker.send(workers.WorkerOrder("stop", run))
 
+    def _latest_order_at(self, run: batch_job.Run) -> float:
+        """Returns when a run was ordered; at the claim if before it."""
+        return max(run.ordered_at, self.claimed_at)
+
     def _add_uncertain_run(
         self,
         worker: workers.Worker,
@@ -116,7 +119,7 @@
             orphans = [
                 run
                 for run in worker.run_by_task.values()
-                if removal.restarted and run.ordered_at > worker.last_polled_at
+                if removal.restarted and not worker.has_confirmed(run)
             ]
             if orphans:
                 self._orphans_by_worker[worker.worker_id] = orphans
@@ -260,7 +263,6 @@
         self,
         restored: batch_runs.RestoredRun,
         reason: str,
-        started_ms: int | None = None,
     ) -> None:
         """Drops a stored run of a former holder, which counts as ended."""
         unit, stored = restored.unit, restored.stored
@@ -275,16 +277,20 @@
             worker=stored.worker_id,
             reason=reason,
             stored_started_ms=stored.started_ms,
-            started_ms=started_ms,
         )
 
     def _requeue_crashed(self, unit: batch_job.Unit) -> None:
         """Queues a unit whose worker ended while no holder watched it."""
+        self._record_unwatched_crash(unit)
+        unit.job.requeue(unit)
+
+    def _record_unwatched_crash(self, unit: batch_job.Unit) -> None:
+        if unit.done or unit.job.finished:
+            return
         unit.crash_record = crash_evidence.record_unwatched_crash(
             unit.crash_record
         )
         self._judge(unit)
-        unit.job.requeue(unit)
 
     def _record_survivals(self, worker: workers.Worker) -> None:
         """Clears tasks that did not crash the worker that has just reported."""
@@ -407,7 +413,8 @@
                     )
             for orphans in self._orphans_by_worker.values():
                 for run in [*orphans]:
-                    if now - run.ordered_at > _MAX_ORPHAN_SECONDS:
+                    sent_seconds = now - self._latest_order_at(run)
+                    if sent_seconds > _MAX_ORPHAN_SECONDS:
                         orphans.remove(run)
                         self._end_run(run)
             if now >= self.former_leases_end_at:
