Count crashes only against tasks that they may come from

Cause: each crash counted against every run that its worker had shown alive for less than 2 s, also when another run there had just started, and the fifth one gave the job up. A crash under a new run was a suspicion even if other workers of the pool crashed at the same moment on which nothing had started.

Change: a crash beside a run that has just started says nothing of the others. A worker that crashes while none of its runs is new crashed for another cause; workers of its pool that crash within RACK_LOSS_SECONDS share that cause, and their crashes are no evidence. Workers that the list shows as down together are noted before any of them is judged. A worker that was draining excuses nobody. A task that crashes its worker is always new there, so it still counts: its tests hold unchanged.

--- a/tests/contracts/test_crash_evidence.py
+++ b/tests/contracts/test_crash_evidence.py
@@ -8,12 +8,17 @@
 
 ALIVE = 2 * crash_evidence.PROBATION_SECONDS
 
-Crash = tuple[float, bool, bool]
+Crash = tuple[float, crash_evidence.Circumstances]
 
-ALONE: Crash = (0.0, True, False)
-AMONG_OTHERS: Crash = (0.0, False, False)
-WITH_RACK: Crash = (0.0, True, True)
-LONG_AFTER_START: Crash = (ALIVE, False, False)
+ALONE: Crash = (0.0, crash_evidence.Circumstances(1))
+AMONG_OTHERS: Crash = (0.0, crash_evidence.Circumstances(2))
+WITH_RACK: Crash = (
+    0.0,
+    crash_evidence.Circumstances(1, lost_with_rack=True),
+)
+LONG_AFTER_START: Crash = (ALIVE, crash_evidence.Circumstances(0))
+BESIDE_A_START: Crash = (ALIVE, crash_evidence.Circumstances(1))
+FROM_OUTSIDE = crash_evidence.Circumstances(1, has_outside_cause=True)
 
 
 def record_of(*crashes: Crash) -> crash_evidence.CrashRecord:
@@ -69,7 +74,10 @@
 
 def test_work_before_a_crash_clears_a_task() -> None:
     """A long-running task lost several workers on which it had worked."""
-    worked = (crash_evidence.ACQUITTAL_SECONDS, True, False)
+    worked = (
+        crash_evidence.ACQUITTAL_SECONDS,
+        crash_evidence.Circumstances(0),
+    )
     assert record_of(*[worked] * 9) == crash_evidence.NO_CRASHES
     record = record_of(*[LONG_AFTER_START] * 4)
     assert (
@@ -78,6 +86,47 @@
     )
 
 
+def test_a_crash_that_a_start_explains_is_no_evidence_against_others() -> None:
+    """A long-running job was stopped after crashes that another job caused.
+
+    Run deadly at Kochi, seed 12: five workers of one of its tasks crashed.
+    """
+    assert record_of(*[BESIDE_A_START] * 9) == crash_evidence.NO_CRASHES
+
+
+@pytest.mark.parametrize("survived_seconds", [0.0, ALIVE])
+def test_a_crash_with_an_outside_cause_is_no_evidence(
+    survived_seconds: float,
+) -> None:
+    crashes = [(survived_seconds, FROM_OUTSIDE)] * 9
+    assert record_of(*crashes) == crash_evidence.NO_CRASHES
+
+
+@pytest.mark.parametrize(
+    ("other_rack", "other_is_explained", "expected"),
+    [
+        ("r1", True, crash_evidence.Circumstances(1, lost_with_rack=True)),
+        ("r2", True, crash_evidence.Circumstances(1)),
+        ("r2", False, FROM_OUTSIDE),
+    ],
+)
+def test_a_crash_that_no_start_explains_is_the_cause_of_others(
+    other_rack: str,
+    other_is_explained: bool,
+    expected: crash_evidence.Circumstances,
+) -> None:
+    crash = crash_evidence.WorkerCrash(1.0, other_rack, other_is_explained)
+    assert crash_evidence.circumstances(1, "r1", [crash]) == expected
+
+
+def test_only_recent_crashes_have_a_common_cause() -> None:
+    crash = crash_evidence.WorkerCrash(10.0, "r1", False)
+    soon = 10.0 + crash_evidence.RACK_LOSS_SECONDS / 2
+    later = 10.0 + crash_evidence.RACK_LOSS_SECONDS
+    assert crash_evidence.recent_crashes({"w1": crash}, soon) == {"w1": crash}
+    assert crash_evidence.recent_crashes({"w1": crash}, later) == {}
+
+
 def test_an_explained_crash_is_no_suspicion() -> None:
     cleared = crash_evidence.record_explanation(record_of(AMONG_OTHERS))
     assert not cleared.needs_trial
--- a/tests/machines/batch/test_deadly_tasks.py
+++ b/tests/machines/batch/test_deadly_tasks.py
@@ -246,3 +246,77 @@
     unit = next(iter(successor.pool.job_by_id["j1"].unit_by_key.values()))
     assert unit.crash_record.crashes == 2
     assert not unit.crash_record.convicted
+
+
+def add_worker(site: batch_site.SteppedPool, number: int) -> workers.Worker:
+    """Adds an empty worker on a rack of its own."""
+    link = batch_worker.MemoryWorker(batch_site.ROOM)
+    worker = site.add_worker(f"w{number}", link, f"rack-{number}", number)
+    site.poll(worker)
+    return worker
+
+
+def start_waiting(site: batch_site.SteppedPool) -> None:
+    """Starts the tasks that wait for a worker."""
+    site.run_round(time.monotonic() + 1)
+    for worker in site.pool.worker_by_id.values():
+        site.deliver(worker)
+
+
+def test_a_task_beside_those_that_crash_its_workers_is_not_given_up(
+    site: batch_site.SteppedPool,
+) -> None:
+    """All runs of a long-running job were stopped after the fifth crash.
+
+    Run deadly at Kochi, seed 12.
+    """
+    site.pool.on_record(
+        batch_site.job_row("j1", [batch_site.step(lasting=True)])
+    )
+    for number in range(1, 7):
+        worker = add_worker(site, number)
+        start_waiting(site)
+        (run,) = worker.run_by_task.values()
+        run.acked_at -= 2 * crash_evidence.PROBATION_SECONDS
+        site.poll(worker)
+        job_id = f"other-{number}"
+        site.pool.on_record(batch_site.job_row(job_id, [batch_site.step()]))
+        start_waiting(site)
+        site.pool.set_down_workers({worker.worker_id: number})
+        site.pool.on_record(
+            batch_site.job_row(job_id, [batch_site.step()], cancelled=True)
+        )
+    assert site.pool.job_by_id["j1"].state is batch_job.JobState.RUNNING
+
+
+def test_workers_that_crash_with_one_without_a_new_run_are_no_evidence(
+    site: batch_site.SteppedPool,
+) -> None:
+    """Jobs were given up as half of the workers crashed again and again.
+
+    Run crash-roll-slow at Mandacaru, seed 71.
+    """
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step()]))
+    for number in range(1, 9, 2):
+        pair = add_worker(site, number), add_worker(site, number + 1)
+        start_waiting(site)
+        assert sum(len(worker.run_by_task) for worker in pair) == 1
+        site.pool.set_down_workers(
+            {worker.worker_id: number + 1 for worker in pair}
+        )
+    unit = next(iter(site.pool.job_by_id["j1"].unit_by_key.values()))
+    assert unit.crash_record == crash_evidence.NO_CRASHES
+
+
+def test_the_crash_of_a_draining_worker_excuses_no_task(
+    site: batch_site.SteppedPool,
+) -> None:
+    """A worker that leaves as it was to says nothing about other workers."""
+    crashing, draining = add_worker(site, 1), add_worker(site, 2)
+    site.pool.set_drain_requests({draining.worker_id})
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step()]))
+    start_waiting(site)
+    assert crashing.run_by_task
+    site.pool.set_down_workers({"w1": 2, "w2": 2})
+    unit = next(iter(site.pool.job_by_id["j1"].unit_by_key.values()))
+    assert unit.crash_record.suspicions == 1
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -16,6 +16,7 @@
 from wisteriasill import clock as clocks
 from wisteriasill import events
 from wisteriasill.contracts import arrival_rate
+from wisteriasill.contracts import crash_evidence
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import overload_policy
 from wisteriasill.contracts import queue as queues
@@ -73,6 +74,11 @@
     run: batch_job.Run
     survived_seconds: float
 
+    @property
+    def may_have_just_started(self) -> bool:
+        """Whether its worker may have crashed by its start."""
+        return self.survived_seconds < crash_evidence.PROBATION_SECONDS
+
 
 class PoolRuns:
     """A pool's jobs, workers and runs.
@@ -134,7 +140,7 @@
         self.suspect_by_key: dict[
             tuple[str, batch_job.UnitKey], batch_job.Unit
         ] = {}
-        self._crashed_at_by_rack: dict[str, dict[str, float]] = {}
+        self._crash_by_worker: dict[str, crash_evidence.WorkerCrash] = {}
         self._trial_runs: list[batch_job.Run] = []
         self._lapsed_runs_by_worker: dict[str, list[LostRun]] = {}
         self._queue_by_name: Mapping[str, queues.Queue] = {}
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -160,67 +160,80 @@
         self, worker: workers.Worker, lost_runs: Iterable[batch_job.Run]
     ) -> None:
         """Records a worker's crash as evidence against the tasks on it."""
-        now = time.monotonic()
-        lost = [
-            *self._lapsed_runs_by_worker.pop(worker.worker_id, []),
+        self._note_crash(worker)
+        lost = self._lost_with(worker, lost_runs)
+        self._lapsed_runs_by_worker.pop(worker.worker_id, None)
+        if not _may_have_drained(worker):
+            self._record_evidence(lost, worker)
+
+    def _lost_with(
+        self, worker: workers.Worker, runs: Iterable[batch_job.Run]
+    ) -> list[batch_runs.LostRun]:
+        """Returns those of the runs of a worker that it may have had."""
+        return [
+            *self._lapsed_runs_by_worker.get(worker.worker_id, []),
             *(
                 batch_runs.LostRun(run, worker.survived_seconds(run))
-                for run in lost_runs
+                for run in runs
                 if run.may_be_on_worker
             ),
         ]
-        with_rack = self._others_crashed(worker, now)
-        self._note_crash(worker, now)
-        if (
-            worker.drain_requested
-            or worker.entry.state is not cluster.WorkerState.READY
-        ):
-            return
-        self._record_evidence(lost, with_rack)
-
-    def _others_crashed(self, worker: workers.Worker, now: float) -> bool:
-        """Whether other workers of the rack have crashed at about this time."""
-        crashed_at_by_worker = self._crashed_at_by_rack.get(worker.rack, {})
-        return any(
-            now - crashed_at < crash_evidence.RACK_LOSS_SECONDS
-            for worker_id, crashed_at in crashed_at_by_worker.items()
-            if worker_id != worker.worker_id
-        )
 
-    def _note_crash(self, worker: workers.Worker, now: float) -> None:
-        crashed_at_by_worker = self._crashed_at_by_rack.get(worker.rack, {})
-        self._crashed_at_by_rack[worker.rack] = {
-            worker_id: crashed_at
-            for worker_id, crashed_at in crashed_at_by_worker.items()
-            if now - crashed_at < crash_evidence.RACK_LOSS_SECONDS
-        } | {worker.worker_id: now}
+    def _note_crash(self, worker: workers.Worker) -> None:
+        """Stores a crash, which may have the same cause as others."""
+        now = time.monotonic()
+        is_explained = _may_have_drained(worker) or any(
+            lost.may_have_just_started
+            for lost in self._lost_with(worker, worker.run_by_task.values())
+        )
+        self._crash_by_worker = crash_evidence.recent_crashes(
+            self._crash_by_worker, now
+        ) | {
+            worker.worker_id: crash_evidence.WorkerCrash(
+                now, worker.rack, is_explained
+            )
+        }
 
     def _record_evidence(
-        self, lost: Iterable[batch_runs.LostRun], lost_with_rack: bool
+        self, lost: Iterable[batch_runs.LostRun], worker: workers.Worker
     ) -> None:
-        survived_by_unit: dict[batch_job.Unit, float] = {}
+        lost_by_unit: dict[batch_job.Unit, batch_runs.LostRun] = {}
         # The run that started last is the likeliest cause: its trial is first.
-        for run, survived_seconds in sorted(
+        for lost_run in sorted(
             lost, key=lambda lost_run: -lost_run.run.ordered_at
         ):
-            survived_by_unit[run.unit] = min(
-                survived_seconds, survived_by_unit.get(run.unit, math.inf)
+            unit = lost_run.run.unit
+            lost_by_unit[unit] = min(
+                lost_run,
+                lost_by_unit.get(unit, lost_run),
+                key=lambda other: other.survived_seconds,
             )
         suspects = [
             unit
-            for unit, survived_seconds in survived_by_unit.items()
-            if survived_seconds < crash_evidence.PROBATION_SECONDS
+            for unit, lost_run in lost_by_unit.items()
+            if lost_run.may_have_just_started
         ]
-        for unit, survived_seconds in survived_by_unit.items():
+        crash = crash_evidence.circumstances(
+            len(suspects),
+            worker.rack,
+            (
+                other
+                for worker_id, other in crash_evidence.recent_crashes(
+                    self._crash_by_worker, time.monotonic()
+                ).items()
+                if worker_id != worker.worker_id
+            ),
+        )
+        for unit, lost_run in lost_by_unit.items():
             if unit.done or unit.job.finished:
                 continue
+            former = unit.crash_record
             unit.crash_record = crash_evidence.record_crash(
-                unit.crash_record,
-                survived_seconds,
-                len(suspects) == 1,
-                lost_with_rack,
+                former, lost_run.survived_seconds, crash
             )
-            if unit in suspects:
+            if unit.crash_record == former:
+                continue
+            if unit.crash_record.suspicions > former.suspicions:
                 unit.suspected_with.append(suspects)
             self._judge(unit)
 
@@ -325,7 +338,6 @@
             )
             self._down_version_by_id = {**version_by_id}
             self._planned_end_ids = frozenset(planned_ids)
-            now = time.monotonic()
             down = [
                 worker
                 for worker_id in new_ids
@@ -335,7 +347,7 @@
             # Workers that the list shows as down together went down together.
             for worker in down:
                 if worker.worker_id not in planned_ids:
-                    self._note_crash(worker, now)
+                    self._note_crash(worker)
             for worker in down:
                 self.remove_worker(worker, self._down_removal(worker.worker_id))
             for worker_id in new_ids:
@@ -366,8 +378,8 @@
             for lost in lapsed
         ):
             self._lapsed_runs_by_worker.pop(worker_id, None)
-            if worker_id not in self._planned_end_ids:
-                self._record_evidence(lapsed, lost_with_rack=False)
+            if lapsed and worker_id not in self._planned_end_ids:
+                self._record_evidence(lapsed, lapsed[0].run.worker)
         for restored in self._restored_runs_by_worker.pop(worker_id, []):
             if self._is_down(restored.version, worker_id):
                 self._requeue_down(restored)
@@ -541,6 +553,14 @@
             )
 
 
+def _may_have_drained(worker: workers.Worker) -> bool:
+    """Whether a worker that went down may have left as it was to."""
+    return (
+        worker.drain_requested
+        or worker.entry.state is not cluster.WorkerState.READY
+    )
+
+
 def _is_serving(run: batch_job.Run, now: float) -> bool:
     return (
         run.worker.is_responsive(now)
