Hold no worker for a suspected task that will not fit there

Cause: a suspected task that could not start held a worker whose whole room held it, so also one whose long-running tasks left too little for good. Where one worker accepted tasks, that was the whole pool, and it stayed held for as long as its other runs took.

Change: a worker with room for the task now is still held while its new runs pass their probation, which takes about a second. Otherwise one is held only if the task would fit once the finite runs there have ended, by the same conditions as any placement, and at most half of the workers that accept tasks: never the only one. A task that fits nowhere waits without holding anything. Suspected tasks still come first in each round, so one starts as soon as it fits.

--- a/wisteriasill/contracts/worker_choice.py
+++ b/wisteriasill/contracts/worker_choice.py
@@ -81,6 +81,25 @@
     )
 
 
+class LaterWorker(NamedTuple):
+    """A worker as it will be once its finite runs have ended."""
+
+    worker_id: str
+    rack: str
+    labels: tuple[str, ...]
+    free_cpu: int
+    free_memory_mb: int
+    free_accelerators: int
+
+
+def will_fit(later: LaterWorker, request: PlacementRequest) -> bool:
+    """Returns whether a worker may run the task once its finite runs ended."""
+    if not request.step.lasting:
+        # Other tasks of its step end too.
+        request = request._replace(tasks_by_worker={})
+    return fits(later, request)
+
+
 class FullPool:
     """Requests of a planning round that fit on no worker.
 
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -26,7 +26,8 @@
 MAX_ADVISED_WORKERS = 100  # The platform's limit for one request.
 STRAGGLER_CHECK_SECONDS = 0.25  # Interval between checks for stragglers.
 WAITING_LOG_SECONDS = 1.0
-# One of so many workers at a time gets suspected tasks only.
+# One of so many workers at a time gets suspected tasks only, and no more are
+# held for them until other runs end.
 WORKERS_PER_TRIAL = 2
 
 
@@ -112,6 +113,7 @@
         }
         most_trials = max(1, accepting // WORKERS_PER_TRIAL)
         trials = len(trial_workers)
+        held = 0
         waiting = [
             unit
             for unit in self.suspect_by_key.values()
@@ -128,6 +130,9 @@
             if not choices:
                 return
             used = self._plan_trial(unit, choices, now)
+            if not used and held < accepting // WORKERS_PER_TRIAL:
+                used = self._hold_worker(unit, choices, now)
+                held += len(used)
             candidates[:] = [
                 worker for worker in candidates if worker not in used
             ]
@@ -136,31 +141,45 @@
     def _plan_trial(
         self, unit: batch_job.Unit, choices: list[workers.Worker], now: float
     ) -> set[workers.Worker]:
-        """Starts a suspected task, or keeps a worker free for it.
+        """Starts a suspected task, or waits for other new runs of a worker.
 
         Returns:
             The workers that get no other start in this round.
         """
-        by_runs = sorted(choices, key=lambda worker: len(worker.run_by_task))
+        by_runs = sorted(choices, key=_run_count)
         quiet = [worker for worker in by_runs if not worker.has_unproven_run()]
         groups = [quiet] if unit.step.gang else [[worker] for worker in quiet]
         if any(self._plan_unit(unit, group, now) for group in groups):
             self._trial_runs += unit.runs
             self._record_placed(unit.job, 1, choices, now)
             return {run.worker for run in unit.runs}
-        # The runs of a worker with room for it end while it gets no new ones.
-        step = unit.step
-        return {
-            *itertools.islice(
-                (
-                    worker
-                    for worker in by_runs
-                    if worker.entry.room.holds(step.need)
-                    and (not step.label or step.label in worker.labels)
-                ),
-                1,
-            )
-        }
+        request = self._placement_request(unit, now)
+        # The new runs of a worker with room pass or end within a second.
+        with_room = (
+            worker
+            for worker in by_runs
+            if request
+            and worker_choice.fits(worker, request)
+            and worker.has_unproven_run()
+        )
+        return {*itertools.islice(with_room, 1)}
+
+    def _hold_worker(
+        self, unit: batch_job.Unit, choices: list[workers.Worker], now: float
+    ) -> set[workers.Worker]:
+        """Holds a worker until its finite runs leave room for a suspected task.
+
+        Returns:
+            The worker; none if the task would not even fit then.
+        """
+        request = self._placement_request(unit, now)
+        with_room = (
+            worker
+            for worker in sorted(choices, key=_run_count)
+            if request
+            and worker_choice.will_fit(worker.after_finite(), request)
+        )
+        return {*itertools.islice(with_room, 1)}
 
     def _schedule(
         self,
@@ -389,6 +408,32 @@
         candidates: list[workers.Worker],
         now: float,
     ) -> bool:
+        request = self._placement_request(unit, now)
+        if request is None:
+            return False
+        chosen = self._reserve_in_one_rack(unit, candidates, request) or (
+            _reserve_workers(unit, candidates, request)
+        )
+        if not chosen:
+            self._full.record(request)
+            return False
+        unit.last_run += 1
+        for index, worker in chosen:
+            run = batch_job.Run(unit, index, unit.last_run, worker)
+            run.planned_at = now
+            unit.runs.append(run)
+            worker.run_by_task[run.task] = run
+            worker_quarantine.record_start(worker)
+            if worker.has_trial_run and worker in candidates:
+                candidates.remove(worker)
+            self.planned.append(run)
+        unit.job.ready.pop(unit.key, None)
+        return True
+
+    def _placement_request(
+        self, unit: batch_job.Unit, now: float
+    ) -> worker_choice.PlacementRequest | None:
+        """Returns the constraints of a unit; None if it lacks advice."""
         tasks_by_worker: collections.Counter[str] = collections.Counter()
         tasks_by_rack: collections.Counter[str] = collections.Counter()
         if unit.step.lasting or unit.step.most_per_worker:
@@ -403,9 +448,9 @@
         if queue and queue.advice:
             permits = self.permits_by_step.get(unit.step_key)
             if permits is None or now >= permits.until:
-                return False
+                return None
             permitted = permits.advice.ticket_by_worker.keys()
-        request = worker_choice.PlacementRequest(
+        return worker_choice.PlacementRequest(
             unit.step,
             tasks_by_worker,
             tasks_by_rack,
@@ -413,24 +458,6 @@
             permitted,
             self.due_worker_ids,
         )
-        chosen = self._reserve_in_one_rack(unit, candidates, request) or (
-            _reserve_workers(unit, candidates, request)
-        )
-        if not chosen:
-            self._full.record(request)
-            return False
-        unit.last_run += 1
-        for index, worker in chosen:
-            run = batch_job.Run(unit, index, unit.last_run, worker)
-            run.planned_at = now
-            unit.runs.append(run)
-            worker.run_by_task[run.task] = run
-            worker_quarantine.record_start(worker)
-            if worker.has_trial_run and worker in candidates:
-                candidates.remove(worker)
-            self.planned.append(run)
-        unit.job.ready.pop(unit.key, None)
-        return True
 
     def _reserve_in_one_rack(
         self,
@@ -557,6 +584,10 @@
             self.dirty_job_by_id[unit.job.job_id] = unit.job
 
 
+def _run_count(worker: workers.Worker) -> int:
+    return len(worker.run_by_task)
+
+
 def _reserve_workers(
     unit: batch_job.Unit,
     candidates: list[workers.Worker],
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -14,6 +14,7 @@
 from wisteriasill import restarting_task
 from wisteriasill.contracts import crash_evidence
 from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import worker_choice
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
 
@@ -282,6 +283,24 @@
             for run in self.run_by_task.values()
         )
 
+    def after_finite(self) -> worker_choice.LaterWorker:
+        """Returns this worker without the runs that end by themselves."""
+        ending = [
+            run.unit.step
+            for run in self.run_by_task.values()
+            if not run.unit.step.lasting
+        ]
+        return worker_choice.LaterWorker(
+            self.worker_id,
+            self.rack,
+            self.labels,
+            self.free_cpu
+            + sum(step.need.cpu for step in ending if not step.fills),
+            self.free_memory_mb + sum(step.need.memory_mb for step in ending),
+            self.free_accelerators
+            + sum(step.need.accelerators for step in ending),
+        )
+
     def leases_expired(self, now: float) -> bool:
         """Whether every lease on the worker has certainly expired."""
         if not self._clock_at:
