Suspect no run whose start a former holder ordered

Cause: a run that is read from the store counts as shown alive only from the new holder's first report of its worker. If the worker crashed before, or within 0.25 s of it, the run looked as if it had just started. Only where the worker was not known yet did the crash count as one that nobody watched.

Change: such a crash counts as unwatched, whether the worker is known or not: it is no suspicion, and still one of the five crashes that end a task.

--- a/tests/machines/batch/test_deadly_tasks.py
+++ b/tests/machines/batch/test_deadly_tasks.py
@@ -320,3 +320,27 @@
     site.pool.set_down_workers({"w1": 2, "w2": 2})
     unit = next(iter(site.pool.job_by_id["j1"].unit_by_key.values()))
     assert unit.crash_record.suspicions == 1
+
+
+def test_a_crash_under_a_run_of_a_former_holder_is_no_suspicion(
+    site: batch_site.SteppedPool, link: batch_worker.MemoryWorker
+) -> None:
+    """The new holder does not know how long the run had been at work.
+
+    Tasks of a long-running job waited for a trial after a change of the holder.
+    Run chain-stale at Mandacaru, seed 71.
+    """
+    row = batch_site.job_row("j1", [batch_site.step(lasting=True)])
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(row)
+    site.run_round()
+    site.deliver(worker)
+    site.run_round()
+    successor = batch_site.SteppedPool(2, [row], site.progress_rows())
+    worker = successor.add_worker("w1", link)
+    assert worker.run_by_task
+    successor.pool.set_down_workers({"w1": 10})
+    unit = next(iter(successor.pool.job_by_id["j1"].unit_by_key.values()))
+    assert unit.crash_record.crashes == 1
+    assert not unit.crash_record.needs_trial
--- a/wisteriasill/contracts/crash_evidence.py
+++ b/wisteriasill/contracts/crash_evidence.py
@@ -88,6 +88,9 @@
     has_outside_cause: bool = False
 
 
+_NOTHING_KNOWN = Circumstances(0)
+
+
 def recent_crashes(
     crash_by_worker: Mapping[str, WorkerCrash], now: float
 ) -> dict[str, WorkerCrash]:
@@ -155,7 +158,9 @@
     )
 
 
-def record_unwatched_crash(record: CrashRecord) -> CrashRecord:
+def record_unwatched_crash(
+    record: CrashRecord, crash: Circumstances = _NOTHING_KNOWN
+) -> CrashRecord:
     """Adds the crash of a worker that nobody watched, as its holder changed.
 
     It tells nothing about the time between the start and the crash, so it is no
@@ -163,10 +168,13 @@
 
     Args:
         record: What earlier crashes told.
+        crash: Circumstances of the crash.
 
     Returns:
         The new record.
     """
+    if crash.has_outside_cause:
+        return record
     crashes = record.crashes + 1
     return CrashRecord(crashes, record.suspicions, crashes >= MAX_CRASHES)
 
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -79,6 +79,14 @@
         """Whether its worker may have crashed by its start."""
         return self.survived_seconds < crash_evidence.PROBATION_SECONDS
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether this holder started the run just before the crash.
+
+        How long a former holder's run had been at work is not known.
+        """
+        return self.may_have_just_started and self.run.ordered_at > 0
+
 
 class PoolRuns:
     """A pool's jobs, workers and runs.
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -211,7 +211,7 @@
         suspects = [
             unit
             for unit, lost_run in lost_by_unit.items()
-            if lost_run.may_have_just_started
+            if lost_run.is_suspect
         ]
         crash = crash_evidence.circumstances(
             len(suspects),
@@ -228,8 +228,12 @@
             if unit.done or unit.job.finished:
                 continue
             former = unit.crash_record
-            unit.crash_record = crash_evidence.record_crash(
-                former, lost_run.survived_seconds, crash
+            unit.crash_record = (
+                crash_evidence.record_crash(
+                    former, lost_run.survived_seconds, crash
+                )
+                if lost_run.is_suspect or not lost_run.may_have_just_started
+                else crash_evidence.record_unwatched_crash(former, crash)
             )
             if unit.crash_record == former:
                 continue
