Let a worker leave quarantine after any end of its trial

Cause: a flag said that a worker had a trial run, and only an end that the worker reported cleared it. A trial that was cancelled before its start, was refused, or was lost left the flag set. A long-running task as the trial never ends, so no other task followed it.

Change: the worker keeps the trial run itself, whose state tells whether it has ended. A long-running task has passed its trial once it serves.

--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -423,7 +423,7 @@
             run.planned_at = now
             unit.runs.append(run)
             worker.run_by_task[run.task] = run
-            worker_quarantine.record_start(worker)
+            worker_quarantine.record_start(run)
             if worker.has_trial_run and worker in candidates:
                 candidates.remove(worker)
             self.planned.append(run)
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -138,7 +138,7 @@
         outcomes: Time, success and job of its latest run ends.
         quarantined_until: Monotonic time from which a quarantined worker may
             get a trial run; 0 if it is not quarantined.
-        has_trial_run: Whether a trial run is planned or active.
+        trial_run: Last run that it got in quarantine.
         last_polled_at: Monotonic time at which the last answered poll was sent.
     """
 
@@ -174,7 +174,7 @@
             collections.deque(maxlen=12)
         )
         self.quarantined_until = 0.0
-        self.has_trial_run = False
+        self.trial_run: batch_job.Run | None = None
         self._clock_ms = 0.0
         self._clock_at = 0.0
         self._lease_until_ms = 0
@@ -201,6 +201,19 @@
         """The worker's labels."""
         return self.entry.labels
 
+    @property
+    def has_trial_run(self) -> bool:
+        """Whether a trial run is planned or active.
+
+        A long-running task has passed its trial when it serves.
+        """
+        run = self.trial_run
+        return (
+            run is not None
+            and run.state is not batch_job.RunState.ENDED
+            and not (run.unit.step.lasting and run.full_speed_at)
+        )
+
     def open(self) -> None:
         """Starts the worker's two threads."""
         for name, run in (
--- a/wisteriasill/machines/worker_quarantine.py
+++ b/wisteriasill/machines/worker_quarantine.py
@@ -8,6 +8,7 @@
 from wisteriasill.links import cluster
 
 if TYPE_CHECKING:
+    from wisteriasill.machines import batch_job
     from wisteriasill.machines import worker as workers
 
 # A worker is quarantined when recent runs of this many jobs failed on it and
@@ -27,7 +28,7 @@
         worker.outcomes.append((now, True, job_id))
         if worker.quarantined_until:
             worker.quarantined_until = 0.0
-            worker.has_trial_run = False
+            worker.trial_run = None
             worker.outcomes.clear()
             events.log(
                 events.Event.WORKER_TRUSTED,
@@ -49,14 +50,12 @@
             quarantine(
                 worker, now, f"{len(failed)} of {len(recent)} runs failed"
             )
-    if kind is not cluster.RunEndKind.DONE and worker.has_trial_run:
-        worker.has_trial_run = False
 
 
 def quarantine(worker: workers.Worker, now: float, reason: str) -> None:
     """Keeps tasks off a worker for a time, after which it gets a trial."""
     worker.quarantined_until = now + QUARANTINE_SECONDS
-    worker.has_trial_run = False
+    worker.trial_run = None
     events.log(
         events.Event.WORKER_DOUBTED,
         "Worker is quarantined; it gets single trial runs only",
@@ -73,7 +72,7 @@
     return now >= worker.quarantined_until and not worker.has_trial_run
 
 
-def record_start(worker: workers.Worker) -> None:
-    """Records that a run was planned on a worker."""
-    if worker.quarantined_until:
-        worker.has_trial_run = True
+def record_start(run: batch_job.Run) -> None:
+    """Records that a run was planned on its worker."""
+    if run.worker.quarantined_until:
+        run.worker.trial_run = run
