Keep half of a pool out of quarantine for stragglers

Cause: each task that overran put its worker in quarantine. With many such tasks all workers of a pool were in quarantine, each with a single trial, which was such a task itself and overran as well.

Change: a straggler puts its worker in quarantine only while at most half of the workers would be there: if most seem slow, the tasks are long. The task is moved as before.

--- a/tests/machines/batch/test_quarantine.py
+++ b/tests/machines/batch/test_quarantine.py
@@ -68,3 +68,38 @@
     site.poll(doubted)
     planned = site.run_round(now + 3)
     assert [run.task.job_id for run in planned] == ["j1"]
+
+
+def test_long_tasks_do_not_put_most_workers_in_quarantine(
+    site: batch_site.SteppedPool,
+) -> None:
+    """A pool whose tasks are longer than usual ran one task on each worker.
+
+    Run chain-stale at Mandacaru, seed 71: LOST at the end of the day.
+    """
+    links = [batch_worker.MemoryWorker(batch_site.ROOM) for _ in range(4)]
+    for number, link in enumerate(links):
+        worker = site.add_worker(f"w{number}", link)
+        site.poll(worker)
+        site.pool.on_record(
+            batch_site.job_row(f"j{number}", [batch_site.step(2, 8_000)])
+        )
+    site.run_round()
+    for number, worker in enumerate(site.pool.worker_by_id.values()):
+        site.deliver(worker)
+        done = next(task for task in links[number].running if not task.position)
+        links[number].finish(done)
+        site.poll(worker)
+    site.run_round(time.monotonic() + 3)
+    stopped = [
+        run.stopping
+        for worker in site.pool.worker_by_id.values()
+        for run in worker.run_by_task.values()
+    ]
+    assert stopped == [True] * 4
+    quarantined = [
+        worker
+        for worker in site.pool.worker_by_id.values()
+        if worker.quarantined_until
+    ]
+    assert len(quarantined) == 2
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -568,11 +568,14 @@
         )
         unit.avoided.add(run.worker.worker_id)
         if action is stragglers.Action.MOVE:
-            worker_quarantine.quarantine(
-                run.worker,
-                now,
-                "a task ran much longer than others of its step",
-            )
+            if worker_quarantine.may_be_slow(
+                run.worker, self.worker_by_id.values()
+            ):
+                worker_quarantine.quarantine(
+                    run.worker,
+                    now,
+                    "a task ran much longer than others of its step",
+                )
             self._stop_run(run, "it is slower than others of its step")
             return
         candidates = [
--- a/wisteriasill/machines/worker_quarantine.py
+++ b/wisteriasill/machines/worker_quarantine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 from wisteriasill import events
@@ -18,6 +19,8 @@
 QUARANTINE_FAILED_SHARE = 0.6
 RECENT_SECONDS = 8.0  # Window of run ends; a few tasks of usual length.
 QUARANTINE_SECONDS = 2.0  # Time before a single trial run.
+# Largest share of a pool's workers that may be slower than the others.
+MAX_SLOW_SHARE = 0.5
 
 
 def record_run_end(
@@ -65,6 +68,24 @@
     )
 
 
+def may_be_slow(
+    worker: workers.Worker, others: Collection[workers.Worker]
+) -> bool:
+    """Whether a worker may be slow, rather than the task that overran there.
+
+    Tasks may be longer than usual in the whole pool. If most workers were
+    quarantined for that, the pool would run one task on each of them.
+
+    Args:
+        worker: A worker on which a task overran.
+        others: All workers of the pool.
+    """
+    doubted = sum(
+        bool(other.quarantined_until) for other in others if other is not worker
+    )
+    return doubted + 1 <= MAX_SLOW_SHARE * len(others)
+
+
 def accepts_tasks(worker: workers.Worker, now: float) -> bool:
     """Whether a worker may get a task: not quarantined, or due a trial run."""
     if not worker.quarantined_until:
