--- a/tests/machines/batch/test_stops.py
+++ b/tests/machines/batch/test_stops.py
@@ -13,6 +13,7 @@
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
+from wisteriasill.machines import batch_workers
 from wisteriasill.machines import worker as workers
 
 TASK = job_spec.TaskKey("j1", 0, 0, 0)
@@ -369,5 +370,98 @@
     assert not link.running
 
 
+def test_a_cancelled_gang_is_stopped_on_all_workers(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+) -> None:
+    """Neither the end of one member nor a refused stop restarts the gang."""
+    gang = batch_site.step(4, 8000, gang=True)
+    pair = [site.add_worker("w1", link), site.add_worker("w2", other_link)]
+    for worker in pair:
+        site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", [gang]))
+    site.run_round()
+    site.deliver(pair[0])
+    cancel(site, gang)
+    link.stop_outcomes.append(cluster.OrderOutcome.UNHEALTHY)
+    for _ in range(3):
+        for worker in pair:
+            site.deliver(worker)
+            site.poll(worker)
+        site.run_round(time.monotonic() + 1)
+        time.sleep(2 * workers.STOP_RETRY_SECONDS)
+    assert not link.running
+    assert not other_link.starts
+    assert all(not worker.run_by_task for worker in pair)
+
+
+@pytest.mark.parametrize("cancelled_first", [True, False])
+def test_lasting_tasks_cancelled_while_their_host_moves_start_nowhere(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+    cancelled_first: bool,
+) -> None:
+    lasting = batch_site.step(2, lasting=True, may_be_away=1)
+    worker = started(lasting)
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    site.pool.set_drain_requests({"w1"})
+    site.pool.drain_workers(time.monotonic())
+    if cancelled_first:
+        cancel(site, lasting)
+        site.deliver(worker)
+        site.poll(worker)
+        assert not link.running
+    site.pool.set_down_workers({"w1"}, {"w1"})
+    if not cancelled_first:
+        site.run_round(time.monotonic() + 1)
+        cancel(site, lasting)
+    for _ in range(2):
+        site.run_round(time.monotonic() + 1)
+        site.deliver(other)
+        site.poll(other)
+    assert not other_link.running
+    assert not other.run_by_task
+
+
+@pytest.mark.parametrize("is_late", [True, False])
+def test_a_run_taken_over_by_the_next_incarnation_is_stopped_there(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+    is_late: bool,
+) -> None:
+    """A confirmation of the former incarnation says nothing about the next."""
+    worker = started(batch_site.step(1))
+    run = worker.run_by_task[TASK]
+    cancel(site, batch_site.step(1))
+    site.deliver(worker)
+    assert run.start_blocked_at
+    run.ordered_at = worker.last_polled_at + 1
+    next_link = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    site.pool.remove_worker(
+        worker, batch_workers.Removal("restarted", restarted=True)
+    )
+    next_worker = site.add_worker("w1", next_link)
+    time.sleep(0.1)
+    site.poll(next_worker)
+    assert next_worker.run_by_task == {TASK: run}
+    late = cluster.StartOrder(TASK, 1, "", 99_999, 1)
+    if not is_late:
+        next_link.start(late)
+    site.deliver(next_worker)
+    if is_late:
+        assert next_link.start(late).outcome is (
+            cluster.OrderOutcome.RUN_TOO_OLD
+        )
+    time.sleep(0.1)
+    site.poll(next_worker)
+    assert not next_link.running
+    assert not next_worker.run_by_task
+
+
 def _raise_error(*args: object) -> cluster.OrderAnswer:
     raise RuntimeError("unexpected")
--- a/tests/machines/test_job_api.py
+++ b/tests/machines/test_job_api.py
@@ -243,6 +243,15 @@
     assert cancel(api).unwrap() is batch_job.JobState.CANCELLED
 
 
+def test_a_repeated_submission_does_not_revive_a_cancelled_job(
+    api: job_api.JobApi, store: row_store.MemoryRowStore
+) -> None:
+    submit(api)
+    cancel(api)
+    assert isinstance(submit(api), result.Success)
+    assert not load_pool(store).pool.job_by_id
+
+
 def test_a_job_cancelled_after_it_was_turned_away_does_not_run(
     api: job_api.JobApi, store: row_store.MemoryRowStore
 ) -> None:
