Send one stop at a time to an unreachable worker

The repeated stops of all runs on a worker that refuses connections would each open one every 0.2 s; before the stops were repeated by time there was one attempt in 0.2 s for the whole worker.

Change: a stop that was not sent delays the worker's other stops too. An accepted stop is repeated after 2.5 s instead of 1.5 s, as the report that shows the end of a run that had not started may come two long polls later.

--- a/tests/machines/batch/test_stops.py
+++ b/tests/machines/batch/test_stops.py
@@ -74,6 +74,22 @@
     assert len(link.stops) == 1
 
 
+def test_one_stop_at_a_time_tries_to_reach_an_unreachable_worker(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    worker = started(batch_site.step(5))
+    link.stop_outcomes.extend([cluster.OrderOutcome.UNREACHABLE] * 2)
+    cancel(site, batch_site.step(5))
+    site.deliver(worker)
+    assert len(link.stops) == 1
+    for _ in range(2):
+        time.sleep(2 * workers.STOP_RETRY_SECONDS)
+        site.deliver(worker)
+    assert not link.running
+
+
 def test_a_stop_ends_with_the_run(
     site: batch_site.SteppedPool,
     link: batch_worker.MemoryWorker,
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -46,8 +46,9 @@
 SOON_SECONDS = 0.5
 # Delay before a stop that a worker did not accept is retried.
 STOP_RETRY_SECONDS = 0.2
-# The same for an accepted one: a run has up to 0.9 s to stop.
-ACCEPTED_STOP_RETRY_SECONDS = 1.5
+# The same for an accepted one: a run has up to 0.9 s to stop, and the report
+# that shows its end may come two long polls later.
+ACCEPTED_STOP_RETRY_SECONDS = 2.5
 
 
 _UNANSWERED = (
@@ -512,6 +513,10 @@
             return  # The next incarnation stops it.
         if answer.outcome is cluster.OrderOutcome.FENCED:
             del self._stop_due_at_by_run[run]
+        elif answer.outcome is cluster.OrderOutcome.UNREACHABLE:
+            # No other stop would arrive either.
+            for waiting_run in [*self._stop_due_at_by_run]:
+                self._delay_stop(waiting_run, STOP_RETRY_SECONDS)
         else:
             self._delay_stop(
                 run,
