Shorten the records of all ended jobs

Callers would see a job that has ended run again: minutes later, once its stored progress is deleted (240 s after its end) and another node holds the pool.

Cause: the record of an ended job is replaced by a short row, which bars its id, in one transaction for up to 48 jobs of a partition. A caller who cancelled one of them just after its end changed its record, so the transaction failed for all, as it did when the store refused it, and was not tried again. A holder that ended within 2 s of a job's end left the record as well, and its successor did not look at it. Without progress such a record reads as a new job.

Change: records of a failed transaction are tried again with the versions that the conflict shows, unless they hold no job any more; a new holder shortens the records of jobs whose final state it reads.

--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -278,26 +278,40 @@
                     for record in pool.ended_records
                     if record not in ended_records
                 ]
-            self._write_rows(ended_records, job_spec.TOMBSTONE)
+            left = self._write_rows(ended_records, job_spec.TOMBSTONE)
+            with pool.lock:
+                pool.ended_records += left
             self._write_rows(pool.take_expired_rows(time.monotonic()), None)
 
     def _write_rows(
         self, records: Iterable[batch_runs.EndedRecord], value: bytes | None
-    ) -> None:
-        """Replaces the values of rows of jobs; None deletes the rows."""
-        for partition_key, group in itertools.groupby(
-            sorted(records), key=lambda record: record.partition_key
-        ):
-            self._write_partition(partition_key, [*group], value)
+    ) -> list[batch_runs.EndedRecord]:
+        """Replaces the values of rows of jobs; None deletes the rows.
+
+        Returns:
+            The rows of jobs that are left as they were.
+        """
+        return [
+            record
+            for partition_key, group in itertools.groupby(
+                sorted(records), key=lambda record: record.partition_key
+            )
+            for record in self._write_partition(partition_key, [*group], value)
+        ]
 
     def _write_partition(
         self,
         partition_key: str,
         ended: list[batch_runs.EndedRecord],
         value: bytes | None,
-    ) -> None:
-        """Replaces rows of a partition, except those changed meanwhile."""
+    ) -> list[batch_runs.EndedRecord]:
+        """Replaces rows of a partition, except with others that changed.
+
+        Returns:
+            The rows of jobs that are left as they were.
+        """
         table = batch_tables.jobs_table(self._service)
+        left: list[batch_runs.EndedRecord] = []
         for first in range(0, len(ended), shard_writer.WRITES_PER_TRANSACTION):
             batch = ended[first : first + shard_writer.WRITES_PER_TRANSACTION]
             stored = self._links.store.transact(
@@ -314,6 +328,8 @@
             )
             if not isinstance(stored, result.Success):
                 self._links.metrics.count("records_not_shortened", len(batch))
+                left += _still_to_shorten(batch, stored.failure())
+        return left
 
     def _deletions(self, now: float) -> list[cluster.RowWrite]:
         """Returns deletions of progress rows of jobs that ended long ago."""
@@ -371,6 +387,21 @@
             )
 
 
+def _still_to_shorten(
+    records: Iterable[batch_runs.EndedRecord], fault: cluster.StoreFault
+) -> list[batch_runs.EndedRecord]:
+    """Returns the records of a failed transaction that still hold jobs."""
+    if fault.kind is not cluster.StoreFaultKind.CONFLICT:
+        return [*records]
+    row_by_id = {row.key: row for row in fault.rows}
+    return [
+        record._replace(version=row.version)
+        for record in records
+        if (row := row_by_id.get(record.job_id))
+        and job_spec.holds_job(row.value)
+    ]
+
+
 def max_former_lease_seconds(was_released: bool) -> float:
     """Returns how long worker leases of a shard's former holder may last.
 
--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -91,6 +91,12 @@
     ) -> None:
         if progress and progress.state in batch_job.FINAL_STATES:
             self.ended_at_by_id[row.key] = time.monotonic()
+            if job_spec.holds_job(row.value):
+                self.ended_records.append(
+                    batch_runs.EndedRecord(
+                        row.partition_key, row.key, row.version
+                    )
+                )
             return
         record = self._decode_record(row)
         if record is None:
