Find the unit of every member of a gang

Cause: the end of a run that the pool counts as lost was looked up by the position of its task, and a gang is one unit under the position of its first task. The end of any other member was ignored, though one end stands for all, and a member that ran on was stopped as if its job were unknown.

--- a/tests/machines/batch/test_stops.py
+++ b/tests/machines/batch/test_stops.py
@@ -479,5 +479,24 @@
     assert not next_worker.run_by_task
 
 
+def test_the_end_of_any_member_of_a_lost_gang_counts_for_all(
+    site: batch_site.SteppedPool, link: batch_worker.MemoryWorker
+) -> None:
+    """A gang that had ended as done was started again."""
+    gang = batch_site.step(2, gang=True)
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", [gang]))
+    member = job_spec.TaskKey("j1", 0, 0, 1)
+    link.start(cluster.StartOrder(member, 1, "", 99_999, 1))
+    link.finish(member)
+    site.poll(worker)
+    assert not site.run_round()
+    assert (
+        batch_job.decode_state(site.progress_by_id["j1"])
+        is batch_job.JobState.COMPLETED
+    )
+
+
 def _raise_error(*args: object) -> cluster.OrderAnswer:
     raise RuntimeError("unexpected")
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -259,6 +259,16 @@
         """Whether the job is in a final state."""
         return self.state in FINAL_STATES
 
+    def unit_of(self, task: job_spec.TaskKey) -> Unit | None:
+        """Returns the unit of a task; None if it has none yet."""
+        steps = self.record.spec.steps
+        if task.step >= len(steps):
+            return None
+        first_index = 0 if steps[task.step].gang else task.position
+        return self.unit_by_key.get(
+            UnitKey(task.occurrence, task.step, first_index)
+        )
+
     def open_due_occurrences(self, unix_ms: float, early_ms: float) -> bool:
         """Opens each occurrence that is due.
 
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -93,18 +93,14 @@
         if run_key in worker.unknown_run_by_key:
             return  # The worker is being told to stop it.
         job = self.job_by_id.get(run_report.task.job_id)
-        key = batch_job.UnitKey(
-            run_report.task.occurrence,
-            run_report.task.step,
-            run_report.task.position,
-        )
-        unit = job.unit_by_key.get(key) if job else None
+        unit = job.unit_of(run_report.task) if job else None
         if unit is None:
             placeholder = batch_job.Job(
                 run_report.task.job_id, _EMPTY_RECORD, 0.0
             )
             unit = batch_job.Unit(placeholder, 0, 0, (0,))
-            unit.occurrence, unit.step_number = key.occurrence, key.step
+            unit.occurrence = run_report.task.occurrence
+            unit.step_number = run_report.task.step
         run = batch_job.Run(
             unit, run_report.task.position, run_report.run, worker
         )
@@ -232,10 +228,7 @@
         job = self.job_by_id.get(run_end.task.job_id)
         if job is None or run_end.kind is not cluster.RunEndKind.DONE:
             return
-        key = batch_job.UnitKey(
-            run_end.task.occurrence, run_end.task.step, run_end.task.position
-        )
-        if unit := job.unit_by_key.get(key):
+        if unit := job.unit_of(run_end.task):
             self._record_done(unit)
 
     def _record_done(self, unit: batch_job.Unit) -> None:
