Grant no lease beyond what a successor waits for

A lease of a run on a worker that had been idle could end up to 0.4 s later than a successor assumes. A worker without runs is polled every 20 s; the end of its first lease was computed as if its clock ran at the holder's rate, but it may be 2% slow.

The estimate of the clock uses the slowest rate now, as the check of expired leases does.

Test: test_a_lease_is_not_longer_for_a_worker_that_was_idle; on the former code the run had ended when its lease on the worker had not.

--- a/standins/batch_worker.py
+++ b/standins/batch_worker.py
@@ -52,6 +52,11 @@
         self._last_end_number = 0
         self._lock = threading.RLock()
 
+    @property
+    def lease_until_ms(self) -> int:
+        """End of the lease on the worker's clock."""
+        return self._lease_until_ms
+
     @property
     def running(self) -> dict[job_spec.TaskKey, int]:
         """Numbers of the runs in progress by task."""
--- a/tests/machines/batch/test_worker_loss.py
+++ b/tests/machines/batch/test_worker_loss.py
@@ -509,3 +509,33 @@
         site.run_round(time.monotonic() + later)
     site.deliver(other)
     assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
+
+
+def test_a_lease_is_not_longer_for_a_worker_that_was_idle(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+) -> None:
+    """A clock that is 2% slow is 0.4 s behind after 20 s without a poll.
+
+    A successor that could poll the worker once ended the run 0.2 s before its
+    lease, and started the task elsewhere.
+    """
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    worker._clock_at -= workers.IDLE_POLL_SECONDS
+    link.clock_ms += int(0.98 * 1000 * workers.IDLE_POLL_SECONDS)
+    row = batch_site.job_row("j1", [batch_site.step(1)])
+    site.pool.on_record(row)
+    site.run_round()
+    site.deliver(worker)
+    successor = batch_site.SteppedPool(2, [row], site.progress_rows())
+    former = successor.add_worker("w1", link)
+    successor.poll(former)
+    polled_at = time.monotonic()
+    link.unreachable = True
+    successor.poll(former)
+    lease_seconds = (link.lease_until_ms - link.clock_ms) / 1000 / 0.98
+    successor.run_round(polled_at + lease_seconds)
+    assert TASK in former.run_by_task
+    successor.run_round(polled_at + lease_seconds + 0.2)
+    assert TASK not in former.run_by_task
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -329,7 +329,9 @@
             self._clock_at = received_at
 
     def _extend_lease(self) -> int:
-        elapsed_ms = (time.monotonic() - self._clock_at) * 1000
+        # A successor relies on the longest lease from the clock that it reads,
+        # so the estimate must not be ahead of a slow clock.
+        elapsed_ms = (time.monotonic() - self._clock_at) * 1000 * MIN_CLOCK_RATE
         until_ms = int(self._clock_ms + elapsed_ms + LEASE_SECONDS * 1000)
         self._lease_until_ms = max(self._lease_until_ms, until_ms)
         return until_ms
