Close workers that the registry lists while a pool is released

Around a planned hand-over two holders could act. The thread that follows the registry may add a worker after the pool's workers were closed. Nothing closed this one, so it was polled, and its lease renewed, until the last transaction was 6 s old, though the next holder relies on no renewal after the release: it ends runs on workers that it can't reach after one lease.

The pool remembers that it is closed, and closes a worker that is added later before its threads start.

Test: test_a_worker_that_is_listed_after_the_release_is_not_polled; on the former code the worker was polled.

--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -128,9 +128,7 @@
         self._changed.set()
         if self._rounds:
             self._rounds.join(2.0)
-        with self.pool.lock:
-            for worker in self.pool.worker_by_id.values():
-                worker.close()
+        self.pool.close()
         # The next holder relies on no lease being renewed after the release.
         if release and not self.lost:
             self._writer.release()
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -120,6 +120,7 @@
         # response that is read after a pause proves nothing newer.
         self.confirmed_at = clocks.boot_seconds()
         self.fenced = False
+        self._closed = False
         self._fencing_epoch = fencing_epoch
         self.claimed_at = claimed_at
         self.former_leases_end_at = former_leases_end_at
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -72,8 +72,20 @@
                     self._add_uncertain_run(worker, unit, stored)
             if is_down:
                 self.remove_worker(worker, self._down_removal(worker_id))
+            if self._closed:
+                worker.close()
         self._changed.set()
 
+    def close(self) -> None:
+        """Closes all workers, also those that are added later.
+
+        A watch of the registry may end after the pool is closed.
+        """
+        with self.lock:
+            self._closed = True
+            for worker in self.worker_by_id.values():
+                worker.close()
+
     def _adopt_orphan(self, worker: workers.Worker, run: batch_job.Run) -> None:
         """Stops a run that may have started in a worker's new incarnation."""
         run.worker = worker
