Block late orders in a worker that is back after its host was down

Callers could see a task run twice. The runs of a worker whose host is down start elsewhere at once, also those whose start had got no answer. Such an order may be carried out seconds later, and by then the worker can be back under its id: the new incarnation has seen neither the stop nor, of the same holder, a newer fencing token. Without other runs the worker is polled every 20 s, so the second run could go on for that long.

The pool keeps the runs that the former incarnation had not confirmed and, when the worker is back, has it stop them before anything else; a run that is not there yet is refused from then on. Such a stop ends with its acceptance, as no report tells of it. An order that arrives even before this stop still runs until the next report; to exclude it, the task would have to wait for the worker.

Test: test_a_worker_that_is_back_refuses_an_order_to_the_former_incarnation; on the former code the late order was carried out.

--- a/tests/machines/batch/test_down_workers.py
+++ b/tests/machines/batch/test_down_workers.py
@@ -169,3 +169,29 @@
     assert not starts_elsewhere(successor, other_link)
     successor.pool.former_leases_end_at = time.monotonic()
     assert starts_elsewhere(successor, other_link) == [(TASK, 2)]
+
+
+def test_a_worker_that_is_back_refuses_an_order_to_the_former_incarnation(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+) -> None:
+    """It may be carried out late, beside the run that was started elsewhere.
+
+    A worker without runs was polled 20 s later, and the second run went on.
+    """
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(ROW)
+    site.run_round()
+    link.unreachable = True
+    assert worker.send_once()
+    site.pool.set_down_workers({"w1": LISTED_BEFORE})
+    assert starts_elsewhere(site, other_link) == [(TASK, 2)]
+    restarted = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    back = site.add_worker("w1", restarted, version=REGISTERED)
+    site.deliver(back)
+    assert back._seconds_until_stop() is None
+    late = cluster.StartOrder(TASK, 1, "", 99_999, 1)
+    assert restarted.start(late).outcome is cluster.OrderOutcome.RUN_TOO_OLD
+    assert TASK not in back.run_by_task
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -362,6 +362,9 @@
             if answer.outcome in workers.STOP_ACCEPTED:
                 # Repeats must not delay the report that counts.
                 run.start_blocked_at = run.start_blocked_at or time.monotonic()
+                if run not in run.unit.runs and not run.worker.expects(run):
+                    # It has ended before; only its late order was blocked.
+                    run.state = batch_job.RunState.ENDED
             elif not run.stop_refused:
                 run.stop_refused = True
                 events.log(
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -130,6 +130,8 @@
         self._planned_end_ids: frozenset[str] = frozenset()
         self.due_worker_ids: set[str] = set()
         self._orphans_by_worker: dict[str, list[batch_job.Run]] = {}
+        # Ended runs whose orders may reach the next incarnation of a worker.
+        self._unconfirmed_by_worker: dict[str, list[batch_job.Run]] = {}
         self._restored_runs_by_worker: dict[str, list[RestoredRun]] = {}
         # Tasks that may have crashed a worker.
         self.suspect_by_key: dict[
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -25,7 +25,8 @@
 ARRIVAL_HEADROOM = 1.2
 # A rise by most of a host is published before the next heartbeat.
 URGENT_RISE_HOSTS = 0.7
-# Silent workers whose runs are kept until it is known whether they crashed.
+# Workers whose runs are kept until it is known whether they crashed, or until
+# they are back.
 MAX_LAPSED_WORKERS = 200
 
 
@@ -55,6 +56,8 @@
             worker.drain_requested = worker_id in self._drain_requested_ids
             for run in self._orphans_by_worker.pop(worker_id, []):
                 self._adopt_orphan(worker, run)
+            for run in self._unconfirmed_by_worker.pop(worker_id, []):
+                self._block_late_order(worker, run)
             is_down = self._is_down(worker.registered_version, worker_id)
             for restored in self._restored_runs_by_worker.pop(worker_id, []):
                 unit, stored = restored.unit, restored.stored
@@ -97,6 +100,15 @@
         worker.reserve(run.unit.step.need, run.unit.step.fills)
         worker.send(workers.WorkerOrder("stop", run))
 
+    def _block_late_order(
+        self, worker: workers.Worker, run: batch_job.Run
+    ) -> None:
+        """Has a new incarnation refuse the order of a run that has ended."""
+        blocked = batch_job.Run(run.unit, run.index, run.number, worker)
+        blocked.state = batch_job.RunState.UNCERTAIN
+        blocked.stopping = True
+        worker.send(workers.WorkerOrder("stop", blocked))
+
     def _latest_order_at(self, run: batch_job.Run) -> float:
         """Returns when a run was ordered; at the claim if before it."""
         return max(run.ordered_at, self.claimed_at)
@@ -135,6 +147,8 @@
             ]
             if orphans:
                 self._orphans_by_worker[worker.worker_id] = orphans
+            else:
+                self._keep_unconfirmed_runs(worker)
             lost_runs = [
                 run for run in worker.run_by_task.values() if run not in orphans
             ]
@@ -152,6 +166,18 @@
         )
         self._changed.set()
 
+    def _keep_unconfirmed_runs(self, worker: workers.Worker) -> None:
+        unconfirmed_by_worker = self._unconfirmed_by_worker
+        unconfirmed = [
+            run
+            for run in worker.run_by_task.values()
+            if not worker.has_confirmed(run)
+        ]
+        if unconfirmed:
+            unconfirmed_by_worker[worker.worker_id] = unconfirmed
+        if len(unconfirmed_by_worker) > MAX_LAPSED_WORKERS:
+            del unconfirmed_by_worker[next(iter(unconfirmed_by_worker))]
+
     def _end_lost_runs(
         self,
         worker: workers.Worker,
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -286,6 +286,13 @@
             not run.may_be_on_worker or 0 < run.acked_at <= self.last_polled_at
         )
 
+    def expects(self, run: batch_job.Run) -> bool:
+        """Whether its reports are to show what became of a run."""
+        return (
+            self.run_by_task.get(run.task) is run
+            or self.unknown_run_by_key.get((run.task, run.number)) is run
+        )
+
     def has_unproven_run(self) -> bool:
         """Whether a run here may still crash it by its start."""
         return any(
