--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,9 +6,13 @@
 import random
 import signal
 import time
+from typing import NamedTuple
 
+from soak import callers
+from soak import cancellations
 from soak import proxy
 from soak import site as sites
+from soak import worker_faults
 
 Fault = Callable[[sites.Site, random.Random], str]
 
@@ -28,7 +32,7 @@
 def stop_node(site: sites.Site, rng: random.Random) -> str:
     """Stops a node gracefully and restarts it."""
     node = rng.choice(site.nodes)
-    with node.lock:
+    with node.lock, node.restarts:
         node.stop(signal.SIGTERM)
         node.start()
     return f"stopped {node.name}"
@@ -69,7 +73,8 @@
 
 def drop_responses(site: sites.Site, rng: random.Random) -> str:
     """Drops responses to some of the next successful writes."""
-    site.store.lost_answers += rng.randint(1, 6)
+    with site.lost_answers:
+        site.store.lost_answers += rng.randint(1, 6)
     return "answers lost"
 
 
@@ -93,20 +98,22 @@
 def crash_worker(site: sites.Site, rng: random.Random) -> str:
     """Crashes a worker, which restarts at once without its runs."""
     worker = rng.choice(site.workers)
-    worker.crash()
+    with site.worker_disturbances[worker.worker_id]:
+        worker.crash()
     return f"crashed {worker.worker_id}"
 
 
 def partition_worker(site: sites.Site, rng: random.Random) -> str:
     """Partitions a worker; its runs continue until their leases expire."""
     worker = rng.choice(site.workers)
-    worker.unreachable = True
-    time.sleep(rng.choice(PAUSES_SECONDS))
-    worker.unreachable = False
+    with site.worker_disturbances[worker.worker_id]:
+        worker.unreachable = True
+        time.sleep(rng.choice(PAUSES_SECONDS))
+        worker.unreachable = False
     return f"cut {worker.worker_id}"
 
 
-FAULTS: tuple[Fault, ...] = (
+GENERAL_FAULTS: tuple[Fault, ...] = (
     kill_node,
     stop_node,
     pause_node,
@@ -118,3 +125,39 @@
     crash_worker,
     partition_worker,
 )
+
+
+class FaultSet(NamedTuple):
+    """Faults that a run draws from, and what else goes with them.
+
+    A seed draws the same faults only from the same set.
+
+    Attributes:
+        faults: The faults; a fault that is there twice is drawn more often.
+        habits: How callers behave.
+        max_stop_seconds: Longest time that workers take for a stop.
+        waits_for_holders: Whether faults begin only when all shards have
+            holders, not when the first node serves callers.
+    """
+
+    faults: tuple[Fault, ...]
+    habits: callers.Habits
+    max_stop_seconds: float
+    waits_for_holders: bool
+
+
+FAULT_SETS = {
+    "general": FaultSet(GENERAL_FAULTS, callers.Habits(0.1), 0.0, False),
+    "orders": FaultSet(
+        (*GENERAL_FAULTS, *worker_faults.FAULTS),
+        callers.CANCELLING,
+        cancellations.STOP_SECONDS,
+        False,
+    ),
+    "takeovers": FaultSet(
+        worker_faults.TAKEOVER_FAULTS,
+        callers.CANCELLING,
+        cancellations.STOP_SECONDS,
+        True,
+    ),
+}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,10 +8,17 @@
 
 from soak import __main__ as soak
 from soak import known_seeds
+from soak import plans
 
 
-@pytest.mark.parametrize("seed", known_seeds.CI_SEEDS)
-def test_no_promise_is_broken(seed: int, tmp_path: pathlib.Path) -> None:
-    violations, figures = soak.run(seed, 6.0, 3, 4, tmp_path)
+@pytest.mark.parametrize(
+    "plan",
+    known_seeds.CI_PLANS,
+    ids=[f"{plan.fault_set}-{plan.seed}" for plan in known_seeds.CI_PLANS],
+)
+def test_no_promise_is_broken(
+    plan: plans.RunPlan, tmp_path: pathlib.Path
+) -> None:
+    violations, figures = soak.run(plan, tmp_path)
     assert not violations
     assert figures["accepted"]
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -323,6 +323,8 @@
         unit.job.requeue(unit)
 
     def _record_unwatched_crash(self, unit: batch_job.Unit) -> None:
+        if unit.done or unit.job.finished:
+            return
         unit.crash_record = crash_evidence.record_unwatched_crash(
             unit.crash_record
         )
