--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -134,6 +134,7 @@
         # response that is read after a pause proves nothing newer.
         self.confirmed_at = clocks.boot_seconds()
         self.fenced = False
+        self._closed = False
         self._fencing_epoch = fencing_epoch
         self.claimed_at = claimed_at
         self.former_leases_end_at = former_leases_end_at
@@ -143,6 +144,8 @@
         self._planned_end_ids: frozenset[str] = frozenset()
         self.due_worker_ids: set[str] = set()
         self._orphans_by_worker: dict[str, list[batch_job.Run]] = {}
+        # Ended runs whose orders may reach the next incarnation of a worker.
+        self._unconfirmed_by_worker: dict[str, list[batch_job.Run]] = {}
         self._restored_runs_by_worker: dict[str, list[RestoredRun]] = {}
         # Tasks that may have crashed a worker.
         self.suspect_by_key: dict[
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -301,6 +301,13 @@
             not run.may_be_on_worker or 0 < run.acked_at <= self.last_polled_at
         )
 
+    def expects(self, run: batch_job.Run) -> bool:
+        """Whether its reports are to show what became of a run."""
+        return (
+            self.run_by_task.get(run.task) is run
+            or self.unknown_run_by_key.get((run.task, run.number)) is run
+        )
+
     def has_unproven_run(self) -> bool:
         """Whether a run here may still crash it by its start."""
         return any(
@@ -362,7 +369,9 @@
             self._clock_at = received_at
 
     def _extend_lease(self) -> int:
-        elapsed_ms = (time.monotonic() - self._clock_at) * 1000
+        # A successor relies on the longest lease from the clock that it reads,
+        # so the estimate must not be ahead of a slow clock.
+        elapsed_ms = (time.monotonic() - self._clock_at) * 1000 * MIN_CLOCK_RATE
         until_ms = int(self._clock_ms + elapsed_ms + LEASE_SECONDS * 1000)
         self._lease_until_ms = max(self._lease_until_ms, until_ms)
         return until_ms
