--- a/soak/known_seeds.py
+++ b/soak/known_seeds.py
@@ -8,6 +8,12 @@
 
 from soak import plans
 
+REFUSED_STOP = plans.RunPlan(
+    6221, "orders", seconds=6.0, workers=4, per_second=8.0
+)
+LISTED_AS_DOWN = plans.RunPlan(
+    5116, "takeovers", seconds=8.0, workers=4, per_second=10.0, series=1
+)
 CAUSE_BY_PLAN: dict[plans.RunPlan, str] = {
     plans.RunPlan(
         1
@@ -87,8 +93,18 @@
     plans.RunPlan(
         4301, "takeovers", seconds=25.0, per_second=8.0
     ): "a task that takes longer than others was moved without end",
+    REFUSED_STOP: "as seed 4001, in a shorter run",
+    LISTED_AS_DOWN: "as seed 4111, in a shorter run",
+    plans.RunPlan(
+        5552, "takeovers", seconds=8.0, workers=4, per_second=10.0, series=1
+    ): "as seed 5116",
+    plans.RunPlan(
+        6935, "takeovers", seconds=8.0, workers=4, per_second=10.0, series=1
+    ): "as seed 5116",
 }
 # Run in CI, a few seconds each.
 CI_PLANS = (
     *(plans.RunPlan(seed, seconds=6.0, workers=4) for seed in (1, 3, 6, 45)),
+    REFUSED_STOP,
+    LISTED_AS_DOWN,
 )
