Pause no node of the soak after its fault has ended

A commit that was passed on while pause_after_commit gave up could stop a node for the rest of the run; not seen in a run. The soak also reports a job that nobody submitted.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -273,7 +273,8 @@
 ) -> list[str]:
     """Checks the guarantees by the observations of callers and workers.
 
-    A refused job never runs, and an accepted job ends with all tasks done.
+    No job runs that nobody submitted or that was refused, and an accepted job
+    ends with all tasks done.
     """
     violations = [f"job {key} is {state}" for key, state in unfinished.items()]
     done_tasks_by_job: dict[str, set[object]] = collections.defaultdict(set)
@@ -283,6 +284,10 @@
             started_jobs.add(run_event.task.job_id)
         elif run_event.event == "done":
             done_tasks_by_job[run_event.task.job_id].add(run_event.task)
+    violations += [
+        f"job {job_id} was never submitted but ran"
+        for job_id in started_jobs - {job.job_id for job in callers.jobs}
+    ]
     for job in callers.jobs:
         if job.refused and job.job_id in started_jobs:
             violations.append(f"job {job.job_id} was refused but ran")
--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -187,13 +187,18 @@
     node = site.node(site.holders.holder(sites.SERVICE))
     if node is None:
         return "no holder to pause"
-    paused = threading.Event()
+    paused, given_up = threading.Event(), threading.Event()
+    guard = threading.Lock()
     progress_table = batch_tables.progress_table(sites.SERVICE)
 
     def observe(name: str, commit: row_store.Commit) -> None:
-        if name != node.name or paused.is_set():
+        if name != node.name or not any(
+            write.table == progress_table for write in commit.writes
+        ):
             return
-        if any(write.table == progress_table for write in commit.writes):
+        with guard:
+            if paused.is_set() or given_up.is_set():
+                return
             if not delay_seconds:
                 node.send(signal.SIGSTOP)
             paused.set()
@@ -201,10 +206,12 @@
     with node.lock, node.disturbance:
         site.holders.observe(observe)
         try:
-            stored = paused.wait(COMMIT_WAIT_SECONDS)
+            paused.wait(COMMIT_WAIT_SECONDS)
         finally:
             site.holders.forget(observe)
-        if stored:
+            with guard:
+                given_up.set()
+        if paused.is_set():
             time.sleep(delay_seconds)
             node.send(signal.SIGSTOP)
             time.sleep(paused_seconds)
