--- a/tests/machines/batch/test_stops.py
+++ b/tests/machines/batch/test_stops.py
@@ -431,7 +431,7 @@
         site.deliver(worker)
         site.poll(worker)
         assert not link.running
-    site.pool.set_down_workers({"w1"}, {"w1"})
+    site.pool.set_down_workers({"w1": 10}, {"w1"})
     if not cancelled_first:
         site.run_round(time.monotonic() + 1)
         cancel(site, lasting)
@@ -456,7 +456,7 @@
     cancel(site, batch_site.step(1))
     site.deliver(worker)
     assert run.start_blocked_at
-    run.ordered_at = worker.last_polled_at + 1
+    run.ordered_at = run.acked_at = worker.last_polled_at + 1
     next_link = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
     site.pool.remove_worker(
         worker, batch_workers.Removal("restarted", restarted=True)
