--- a/tests/machines/batch/test_pool.py
+++ b/tests/machines/batch/test_pool.py
@@ -229,6 +229,33 @@
     assert other_link.running == {TASK: 2}
 
 
+def test_a_straggler_moves_once(
+    site: batch_site.SteppedPool,
+    other_link: batch_worker.MemoryWorker,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """A task that takes longer than the others was stopped on each worker.
+
+    Run chain-fast at Mandacaru, seed 71: moved seven times.
+    """
+    worker = started(batch_site.step(2))
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    link.finish(job_spec.TaskKey("j1", 0, 0, 1))
+    site.poll(worker)
+    later = time.monotonic() + 1
+    site.run_round(later)
+    site.deliver(worker)
+    site.poll(worker)
+    site.run_round(later + 1)
+    site.deliver(other)
+    site.poll(other)
+    site.run_round(later + 2)
+    site.deliver(other)
+    assert other_link.running == {TASK: 2}
+
+
 def test_a_gang_prefers_one_rack(site: batch_site.SteppedPool) -> None:
     for number, rack in enumerate(("r1", "r2", "r2")):
         link = batch_worker.MemoryWorker(batch_site.ROOM)
