--- a/tests/adapter/test_platform_contract_http.py
+++ b/tests/adapter/test_platform_contract_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+import socket
 import time
 
 import pytest
@@ -161,6 +162,27 @@
     assert link.start(late).outcome is outcome
 
 
+def test_an_unanswered_stop_is_given_up_soon() -> None:
+    """Each unanswered stop holds up the stops of other runs behind it."""
+    with socket.create_server((ports.ADDRESS, 0)) as silent:
+        entry = cluster.WorkerEntry(
+            "i-1",
+            1,
+            sites.SERVICE,
+            f"{ports.ADDRESS}:{silent.getsockname()[1]}",
+            "zone",
+            cluster.WorkerState.READY,
+            sites.ROOM,
+            (),
+        )
+        link = wire_workers.WireWorker(entry)
+        began = time.monotonic()
+        answer = link.stop(TASK, 1, 5)
+        assert answer.outcome is cluster.OrderOutcome.UNKNOWN
+        assert time.monotonic() - began < 0.8
+        link.close()
+
+
 def test_a_worker_of_another_id_is_recognized(
     link: wire_workers.WireWorker, worker: timed_worker.TimedWorker
 ) -> None:
