--- a/wisteriasill/contracts/crash_evidence.py
+++ b/wisteriasill/contracts/crash_evidence.py
@@ -11,7 +11,9 @@
 the crashes before, and survival acquits it.
 
 A worker that crashes while none of its runs is new has most likely crashed by
-itself. Others of the pool that crash at the same time share that cause.
+itself. Others of the pool that crash at the same time share that cause, so no
+task is suspected for them. They still count for runs that were new there, as a
+task that crashes each worker may do so beside other crashes.
 """
 
 from __future__ import annotations
@@ -133,13 +135,12 @@
     Returns:
         The new record.
     """
-    suspected = survived_seconds < PROBATION_SECONDS
-    if (
-        survived_seconds >= ACQUITTAL_SECONDS
-        or crash.has_outside_cause
-        or (crash.suspects and not suspected)
-    ):
+    is_new = survived_seconds < PROBATION_SECONDS
+    is_explained = bool(crash.suspects) or crash.has_outside_cause
+    if survived_seconds >= ACQUITTAL_SECONDS or (is_explained and not is_new):
         return record
+    # A task that always crashes its worker may do so beside other crashes.
+    suspected = is_new and not crash.has_outside_cause
     crashes = record.crashes + 1
     suspicions = record.suspicions + suspected
     proved = (
