End a worker's runs at once when another worker has its address

The new fleet holder had never listed the former worker, so it stored no end, and the pool waited for all leases of its predecessor, though the address refused each poll as one for another worker.

A call names its worker, which keeps its address for its life, and any other one there refuses it. So a refused poll shows that the worker has ended; nothing addressed to it can start there any more. It counts as a crash unless the worker was to be drained.

Test: test_tasks_start_elsewhere_when_another_worker_has_the_address; the former code kept the worker.

--- a/tests/machines/batch/test_worker_loss.py
+++ b/tests/machines/batch/test_worker_loss.py
@@ -539,3 +539,32 @@
     assert TASK in former.run_by_task
     successor.run_round(polled_at + lease_seconds + 0.2)
     assert TASK not in former.run_by_task
+
+
+def test_tasks_start_elsewhere_when_another_worker_has_the_address(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """A host whose next worker answers tells at once that the former ended.
+
+    The list of hosts does not tell it if the fleet's holder changes meanwhile.
+    A lasting task was then away for 16 s.
+    """
+    lasting = batch_site.step(1, lasting=True)
+    started(lasting)
+    successor = batch_site.SteppedPool(
+        2, [batch_site.job_row("j1", [lasting])], site.progress_rows()
+    )
+    worker = successor.add_worker("w1", link)
+    link.poll = (  # type: ignore[method-assign]
+        lambda *_: cluster.OrderOutcome.OTHER_WORKER
+    )
+    successor.poll(worker)
+    assert worker.is_removed
+    other = successor.add_worker("w2", other_link)
+    successor.poll(other)
+    successor.run_round(time.monotonic() + 1)
+    successor.deliver(other)
+    assert [start[:2] for start in other_link.starts] == [(TASK, 2)]
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -272,8 +272,15 @@
         if outcome is cluster.OrderOutcome.FENCED:
             self._record_fenced(worker)
         elif outcome is cluster.OrderOutcome.OTHER_WORKER:
-            with self.lock:
-                worker.is_reachable = False
+            # A worker keeps its address, so this one has ended.
+            self.remove_worker(
+                worker,
+                batch_workers.Removal(
+                    "another worker has its address",
+                    crashed=not worker.drain_requested,
+                ),
+            )
+            return
         with self.lock:
             if worker.is_reachable or not worker.silent_since:
                 worker.is_reachable = False
