--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -14,6 +14,7 @@
 from wisteriasill import restarting_task
 from wisteriasill.contracts import crash_evidence
 from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import worker_choice
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
 
@@ -46,8 +47,9 @@
 SOON_SECONDS = 0.5
 # Delay before a stop that a worker did not accept is retried.
 STOP_RETRY_SECONDS = 0.2
-# The same for an accepted one: a run has up to 0.9 s to stop.
-ACCEPTED_STOP_RETRY_SECONDS = 1.5
+# The same for an accepted one: a run has up to 0.9 s to stop, and the report
+# that shows its end may come two long polls later.
+ACCEPTED_STOP_RETRY_SECONDS = 2.5
 
 
 _UNANSWERED = (
@@ -137,7 +139,7 @@
         outcomes: Time, success and job of its latest run ends.
         quarantined_until: Monotonic time from which a quarantined worker may
             get a trial run; 0 if it is not quarantined.
-        has_trial_run: Whether a trial run is planned or active.
+        trial_run: Last run that it got in quarantine.
         last_polled_at: Monotonic time at which the last answered poll was sent.
     """
 
@@ -173,7 +175,7 @@
             collections.deque(maxlen=12)
         )
         self.quarantined_until = 0.0
-        self.has_trial_run = False
+        self.trial_run: batch_job.Run | None = None
         self._clock_ms = 0.0
         self._clock_at = 0.0
         self._lease_until_ms = 0
@@ -201,6 +203,19 @@
         """The worker's labels."""
         return self.entry.labels
 
+    @property
+    def has_trial_run(self) -> bool:
+        """Whether a trial run is planned or active.
+
+        A long-running task has passed its trial when it serves.
+        """
+        run = self.trial_run
+        return (
+            run is not None
+            and run.state is not batch_job.RunState.ENDED
+            and not (run.unit.step.lasting and run.full_speed_at)
+        )
+
     def open(self) -> None:
         """Starts the worker's two threads."""
         for name, run in (
@@ -315,6 +330,24 @@
             sent_at + MAX_LEASE_SECONDS / MIN_CLOCK_RATE,
         )
 
+    def after_finite(self) -> worker_choice.LaterWorker:
+        """Returns this worker without the runs that end by themselves."""
+        ending = [
+            run.unit.step
+            for run in self.run_by_task.values()
+            if not run.unit.step.lasting
+        ]
+        return worker_choice.LaterWorker(
+            self.worker_id,
+            self.rack,
+            self.labels,
+            self.free_cpu
+            + sum(step.need.cpu for step in ending if not step.fills),
+            self.free_memory_mb + sum(step.need.memory_mb for step in ending),
+            self.free_accelerators
+            + sum(step.need.accelerators for step in ending),
+        )
+
     def leases_expired(self, now: float) -> bool:
         """Whether every lease on the worker has certainly expired."""
         if not self._clock_at:
@@ -552,6 +585,10 @@
             return  # The next incarnation stops it.
         if answer.outcome is cluster.OrderOutcome.FENCED:
             del self._stop_due_at_by_run[run]
+        elif answer.outcome is cluster.OrderOutcome.UNREACHABLE:
+            # No other stop would arrive either.
+            for waiting_run in [*self._stop_due_at_by_run]:
+                self._delay_stop(waiting_run, STOP_RETRY_SECONDS)
         else:
             self._delay_stop(
                 run,
