Read a worker's clock and its age together

Callers could see a task run twice. A worker without runs is polled every 20 s. The response to the next start brings a newer reading of its clock, stored as two values by the thread that sends orders, while the thread of the pool's rounds computes whether the worker's lease has expired. Between them it could take the new reading with the age of the former one, 20 s too much, so the run that had just started counted as lost and its task was started elsewhere. Two responses stored at the same time could also mix.

The reading and its age are one value now, which is replaced as a whole.

--- a/tests/machines/batch/test_worker_loss.py
+++ b/tests/machines/batch/test_worker_loss.py
@@ -522,7 +522,10 @@
     """
     worker = site.add_worker("w1", link)
     site.poll(worker)
-    worker._clock_at -= workers.IDLE_POLL_SECONDS
+    clock_ms, received_at = worker._clock
+    worker._clock = workers.ClockReading(
+        clock_ms, received_at - workers.IDLE_POLL_SECONDS
+    )
     link.clock_ms += int(0.98 * 1000 * workers.IDLE_POLL_SECONDS)
     row = batch_site.job_row("j1", [batch_site.step(1)])
     site.pool.on_record(row)
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -76,6 +76,21 @@
     percent: int = 100
 
 
+class ClockReading(NamedTuple):
+    """A reading of a worker's clock.
+
+    Both values change together, as several threads read them.
+
+    Attributes:
+        clock_ms: The worker's clock.
+        received_at: Monotonic time at which the response arrived; 0 before the
+            first one.
+    """
+
+    clock_ms: float
+    received_at: float
+
+
 class WorkerOwner(Protocol):
     """The pool that a worker belongs to."""
 
@@ -176,8 +191,7 @@
         )
         self.quarantined_until = 0.0
         self.trial_run: batch_job.Run | None = None
-        self._clock_ms = 0.0
-        self._clock_at = 0.0
+        self._clock = ClockReading(0.0, 0.0)
         self._lease_until_ms = 0
         self._former_leases_end_at = former_leases_end_at
         self._first_lease_seconds = LEASE_SECONDS
@@ -282,14 +296,14 @@
         """Whether its last report is recent."""
         return (
             not self.silent_since
-            and now - self._clock_at < RECENT_REPORT_SECONDS
+            and now - self._clock.received_at < RECENT_REPORT_SECONDS
         )
 
     def survived_seconds(self, run: batch_job.Run) -> float:
         """Returns for how long its responses show a run alive."""
         if run.state is not batch_job.RunState.RUNNING or not run.acked_at:
             return 0.0
-        return max(0.0, self._clock_at - run.acked_at)
+        return max(0.0, self._clock.received_at - run.acked_at)
 
     def has_confirmed(self, run: batch_job.Run) -> bool:
         """Whether this incarnation received a run's order, or none was sent.
@@ -350,29 +364,28 @@
 
     def leases_expired(self, now: float) -> bool:
         """Whether every lease on the worker has certainly expired."""
-        if not self._clock_at:
+        clock_ms, received_at = self._clock
+        if not received_at:
             return now >= self._former_leases_end_at
-        elapsed_ms = (now - self._clock_at) * 1000 * MIN_CLOCK_RATE
-        return (
-            self._clock_ms + elapsed_ms - CLOCK_SLACK_MS >= self._lease_until_ms
-        )
+        elapsed_ms = (now - received_at) * 1000 * MIN_CLOCK_RATE
+        return clock_ms + elapsed_ms - CLOCK_SLACK_MS >= self._lease_until_ms
 
     def record_clock(self, clock_ms: int, received_at: float) -> None:
         """Records a reading of the worker's clock."""
-        if not self._clock_at:
+        if not self._clock.received_at:
             # An earlier holder may have granted a lease until just now.
             self._lease_until_ms = clock_ms + int(
                 self._first_lease_seconds * 1000
             )
-        if clock_ms and clock_ms >= self._clock_ms:
-            self._clock_ms = clock_ms
-            self._clock_at = received_at
+        if clock_ms and clock_ms >= self._clock.clock_ms:
+            self._clock = ClockReading(clock_ms, received_at)
 
     def _extend_lease(self) -> int:
         # A successor relies on the longest lease from the clock that it reads,
         # so the estimate must not be ahead of a slow clock.
-        elapsed_ms = (time.monotonic() - self._clock_at) * 1000 * MIN_CLOCK_RATE
-        until_ms = int(self._clock_ms + elapsed_ms + LEASE_SECONDS * 1000)
+        clock_ms, received_at = self._clock
+        elapsed_ms = (time.monotonic() - received_at) * 1000 * MIN_CLOCK_RATE
+        until_ms = int(clock_ms + elapsed_ms + LEASE_SECONDS * 1000)
         self._lease_until_ms = max(self._lease_until_ms, until_ms)
         return until_ms
 
@@ -393,7 +406,7 @@
         sent_at = time.monotonic()
         # The lease of an unresponsive worker must expire, so that its tasks
         # can start elsewhere. It is renewed again after a response.
-        responds = bool(self._clock_at) and not self.silent_since
+        responds = bool(self._clock.received_at) and not self.silent_since
         renews = responds and self._needs_lease()
         # A new incarnation under the same id numbers its run ends from the
         # start; an old number would acknowledge ends that nobody received.
@@ -556,7 +569,7 @@
         A cut worker would hold up the orders behind it for another timeout.
         """
         failed_soon = time.monotonic() - sent_at < SOON_SECONDS
-        return failed_soon or self._clock_at > sent_at
+        return failed_soon or self._clock.received_at > sent_at
 
     def _check_incarnation(self, answer: cluster.OrderAnswer) -> None:
         """Treats the worker as unresponsive if it may have restarted.
@@ -565,7 +578,8 @@
         new incarnation has the worker's id. Until a poll confirms the
         incarnation, no run end is acknowledged and no run is started.
         """
-        clock_went_back = 0 < answer.clock_ms < self._clock_ms - CLOCK_SLACK_MS
+        known_ms = self._clock.clock_ms
+        clock_went_back = 0 < answer.clock_ms < known_ms - CLOCK_SLACK_MS
         if (clock_went_back or answer.outcome in _UNANSWERED) and (
             not self.silent_since
         ):
