Poll a worker soon that missed a start after its last report

A sound worker could get no work for 20 s. A start that can't reach the worker makes the pool keep starts from it until a poll succeeds, and wakes the thread that polls. If that thread had just handled a report, it found the worker without runs, cleared the wake-up and waited for the next idle poll. The order's outcome waits for the pool's lock that the report holds, so the two are often that close.

The thread checks for this state itself before it waits, so no wake-up is needed.

Test: test_a_worker_that_misses_a_start_after_its_report_is_polled_soon; on the former code the thread waited 20 s.

--- a/tests/machines/batch/test_races.py
+++ b/tests/machines/batch/test_races.py
@@ -5,10 +5,16 @@
 from collections.abc import Callable
 import time
 
+import pytest
+
 from standins import batch_worker
 from tests.machines import batch_site
+from wisteriasill.contracts import job_spec
+from wisteriasill.links import cluster
 from wisteriasill.machines import worker as workers
 
+TASK = job_spec.TaskKey("j1", 0, 0, 0)
+
 
 class InterruptedTime(float):
     """A time; another thread runs before it is used in a computation."""
@@ -41,3 +47,32 @@
 
     now.interrupt = grant_lease
     assert not worker.leases_expired(now)
+
+
+def test_a_worker_that_misses_a_start_after_its_report_is_polled_soon(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It gets no starts until a poll succeeds, and waited 20 s for it.
+
+    The start fails after the report was handled and before the thread that
+    polls checks whether the worker is in use.
+    """
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    site.run_round()
+    site.poll(worker)
+    monkeypatch.setattr(
+        link,
+        "start",
+        lambda order: cluster.OrderAnswer(cluster.OrderOutcome.UNREACHABLE),
+    )
+    site.deliver(worker)
+    assert TASK not in worker.run_by_task
+    assert not worker.is_reachable
+    waits: list[float | None] = []
+    monkeypatch.setattr(worker._wake, "wait", waits.append)
+    worker._wait_before_poll()
+    assert not waits
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -464,13 +464,20 @@
             self._wake.clear()
             if self.last_stored_end < self.last_received_end:
                 self._wake.wait(remaining_seconds)
-        if not self._is_in_use():
+        if not self._is_poll_due():
             self._wake.clear()
-            if not self._is_in_use():
+            if not self._is_poll_due():
                 self._wake.wait(IDLE_POLL_SECONDS)
 
-    def _is_in_use(self) -> bool:
-        return bool(self.run_by_task or self.unknown_run_by_key or self._orders)
+    def _is_poll_due(self) -> bool:
+        """Whether it is in use, or gets no starts until a poll succeeds."""
+        return bool(
+            self.run_by_task
+            or self.unknown_run_by_key
+            or self._orders
+            or self.silent_since
+            or not self.is_reachable
+        )
 
     def _send_orders(self) -> None:
         while not self._closing.is_set():
