Block late orders also after a lease expired or an outdated entry

Callers could see a task run twice. A start that gets no answer may be carried out seconds later, and then by the worker's next incarnation, which takes it as new. The pool has that incarnation refuse the orders that the former one had not confirmed, but two kinds were left out:

- Runs whose leases had expired before the worker was known to be back.
Their tasks run elsewhere, and the end of the lease, on the clock of the former incarnation, does not make the next one refuse the order as too late.
- Orders that an outdated registry entry seemed to have dealt with: the worker added for the former incarnation took them over, and dropped them unsent when it was removed.

Both are kept for the next incarnation now.

--- a/tests/machines/batch/test_down_workers.py
+++ b/tests/machines/batch/test_down_workers.py
@@ -17,6 +17,7 @@
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_watch
+from wisteriasill.machines import batch_workers
 from wisteriasill.machines import fleet_rows
 from wisteriasill.machines import site_links
 from wisteriasill.machines import worker as workers
@@ -195,3 +196,56 @@
     late = cluster.StartOrder(TASK, 1, "", 99_999, 1)
     assert restarted.start(late).outcome is cluster.OrderOutcome.RUN_TOO_OLD
     assert TASK not in back.run_by_task
+
+
+def test_a_worker_that_is_back_refuses_an_order_whose_lease_has_expired(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+) -> None:
+    """The clock of the next incarnation does not show that it is too late."""
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(ROW)
+    site.run_round()
+    link.unreachable = True
+    assert worker.send_once()
+    expired_at = time.monotonic() + 2 * workers.LEASE_SECONDS
+    site.pool.end_expired_runs(expired_at)
+    assert TASK not in worker.run_by_task
+    site.pool.remove_worker(
+        worker, batch_workers.Removal("worker restarted", restarted=True)
+    )
+    restarted = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    back = site.add_worker("w1", restarted, version=REGISTERED)
+    site.deliver(back)
+    late = cluster.StartOrder(TASK, 1, "", 99_999, 1)
+    assert restarted.start(late).outcome is cluster.OrderOutcome.RUN_TOO_OLD
+
+
+def test_an_outdated_registry_entry_unblocks_no_late_order(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+) -> None:
+    """The registry may list the former incarnation again for a while."""
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(ROW)
+    site.run_round()
+    link.unreachable = True
+    assert worker.send_once()
+    site.pool.set_down_workers({"w1": LISTED_BEFORE})
+    outdated = site.add_worker("w1", link, version=REGISTERED)
+    site.deliver(outdated)
+    site.pool.remove_worker(
+        outdated,
+        batch_workers.Removal(
+            "registered with a new incarnation", restarted=True
+        ),
+    )
+    restarted = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    back = site.add_worker("w1", restarted, version=REGISTERED + 1)
+    site.deliver(back)
+    late = cluster.StartOrder(TASK, 1, "", 99_999, 1)
+    assert restarted.start(late).outcome is cluster.OrderOutcome.RUN_TOO_OLD
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -107,6 +107,7 @@
         blocked = batch_job.Run(run.unit, run.index, run.number, worker)
         blocked.state = batch_job.RunState.UNCERTAIN
         blocked.stopping = True
+        worker.blocked_runs.append(blocked)
         worker.send(workers.WorkerOrder("stop", blocked))
 
     def _latest_order_at(self, run: batch_job.Run) -> float:
@@ -147,11 +148,10 @@
             ]
             if orphans:
                 self._orphans_by_worker[worker.worker_id] = orphans
-            else:
-                self._keep_unconfirmed_runs(worker)
             lost_runs = [
                 run for run in worker.run_by_task.values() if run not in orphans
             ]
+            self._keep_unconfirmed_runs(worker, lost_runs)
             if removal.crashed:
                 self._record_crash(worker, lost_runs)
             self._end_lost_runs(worker, lost_runs, removal.reason)
@@ -166,11 +166,21 @@
         )
         self._changed.set()
 
-    def _keep_unconfirmed_runs(self, worker: workers.Worker) -> None:
+    def _keep_unconfirmed_runs(
+        self, worker: workers.Worker, lost_runs: Iterable[batch_job.Run]
+    ) -> None:
+        """Keeps the runs whose orders the next incarnation must refuse.
+
+        Those whose leases have expired are among them: the end of a lease on
+        the clock of this incarnation means nothing to the next one.
+        """
         unconfirmed_by_worker = self._unconfirmed_by_worker
+        lapsed = self._lapsed_runs_by_worker.get(worker.worker_id, [])
         unconfirmed = [
             run
-            for run in worker.run_by_task.values()
+            for run in itertools.chain(
+                lost_runs, (lost.run for lost in lapsed), worker.blocked_runs
+            )
             if not worker.has_confirmed(run)
         ]
         if unconfirmed:
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -138,6 +138,8 @@
         run_by_task: Runs that may be on the worker, by task.
         unknown_run_by_key: Runs that it reported and that should not be there,
             by task and number, until it reports them no more.
+        blocked_runs: Runs of its former incarnation whose late orders it is
+            told to refuse.
         free_cpu: Millicores that no run reserves.
         last_received_end: Number of the last run end that was received.
         last_stored_end: Number of the last run end that is stored.
@@ -172,6 +174,7 @@
         self.unknown_run_by_key: dict[
             tuple[job_spec.TaskKey, int], batch_job.Run
         ] = {}
+        self.blocked_runs: list[batch_job.Run] = []
         self.free_cpu = entry.room.cpu
         self.free_memory_mb = entry.room.memory_mb
         self.free_accelerators = entry.room.accelerators
