Keep the record of an ended job until its final state is stored

A job that had ended could be shown as running for good, and count as lost. Its record is shortened every 2 s once its final state is no longer waiting to be stored, but a state whose transaction is under way does not wait either. The records are in other partitions of the store than the states, so while the pool's partition is unavailable, records of jobs just ended were shortened all the same. If another node then took the pool over, it found neither the job nor a final state, and nobody wrote one any more.

The controller remembers which jobs its transaction stores, and leaves their records until it is stored.

Test: test_a_record_is_kept_until_the_final_state_is_stored; on the former code the record was short while the state was not stored.

--- a/tests/machines/batch/test_ended_jobs.py
+++ b/tests/machines/batch/test_ended_jobs.py
@@ -193,6 +193,52 @@
     assert waiting.wait_until(are_short, 5.0)
 
 
+def test_a_record_is_kept_until_the_final_state_is_stored(
+    store: row_store.MemoryRowStore,
+    controller: batch_controller.BatchController,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The pool's partition may be unavailable while those of records are not.
+
+    With the record gone and no final state, the next holder knew nothing of the
+    job, which was shown as running for good.
+    """
+    monkeypatch.setattr(batch_controller, "COMPACTION_SECONDS", 0.05)
+    job_id = "0123456789abcdef"
+    table = batch_tables.jobs_table(batch_site.SERVICE)
+    partition_key = batch_tables.jobs_partition(batch_site.SERVICE, job_id)
+    row = batch_site.job_row(job_id, [STEP], cancelled=True)
+    assert row.value
+    write = cluster.RowWrite(table, job_id, row.value)
+    version = store.transact(partition_key, [], [write], 1.0).unwrap()
+    transact = store.transact
+    is_away = threading.Event()
+
+    def refuse_pool(
+        partition_key: str,
+        required: Sequence[cluster.RowVersion],
+        writes: Sequence[cluster.RowWrite],
+        timeout_seconds: float,
+    ) -> result.Result[int, cluster.StoreFault]:
+        if is_away.is_set() and partition_key == batch_site.SERVICE:
+            return result.Failure(row_store.UNAVAILABLE)
+        return transact(partition_key, required, writes, timeout_seconds)
+
+    def value() -> bytes | None:
+        return store.read(table, partition_key).unwrap().rows[0].value
+
+    monkeypatch.setattr(store, "transact", refuse_pool)
+    is_away.set()
+    assert controller.open()
+    controller.pool.on_record(
+        row._replace(partition_key=partition_key, version=version)
+    )
+    time.sleep(0.5)
+    assert value() == row.value
+    is_away.clear()
+    assert waiting.wait_until(lambda: value() == job_spec.TOMBSTONE, 5.0)
+
+
 def _ids_of_one_partition(count: int) -> list[str]:
     ids_by_partition: dict[str, list[str]] = {}
     for number in itertools.count():
--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -70,6 +70,8 @@
         self._released_worker_ids: set[str] = set()
         self._needed_cpu = 0
         self._spread = 0
+        # Jobs whose rows are being written; guarded by the pool's lock.
+        self._storing_ids: frozenset[str] = frozenset()
         self.pool = batch_pool.BatchPool(
             writer.shard,
             writer.epoch,
@@ -175,6 +177,7 @@
         table = batch_tables.progress_table(self._service)
         with pool.lock:
             changed = pool.take_changed(self._writer.response_seconds, now)
+            self._storing_ids = frozenset(job.job_id for job in changed.jobs)
             writes = [
                 cluster.RowWrite(
                     table, job.job_id, batch_job.encode_progress(job)
@@ -194,6 +197,8 @@
                 self._handle_commit_failure(outcome)
                 return
             pool.confirmed_at = self._writer.confirmed_at
+            with pool.lock:
+                self._storing_ids = frozenset()
             self._links.metrics.count("pool_commits")
             self._links.metrics.count("pool_rows_written", len(writes))
         self._acknowledge(changed.last_end_by_worker)
@@ -274,6 +279,7 @@
                     record
                     for record in pool.ended_records
                     if record.job_id not in pool.dirty_job_by_id
+                    and record.job_id not in self._storing_ids
                 ]
                 pool.ended_records = [
                     record
