--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -1,8 +1,8 @@
 """State of a pool, and the end of its runs and jobs.
 
 The class of a pool is split by subject. Each of the modules batch_runs,
-batch_records, batch_workers, batch_reports and batch_pool extends the class of
-the module before it.
+batch_records, batch_crashes, batch_workers, batch_reports and batch_pool
+extends the class of the module before it.
 """
 
 from __future__ import annotations
