End the thread that sends orders if its worker is closed meanwhile

A thread and its connection could stay for each worker that was removed. The thread that sends a worker's orders cleared the event that wakes it after it had checked whether the worker is closed; a close in between was missed, and the thread waited for orders for good.

It clears the event before the check.

Test: test_a_worker_closed_as_it_looks_for_orders_ends_its_thread; on the former code the thread did not end. Found by review.

--- a/tests/machines/batch/test_races.py
+++ b/tests/machines/batch/test_races.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import threading
 import time
 
 import pytest
@@ -76,3 +77,23 @@
     monkeypatch.setattr(worker._wake, "wait", waits.append)
     worker._wait_before_poll()
     assert not waits
+
+
+def test_a_worker_closed_as_it_looks_for_orders_ends_its_thread(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The thread missed the close and waited for orders for good."""
+    worker = site.add_worker("w1", link)
+    clear = worker._order_ready.clear
+
+    def close_and_clear() -> None:
+        worker.close()
+        clear()
+
+    monkeypatch.setattr(worker._order_ready, "clear", close_and_clear)
+    thread = threading.Thread(target=worker._send_orders, daemon=True)
+    thread.start()
+    thread.join(1.0)
+    assert not thread.is_alive()
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -483,10 +483,12 @@
         )
 
     def _send_orders(self) -> None:
+        # Cleared before the check, so that a close in between is not missed.
+        self._order_ready.clear()
         while not self._closing.is_set():
-            self._order_ready.clear()
             if not self.send_once():
                 self._order_ready.wait(self._seconds_until_stop())
+            self._order_ready.clear()
 
     def _seconds_until_stop(self) -> float | None:
         """Returns the time until a stop is due; None if there is none."""
