Let the order thread of a removed worker wait until it is closed

A thread could spin for the milliseconds in which a pool ends the runs of a removed worker, while the pool's lock is held. Stops of a removed worker are not sent any more but stay due, so the thread that sends orders waited 0 s for the next one, again and again.

Nothing is due for a removed worker now; its close wakes the thread.

Test: test_a_removed_worker_does_not_spin_until_it_is_closed; on the former code the wait was 0 s. Found by review.

--- a/tests/machines/batch/test_races.py
+++ b/tests/machines/batch/test_races.py
@@ -97,3 +97,20 @@
     thread.start()
     thread.join(1.0)
     assert not thread.is_alive()
+
+
+def test_a_removed_worker_does_not_spin_until_it_is_closed(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+) -> None:
+    """Its stops stay due, but are not sent any more."""
+    worker = started(batch_site.step(1))
+    site.pool.on_record(
+        batch_site.job_row(
+            "j1", [batch_site.step(1)], cancelled=True, version=2
+        )
+    )
+    worker.is_removed = True
+    assert not worker.send_once()
+    assert worker._seconds_until_stop() is None
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -493,7 +493,9 @@
     def _seconds_until_stop(self) -> float | None:
         """Returns the time until a stop is due; None if there is none."""
         due_at = min([*self._stop_due_at_by_run.values()], default=None)
-        return None if due_at is None else max(0.0, due_at - time.monotonic())
+        if due_at is None or self.is_removed:
+            return None
+        return max(0.0, due_at - time.monotonic())
 
     def send_once(self) -> bool:
         """Sends one order: a stop that is due, else the oldest other order.
