--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -483,15 +483,19 @@
         )
 
     def _send_orders(self) -> None:
+        # Cleared before the check, so that a close in between is not missed.
+        self._order_ready.clear()
         while not self._closing.is_set():
-            self._order_ready.clear()
             if not self.send_once():
                 self._order_ready.wait(self._seconds_until_stop())
+            self._order_ready.clear()
 
     def _seconds_until_stop(self) -> float | None:
         """Returns the time until a stop is due; None if there is none."""
         due_at = min([*self._stop_due_at_by_run.values()], default=None)
-        return None if due_at is None else max(0.0, due_at - time.monotonic())
+        if due_at is None or self.is_removed:
+            return None
+        return max(0.0, due_at - time.monotonic())
 
     def send_once(self) -> bool:
         """Sends one order: a stop that is due, else the oldest other order.
