Start no task while a worker reports a run of it that counted as ended

Callers could see a task run twice for longer than needed. A run that wrongly counts as ended is stopped once its worker reports it, but its task could still be started elsewhere before it was gone.

The pool plans no run of such a task until the run is reported no more, or until the lease of an unresponsive worker has expired.

Test: test_no_run_starts_elsewhere_while_an_unknown_one_is_at_work; on the former code run 2 started beside run 1.

--- a/tests/machines/batch/test_stops.py
+++ b/tests/machines/batch/test_stops.py
@@ -13,6 +13,7 @@
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
+from wisteriasill.machines import batch_runs
 from wisteriasill.machines import batch_workers
 from wisteriasill.machines import worker as workers
 
@@ -364,6 +365,37 @@
     assert len(new_holder.run_round()) == 4
 
 
+@pytest.mark.parametrize("lease_ms", [0, 99_999])
+def test_no_run_starts_elsewhere_while_an_unknown_one_is_at_work(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+    lease_ms: int,
+) -> None:
+    """A run that wrongly counted as ended had a second one beside it."""
+    worker = started(batch_site.step(1))
+    site.pool.end_expired_runs(time.monotonic() + 2 * workers.LEASE_SECONDS)
+    worker._lease_until_ms = lease_ms
+    link.stop_outcomes.extend([cluster.OrderOutcome.UNHEALTHY])
+    site.poll(worker)
+    site.deliver(worker)
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    time.sleep(2 * batch_runs.RESTART_BACKOFF_SECONDS)
+    site.run_round()
+    site.deliver(other)
+    assert link.running == {TASK: 1}
+    assert not other_link.starts
+    site.deliver(worker)
+    site.poll(worker)
+    assert not link.running
+    site.run_round()
+    site.deliver(other)
+    site.deliver(worker)
+    assert [*link.running.items(), *other_link.running.items()] == [(TASK, 2)]
+
+
 def test_an_order_of_a_former_holder_that_is_carried_out_late_starts_nothing(
     site: batch_site.SteppedPool,
     link: batch_worker.MemoryWorker,
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -68,6 +68,7 @@
                 if self._accepts_tasks(worker, now)
             ]
             schedule = self._schedule(waiting, candidates, now)
+            self._units_at_work = self._units_of_unknown_runs(now)
             self._plan_trials(candidates, now)
             self._full = worker_choice.FullPool()
             for job_id in schedule.job_ids:
@@ -82,6 +83,19 @@
                         core_seconds - job.core_seconds_to_start()
                     )
 
+    def _units_of_unknown_runs(self, now: float) -> set[batch_job.Unit]:
+        """Returns the units of reported runs that the pool counted as ended.
+
+        Until such a run is reported no more, or the lease of an unresponsive
+        worker has expired, a new run of the unit would be a second one.
+        """
+        return {
+            run.unit
+            for worker in self.worker_by_id.values()
+            if worker.is_responsive(now) or not worker.leases_expired(now)
+            for run in worker.unknown_run_by_key.values()
+        }
+
     def _plan_trials(
         self, candidates: list[workers.Worker], now: float
     ) -> None:
@@ -117,7 +131,9 @@
         waiting = [
             unit
             for unit in self.suspect_by_key.values()
-            if unit.key in unit.job.ready and now >= unit.retry_at
+            if unit.key in unit.job.ready
+            and now >= unit.retry_at
+            and unit not in self._units_at_work
         ]
         # The conviction of the likeliest cause clears the others.
         for unit in sorted(waiting, key=lambda suspect: suspect.doubt):
@@ -343,6 +359,7 @@
             if (
                 now < unit.retry_at
                 or unit.crash_record.needs_trial
+                or unit in self._units_at_work
                 or step_id in full_steps
                 or self._full.excludes(unit.step)
             ):
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -153,6 +153,8 @@
         ] = {}
         self._crash_by_worker: dict[str, crash_evidence.WorkerCrash] = {}
         self._trial_runs: list[batch_job.Run] = []
+        # Units of reported runs that this holder counted as ended.
+        self._units_at_work: set[batch_job.Unit] = set()
         self._lapsed_runs_by_worker: dict[str, list[LostRun]] = {}
         self._queue_by_name: Mapping[str, queues.Queue] = {}
         self._cpu_arrivals = arrival_rate.fast_and_slow()
