Return outdated starts before stops that get no answer

A task could stay assigned to a frozen worker. Stops go before starts; while two or more of them get no answer, the next one is due before the call for the one before has timed out, so the starts behind them were neither sent nor returned to the pool. Such a run holds no lease that could expire, and the worker is not removed while it has the run.

A start that is not to be sent any more, as its worker is silent or its plan too old, is returned to the pool before the next stop. No call is made for it.

Test: test_a_start_does_not_wait_behind_stops_that_are_never_answered; on the former code the task was still assigned after five orders.

--- a/tests/machines/batch/test_stops.py
+++ b/tests/machines/batch/test_stops.py
@@ -184,6 +184,28 @@
     assert not link.running
 
 
+def test_a_start_does_not_wait_behind_stops_that_are_never_answered(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The next stop is due before the call for the one before has timed out.
+
+    The task stayed assigned to the worker.
+    """
+    monkeypatch.setattr(workers, "STOP_RETRY_SECONDS", 0.0)
+    worker = started(batch_site.step(2))
+    site.pool.on_record(batch_site.job_row("j2", [batch_site.step(1)]))
+    site.run_round()
+    cancel(site, batch_site.step(2))
+    link.unreachable = True
+    site.poll(worker)
+    for _ in range(5):
+        assert worker.send_once()
+    assert not [task for task in worker.run_by_task if task.job_id == "j2"]
+
+
 def test_neither_start_nor_stop_of_a_run_is_sent_if_both_wait(
     site: batch_site.SteppedPool, link: batch_worker.MemoryWorker
 ) -> None:
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -500,12 +500,15 @@
     def send_once(self) -> bool:
         """Sends one order: a stop that is due, else the oldest other order.
 
+        A start that is not to be sent any more is returned to the pool first.
+        That takes no call, so it need not wait until stops are answered.
+
         Returns:
             Whether an order was due.
         """
         if self.is_removed:
             return False
-        if run := self._next_stop():
+        if (run := self._next_stop()) and not self._is_next_start_outdated():
             self._stop(run)
             return True
         if not self._orders:
@@ -526,6 +529,19 @@
             raise
         return True
 
+    def _is_next_start_outdated(self) -> bool:
+        if not self._orders:
+            return False
+        order = self._orders[0]
+        return order.verb == "start" and self._is_outdated(order.run)
+
+    def _is_outdated(self, run: batch_job.Run) -> bool:
+        """Whether the start of a run is not to be sent any more."""
+        stale = time.monotonic() - run.planned_at > STALE_ORDER_SECONDS
+        return (
+            stale or bool(self.silent_since) or not self._owner.may_start(run)
+        )
+
     def _next_stop(self) -> batch_job.Run | None:
         """Returns the run whose stop has been due for the longest time."""
         due_at_by_run = self._stop_due_at_by_run
@@ -539,8 +555,7 @@
         return None
 
     def _start(self, run: batch_job.Run) -> None:
-        stale = time.monotonic() - run.planned_at > STALE_ORDER_SECONDS
-        if stale or self.silent_since or not self._owner.may_start(run):
+        if self._is_outdated(run):
             self._owner.on_start_answer(
                 run, cluster.OrderAnswer(cluster.OrderOutcome.LEASE_TOO_OLD)
             )
