Count the age of an order to a host from its answer

What callers would see: ONE, two holders of the fleet that order the same host within lease_ms, or an upkeep beyond max_count. The age of an order that a successor waits by counted from the start of a round, before its list of hosts and its transaction; while the store is slow that is more than the margin of 0.2 s.

Found by the review, not seen in a play. The new test fails without the change (an age of 0.4 s right after an order that took 0.4 s).

--- a/tests/machines/test_fleet_controller.py
+++ b/tests/machines/test_fleet_controller.py
@@ -373,3 +373,41 @@
     assert waiting.wait_until(lambda: 4 in reports.finished_by_wave)
     del hosts.service_by_host["h2"]
     assert waiting.wait_until(lambda: True in reports.finished_by_wave[4])
+
+
+def test_the_stored_age_of_an_order_does_not_count_its_round(
+    store: row_store.MemoryRowStore, start: Start
+) -> None:
+    """A successor would order the same host before the lease of the order ends.
+
+    The age counted from the start of a round, before its list of hosts and its
+    transaction.
+    """
+
+    class SlowHosts(RecordedHosts):
+        def move(
+            self, host_id: str, service: str, fencing_epoch: int
+        ) -> cluster.HostOrderOutcome:
+            time.sleep(0.4)
+            return super().move(host_id, service, fencing_epoch)
+
+    hosts = SlowHosts({"h1": "bench", "h2": "rest", "h3": "rest"})
+    start(hosts)
+    need_hosts(store, 2)
+    while not hosts.orders:
+        time.sleep(0.01)
+    ((_, ordered_at),) = hosts.orders.values()
+    need_hosts(store, 3)  # The next request stores the row again.
+    ages: list[float] = []
+    while not ages:
+        rows = store.read(fleet_rows.TABLE, fleet_rows.SHARD).unwrap().rows
+        ages = [
+            stored.age_seconds
+            for row in rows
+            if row.key == fleet_rows.DRAIN_REQUESTS_KEY and row.value
+            for stored in fleet_rows.decode_drain_requests(row.value)
+            if stored.age_seconds
+        ]
+        assert time.monotonic() < ordered_at + 4.0
+        time.sleep(0.01)
+    assert max(ages) <= time.monotonic() - ordered_at + 0.01
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -398,7 +398,8 @@
         for request, outcome in zip(
             due, self._executor.map(self._send_order, due), strict=True
         ):
-            self._record_order(request, outcome, now)
+            # After the call: a successor counts its wait from this time.
+            self._record_order(request, outcome, time.monotonic())
         # A successor that does not know of a maintenance order repeats it, and
         # the platform answers it as the first, so the next round stores it.
         self._unstored_waves |= {
