Store with a run when its worker had registered

What callers saw: LOST. From the code, and it fits the times: holders changed until about 27 s, and the last one waited 10.6 s for the leases of its predecessor.

The list of down workers ends a stored run only if it was read after the run's worker had registered, for which the version of the job's row stood in; and each new holder now stores the job again with the runs that it does not know yet. So the row was newer than the list, the list proved nothing, and each holder waited for leases from its own claim.

Change: a run is stored with the version as of which its worker had registered, and keeps it over all holders. The release before reads four fields of a run and the crashes, and ignores what stands behind them; a row of its own has no versions, for which the row's version stands in as before.

The fixture of test_down_workers.py registers the worker at the version that its constants name; before, the row's version was all that counted.

--- a/tests/machines/batch/test_down_workers.py
+++ b/tests/machines/batch/test_down_workers.py
@@ -60,11 +60,15 @@
 
 @pytest.fixture
 def successor(
-    site: batch_site.SteppedPool,
-    started: Callable[..., workers.Worker],
+    site: batch_site.SteppedPool, link: batch_worker.MemoryWorker
 ) -> batch_site.SteppedPool:
     """A pool whose former holder started a run on `w1`."""
-    started(LASTING)
+    worker = site.add_worker("w1", link, version=REGISTERED)
+    site.poll(worker)
+    site.pool.on_record(ROW)
+    site.run_round()
+    site.deliver(worker)
+    site.poll(worker)
     return batch_site.SteppedPool(2, [ROW], site.progress_rows(RUN_STORED))
 
 
@@ -74,6 +78,14 @@
     return {host_id: "w1", host_id + "\0": str(version)}
 
 
+def without_versions(progress: bytes) -> bytes:
+    """Returns progress as the release before stores it."""
+    state, opened_occurrences, units = cbor2.loads(progress)
+    return cbor2.dumps(
+        [state, opened_occurrences, [unit[:-1] for unit in units]]
+    )
+
+
 def starts_elsewhere(
     site: batch_site.SteppedPool, other_link: batch_worker.MemoryWorker
 ) -> list[tuple[job_spec.TaskKey, int]]:
@@ -146,9 +158,15 @@
     read_down: ReadDown,
     planned: bool,
 ) -> None:
-    """The job's row may have been stored again after the crash."""
+    """The job's row may have been stored again after the crash.
+
+    A row of the release before does not tell when the worker had registered.
+    """
     started(LASTING)
-    rows = site.progress_rows(LISTED_AFTER + 1)
+    rows = [
+        row._replace(value=without_versions(row.value or b""))
+        for row in site.progress_rows(LISTED_AFTER + 1)
+    ]
     successor = batch_site.SteppedPool(2, [ROW], rows)
     read_down(successor, row_of(LISTED_AFTER, planned))
     assert not starts_elsewhere(successor, other_link)
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -384,12 +384,24 @@
 
 
 class StoredRun(NamedTuple):
-    """Stored form of a run."""
+    """Stored form of a run.
+
+    Attributes:
+        registered_version: Store version as of which the worker's incarnation
+            had registered; 0 if unknown.
+    """
 
     position: int
     number: int
     worker_id: str
     started_ms: int
+    registered_version: int = 0
+
+
+# Fields of a run that each release reads.
+_RUN_FIELDS = 4
+# Fields of a unit before its crashes.
+_UNIT_FIELDS = 8
 
 
 class StoredUnit(NamedTuple):
@@ -416,39 +428,39 @@
     """Encodes a job's progress; only the state of a finished job."""
     if job.finished:
         return cbor2.dumps([job.state.value, 0, []])
-    units: list[Any] = [
-        [
-            *unit.key,
-            unit.last_run,
-            unit.failures,
-            unit.done,
-            unit.checkpoint,
-            [
-                *(
-                    [
-                        run.index,
-                        run.number,
-                        run.worker.entry.worker_id,
-                        run.worker.entry.started_ms,
-                    ]
-                    for run in unit.runs
-                ),
-                *([*stored] for stored in unit.restored),
-            ],
-            # A release that does not know of crashes reads no such row, so it
-            # leaves the job alone.
-            *(
-                [[unit.crash_record.crashes, unit.crash_record.suspicions]]
-                if unit.crash_record.crashes
-                else []
-            ),
-        ]
-        for unit in job.unit_by_key.values()
-        if unit.last_run
+    units = [
+        _encode_unit(unit) for unit in job.unit_by_key.values() if unit.last_run
     ]
     return cbor2.dumps([job.state.value, job.opened_occurrences, units])
 
 
+def _encode_unit(unit: Unit) -> list[Any]:
+    runs = [
+        *(
+            StoredRun(
+                run.index,
+                run.number,
+                run.worker.entry.worker_id,
+                run.worker.entry.started_ms,
+                run.worker.registered_version,
+            )
+            for run in unit.runs
+        ),
+        *unit.restored,
+    ]
+    return [
+        *unit.key,
+        unit.last_run,
+        unit.failures,
+        unit.done,
+        unit.checkpoint,
+        [[*run[:_RUN_FIELDS]] for run in runs],
+        # The release before reads these two, and nothing behind them.
+        [unit.crash_record.crashes, unit.crash_record.suspicions],
+        [run.registered_version for run in runs],
+    ]
+
+
 def decode_progress(value: bytes) -> Progress:
     """Decodes a value written by `encode_progress`.
 
@@ -479,8 +491,15 @@
                 failures,
                 done,
                 checkpoint,
-                tuple(StoredRun(*run) for run in runs),
-                crash_evidence.CrashRecord(*(crashes[0] if crashes else ())),
+                tuple(
+                    StoredRun(*run)._replace(registered_version=version)
+                    for run, version in zip(
+                        runs,
+                        versions[0] if versions else itertools.repeat(0),
+                        strict=False,
+                    )
+                ),
+                crash_evidence.CrashRecord(*crashes),
             )
             for (
                 occurrence,
@@ -491,12 +510,18 @@
                 done,
                 checkpoint,
                 runs,
-                *crashes,
-            ) in units
+                crashes,
+                *versions,
+            ) in (_with_crashes(unit) for unit in units)
         ),
     )
 
 
+def _with_crashes(unit: list[Any]) -> list[Any]:
+    """Completes a unit that a former release stored without crashes."""
+    return unit if len(unit) > _UNIT_FIELDS else [*unit, []]
+
+
 def decode_state(value: bytes) -> JobState:
     """Decodes only the job state of a progress row."""
     return JobState(cbor2.loads(value)[0])
--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -254,11 +254,16 @@
             if stored.done:
                 job.mark_done(unit)
                 continue
-            unit.restored.extend(stored.runs)
-            for run in stored.runs:
+            for stored_run in stored.runs:
+                # The worker had registered before the row was written.
+                run = stored_run._replace(
+                    registered_version=stored_run.registered_version
+                    or loaded.version
+                )
+                unit.restored.append(run)
                 self._restored_runs_by_worker.setdefault(
                     run.worker_id, []
-                ).append(batch_runs.RestoredRun(unit, run, loaded.version))
+                ).append(batch_runs.RestoredRun(unit, run))
                 job.ready.pop(unit.key, None)
 
     def _cancel(self, job: batch_job.Job) -> None:
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -52,16 +52,10 @@
 
 
 class RestoredRun(NamedTuple):
-    """A stored run whose worker this holder has not seen yet.
-
-    Attributes:
-        version: Store version of the row that holds it; its worker had
-            registered before.
-    """
+    """A stored run whose worker this holder has not seen yet."""
 
     unit: batch_job.Unit
     stored: batch_job.StoredRun
-    version: int
 
 
 class LostRun(NamedTuple):
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -294,7 +294,7 @@
             if lapsed and worker_id not in self._planned_end_ids:
                 self._record_evidence(lapsed, lapsed[0].run.worker)
         for restored in self._restored_runs_by_worker.pop(worker_id, []):
-            if self._is_down(restored.version, worker_id):
+            if self._is_down(restored.stored.registered_version, worker_id):
                 self._requeue_down(restored)
             else:
                 self._keep_restored_run(restored)
