--- a/review/harness/site.py
+++ b/review/harness/site.py
@@ -17,9 +17,11 @@
 import tomllib
 from typing import Any, TextIO
 
+from returns import result
 from werkzeug import wrappers
 
 from review.harness import callers
+from review.harness import cuts
 from review.harness import hosts
 from review.harness import workers as review_workers
 from soak import ports
@@ -28,6 +30,8 @@
 from standins import timed_worker
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
+from wisteriasill.machines import fleet_rows
+from wisteriasill.zones import shard_writer
 
 ROOT = pathlib.Path(__file__).parents[2]
 ROW_BYTES = 65_536  # `row_bytes` of the settings in DEPLOY.md.
@@ -79,13 +83,33 @@
 
 
 class Node:
-    """A node process, started with the command of the deploy file."""
+    """A node process, started with the command of the deploy file.
+
+    Attributes:
+        links: Its links to the store and to the service for machines, if they
+            are simulated.
+    """
 
     def __init__(
-        self, name: str, store_port: int, hosts_port: int, folder: pathlib.Path
+        self,
+        name: str,
+        store_port: int,
+        hosts_port: int,
+        folder: pathlib.Path,
+        has_links: bool = False,
     ) -> None:
         self.name = name
         address = ports.ADDRESS
+        self.links: list[cuts.Link] = []
+        if has_links:
+            link_ports = ports.free_ports(2)
+            self.links = [
+                cuts.Link(address, port, target_port)
+                for port, target_port in zip(
+                    link_ports, (store_port, hosts_port), strict=True
+                )
+            ]
+            store_port, hosts_port = link_ports
         self.caller_port, self.ready_port = ports.free_ports(2)
         (first_port,) = ports.free_ports(1, consecutive=16)
         self._log = folder / f"{name}.log"
@@ -179,6 +203,7 @@
         workers_by_service: Number of workers of each service.
         room: Capacity of each worker.
         nodes: Number of nodes.
+        links: Whether the nodes have links that can be cut.
     """
 
     def __init__(
@@ -188,6 +213,7 @@
         workers_by_service: Mapping[str, int],
         room: job_spec.Resources,
         nodes: int = 3,
+        links: bool = False,
     ) -> None:
         self._record = record
         self._began_at = time.monotonic()
@@ -234,10 +260,33 @@
         self._host_server = self.machines.serve(ports.ADDRESS, hosts_port)
         threading.Thread(target=self._register, daemon=True).start()
         self.nodes = [
-            Node(f"front-z1-{number}", store_port, hosts_port, folder)
+            Node(f"front-z1-{number}", store_port, hosts_port, folder, links)
             for number in range(1, nodes + 1)
         ]
 
+    def seconds(self, at: float) -> float:
+        """Returns a monotonic time as the record shows it."""
+        return at - self._began_at
+
+    def fleet_holder(self) -> Node | None:
+        """Returns the node that holds the shard of the fleet."""
+        state = shard_writer.read_state(self._rows, fleet_rows.SHARD)
+        if not isinstance(state, result.Success):
+            return None
+        return next(
+            (node for node in self.nodes if node.name == state.unwrap().holder),
+            None,
+        )
+
+    def worker_id_of(self, task: job_spec.TaskKey) -> str:
+        """Returns the worker of the last start of a task."""
+        with self.log.lock:
+            return next(
+                event.worker_id
+                for event in reversed(self.log.run_events)
+                if event.task == task and event.event == "start"
+            )
+
     def note(self, text: str) -> None:
         """Adds a line to the record."""
         at = time.monotonic() - self._began_at
@@ -370,6 +419,8 @@
         """Ends all processes and servers."""
         for node in self.nodes:
             node.stop(signal.SIGKILL)
+            for link in node.links:
+                link.close()
         self._closing.set()
         self._host_server.shutdown()
         for server in self._servers:
