--- a/review/harness/site.py
+++ b/review/harness/site.py
@@ -114,46 +114,44 @@
         (first_port,) = ports.free_ports(1, consecutive=16)
         self._log = folder / f"{name}.log"
         self._settings = folder / f"{name}.json"
-        self._settings.write_text(
-            json.dumps(
-                {
-                    "node_name": name,
-                    "role": "entry",
-                    "machine_class": "front",
-                    "serves": ["front"],
-                    "ip": address,
-                    "zone": "z1",
-                    "region": "r1",
-                    "zones": {"z1": "r1"},
-                    "listen": {
-                        "front": f"{address}:{self.caller_port}",
-                        "ready": f"{address}:{self.ready_port}",
-                    },
-                    "port_range": [first_port, first_port + 15],
-                    "bootstrap": True,
-                    "limits": {
-                        "cpu_share": 0.537,
-                        "cores": 2,
-                        "memory_mb": 300,
-                        "link_mbps": 1000.0,
-                    },
-                    "heartbeat_ms": 1500,
-                    "bounds": BOUNDS,
-                    "orders": "call",
-                    "platform": {
-                        "address": f"{address}:{store_port}",
-                        "form": "table",
-                        "row_bytes": ROW_BYTES,
-                        "across": False,
-                    },
-                    "cloud": {"address": f"{address}:{hosts_port}"},
-                }
-            )
-        )
+        self._fields: dict[str, Any] = {
+            "node_name": name,
+            "role": "entry",
+            "machine_class": "front",
+            "serves": ["front"],
+            "ip": address,
+            "zone": "z1",
+            "region": "r1",
+            "zones": {"z1": "r1"},
+            "listen": {
+                "front": f"{address}:{self.caller_port}",
+                "ready": f"{address}:{self.ready_port}",
+            },
+            "port_range": [first_port, first_port + 15],
+            "bootstrap": True,  # Only at the first start.
+            "limits": {
+                "cpu_share": 0.537,
+                "cores": 2,
+                "memory_mb": 300,
+                "link_mbps": 1000.0,
+            },
+            "heartbeat_ms": 1500,
+            "bounds": BOUNDS,
+            "orders": "call",
+            "platform": {
+                "address": f"{address}:{store_port}",
+                "form": "table",
+                "row_bytes": ROW_BYTES,
+                "across": False,
+            },
+            "cloud": {"address": f"{address}:{hosts_port}"},
+        }
         self._process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
         """Starts the process."""
+        self._settings.write_text(json.dumps(self._fields))
+        self._fields["bootstrap"] = False
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
