--- a/review/harness/cuts.py
+++ b/review/harness/cuts.py
@@ -79,7 +79,8 @@
     def _forward(
         self, source: socket.socket, sink: socket.socket, outbound: bool
     ) -> None:
-        with contextlib.suppress(OSError):
+        # The thread of the other direction may have closed both ends.
+        with contextlib.suppress(OSError, ValueError):
             while data := source.recv(CHUNK_BYTES):
                 if outbound:
                     self.on_data(data)
