Keep the changes of a planning round that fails

What callers would see: a task that is done runs again after a hand-over (TWICE), a planned task never starts, a cancelled job is shown as running for good.

Cause: a round takes what it is to store and send from the pool. An unexpected error before the transaction was answered lost all of it, and the next round acknowledged run ends that no row had. Class of fault: state that is taken before its effect is certain.

Ruled out: a stored round that fails afterwards. Its rows are written again, and a run whose start was queued is not queued a second time.

The round now returns what it took, with the first end of each job that its row did not show yet, which bounds the acknowledgements. The ids of jobs that are being stored are still set under the lock that takes them, as compaction relies on it.

--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -174,10 +174,22 @@
         pool.drain_workers(now)
         pool.plan(now)
         pool.handle_stragglers(now)
-        table = batch_tables.progress_table(self._service)
         with pool.lock:
             changed = pool.take_changed(self._writer.response_seconds, now)
             self._storing_ids = frozenset(job.job_id for job in changed.jobs)
+        try:
+            self._store_and_send(changed, now)
+        except Exception:
+            pool.return_changed(changed)
+            raise
+
+    def _store_and_send(
+        self, changed: batch_pool.ChangedJobs, now: float
+    ) -> None:
+        """Stores the changes of a round, then sends what they allow."""
+        pool = self.pool
+        table = batch_tables.progress_table(self._service)
+        with pool.lock:
             writes = [
                 cluster.RowWrite(
                     table, job.job_id, batch_job.encode_progress(job)
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -38,11 +38,14 @@
         jobs: Jobs to store, the most urgent first.
         planned: Runs to start.
         last_end_by_worker: Run end up to which each worker may forget.
+        first_end_by_job: For each of the jobs, the first end from each worker
+            that is stored with it.
     """
 
     jobs: list[batch_job.Job]
     planned: list[batch_job.Run]
     last_end_by_worker: dict[workers.Worker, int]
+    first_end_by_job: dict[str, dict[workers.Worker, int]]
 
 
 class BatchPool(batch_reports.PoolReports):
@@ -257,10 +260,38 @@
                 now,
             )
             jobs = [self.dirty_job_by_id.pop(job_id) for job_id in job_ids]
+            first_end_by_job = {
+                job_id: self.first_end_by_job.pop(job_id, {})
+                for job_id in job_ids
+            }
             for job_id in job_ids:
-                self.first_end_by_job.pop(job_id, None)
                 del self._delayed_since_by_job[job_id]
-            return ChangedJobs(jobs, planned, self._ends_to_acknowledge())
+            return ChangedJobs(
+                jobs, planned, self._ends_to_acknowledge(), first_end_by_job
+            )
+
+    def return_changed(self, changed: ChangedJobs) -> None:
+        """Keeps what a round took for the next one, as the round failed.
+
+        Some of it may be stored and sent. A row is written again, but no run
+        is started again.
+
+        Args:
+            changed: What the round took.
+        """
+        with self.lock:
+            for job in changed.jobs:
+                self.dirty_job_by_id.setdefault(job.job_id, job)
+                first_end_by_worker = self.first_end_by_job.setdefault(
+                    job.job_id, {}
+                )
+                # Ends of this round are older than those that came since.
+                first_end_by_worker.update(changed.first_end_by_job[job.job_id])
+            self.planned = [
+                run
+                for run in itertools.chain(changed.planned, self.planned)
+                if run.state is batch_job.RunState.PLANNED
+            ]
 
     def _ends_to_acknowledge(self) -> dict[workers.Worker, int]:
         """Returns up to which end each worker may forget its runs."""
