Store max_attempts with an accepted job

Cause: `PoolReports._record_failure` looked up `max_attempts` in the queues of the configurations that the holder had seen, and counted without a limit where the queue was unknown. A holder that started after the removal doesn't know it.

Ruled out: a lost count. Failures are in the progress row, and were counted on; only the bound was missing. The kept route with the same restarts held before.

`max_attempts` is now part of the job's row, written when the job is accepted. It takes 10 bytes a row (measured on a row of 197 bytes). The version of the configuration instead takes 9 to 13 (versions 3, 200, 40,217 and 100,000: 9, 10, 11, 13), and that version's queues would have to be stored and read before a failure can be judged. So the value is stored itself.

Rows of the release before lack it; the value of their queue holds, as before. Nodes of that release ignore the field; they write a job's row again only to mark it as cancelled, and drop the field then.

The case `3-failed` of `test_a_job_of_a_removed_queue_fails_after_its_attempts` failed before.

--- a/tests/machines/batch_site.py
+++ b/tests/machines/batch_site.py
@@ -43,13 +43,15 @@
     steps: Sequence[job_spec.StepSpec],
     cancelled: bool = False,
     version: int = 1,
+    queue: queues.Queue = QUEUE,
 ) -> cluster.StoredRow:
     """Builds the row of an accepted job."""
     record = job_spec.JobRecord(
-        QUEUE.name,
+        queue.name,
         int(time.time() * 1000),
         cancelled,
         job_spec.JobSpec("payload", tuple(steps)),
+        queue.max_attempts,
     )
     return cluster.StoredRow(
         f"jobs.{SERVICE}",
--- a/wisteriasill/contracts/job_spec.py
+++ b/wisteriasill/contracts/job_spec.py
@@ -132,12 +132,20 @@
 
 
 class JobRecord(NamedTuple):
-    """An accepted job as it is stored."""
+    """An accepted job as it is stored.
+
+    Attributes:
+        queue: Name of the queue that accepted it.
+        accepted_ms: Unix time of its acceptance.
+        max_attempts: Failed runs of a task after which the job fails; 0 where
+            the release before stored the job.
+    """
 
     queue: str
     accepted_ms: int
     cancelled: bool
     spec: JobSpec
+    max_attempts: int = 0
 
 
 # Tombstone of a job that ended. It prevents another job with the same id, and
@@ -193,7 +201,9 @@
 def encode(record: JobRecord) -> dict[str, Any]:
     """Turns a record into plain data."""
     spec = record.spec
+    binding = {"attempts": record.max_attempts} if record.max_attempts else {}
     return {
+        **binding,
         "queue": record.queue,
         "accepted_ms": record.accepted_ms,
         "cancelled": record.cancelled,
@@ -212,6 +222,7 @@
         data["accepted_ms"],
         data["cancelled"],
         JobSpec(data["payload"], steps, first_due_ms, interval_ms, occurrences),
+        int(data.get("attempts", 0)),
     )
 
 
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -252,12 +252,19 @@
             return  # Another member of the same gang already counted.
         unit.failed_run = run.number
         unit.failures += 1
-        queue = self._queue_by_name.get(job.record.queue)
-        if unit.step.lasting or queue is None or job.finished:
+        max_attempts = self._max_attempts(job)
+        if unit.step.lasting or not max_attempts or job.finished:
             return
-        if unit.failures >= queue.max_attempts:
+        if unit.failures >= max_attempts:
             self._fail_job(job, f"task {run.task} failed {unit.failures} times")
 
+    def _max_attempts(self, job: batch_job.Job) -> int:
+        """Returns the attempts of a job's tasks; 0 where they are unknown."""
+        if job.record.max_attempts:
+            return job.record.max_attempts
+        queue = self._queue_by_name.get(job.record.queue)
+        return queue.max_attempts if queue else 0
+
     def on_poll_failure(
         self, worker: workers.Worker, outcome: cluster.OrderOutcome
     ) -> None:
--- a/wisteriasill/machines/job_api.py
+++ b/wisteriasill/machines/job_api.py
@@ -100,7 +100,11 @@
                 )
             )
         record = job_spec.JobRecord(
-            queue.name, int(time.time() * 1000), False, spec
+            queue.name,
+            int(time.time() * 1000),
+            False,
+            spec,
+            queue.max_attempts,
         )
         submission = submission_relay.Submission(
             queue.service, job_id, cbor2.dumps(job_spec.encode(record))
