Claim the pools of services whose queues were removed

Cause: `SiteNode._claim_shards` claimed only shards of services that a queue of the configuration in force names. A holder keeps its shard, but nobody follows it.

Ruled out: the holder's own conduct. It went on running the jobs after the removal; with the route kept, the same restarts left no task without a run.

The other services of the configuration are now claimed as well, once their shard has had a holder: such a pool may have stored jobs, and rows of ended ones to clear. A service without queues that never had a holder costs one read by each node. Rows of a shard that is named later are read then, since the watch shows only what changes after the first read.

Without the change, two of the new tests failed (`..._is_claimed_if_it_was_held`, `..._named_later_are_read`); the third one bounds what is claimed.

--- a/tests/zones/test_shard_claims.py
+++ b/tests/zones/test_shard_claims.py
@@ -50,7 +50,11 @@
 
 
 class Node:
-    """A node whose checks of the site's only shard the test runs."""
+    """A node whose checks of the site's only shard the test runs.
+
+    Attributes:
+        required: Whether the configuration still requires the shard.
+    """
 
     def __init__(
         self, store: row_store.MemoryRowStore, name: str, strength: float
@@ -58,6 +62,7 @@
         self.claims = shard_claims.ShardClaims(
             store, name, ManualController, shard_claims.NodeEntry(strength)
         )
+        self.required = True
 
     @property
     def holds(self) -> bool:
@@ -69,7 +74,10 @@
         controller = self.claims.controller_by_shard.get(SHARD)
         if isinstance(controller, ManualController):
             controller.send_heartbeat()
-        self.claims.run_once([SHARD])
+        if self.required:
+            self.claims.run_once([SHARD])
+        else:
+            self.claims.run_once([], [SHARD])
 
 
 @pytest.fixture
@@ -192,3 +200,47 @@
     restarted = Node(store, "node", 1.0)
     pass_time([restarted], shard_claims.POLL_SECONDS)
     assert restarted.holds
+
+
+def test_a_shard_that_is_not_required_any_more_is_claimed_if_it_was_held(
+    store: row_store.MemoryRowStore,
+    pass_time: Callable[[list[Node], float], None],
+) -> None:
+    """Its stored jobs lost their runs when the last holder had left.
+
+    In `review/1` the nodes restarted in turn after the last queue of a service
+    was removed, and nobody claimed its pool.
+    """
+    first = Node(store, "first", 1.0)
+    pass_time([first], 3.2)
+    assert first.holds
+    first.claims.stop()
+    second = Node(store, "second", 1.0)
+    second.required = False
+    pass_time([second], 3.2)
+    assert second.holds
+
+
+def test_a_shard_that_was_never_required_is_not_claimed(
+    store: row_store.MemoryRowStore,
+    pass_time: Callable[[list[Node], float], None],
+) -> None:
+    node = Node(store, "n1", 1.0)
+    node.required = False
+    pass_time([node], 3.2)
+    assert not node.holds
+
+
+def test_the_rows_of_a_shard_that_is_named_later_are_read(
+    store: row_store.MemoryRowStore,
+    pass_time: Callable[[list[Node], float], None],
+) -> None:
+    """Its rows are older than the version from which the node watches."""
+    first = Node(store, "first", 1.0)
+    pass_time([first], 3.2)
+    first.claims.stop()
+    second = Node(store, "second", 1.0)
+    second.claims.run_once([])
+    second.required = False
+    pass_time([second], 3.2)
+    assert second.holds
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -193,14 +193,16 @@
             configuration = self.configuration
             if configuration is None:
                 continue
-            services = sorted(
-                {
-                    queue.service
-                    for queue in configuration.queue_by_name.values()
-                }
-            )
+            services = {
+                queue.service for queue in configuration.queue_by_name.values()
+            }
             try:
-                self._claims.run_once([*services, fleet_rows.SHARD])
+                self._claims.run_once(
+                    [*sorted(services), fleet_rows.SHARD],
+                    # Their queues may have been removed after they accepted
+                    # jobs, which still have to be run.
+                    sorted({*configuration.service_by_name} - services),
+                )
             except Exception as error:
                 # A failed round must not stop later ones.
                 events.log(
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -120,6 +120,8 @@
         self._entry_by_node: dict[str, NodeEntry] = {}
         self._heartbeat_at_by_shard: dict[str, float] = {}
         self._version: int | None = None
+        # Shards whose rows have been read; changes of all are watched.
+        self._read_shards: frozenset[str] = frozenset()
         self.last_read_at = 0.0
         self.read_seconds = 0.0
         self.controller_by_shard: dict[str, ClaimedShardController] = {}
@@ -132,15 +134,23 @@
             controller.close(release=True)
         self.controller_by_shard.clear()
 
-    def run_once(self, shards: Collection[str]) -> None:
-        """Checks each shard once and claims those without a live holder."""
+    def run_once(
+        self, shards: Collection[str], former_shards: Collection[str] = ()
+    ) -> None:
+        """Checks each shard once and claims those without a live holder.
+
+        Args:
+            shards: Shards that the configuration requires.
+            former_shards: Shards that it may have required before; those that
+                ever had a holder may have stored work.
+        """
         for shard, controller in [*self.controller_by_shard.items()]:
             if controller.lost:
                 controller.close(release=False)
                 del self.controller_by_shard[shard]
                 self._observation_by_shard.pop(shard, None)
         now = time.monotonic()
-        if not self._refresh(shards):
+        if not self._refresh(frozenset([*shards, *former_shards])):
             if now - self.last_read_at > MAX_READ_GAP_SECONDS:
                 self._observation_by_shard.clear()
             return
@@ -148,14 +158,17 @@
         self.read_seconds = self.last_read_at - now
         for shard in [*self.controller_by_shard]:
             self._release_if_requested(shard)
-        for shard in shards:
+        for shard in (*shards, *filter(self._ever_held, former_shards)):
             if (
                 shard not in self.controller_by_shard
                 and not self._stopping.is_set()
             ):
                 self._check_shard(shard)
 
-    def _refresh(self, shards: Collection[str]) -> bool:
+    def _ever_held(self, shard: str) -> bool:
+        return (shard, shard_writer.OWNER) in self._row_by_key
+
+    def _refresh(self, shards: frozenset[str]) -> bool:
         """Reads the rows that have changed.
 
         Returns:
@@ -163,6 +176,9 @@
         """
         if self._version is None or not self._row_by_key:
             return self._read_all(shards)
+        # The watch shows only what changes after the first read.
+        if self._read_partitions(shards - self._read_shards) is None:
+            return False
         version = self._version
         page = _read_with_retries(
             functools.partial(
@@ -177,20 +193,35 @@
         self._version = max(version, page.unwrap().version)
         return True
 
-    def _read_all(self, shards: Collection[str]) -> bool:
+    def _read_all(self, shards: frozenset[str]) -> bool:
+        self._read_shards = frozenset()
+        versions = self._read_partitions(frozenset([NODES_PARTITION, *shards]))
+        if versions is None:
+            return False
+        self._version = min(versions)
+        return self._register()
+
+    def _read_partitions(
+        self, partition_keys: frozenset[str]
+    ) -> list[int] | None:
+        """Reads all rows of partitions.
+
+        Returns:
+            The store version of each read; None if one can't be read.
+        """
         versions: list[int] = []
-        for partition_key in (NODES_PARTITION, *shards):
+        for partition_key in sorted(partition_keys):
             page = _read_with_retries(
                 functools.partial(
                     self._store.read, shard_writer.TABLE, partition_key
                 )
             )
             if not isinstance(page, result.Success):
-                return False
+                return None
             self._store_rows(page.unwrap().rows)
             versions.append(page.unwrap().version)
-        self._version = min(versions, default=None)
-        return self._register()
+        self._read_shards |= partition_keys
+        return versions
 
     def _register(self) -> bool:
         """Stores this node's entry, unless it is stored already."""
