Show and cancel jobs whose queue was removed

What callers saw: GET and DELETE of an accepted job were answered 404 once its route had been removed, though the job went on. It could be cancelled only when the route was back.

Cause: the configuration in force alone led from a path to the service whose tables hold the job.

Ruled out: asking the tables of all services for an unknown path. Each such request would cost up to three reads a service, also under paths that no queue ever had.

Each node now stores the queues of the configurations that it applies in the table `queues` (70 bytes for a queue with names of usual length), and reads that table at its start and with each new configuration. A GET or DELETE of an id asks the present queue of the address, then former ones of other services. Where none has the job, a removed address is answered 404 as before: POST, `pending` and ids that were never accepted. An address that no queue has had costs no call. Until a node has read the table, it answers such requests with 503. So a queue that moved to another service no longer hides its jobs either (410 before).

The pool takes priority, objective and advice rule of a removed queue from there: a new holder placed its jobs before all others and started them without a ticket. Pools of services that the configuration lists no more are claimed as well.

--- a/tests/machines/batch/test_removed_queues.py
+++ b/tests/machines/batch/test_removed_queues.py
@@ -67,3 +67,17 @@
         batch_job.decode_state(site.progress_by_id["j1"])
         is batch_job.JobState.FAILED
     )
+
+
+def test_jobs_of_a_removed_queue_keep_its_priority(
+    site: batch_site.SteppedPool, link: batch_worker.MemoryWorker
+) -> None:
+    """They went before all others at a new holder."""
+    site.pool.add_former_queues({REMOVED.name: REMOVED._replace(priority=2)})
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    whole = batch_site.step(1, cpu=batch_site.ROOM.cpu)
+    site.pool.on_record(batch_site.job_row("j1", [whole], queue=REMOVED))
+    site.pool.on_record(batch_site.job_row("j2", [whole]))
+    (run,) = site.run_round()
+    assert run.task.job_id == "j2"
--- a/tests/machines/test_site_node.py
+++ b/tests/machines/test_site_node.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from typing import cast
 
 import pytest
@@ -14,6 +14,7 @@
 from wisteriasill import metrics
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
+from wisteriasill.machines import fleet_rows
 from wisteriasill.machines import site_links
 from wisteriasill.machines import site_node
 
@@ -28,6 +29,10 @@
         """Replaces the configuration by one that differs in its version."""
         self._configuration = self._configuration._replace(version=version)
 
+    def remove_all(self, version: int) -> None:
+        """Removes all queues and services."""
+        self._configuration = queues.configuration(version, [], [], 100_000)
+
     def read(self) -> result.Result[cluster.OperatorPage, cluster.StoreFault]:
         """Reads the configuration."""
         return result.Success(
@@ -96,3 +101,22 @@
     assert waiting.wait_until(lambda: version_in_force(node) == 2)
     operators.publish(3)
     assert waiting.wait_until(lambda: version_in_force(node) == 3)
+
+
+def test_the_pool_of_a_removed_queue_is_checked_for_a_holder(
+    node: site_node.SiteNode,
+    operators: OneConfiguration,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its stored jobs must run on after a restart of its holder."""
+    assert waiting.wait_until(lambda: version_in_force(node) == 1)
+    checked: list[tuple[Collection[str], Collection[str]]] = []
+    monkeypatch.setattr(
+        node._claims,
+        "run_once",
+        lambda shards, former_shards: checked.append((shards, former_shards)),
+    )
+    operators.remove_all(2)
+    assert waiting.wait_until(
+        lambda: ([fleet_rows.SHARD], [batch_site.SERVICE]) in checked
+    )
--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Mapping
 import itertools
 import time
 from typing import NamedTuple
@@ -48,6 +49,14 @@
             }
         self._changed.set()
 
+    def add_former_queues(
+        self, queue_by_name: Mapping[str, queues.Queue]
+    ) -> None:
+        """Takes in queues that may have been removed after accepting jobs."""
+        with self.lock:
+            self._queue_by_name = {**queue_by_name, **self._queue_by_name}
+        self._changed.set()
+
     def load(self, loaded: LoadedPool) -> None:
         """Loads the rows that the former holder and the entry hosts wrote."""
         progress_by_id: dict[str, StoredProgress] = {}
--- a/wisteriasill/machines/job_api.py
+++ b/wisteriasill/machines/job_api.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 import itertools
 import time
-from typing import Any
+from typing import Any, NamedTuple
 
 import cbor2
 from returns import result
@@ -24,6 +24,7 @@
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_tables
 from wisteriasill.machines import job_admission
+from wisteriasill.machines import queue_records
 from wisteriasill.zones import shard_writer
 
 Outcome = result.Result[batch_job.JobState, errors.Failure]
@@ -41,6 +42,22 @@
 PENDING_CACHE_SECONDS = 1.0  # The platform allows 2 s.
 
 
+class JobAddress(NamedTuple):
+    """Where a caller asks for a job.
+
+    Attributes:
+        host: Host name.
+        prefix: The path up to the job's id.
+        queue: Queue with this host and prefix in the configuration in force;
+            None if there is none.
+    """
+
+    host: str
+    prefix: str
+    job_id: str
+    queue: queues.Queue | None
+
+
 class JobApi:
     """Accepts, shows and cancels jobs; keeps all durable state in the store.
 
@@ -49,6 +66,7 @@
         relay: Stores jobs through other nodes; None for no relay.
         view_store: Returns what the node knows of its connection to the store.
         view_backlog: Returns what the node knows of a pool's backlog.
+        known_queues: The queues of all configurations; None for none.
     """
 
     def __init__(
@@ -59,8 +77,10 @@
             HEALTHY_STORE
         ),
         view_backlog: job_admission.BacklogView = lambda service: None,
+        known_queues: queue_records.QueueRecords | None = None,
     ) -> None:
         self._store = store
+        self._known_queues = known_queues or queue_records.QueueRecords(store)
         self._admission = job_admission.JobAdmission(store, view_backlog)
         self._relay = relay
         self._view_store = view_store
@@ -207,6 +227,57 @@
             return submission_relay.Outcome.UNKNOWN, None
         return submission_relay.Outcome.REFUSED, None
 
+    def state_at(self, address: JobAddress) -> Outcome:
+        """Reads the state of a job, also if its queue was removed."""
+        return self._ask_queues(
+            address, lambda queue: self.state(queue, address.job_id)
+        )
+
+    def cancel_at(self, address: JobAddress, deadline: float) -> Outcome:
+        """Cancels a job, also if its queue was removed."""
+        return self._ask_queues(
+            address, lambda queue: self.cancel(queue, address.job_id, deadline)
+        )
+
+    def _ask_queues(
+        self,
+        address: JobAddress,
+        ask: Callable[[queues.Queue], Outcome],
+    ) -> Outcome:
+        """Asks the present queue of an address, then its former queues.
+
+        Returns:
+            The first outcome that shows a job or leaves that open.
+        """
+        current = address.queue
+        if current is None and not self._known_queues.loaded:
+            return result.Failure(
+                errors.failure(
+                    errors.ErrorKind.NOT_READY,
+                    "the node has not read the removed queues yet",
+                )
+            )
+        former = self._known_queues.at(address.host, address.prefix)
+        candidates = (current, *former) if current else former
+        # The service locates the rows, so one queue of each is asked.
+        queue_by_service: dict[str, queues.Queue] = {}
+        for queue in candidates:
+            queue_by_service.setdefault(queue.service, queue)
+        for queue in queue_by_service.values():
+            outcome = ask(queue)
+            if isinstance(outcome, result.Success) or (
+                outcome.failure().kind is not errors.ErrorKind.NO_SUCH_JOB
+            ):
+                return outcome
+        return result.Failure(
+            _no_such_job(address.job_id)
+            if current
+            else errors.failure(
+                errors.ErrorKind.UNKNOWN_SERVICE,
+                f"no queue has the path {address.prefix!r}",
+            )
+        )
+
     def state(self, queue: queues.Queue, job_id: str) -> Outcome:
         """Reads the state of a job."""
         progress = self._read_row(
--- /dev/null
+++ b/wisteriasill/machines/queue_records.py
@@ -0,0 +1,240 @@
+"""Stored definitions of all queues, also of those removed since.
+
+An accepted job outlives its queue, and a node that starts after the removal has
+to find it. A row holds the newest definition of a queue.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+import threading
+from typing import Any, NamedTuple
+
+import cbor2
+from returns import result
+import xxhash
+
+from wisteriasill import events
+from wisteriasill.contracts import queue as queues
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_tables
+from wisteriasill.zones import shard_writer
+
+TABLE = "queues"
+PARTITION = ":queues"
+
+
+class KnownQueue(NamedTuple):
+    """A definition of a queue.
+
+    Attributes:
+        queue: The queue, without its timeout, which binds no job.
+        configuration: Version of the configuration that defined it so.
+    """
+
+    queue: queues.Queue
+    configuration: int
+
+    def replaces(self, other: KnownQueue | None) -> bool:
+        """Whether this definition is newer than another one and differs."""
+        return other is None or (
+            self.configuration > other.configuration
+            and self.queue != other.queue
+        )
+
+
+def _key(queue: queues.Queue) -> str:
+    """Returns the key of a queue's row, short for names of any length."""
+    identity = [queue.name, queue.host, queue.prefix, queue.service]
+    return xxhash.xxh3_128_hexdigest(cbor2.dumps(identity))
+
+
+def encode(known: KnownQueue) -> bytes:
+    """Encodes a queue as the value of its row."""
+    queue = known.queue
+    return cbor2.dumps(
+        [
+            known.configuration,
+            queue.name,
+            queue.host,
+            queue.prefix,
+            queue.service,
+            queue.priority,
+            queue.max_attempts,
+            queue.stretch,
+            queue.target_latency_seconds,
+            [*queue.advice] if queue.advice else None,
+        ]
+    )
+
+
+def decode(value: bytes) -> KnownQueue:
+    """Decodes the value of a queue's row; a later release may append fields.
+
+    Raises:
+        ValueError: The value is no queue.
+    """
+    try:
+        data: list[Any] = cbor2.loads(value)
+        configuration, name, host, prefix, service = data[:5]
+        priority, max_attempts, stretch, latency_seconds, advice = data[5:10]
+        return KnownQueue(
+            queues.Queue(
+                str(name),
+                str(host),
+                str(prefix),
+                str(service),
+                int(priority),
+                int(max_attempts),
+                float(stretch),
+                float(latency_seconds),
+                0.0,
+                queues.AdviceRule(*advice) if advice else None,
+            ),
+            int(configuration),
+        )
+    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+        raise ValueError(f"unreadable queue record: {error!r}") from error
+
+
+class QueueRecords:
+    """The queues of all configurations that any node has applied.
+
+    Args:
+        store: The platform's store.
+
+    Attributes:
+        loaded: Whether the stored queues have been read.
+    """
+
+    def __init__(self, store: cluster.RowStore) -> None:
+        self._store = store
+        self._lock = threading.Lock()
+        # Both are replaced as a whole, so that readers need no lock.
+        self._known_by_key: Mapping[str, KnownQueue] = {}
+        self._queues_by_address: Mapping[
+            tuple[str, str], tuple[queues.Queue, ...]
+        ] = {}
+        self._unreadable_keys: set[str] = set()
+        self.loaded = False
+
+    def add(self, configuration: queues.SiteConfiguration) -> None:
+        """Takes in the queues of a configuration; `store` stores them."""
+        self._merge(
+            {
+                _key(queue): KnownQueue(
+                    queue._replace(timeout_seconds=0.0), configuration.version
+                )
+                for queue in configuration.queue_by_name.values()
+            }
+        )
+
+    def store(self) -> bool:
+        """Reads the stored queues and stores those that are new or differ.
+
+        The read also shows queues of configurations that this node missed.
+
+        Returns:
+            Whether all known queues are stored.
+        """
+        page = batch_tables.read_all(self._store, TABLE, PARTITION)
+        if page is None:
+            return False
+        row_by_key = {row.key: row for row in page.rows if row.value}
+        stored_by_key = {
+            key: stored
+            for key, row in row_by_key.items()
+            if (stored := self._decode_row(row))
+        }
+        self._merge(stored_by_key)
+        self.loaded = True
+        changed = [
+            (
+                cluster.RowVersion(
+                    TABLE, key, row_by_key[key].version if stored else 0
+                ),
+                cluster.RowWrite(TABLE, key, encode(known)),
+            )
+            for key, known in self._known_by_key.items()
+            if key not in self._unreadable_keys
+            and known.replaces(stored := stored_by_key.get(key))
+        ]
+        size = shard_writer.WRITES_PER_TRANSACTION
+        return all(
+            self._write(changed[first : first + size])
+            for first in range(0, len(changed), size)
+        )
+
+    def services(self) -> frozenset[str]:
+        """Returns the services of all queues."""
+        return frozenset(
+            known.queue.service for known in self._known_by_key.values()
+        )
+
+    def of_service(self, service: str) -> dict[str, queues.Queue]:
+        """Returns the newest definition of each queue of a service, by name."""
+        return {
+            known.queue.name: known.queue
+            for known in _oldest_first(self._known_by_key.values())
+            if known.queue.service == service
+        }
+
+    def at(self, host: str, prefix: str) -> tuple[queues.Queue, ...]:
+        """Returns all queues that have had an address, the newest first."""
+        return self._queues_by_address.get((host, prefix), ())
+
+    def _merge(self, other_by_key: Mapping[str, KnownQueue]) -> None:
+        with self._lock:
+            self._known_by_key = {
+                **self._known_by_key,
+                **{
+                    key: other
+                    for key, other in other_by_key.items()
+                    if other.replaces(self._known_by_key.get(key))
+                },
+            }
+            queues_by_address: dict[
+                tuple[str, str], tuple[queues.Queue, ...]
+            ] = {}
+            for queue, _ in reversed(
+                _oldest_first(self._known_by_key.values())
+            ):
+                address = queue.host, queue.prefix
+                queues_by_address[address] = (
+                    *queues_by_address.get(address, ()),
+                    queue,
+                )
+            self._queues_by_address = queues_by_address
+
+    def _decode_row(self, row: cluster.StoredRow) -> KnownQueue | None:
+        try:
+            return decode(row.value or b"")
+        except ValueError as error:
+            if row.key not in self._unreadable_keys:
+                self._unreadable_keys.add(row.key)
+                events.log(
+                    events.Event.CONFIGURATION_INVALID,
+                    "A stored queue can't be read; its row is left as it is",
+                    level="ERROR",
+                    key=row.key,
+                    error=str(error),
+                )
+            return None
+
+    def _write(
+        self, rows: Iterable[tuple[cluster.RowVersion, cluster.RowWrite]]
+    ) -> bool:
+        required, writes = zip(*rows, strict=True)
+        return isinstance(
+            self._store.transact(
+                PARTITION,
+                required,
+                writes,
+                shard_writer.TRANSACTION_TIMEOUT_SECONDS,
+            ),
+            result.Success,
+        )
+
+
+def _oldest_first(known: Iterable[KnownQueue]) -> list[KnownQueue]:
+    return sorted(known, key=lambda each: each.configuration)
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -23,12 +23,14 @@
 from wisteriasill.machines import fleet_controller
 from wisteriasill.machines import fleet_rows
 from wisteriasill.machines import job_api
+from wisteriasill.machines import queue_records
 from wisteriasill.machines import site_links
 from wisteriasill.zones import shard_claims
 from wisteriasill.zones import shard_writer
 
 WATCH_SECONDS = 1.0  # Half of the time in which a change must take effect.
 RETRY_SECONDS = 0.2
+QUEUES_RETRY_SECONDS = 1.0
 # The controller of a pool of 40 workers uses half a core at its peak. It reads
 # 2 MB at its start, which takes 2 s at 10 Mbit/s.
 FULL_STRENGTH_CORES = 0.9
@@ -82,6 +84,8 @@
         self.wave_by_number: dict[int, queues.WaveOrder] = {}
         self._stopping = threading.Event()
         self._closed = threading.Event()
+        self._adopted = threading.Event()
+        self._queues = queue_records.QueueRecords(links.store)
         self._store_seen_at = 0.0
         self._claims = shard_claims.ShardClaims(
             links.store,
@@ -94,6 +98,7 @@
             submission_relay.PeerRelay(self._relay_addresses),
             self._view_store,
             self._claims.backlog,
+            self._queues,
         )
 
     @property
@@ -154,6 +159,7 @@
         """Starts the node's threads."""
         for name, run, closing in (
             ("operators watch", self._watch_operators, self._closed),
+            ("queue records", self._store_queues, self._closed),
             ("shard claims", self._claim_shards, self._stopping),
         ):
             restarting_task.start(name, run, closing)
@@ -169,6 +175,7 @@
     def close(self) -> None:
         """Stops watching the configuration, once no caller is served."""
         self._closed.set()
+        self._adopted.set()
 
     def _make_controller(
         self, writer: shard_writer.ShardWriter
@@ -178,9 +185,11 @@
             return fleet_controller.FleetController(
                 self._links, writer, self._site_state
             )
-        return batch_controller.BatchController(
+        controller = batch_controller.BatchController(
             self._links, writer, self.configuration
         )
+        controller.pool.add_former_queues(self._queues.of_service(writer.shard))
+        return controller
 
     def _site_state(
         self,
@@ -201,7 +210,13 @@
                     [*sorted(services), fleet_rows.SHARD],
                     # Their queues may have been removed after they accepted
                     # jobs, which still have to be run.
-                    sorted({*configuration.service_by_name} - services),
+                    sorted(
+                        {
+                            *configuration.service_by_name,
+                            *self._queues.services(),
+                        }
+                        - services
+                    ),
                 )
             except Exception as error:
                 # A failed round must not stop later ones.
@@ -212,6 +227,17 @@
                     error=repr(error),
                 )
 
+    def _store_queues(self) -> None:
+        """Stores the queues of each new configuration and reads all others."""
+        while not self._closed.is_set():
+            if not self._queues.store():
+                self._closed.wait(QUEUES_RETRY_SECONDS)
+                continue
+            for shard, pool in self.pools().items():
+                pool.add_former_queues(self._queues.of_service(shard))
+            self._adopted.wait()
+            self._adopted.clear()
+
     def _watch_operators(self) -> None:
         operators = self._links.operators
         version: int | None = None
@@ -251,7 +277,9 @@
         current = self.configuration
         if current is not None and configuration.version <= current.version:
             return
+        self._queues.add(configuration)
         self.configuration = configuration
+        self._adopted.set()
         events.log(
             events.Event.CONFIGURATION_ADOPTED,
             "This node applied a configuration",
