Leave out a row that the store refuses, and fail its job alone

What callers saw: once a job's progress row grew over `row_bytes`, accepted jobs of the same pool never started on idle workers, and long-running tasks were not started again. No later holder changed that.

Cause: `WireStore` took status 400 for a store that is unavailable, and `ShardWriter._store_batch` repeats such a transaction for ever, together with the rows of all other jobs and the heartbeat.

Ruled out: giving the job up at the first 400. A store that answers all transactions so would end every job of the pool. Holding the job instead of failing it: its ends could not be acknowledged, and a worker lists only 500 of them, so the ends of other jobs would wait behind them.

A refused transaction is halved until the refused row is alone; it is left out, and logged as 703 ROW_REFUSED, if the store accepts the heartbeat right after. Rows longer than the setting `platform.row_bytes` are not sent. The controller fails the job of such a row before any start of the round is sent. Starts that were not stored end in state PLANNED, so they are never sent. Workers keep their ends until the job's final state, a few bytes, is stored. A successor that comes before that goes on from the last stored row. A kind of `errors.ErrorKind` doesn't fit, as no caller gets this fault.

--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -136,6 +136,8 @@
             return 412, {"rows": [_row(row) for row in fault.rows]}
         if fault.kind is cluster.StoreFaultKind.OUTCOME_UNKNOWN:
             return 500, {}  # Represents a lost response.
+        if fault.kind is cluster.StoreFaultKind.INVALID:
+            return 400, {"error": fault.detail}
         return 503, {}
 
 
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -16,6 +16,9 @@
 UNAVAILABLE = cluster.StoreFault(
     cluster.StoreFaultKind.UNAVAILABLE, "the store is down"
 )
+INVALID = cluster.StoreFault(
+    cluster.StoreFaultKind.INVALID, "a value is longer than row_bytes"
+)
 UNKNOWN = cluster.StoreFault(
     cluster.StoreFaultKind.OUTCOME_UNKNOWN, "the answer was lost"
 )
@@ -57,6 +60,7 @@
             take effect at `deliver_delayed`.
         unanswered_seconds: Time that clients would have waited for responses
             that they did not get.
+        row_bytes: Longest value that it accepts.
         on_commit: Called with each transaction that takes effect, before its
             response.
     """
@@ -68,6 +72,7 @@
         self.delayed_writes = 0
         self.unanswered_seconds = 0.0
         self.history_from = 0
+        self.row_bytes = cluster.DOCUMENTED_LIMITS.row_bytes
         self.on_commit: Callable[[Commit], None] = lambda commit: None
         self._version = 0
         self._row_by_key: dict[tuple[str, str, str], cluster.StoredRow] = {}
@@ -86,6 +91,10 @@
         with self._changed:
             if self._refuses():
                 return result.Failure(UNAVAILABLE)
+            if any(
+                len(write.value or b"") > self.row_bytes for write in writes
+            ):
+                return result.Failure(INVALID)
             if self.delayed_writes:
                 self.delayed_writes -= 1
                 self._delayed.append(
--- a/tests/adapter/test_platform_contract_http.py
+++ b/tests/adapter/test_platform_contract_http.py
@@ -112,6 +112,15 @@
     assert fault.kind is cluster.StoreFaultKind.UNAVAILABLE
 
 
+def test_a_row_over_the_limit_is_told_from_a_store_that_is_down(
+    store: wire_store.WireStore, memory: row_store.MemoryRowStore
+) -> None:
+    """A repeat of such a call never succeeds."""
+    write = cluster.RowWrite("t", "k", bytes(memory.row_bytes + 1))
+    fault = store.transact("p", [], [write], 1.0).failure()
+    assert fault.kind is cluster.StoreFaultKind.INVALID
+
+
 def test_a_dropped_history_is_reported(
     store: wire_store.WireStore, memory: row_store.MemoryRowStore
 ) -> None:
--- a/tests/zones/test_shard_writer.py
+++ b/tests/zones/test_shard_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 import math
 import threading
 import time
@@ -12,6 +13,7 @@
 
 from standins import row_store
 from wisteriasill import clock
+from wisteriasill import events
 from wisteriasill.links import cluster
 from wisteriasill.zones import shard_writer
 
@@ -197,3 +199,67 @@
     writer.release()
     store.transact("s", [], [row], 1.0)
     assert claim(store, "n2").seized_at == -math.inf
+
+
+def keys_of(rows: Sequence[cluster.RowWrite]) -> list[str]:
+    return [row.key for row in rows]
+
+
+@pytest.mark.parametrize("limit_is_known", [True, False])
+def test_a_row_over_the_limit_does_not_hold_up_others(
+    store: row_store.MemoryRowStore, limit_is_known: bool
+) -> None:
+    """The transaction was repeated for ever, with the heartbeat in it."""
+    store.row_bytes = 100
+    stopping = threading.Event()
+    timer = threading.Timer(2.0, stopping.set)
+    timer.start()
+    limits = cluster.StoreLimits(100 if limit_is_known else 1000)
+    writer = shard_writer.ShardWriter(store, "s", "n1", stopping, limits)
+    assert writer.claim(shard_writer.UNOWNED)
+    stored: list[str] = []
+    refused: list[str] = []
+    handlers = shard_writer.RowHandlers(
+        lambda rows: stored.extend(keys_of(rows)),
+        lambda rows: refused.extend(keys_of(rows)),
+    )
+    rows = [
+        cluster.RowWrite("t", str(number), bytes(101 if number == 7 else 1))
+        for number in range(20)
+    ]
+    status = cbor2.dumps({"pending": {}})
+    former = {line.sequence for line in events.RECENT.after(0)}
+    assert writer.commit(rows, status, handlers) is STORED
+    timer.cancel()
+    assert refused == ["7"]
+    assert stored == [
+        shard_writer.HEARTBEAT,
+        *(row.key for row in rows if row.key != "7"),
+    ]
+    assert value_of(store, "7") is None
+    assert value_of(store, "19") == b"\0"
+    state = shard_writer.read_state(store, "s").unwrap()
+    assert state.status == {"pending": {}}
+    assert [
+        line.event
+        for line in events.RECENT.after(0)
+        if line.sequence not in former
+    ] == [events.Event.ROW_REFUSED]
+    assert writer.commit([cluster.RowWrite("t", "7", b"1")]) is STORED
+
+
+def test_no_row_is_left_out_while_the_store_refuses_all(
+    store: row_store.MemoryRowStore,
+) -> None:
+    stopping = threading.Event()
+    writer = shard_writer.ShardWriter(store, "s", "n1", stopping)
+    assert writer.claim(shard_writer.UNOWNED)
+    store.row_bytes = -1
+    threading.Timer(0.3, stopping.set).start()
+    refused: list[cluster.RowWrite] = []
+    outcome = writer.commit(
+        [cluster.RowWrite("t", "1", b"1"), cluster.RowWrite("t", "2", b"2")],
+        handlers=shard_writer.RowHandlers(on_refused=refused.extend),
+    )
+    assert outcome is shard_writer.CommitOutcome.STOPPED
+    assert not refused
--- a/wisteriasill/links/cluster.py
+++ b/wisteriasill/links/cluster.py
@@ -18,6 +18,19 @@
 from wisteriasill.contracts import queue
 
 
+class StoreLimits(NamedTuple):
+    """Limits of the platform's store.
+
+    Attributes:
+        row_bytes: Longest value of a row.
+    """
+
+    row_bytes: int
+
+
+DOCUMENTED_LIMITS = StoreLimits(65_536)
+
+
 class StoredRow(NamedTuple):
     """A row of the store.
 
@@ -67,12 +80,16 @@
 
 
 class StoreFaultKind(enum.StrEnum):
-    """Why a call to the store failed."""
+    """Why a call to the store failed.
+
+    INVALID means that the store refuses the call however often it is made.
+    """
 
     CONFLICT = "conflict"
     UNAVAILABLE = "unavailable"
     OUTCOME_UNKNOWN = "outcome-unknown"
     HISTORY_LOST = "history-lost"
+    INVALID = "invalid"
 
 
 class StoreFault(NamedTuple):
--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -187,11 +187,15 @@
             deletions = self._deletions(now)
         status, load_writes = self._heartbeat(now)
         writes = [*load_writes, *writes, *deletions]
+        refused: list[str] = []
         if writes or status:
             outcome = self._writer.commit(
                 writes,
                 status,
-                lambda stored: self._send_starts(changed.planned, stored),
+                shard_writer.RowHandlers(
+                    lambda stored: self._send_starts(changed.planned, stored),
+                    lambda rows: refused.extend(self._fail_jobs(rows)),
+                ),
             )
             if outcome is not shard_writer.CommitOutcome.STORED:
                 self._handle_commit_failure(outcome)
@@ -201,7 +205,9 @@
                 self._storing_ids = frozenset()
             self._links.metrics.count("pool_commits")
             self._links.metrics.count("pool_rows_written", len(writes))
-        self._acknowledge(changed.last_end_by_worker)
+        if not refused:
+            # Else workers keep their ends until the failed jobs are stored.
+            self._acknowledge(changed.last_end_by_worker)
 
     def _heartbeat(
         self, now: float
@@ -342,19 +348,28 @@
     def _deletions(self, now: float) -> list[cluster.RowWrite]:
         """Returns deletions of progress rows of jobs that ended long ago."""
         writes: list[cluster.RowWrite] = []
+        table = batch_tables.progress_table(self._service)
         ended_at_by_id = self.pool.ended_at_by_id
         while ended_at_by_id and len(writes) < 2 * DELETES_PER_ROUND:
             job_id, ended_at = next(iter(ended_at_by_id.items()))
             if now - ended_at < ENDED_JOB_TTL_SECONDS:
                 break
             del ended_at_by_id[job_id]
-            writes.append(
-                cluster.RowWrite(
-                    batch_tables.progress_table(self._service), job_id, None
-                )
-            )
+            writes.append(cluster.RowWrite(table, job_id, None))
         return writes
 
+    def _fail_jobs(self, refused: Sequence[cluster.RowWrite]) -> list[str]:
+        """Fails the jobs whose progress the store does not accept.
+
+        Returns:
+            The ids of the jobs.
+        """
+        table = batch_tables.progress_table(self._service)
+        job_ids = [write.key for write in refused if write.table == table]
+        for job_id in job_ids:
+            self.pool.fail_unstorable(job_id)
+        return job_ids
+
     def _send_starts(
         self,
         planned: Sequence[batch_job.Run],
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -220,6 +220,13 @@
             self._stop_run(run, "its job failed")
         self._finish(job, batch_job.JobState.FAILED, reason)
 
+    def fail_unstorable(self, job_id: str) -> None:
+        """Fails a job whose progress the store refuses."""
+        with self.lock:
+            if job := self.job_by_id.get(job_id):
+                self._fail_job(job, "the store refuses its progress")
+        self._changed.set()
+
     def _end_run(self, run: batch_job.Run) -> None:
         """Ends a run, releases its resources and queues its unit again."""
         if run.state is batch_job.RunState.ENDED:
--- a/wisteriasill/machines/site_links.py
+++ b/wisteriasill/machines/site_links.py
@@ -14,6 +14,7 @@
 
     Attributes:
         advice: None if the platform has no advice service.
+        limits: Limits of the store.
     """
 
     store: cluster.RowStore
@@ -23,3 +24,4 @@
     advice: cluster.AdviceLink | None
     open_worker: Callable[[cluster.WorkerEntry], cluster.WorkerLink]
     metrics: metrics.Metrics
+    limits: cluster.StoreLimits = cluster.DOCUMENTED_LIMITS
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -88,6 +88,7 @@
             settings.name,
             self._make_controller,
             shard_claims.NodeEntry(strength(settings), settings.relay_address),
+            links.limits,
         )
         self.api = job_api.JobApi(
             links.store,
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -110,8 +110,10 @@
             [shard_writer.ShardWriter], ClaimedShardController
         ],
         own_entry: NodeEntry,
+        limits: cluster.StoreLimits = cluster.DOCUMENTED_LIMITS,
     ) -> None:
         self._store = store
+        self._limits = limits
         self._node = node
         self._make_controller = make_controller
         self._own_entry = own_entry
@@ -363,7 +365,7 @@
         self, shard: str, state: shard_writer.ShardState, silent_seconds: float
     ) -> None:
         writer = shard_writer.ShardWriter(
-            self._store, shard, self._node, self._stopping
+            self._store, shard, self._node, self._stopping, self._limits
         )
         if not writer.claim(state):
             return
--- a/wisteriasill/zones/shard_writer.py
+++ b/wisteriasill/zones/shard_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable, Iterator, Sequence
 import contextlib
 import enum
@@ -53,6 +54,22 @@
     STORED = enum.auto()
     LOST = enum.auto()
     STOPPED = enum.auto()
+    REFUSED = enum.auto()
+
+
+class RowHandlers(NamedTuple):
+    """Functions that a commit calls with rows as soon as their fate is known.
+
+    Attributes:
+        on_stored: Called with the rows of each transaction that is stored.
+        on_refused: Called with rows that the store never accepts.
+    """
+
+    on_stored: Callable[[Sequence[cluster.RowWrite]], None] = lambda _: None
+    on_refused: Callable[[Sequence[cluster.RowWrite]], None] = lambda _: None
+
+
+NO_HANDLERS = RowHandlers()
 
 
 class ShardState(NamedTuple):
@@ -134,6 +151,7 @@
         shard: Name of the shard and of the partition with all its rows.
         node: Name of this node.
         stopping: Interrupts retries.
+        limits: Limits of the store.
 
     Attributes:
         stored_at: Monotonic time of the last stored transaction.
@@ -152,8 +170,10 @@
         shard: str,
         node: str,
         stopping: threading.Event,
+        limits: cluster.StoreLimits = cluster.DOCUMENTED_LIMITS,
     ) -> None:
         self._store = store
+        self._limits = limits
         self.shard = shard
         self._node = node
         self._stopping = stopping
@@ -210,36 +230,76 @@
         self,
         writes: Sequence[cluster.RowWrite],
         status: bytes | None = None,
-        on_stored: Callable[[Sequence[cluster.RowWrite]], None] = lambda _: (
-            None
-        ),
+        handlers: RowHandlers = NO_HANDLERS,
     ) -> CommitOutcome:
         """Stores rows, with retries until the outcome is known.
 
+        Rows that the store refuses for good are left out.
+
         Args:
             writes: Rows to write, each at most once.
             status: Status to publish, which also renews the ownership; None to
                 write the rows only.
-            on_stored: Called with the rows of each transaction that is stored.
+            handlers: What to do with stored and with refused rows.
 
         Returns:
-            Whether all rows are stored, the shard was lost or the node is
-            stopping.
+            Whether all other rows are stored, the shard was lost or the node
+            is stopping.
         """
+        if too_long := [write for write in writes if self._is_too_long(write)]:
+            writes = [write for write in writes if not self._is_too_long(write)]
+            self._leave_out(too_long, "longer than row_bytes", handlers)
         if status is not None:
             self._last_heartbeat = status
-            writes = [cluster.RowWrite(TABLE, HEARTBEAT, status), *writes]
+            writes = [self._heartbeat_write(), *writes]
         renews = status is not None
-        for batch in batches(writes):
+        pending = collections.deque(batches(writes))
+        while pending:
+            batch = pending.popleft()
             sent_at = clocks.boot_seconds()
             outcome = self._store_batch(batch)
+            if outcome is CommitOutcome.REFUSED and len(batch) > 1:
+                half = len(batch) // 2
+                pending.extendleft((batch[half:], batch[:half]))
+                continue
+            if outcome is CommitOutcome.REFUSED:
+                outcome = self._store_batch([self._heartbeat_write()])
+                if outcome is CommitOutcome.STORED:
+                    self._leave_out(batch, "refused alone", handlers)
+                    continue
             if outcome is not CommitOutcome.STORED:
                 return outcome
             if renews:  # The first transaction has the heartbeat.
                 self._renewed_at, renews = sent_at, False
-            on_stored(batch)
+            handlers.on_stored(batch)
         return CommitOutcome.STORED
 
+    def _heartbeat_write(self) -> cluster.RowWrite:
+        return cluster.RowWrite(TABLE, HEARTBEAT, self._last_heartbeat)
+
+    def _is_too_long(self, write: cluster.RowWrite) -> bool:
+        return len(write.value or b"") > self._limits.row_bytes
+
+    def _leave_out(
+        self,
+        refused: Sequence[cluster.RowWrite],
+        reason: str,
+        handlers: RowHandlers,
+    ) -> None:
+        """Reports rows that the store never accepts."""
+        for write in refused:
+            events.log(
+                events.Event.ROW_REFUSED,
+                "The store does not accept a row; it is left out",
+                level="ERROR",
+                shard=self.shard,
+                table=write.table,
+                key=write.key,
+                bytes=len(write.value or b""),
+                reason=reason,
+            )
+        handlers.on_refused(refused)
+
     @property
     def is_sole_holder(self) -> bool:
         """Whether no other node can have claimed the shard yet.
@@ -335,6 +395,11 @@
                 if outcome is CommitOutcome.STORED:
                     self.confirmed_at = confirmed_at
                 return outcome
+            # A store that refuses even the heartbeat has a fault of its own.
+            if fault.kind is cluster.StoreFaultKind.INVALID and (
+                {write.table for write in batch} != {TABLE}
+            ):
+                return CommitOutcome.REFUSED
             events.log(
                 events.Event.STORE_FAILED,
                 "Transaction was not stored; retrying",
