Split the progress of a long job over rows, and refuse what can't be stored

What callers saw: a scheduled job of 5,760 tasks was accepted with 200 and stopped its whole pool after some 4,500 tasks.

Acceptance did not look at sizes.

Ruled out: leaving done tasks out of the row in a compact form. A node of the release before could read no such row either, and the tasks that wait or run at one time still had no bound. Refusing by the worst case of one row: that is 540 bytes a task, so jobs of more than 121 tasks would be refused.

Fix: progress stays one row, in the form of before, until it would be longer than `row_bytes`. Then rows ID/N hold a fixed number of units each, so many that even the longest entries fit (`progress_rows.units_per_row`), and row ID holds the state and that number. Row ID is written after the rows of units. Where it is stored, so is every start of the job, and rows of units without a row ID that names their number don't count. Rows of units go in the order of steps, so no start is stored without the ends that it depends on. At the end of the job row ID is written before the others are deleted. Done units keep their entries; a successor marks them done and starts none of them again.

The same function decides at acceptance: a job is refused with 400, kind bad-request, executed no, if one unit might not fit into a row (a gang of more than 271 tasks, with ids of workers of 200 bytes), or if the job's own row would be too long. All others are accepted up to the 10,000 tasks of before. Checkpoints of more than 200 bytes are not stored, as nothing bounds them.

Releases: rows of the release before are read. A node of that release that gets a split job logs JOB_UNREADABLE, leaves its rows and doesn't run it; it runs the other jobs.

--- a/tests/machines/test_job_api.py
+++ b/tests/machines/test_job_api.py
@@ -380,3 +380,15 @@
     began = time.monotonic()
     assert isinstance(submit(api, seconds), result.Failure)
     assert time.monotonic() - began < seconds
+
+
+def test_a_job_that_can_not_be_stored_is_refused_at_once(
+    api: job_api.JobApi, store: row_store.MemoryRowStore
+) -> None:
+    spec = job_spec.JobSpec("text", (batch_site.step(1000, gang=True),))
+    outcome = api.submit(batch_site.QUEUE, JOB, spec, time.monotonic() + 1.0)
+    refusal = outcome.failure()
+    assert refusal.kind is errors.ErrorKind.BAD_REQUEST
+    assert refusal.executed is errors.Executed.NO
+    assert "a gang of 1000 tasks" in refusal.detail
+    assert not stored_rows(store)
--- a/wisteriasill/links/cluster.py
+++ b/wisteriasill/links/cluster.py
@@ -17,6 +17,9 @@
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue
 
+# Longest table name, partition or key of a row.
+MAX_KEY_BYTES = 200
+
 
 class StoreLimits(NamedTuple):
     """Limits of the platform's store.
--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -28,6 +28,7 @@
 from wisteriasill.machines import batch_tables
 from wisteriasill.machines import batch_watch
 from wisteriasill.machines import fleet_rows
+from wisteriasill.machines import progress_rows
 from wisteriasill.machines import site_links
 from wisteriasill.machines import worker as workers
 from wisteriasill.zones import shard_writer
@@ -179,10 +180,9 @@
             changed = pool.take_changed(self._writer.response_seconds, now)
             self._storing_ids = frozenset(job.job_id for job in changed.jobs)
             writes = [
-                cluster.RowWrite(
-                    table, job.job_id, batch_job.encode_progress(job)
-                )
+                cluster.RowWrite(table, *row)
                 for job in changed.jobs
+                for row in progress_rows.encode(job, self._links.limits)
             ]
             deletions = self._deletions(now)
         status, load_writes = self._heartbeat(now)
@@ -356,7 +356,12 @@
                 break
             del ended_at_by_id[job_id]
             writes.append(cluster.RowWrite(table, job_id, None))
-        return writes
+        unused_keys = self.pool.unused_progress_keys
+        self.pool.unused_progress_keys = unused_keys[DELETES_PER_ROUND:]
+        return writes + [
+            cluster.RowWrite(table, key, None)
+            for key in unused_keys[:DELETES_PER_ROUND]
+        ]
 
     def _fail_jobs(self, refused: Sequence[cluster.RowWrite]) -> list[str]:
         """Fails the jobs whose progress the store does not accept.
@@ -365,7 +370,11 @@
             The ids of the jobs.
         """
         table = batch_tables.progress_table(self._service)
-        job_ids = [write.key for write in refused if write.table == table]
+        job_ids = [
+            progress_rows.job_id_of(write.key)
+            for write in refused
+            if write.table == table
+        ]
         for job_id in job_ids:
             self.pool.fail_unstorable(job_id)
         return job_ids
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 import enum
 import itertools
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -237,6 +237,9 @@
         record_version: Version of the job's record in the store.
         partition_key: Partition of the job's record.
         has_begun: Whether a worker has confirmed that it began a task.
+        units_per_row: Units in each row of its progress; 0 while all are in
+            the job's own row.
+        part_value_by_key: Values of its stored rows of units.
         ready: Units that wait for a worker.
         core_seconds_left: Predicted CPU time of the units not done.
     """
@@ -259,6 +262,8 @@
         self.units_left_by_step: dict[tuple[int, int], int] = {}
         self.done_seconds_by_step: dict[tuple[int, int], list[float]] = {}
         self.has_begun = False
+        self.units_per_row = 0
+        self.part_value_by_key: dict[str, bytes] = {}
         self.ready: dict[UnitKey, Unit] = {}
         self.opened_occurrences = 0
         self.waiting_logged_at = age_since
@@ -402,6 +407,9 @@
 _RUN_FIELDS = 4
 # Fields of a unit before its crashes.
 _UNIT_FIELDS = 8
+# A longer checkpoint is not stored; after a change of the holder, its task
+# may start from scratch.
+MAX_CHECKPOINT_BYTES = 200
 
 
 class StoredUnit(NamedTuple):
@@ -417,11 +425,17 @@
 
 
 class Progress(NamedTuple):
-    """Stored form of a job's progress."""
+    """Stored form of a job's progress.
+
+    Attributes:
+        units_per_row: Units in each of the rows that the units are in; 0 if
+            they are in the job's own row.
+    """
 
     state: JobState
     opened_occurrences: int
     units: tuple[StoredUnit, ...]
+    units_per_row: int = 0
 
 
 def encode_progress(job: Job) -> bytes:
@@ -434,6 +448,13 @@
     return cbor2.dumps([job.state.value, job.opened_occurrences, units])
 
 
+def encode_units(units: Iterable[Unit]) -> bytes:
+    """Encodes units of a job in the form of `encode_progress`."""
+    return cbor2.dumps(
+        [JobState.RUNNING.value, 0, [_encode_unit(unit) for unit in units]]
+    )
+
+
 def _encode_unit(unit: Unit) -> list[Any]:
     runs = [
         *(
@@ -453,7 +474,7 @@
         unit.last_run,
         unit.failures,
         unit.done,
-        unit.checkpoint,
+        _checkpoint_to_store(unit),
         [[*run[:_RUN_FIELDS]] for run in runs],
         # The release before reads these two, and nothing behind them.
         [unit.crash_record.crashes, unit.crash_record.suspicions],
@@ -461,6 +482,11 @@
     ]
 
 
+def _checkpoint_to_store(unit: Unit) -> str:
+    length = len(unit.checkpoint.encode())
+    return unit.checkpoint if length <= MAX_CHECKPOINT_BYTES else ""
+
+
 def decode_progress(value: bytes) -> Progress:
     """Decodes a value written by `encode_progress`.
 
@@ -480,7 +506,7 @@
 
 
 def _decode_progress(value: bytes) -> Progress:
-    state, opened_occurrences, units = cbor2.loads(value)
+    state, opened_occurrences, units, *layout = cbor2.loads(value)
     return Progress(
         JobState(state),
         opened_occurrences,
@@ -514,6 +540,7 @@
                 *versions,
             ) in (_with_crashes(unit) for unit in units)
         ),
+        layout[0] if layout else 0,
     )
 
 
--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterable
 import itertools
 import time
 from typing import NamedTuple
@@ -13,6 +14,7 @@
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_runs
+from wisteriasill.machines import progress_rows
 
 # Weight of the newest value in exponentially weighted means.
 MEAN_WEIGHT = 0.05
@@ -51,19 +53,19 @@
     def load(self, loaded: LoadedPool) -> None:
         """Loads the rows that the former holder and the entry hosts wrote."""
         progress_by_id: dict[str, StoredProgress] = {}
-        for row in loaded.progress:
-            if row.value is None:
-                continue
+        for job_id, rows in progress_rows.group_by_job(loaded.progress):
             try:
-                progress_by_id[row.key] = StoredProgress(
-                    batch_job.decode_progress(row.value), row.version
-                )
+                if progress := progress_rows.decode(rows):
+                    progress_by_id[job_id] = StoredProgress(
+                        progress, max(row.version for row in rows)
+                    )
             except ValueError as error:
-                self._ignore_job(row.key, error)
+                self._ignore_job(job_id, error)
         with self.lock:
             for row in loaded.records:
                 self._track_short_row(row)
                 self._add_job(row, progress_by_id.get(row.key), is_new=False)
+            self._adopt_parts(loaded.progress)
             restored = self._restored_runs_by_worker
             events.log(
                 events.Event.RUNS_RESTORED,
@@ -75,6 +77,17 @@
                 epoch=self.fencing_epoch,
             )
 
+    def _adopt_parts(self, rows: Iterable[cluster.StoredRow]) -> None:
+        """Records rows of units, those of ended jobs as to be deleted."""
+        for row in rows:
+            if row.value is None or not progress_rows.is_part(row.key):
+                continue
+            job_id = progress_rows.job_id_of(row.key)
+            if job := self.job_by_id.get(job_id):
+                job.part_value_by_key[row.key] = row.value
+            elif job_id not in self._unreadable_ids:
+                self.unused_progress_keys.append(row.key)
+
     def on_record(self, row: cluster.StoredRow) -> None:
         """Handles a changed job row: a new job, or a cancellation."""
         with self.lock:
@@ -237,6 +250,7 @@
     def _restore(self, job: batch_job.Job, loaded: StoredProgress) -> None:
         progress = loaded.progress
         job.state = progress.state
+        job.units_per_row = progress.units_per_row
         for occurrence in range(progress.opened_occurrences):
             job.open_occurrence(occurrence)
         for stored in progress.units:
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -118,6 +118,8 @@
             collections.OrderedDict()
         )
         self.ended_records: list[EndedRecord] = []
+        # Rows of units of jobs that ended under a former holder.
+        self.unused_progress_keys: list[str] = []
         # Rows of jobs that ended or were turned away, and since when.
         self._short_row_by_id: collections.OrderedDict[
             str, tuple[EndedRecord, float]
--- a/wisteriasill/machines/job_api.py
+++ b/wisteriasill/machines/job_api.py
@@ -24,6 +24,7 @@
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_tables
 from wisteriasill.machines import job_admission
+from wisteriasill.machines import progress_rows
 from wisteriasill.zones import shard_writer
 
 Outcome = result.Result[batch_job.JobState, errors.Failure]
@@ -49,6 +50,7 @@
         relay: Stores jobs through other nodes; None for no relay.
         view_store: Returns what the node knows of its connection to the store.
         view_backlog: Returns what the node knows of a pool's backlog.
+        limits: Limits of the store.
     """
 
     def __init__(
@@ -59,8 +61,10 @@
             HEALTHY_STORE
         ),
         view_backlog: job_admission.BacklogView = lambda service: None,
+        limits: cluster.StoreLimits = cluster.DOCUMENTED_LIMITS,
     ) -> None:
         self._store = store
+        self._limits = limits
         self._admission = job_admission.JobAdmission(store, view_backlog)
         self._relay = relay
         self._view_store = view_store
@@ -84,6 +88,13 @@
         Returns:
             The job's state, or why it is not accepted or that is not known.
         """
+        record = job_spec.JobRecord(
+            queue.name, int(time.time() * 1000), False, spec
+        )
+        if reason := progress_rows.refusal_reason(record, self._limits):
+            return result.Failure(
+                errors.failure(errors.ErrorKind.BAD_REQUEST, reason)
+            )
         retry_after_seconds = self._admission.turn_away(
             queue,
             job_id,
@@ -99,9 +110,6 @@
                     retry_after_seconds=retry_after_seconds,
                 )
             )
-        record = job_spec.JobRecord(
-            queue.name, int(time.time() * 1000), False, spec
-        )
         submission = submission_relay.Submission(
             queue.service, job_id, cbor2.dumps(job_spec.encode(record))
         )
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -95,6 +95,7 @@
             submission_relay.PeerRelay(self._relay_addresses),
             self._view_store,
             self._claims.backlog,
+            links.limits,
         )
 
     @property
