--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -28,6 +28,7 @@
 from wisteriasill.machines import batch_tables
 from wisteriasill.machines import batch_watch
 from wisteriasill.machines import fleet_rows
+from wisteriasill.machines import progress_rows
 from wisteriasill.machines import site_links
 from wisteriasill.machines import worker as workers
 from wisteriasill.zones import shard_writer
@@ -197,19 +198,22 @@
         table = batch_tables.progress_table(self._service)
         with pool.lock:
             writes = [
-                cluster.RowWrite(
-                    table, job.job_id, batch_job.encode_progress(job)
-                )
+                cluster.RowWrite(table, *row)
                 for job in changed.jobs
+                for row in progress_rows.encode(job, self._links.limits)
             ]
             deletions = self._deletions(now)
         status, load_writes = self._heartbeat(now)
         writes = [*load_writes, *writes, *deletions]
+        refused: list[str] = []
         if writes or status:
             outcome = self._writer.commit(
                 writes,
                 status,
-                lambda stored: self._send_starts(changed.planned, stored),
+                shard_writer.RowHandlers(
+                    lambda stored: self._send_starts(changed.planned, stored),
+                    lambda rows: refused.extend(self._fail_jobs(rows)),
+                ),
             )
             if outcome is not shard_writer.CommitOutcome.STORED:
                 self._handle_commit_failure(outcome)
@@ -219,7 +223,9 @@
                 self._storing_ids = frozenset()
             self._links.metrics.count("pool_commits")
             self._links.metrics.count("pool_rows_written", len(writes))
-        self._acknowledge(changed.last_end_by_worker)
+        if not refused:
+            # Else workers keep their ends until the failed jobs are stored.
+            self._acknowledge(changed.last_end_by_worker)
 
     def _heartbeat(
         self, now: float
@@ -360,18 +366,36 @@
     def _deletions(self, now: float) -> list[cluster.RowWrite]:
         """Returns deletions of progress rows of jobs that ended long ago."""
         writes: list[cluster.RowWrite] = []
+        table = batch_tables.progress_table(self._service)
         ended_at_by_id = self.pool.ended_at_by_id
         while ended_at_by_id and len(writes) < 2 * DELETES_PER_ROUND:
             job_id, ended_at = next(iter(ended_at_by_id.items()))
             if now - ended_at < ENDED_JOB_TTL_SECONDS:
                 break
             del ended_at_by_id[job_id]
-            writes.append(
-                cluster.RowWrite(
-                    batch_tables.progress_table(self._service), job_id, None
-                )
-            )
-        return writes
+            writes.append(cluster.RowWrite(table, job_id, None))
+        unused_keys = self.pool.unused_progress_keys
+        self.pool.unused_progress_keys = unused_keys[DELETES_PER_ROUND:]
+        return writes + [
+            cluster.RowWrite(table, key, None)
+            for key in unused_keys[:DELETES_PER_ROUND]
+        ]
+
+    def _fail_jobs(self, refused: Sequence[cluster.RowWrite]) -> list[str]:
+        """Fails the jobs whose progress the store does not accept.
+
+        Returns:
+            The ids of the jobs.
+        """
+        table = batch_tables.progress_table(self._service)
+        job_ids = [
+            progress_rows.job_id_of(write.key)
+            for write in refused
+            if write.table == table
+        ]
+        for job_id in job_ids:
+            self.pool.fail_unstorable(job_id)
+        return job_ids
 
     def _send_starts(
         self,
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -92,6 +92,7 @@
             settings.name,
             self._make_controller,
             shard_claims.NodeEntry(strength(settings), settings.relay_address),
+            links.limits,
         )
         self.api = job_api.JobApi(
             links.store,
@@ -99,6 +100,7 @@
             self._view_store,
             self._claims.backlog,
             self._queues,
+            links.limits,
         )
 
     @property
