--- a/soak/callers.py
+++ b/soak/callers.py
@@ -23,6 +23,9 @@
 CANCELLED_STATUSES = (200, 410)
 MAX_REPEAT_SECONDS = 6.0
 LASTING_MS = 3_600_000
+OCCURRENCES = 6
+OCCURRENCE_INTERVAL_MS = 700
+MAX_TASKS = 4
 
 
 class Habits(NamedTuple):
@@ -37,6 +40,13 @@
         repeated_share: Share of the cancelled jobs that are submitted again
             after their cancellation.
         max_task_ms: Longest run time of a task.
+        gang_share: Share of the other jobs that are gangs, which last until
+            they are cancelled.
+        scheduled_share: Share of the other jobs that run several times and are
+            cancelled in between.
+        early_jobs: Number of jobs that are submitted before the first fault
+            and last until they are cancelled.
+        max_early_cancel_seconds: Longest time after which they are cancelled.
     """
 
     cancelled_share: float
@@ -45,10 +55,36 @@
     lasting_share: float = 0.0
     repeated_share: float = 0.0
     max_task_ms: int = 900
+    gang_share: float = 0.0
+    scheduled_share: float = 0.0
+    early_jobs: int = 0
+    max_early_cancel_seconds: float = 0.0
 
 
 # Callers that cancel many jobs and submit some of them again.
 CANCELLING = Habits(0.5, 0.3, 2.5, 0.15, 0.4, 2500)
+# The same with jobs that several holders have taken over, gangs and schedules.
+LATE_CANCELLING = CANCELLING._replace(
+    repeated_share=0.6,
+    gang_share=0.15,
+    scheduled_share=0.2,
+    early_jobs=3,
+    max_early_cancel_seconds=20.0,
+)
+
+
+class Draft(NamedTuple):
+    """A job before its submission.
+
+    Attributes:
+        tasks: Number of its tasks.
+        body: Body of the request.
+        is_cancelled: Whether it is cancelled in any case.
+    """
+
+    tasks: int
+    body: dict[str, object]
+    is_cancelled: bool
 
 
 class SubmittedJob(NamedTuple):
@@ -101,7 +137,15 @@
         self._thread = threading.Thread(target=self._run, daemon=True)
 
     def start(self) -> None:
-        """Starts to submit jobs."""
+        """Submits the early jobs, then starts to submit others."""
+        for _ in range(self._habits.early_jobs):
+            self.jobs.append(
+                self._submit(
+                    self._new_id(),
+                    _lasting(self._rng.randint(1, MAX_TASKS)),
+                    self._habits.max_early_cancel_seconds,
+                )
+            )
         self._thread.start()
 
     def close(self) -> None:
@@ -114,38 +158,49 @@
 
     def _run(self) -> None:
         while not self._closing.wait(self._pause_seconds):
-            self.jobs.append(self._submit())
-
-    def _submit(self) -> SubmittedJob:
-        job_id = f"{self._rng.getrandbits(64):016x}"
-        tasks = self._rng.randint(1, 4)
-        lasting = self._rng.random() < self._habits.lasting_share
-        step = {"cpu": 1000, "est_runtime_ms": 500}
-        body = {
-            "spec": str(
-                LASTING_MS
-                if lasting
-                else self._rng.randint(50, self._habits.max_task_ms)
-            ),
-            "steps": [step | {"count": tasks, "long_running": True}]
-            if lasting
-            else [
-                step | {"count": tasks},
-                step | {"count": 1, "after": [0]},
-            ],
-        }
+            self.jobs.append(
+                self._submit(
+                    self._new_id(),
+                    self._draft(),
+                    self._habits.max_cancel_seconds,
+                )
+            )
+
+    def _draft(self) -> Draft:
+        tasks = self._rng.randint(1, MAX_TASKS)
+        habits = self._habits
+        if self._rng.random() < habits.lasting_share:
+            return _lasting(tasks)
+        # A share of 0 draws no number, so that known seeds submit the same.
+        if habits.gang_share and self._rng.random() < habits.gang_share:
+            return _lasting_gang(tasks)
+        task_ms = self._rng.randint(50, habits.max_task_ms)
+        if (
+            habits.scheduled_share
+            and self._rng.random() < habits.scheduled_share
+        ):
+            return _scheduled(tasks, task_ms)
+        return _finite(tasks, task_ms)
+
+    def _new_id(self) -> str:
+        return f"{self._rng.getrandbits(64):016x}"
+
+    def _submit(
+        self, job_id: str, draft: Draft, max_cancel_seconds: float
+    ) -> SubmittedJob:
         statuses: list[int] = []
         for _ in range(ATTEMPTS):
-            statuses.append(self.call("POST", job_id, body)[0])
+            statuses.append(self.call("POST", job_id, draft.body)[0])
             if statuses[-1] == 200:
                 break
             time.sleep(ATTEMPT_PAUSE_SECONDS)
         cancelled = statuses[-1] == 200 and (
-            lasting or self._rng.random() < self._habits.cancelled_share
+            draft.is_cancelled
+            or self._rng.random() < self._habits.cancelled_share
         )
         if cancelled:
             delay_seconds = self._rng.uniform(
-                self._habits.min_cancel_seconds, self._habits.max_cancel_seconds
+                self._habits.min_cancel_seconds, max_cancel_seconds
             )
             is_repeated = self._rng.random() < self._habits.repeated_share
             self._cancellations.append(
@@ -153,12 +208,10 @@
                     self._cancel,
                     job_id,
                     time.monotonic() + delay_seconds,
-                    body if is_repeated else None,
+                    draft.body if is_repeated else None,
                 )
             )
-        return SubmittedJob(
-            job_id, tasks + (not lasting), tuple(statuses), cancelled
-        )
+        return SubmittedJob(job_id, draft.tasks, tuple(statuses), cancelled)
 
     def _cancel(self, job_id: str, at: float, repeated_body: object) -> None:
         """Cancels a job and may submit it again after the acknowledgement."""
@@ -194,3 +247,31 @@
             return answer.status, json.loads(answer.body)
         except json.JSONDecodeError:
             return answer.status, {}
+
+
+def _step(tasks: int, **fields: object) -> dict[str, object]:
+    return {"cpu": 1000, "est_runtime_ms": 500, "count": tasks, **fields}
+
+
+def _lasting(tasks: int) -> Draft:
+    steps = [_step(tasks, long_running=True)]
+    return Draft(tasks, {"spec": str(LASTING_MS), "steps": steps}, True)
+
+
+def _lasting_gang(tasks: int) -> Draft:
+    steps = [_step(tasks, gang=True)]
+    return Draft(tasks, {"spec": str(LASTING_MS), "steps": steps}, True)
+
+
+def _finite(tasks: int, task_ms: int) -> Draft:
+    steps = [_step(tasks), _step(1, after=[0])]
+    return Draft(tasks + 1, {"spec": str(task_ms), "steps": steps}, False)
+
+
+def _scheduled(tasks: int, task_ms: int) -> Draft:
+    body = _finite(tasks, task_ms).body | {
+        "start_at_ms": int(time.time() * 1000),
+        "interval_ms": OCCURRENCE_INTERVAL_MS,
+        "repeat_count": OCCURRENCES,
+    }
+    return Draft(OCCURRENCES * (tasks + 1), body, True)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -160,4 +160,10 @@
         cancellations.STOP_SECONDS,
         True,
     ),
+    "cancellations": FaultSet(
+        worker_faults.CANCELLATION_FAULTS,
+        callers.LATE_CANCELLING,
+        cancellations.STOP_SECONDS,
+        True,
+    ),
 }
--- a/soak/known_seeds.py
+++ b/soak/known_seeds.py
@@ -1,7 +1,8 @@
 """Seeds that failed before, each with its cause.
 
 Causes in the stand-ins and in the soak itself are listed too, as the same seed
-may find another fault. CI runs `CI_PLANS`; `python -m soak --known` runs all.
+may find another fault. `python -m soak --known` runs all of them. CI runs
+`CI_PLANS`, of which `LATE_CANCELLATIONS` has not failed.
 """
 
 from __future__ import annotations
@@ -14,6 +15,9 @@
 LISTED_AS_DOWN = plans.RunPlan(
     5116, "takeovers", seconds=8.0, workers=4, per_second=10.0, series=1
 )
+LATE_CANCELLATIONS = plans.RunPlan(
+    8001, "cancellations", seconds=8.0, workers=4, series=1
+)
 CAUSE_BY_PLAN: dict[plans.RunPlan, str] = {
     plans.RunPlan(
         1
@@ -107,4 +111,5 @@
     *(plans.RunPlan(seed, seconds=6.0, workers=4) for seed in (1, 3, 6, 45)),
     REFUSED_STOP,
     LISTED_AS_DOWN,
+    LATE_CANCELLATIONS,
 )
--- a/soak/worker_faults.py
+++ b/soak/worker_faults.py
@@ -332,3 +332,10 @@
     pause_after_commit,
     delay_orders,
 )
+# The same beside orders that workers refuse or don't get.
+CANCELLATION_FAULTS = (
+    *TAKEOVER_FAULTS,
+    restart_nodes_in_turn,
+    refuse_orders,
+    cut_from_node,
+)
