--- a/tests/machines/test_fleet_controller.py
+++ b/tests/machines/test_fleet_controller.py
@@ -347,6 +347,20 @@
     assert not hosts.orders
 
 
+def test_a_holder_that_releases_the_fleet_sends_no_order(start: Start) -> None:
+    """Orders that waited for others went out after the release.
+
+    Nobody checks their fencing token, and the successor has its own orders.
+    """
+    hosts = RecordedHosts({"h1": "bench", "h2": "rest"})
+    controller = start(hosts)
+    controller.close(release=True)
+    request = host_moves.DrainRequest("h2", "", "bench", 0)
+    outcome = controller._send_order(request)
+    assert outcome is cluster.HostOrderOutcome.UNKNOWN
+    assert not hosts.orders
+
+
 @pytest.mark.parametrize("number", [1, 3])
 def test_a_wave_is_not_finished_while_one_list_lacks_its_last_host(
     store: row_store.MemoryRowStore,
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -143,7 +143,8 @@
         self._changed.set()
         if self._rounds:
             self._rounds.join(2.0)
-        self._executor.shutdown(wait=False, cancel_futures=True)
+        # A successor must not send orders beside the last ones of this holder.
+        self._executor.shutdown(wait=release, cancel_futures=True)
         if release and not self.lost:
             self._writer.release()
 
@@ -409,8 +410,9 @@
     def _send_order(
         self, request: host_moves.DrainRequest
     ) -> cluster.HostOrderOutcome:
-        if not self._writer.is_sole_holder:
-            # This node was paused, or the store is away.
+        if self._closing.is_set() or not self._writer.is_sole_holder:
+            # The shard is about to be released, this node was paused, or the
+            # store is away.
             return cluster.HostOrderOutcome.UNKNOWN
         fencing_epoch = self._writer.epoch
         if request.wave:
