--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -143,7 +143,8 @@
         self._changed.set()
         if self._rounds:
             self._rounds.join(2.0)
-        self._executor.shutdown(wait=False, cancel_futures=True)
+        # A successor must not send orders beside the last ones of this holder.
+        self._executor.shutdown(wait=release, cancel_futures=True)
         if release and not self.lost:
             self._writer.release()
 
@@ -241,7 +242,7 @@
                 loads,
                 self._waves.started_hosts(number),
                 [*self._orders.request_by_host.values(), *new_requests],
-                self._orders.in_maintenance(number),
+                self._orders.in_maintenance(wave, self._fleet.hosts),
                 now,
             )
         standby_services = {
@@ -393,7 +394,11 @@
                 else None
             )
             in_standby = pool is not None and pool.standby
-            if in_standby or (worker is not None and worker.released):
+            if (
+                in_standby
+                or (worker is not None and worker.released)
+                or (host is not None and self._orders.in_doubt(host))
+            ):
                 due.append(request)
         for request, outcome in zip(
             due, self._executor.map(self._send_order, due), strict=True
@@ -409,8 +414,9 @@
     def _send_order(
         self, request: host_moves.DrainRequest
     ) -> cluster.HostOrderOutcome:
-        if not self._writer.is_sole_holder:
-            # This node was paused, or the store is away.
+        if self._closing.is_set() or not self._writer.is_sole_holder:
+            # The shard is about to be released, this node was paused, or the
+            # store is away.
             return cluster.HostOrderOutcome.UNKNOWN
         fencing_epoch = self._writer.epoch
         if request.wave:
