Leave out a job whose progress can't be encoded, and fail it alone

What callers would see: no task of a whole pool starts any more (LOST).

Cause: a failed round keeps its changes since, so an error in encoding the progress of one job fails each round, before the heartbeat.

The rows of each job are encoded by themselves. A job that fails is treated as one whose rows the store refuses: it is left out, logged, and failed, and this round acknowledges no ends.

test_a_job_whose_row_cannot_be_stored_does_not_stop_its_pool failed before.

--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -195,17 +195,16 @@
     ) -> None:
         """Stores the changes of a round, then sends what they allow."""
         pool = self.pool
-        table = batch_tables.progress_table(self._service)
+        refused: list[str] = []
         with pool.lock:
             writes = [
-                cluster.RowWrite(table, *row)
+                write
                 for job in changed.jobs
-                for row in progress_rows.encode(job, self._links.limits)
+                for write in self._encode(job, refused)
             ]
             deletions = self._deletions(now)
         status, load_writes = self._heartbeat(now)
         writes = [*load_writes, *writes, *deletions]
-        refused: list[str] = []
         if writes or status:
             outcome = self._writer.commit(
                 writes,
@@ -381,6 +380,32 @@
             for key in unused_keys[:DELETES_PER_ROUND]
         ]
 
+    def _encode(
+        self, job: batch_job.Job, refused: list[str]
+    ) -> list[cluster.RowWrite]:
+        """Returns the rows of a job's progress.
+
+        A job whose rows can't be encoded is failed and added to `refused`, as
+        it must not hold up the others.
+        """
+        table = batch_tables.progress_table(self._service)
+        try:
+            rows = progress_rows.encode(job, self._links.limits)
+        except Exception as error:
+            events.log(
+                events.Event.ROW_REFUSED,
+                "The progress of a job can't be encoded; it is left out",
+                level="ERROR",
+                shard=self._service,
+                table=table,
+                key=job.job_id,
+                reason=repr(error),
+            )
+            self.pool.fail_unstorable(job.job_id)
+            refused.append(job.job_id)
+            return []
+        return [cluster.RowWrite(table, *row) for row in rows]
+
     def _fail_jobs(self, refused: Sequence[cluster.RowWrite]) -> list[str]:
         """Fails the jobs whose progress the store does not accept.
 
