Carry out a cancellation that an error interrupted when it is read again

What callers would see: a job runs on after its acknowledged cancellation (UNASKED).

Cause: the record was marked as cancelled before its runs were stopped; after an error in between the watch read the row again and took it for known.

A cancelled record is applied whenever it is read.

--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -108,7 +108,8 @@
                     self._add_job(row, None, is_new=True)
             elif record := self._decode_record(row):
                 job.record_version = row.version
-                if record.cancelled and not job.record.cancelled:
+                if record.cancelled:
+                    # Repeated where an error has interrupted it.
                     job.record = record
                     self._cancel(job)
         self._changed.set()
