Keep the records to shorten when compaction ends in an error

What callers would see: a job that has ended runs again minutes later (TWICE).

Cause: compaction took the records out of the pool and lost them on an error. 240 s later the progress of these jobs is deleted, and the next holder finds whole records without progress.

test_a_record_that_an_error_left_long_is_shortened_later failed before.

--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -309,9 +309,12 @@
                     for record in pool.ended_records
                     if record not in ended_records
                 ]
-            left = self._write_rows(ended_records, job_spec.TOMBSTONE)
-            with pool.lock:
-                pool.ended_records += left
+            left = ended_records
+            try:
+                left = self._write_rows(ended_records, job_spec.TOMBSTONE)
+            finally:
+                with pool.lock:
+                    pool.ended_records += left
             self._write_rows(pool.take_expired_rows(time.monotonic()), None)
 
     def _write_rows(
