Mark a job as changed before its runs are planned

What callers would see: a task that never starts (LOST).

Cause: the runs of a job were added to those to send one by one, and the job was marked as changed after the last; after an error in between, the next round took the runs without a row, and runs without a stored row are not sent.

The job is marked with its first run.

test_a_run_whose_round_was_interrupted_after_its_planning_is_started failed before.

--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -411,9 +411,6 @@
         candidates: list[workers.Worker],
         now: float,
     ) -> None:
-        if job.state is batch_job.JobState.QUEUED:
-            job.state = batch_job.JobState.RUNNING
-        self.dirty_job_by_id[job.job_id] = job
         events.log(
             events.Event.TASKS_PLACED,
             "Tasks were assigned to workers",
@@ -467,6 +464,10 @@
         if not chosen:
             self._full.record(request)
             return False
+        # Set first, so that no planned run is left without its row.
+        self.dirty_job_by_id[unit.job.job_id] = unit.job
+        if unit.job.state is batch_job.JobState.QUEUED:
+            unit.job.state = batch_job.JobState.RUNNING
         unit.last_run += 1
         for index, worker in chosen:
             run = batch_job.Run(unit, index, unit.last_run, worker)
