Claim the shards that can be read while another one can't

What callers would see: no pool of a site gets a new holder while one shard's rows, such as a former service's, can't be read.

Cause: a shard that the configuration names later is read on its own since, and a failed read ended the whole round.

Such a shard is left out until it has been read. The first read of a node still needs all shards of the configuration, as before.

test_a_required_shard_is_claimed_while_a_former_one_cannot_be_read failed before.

--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -152,7 +152,7 @@
                 del self.controller_by_shard[shard]
                 self._observation_by_shard.pop(shard, None)
         now = time.monotonic()
-        if not self._refresh(frozenset([*shards, *former_shards])):
+        if not self._refresh(frozenset(shards)):
             if now - self.last_read_at > MAX_READ_GAP_SECONDS:
                 self._observation_by_shard.clear()
             return
@@ -160,9 +160,11 @@
         self.read_seconds = self.last_read_at - now
         for shard in [*self.controller_by_shard]:
             self._release_if_requested(shard)
+        self._read_partitions(frozenset(former_shards) - self._read_shards)
         for shard in (*shards, *filter(self._ever_held, former_shards)):
             if (
-                shard not in self.controller_by_shard
+                shard in self._read_shards
+                and shard not in self.controller_by_shard
                 and not self._stopping.is_set()
             ):
                 self._check_shard(shard)
@@ -178,9 +180,9 @@
         """
         if self._version is None or not self._row_by_key:
             return self._read_all(shards)
-        # The watch shows only what changes after the first read.
-        if self._read_partitions(shards - self._read_shards) is None:
-            return False
+        # The watch shows only what changes after the first read. Shards that
+        # can't be read now don't hold up the others.
+        self._read_partitions(shards - self._read_shards)
         version = self._version
         page = _read_with_retries(
             functools.partial(
@@ -221,8 +223,8 @@
             if not isinstance(page, result.Success):
                 return None
             self._store_rows(page.unwrap().rows)
+            self._read_shards |= {partition_key}
             versions.append(page.unwrap().version)
-        self._read_shards |= partition_keys
         return versions
 
     def _register(self) -> bool:
