Configure a pool that was being opened as a configuration was adopted

What callers would see: a pool goes on with the queues of the configuration before (priority, attempts, objective), until the next change.

Cause: a new configuration is handed to the pools that a node holds, and one that is being opened, which takes seconds on a slow store, is not among them yet.

The round of claims hands the configuration in force to pools with an older version, and a pool ignores an older one that comes late.

test_a_pool_that_is_being_opened_gets_a_new_configuration failed before.

--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -44,6 +44,9 @@
     def configure(self, configuration: queues.SiteConfiguration) -> None:
         """Applies the queues of a configuration."""
         with self.lock:
+            if configuration.version < self.configuration_version:
+                return
+            self.configuration_version = configuration.version
             self._queue_by_name = {
                 **self._queue_by_name,
                 **configuration.queue_by_name,
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -153,6 +153,7 @@
         self._units_at_work: set[batch_job.Unit] = set()
         self._lapsed_runs_by_worker: dict[str, list[LostRun]] = {}
         self._queue_by_name: Mapping[str, queues.Queue] = {}
+        self.configuration_version = 0
         self._cpu_arrivals = arrival_rate.fast_and_slow()
         self._memory_arrivals = arrival_rate.fast_and_slow()
         self._mean_task_seconds_by_queue: dict[str, float] = {}
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -220,6 +220,7 @@
                         - services
                     ),
                 )
+                self._configure_pools()
             except Exception as error:
                 # A failed round must not stop later ones.
                 events.log(
@@ -229,6 +230,15 @@
                     error=repr(error),
                 )
 
+    def _configure_pools(self) -> None:
+        """Configures pools that were being opened as a version was adopted."""
+        configuration = self.configuration
+        assert configuration is not None
+        for shard, pool in self.pools().items():
+            if pool.configuration_version < configuration.version:
+                pool.configure(configuration)
+                pool.add_former_queues(self._queues.of_service(shard))
+
     def _store_queues(self) -> None:
         """Stores the queues of each new configuration and reads all others."""
         while not self._closed.is_set():
