Weigh crashes of a task's workers against those of other workers

Cause: two crashes right after a start, or five within 2 s of work, were proof whatever else crashed in the pool; ends that no holder watched counted; and a long-running job ended like a finite one.

A task is given up once as many crashes in a row would happen by chance to a task that does nothing with 1e-5, by the crashes of the pool's other workers in the last 10 s. After two in a row, its next trial waits until one more crash would be proof, 30 s at most. Unwatched crashes count for nothing; a holder new to its pool allows for one crash that it did not see. A long-running task ends no job: it waits 0.5 to 4 s between starts while it is proved to crash workers.

--- a/wisteriasill/contracts/crash_evidence.py
+++ b/wisteriasill/contracts/crash_evidence.py
@@ -14,23 +14,38 @@
 itself. Others of the pool that crash at the same time share that cause, so no
 task is suspected for them. They still count for runs that were new there, as a
 task that crashes each worker may do so beside other crashes.
+
+The crashes of a task are weighed against those of other workers of the pool in
+the same time: it is convicted once its crashes in a row would be very unlikely
+for a task that does nothing. Where others crash often, that takes more of them,
+so its next trial waits for a time at which one more crash would be proof.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
-from typing import NamedTuple
+from collections.abc import Hashable, Iterable, Mapping
+import math
+from typing import NamedTuple, Protocol
 
 # A run that its worker showed alive for this long did not crash it by starting.
 PROBATION_SECONDS = 0.25
 # Number of crashes before a job may fail for them: a worker may crash by itself
 # under any task once.
 MIN_CRASHES = 2
-# Crashes right after a start that convict a task whatever else happened.
-MAX_SUSPICIONS = 3
-# Crashes at any age of the run that convict a task: the platform bars the third
-# start after three crashes.
+# Crashes at any age of the run from which on a task needs a trial.
+MAX_UNTRIED_CRASHES = 3
+# Most crashes to weigh: the platform bars the third start after three crashes.
 MAX_CRASHES = 5
+# Chance at which crashes in a row are not put down to coincidence any more.
+MAX_CHANCE = 1e-5
+# Time for which crashes of other workers are weighed against those of a task.
+BACKGROUND_SECONDS = 10.0
+# Longest wait for a trial whose crash would be proof.
+MAX_PROOF_WAIT_SECONDS = 30.0
+# Delays of a long-running task that crashes its workers. It must have a run
+# within 9 s, which includes the detection of the crash and the start.
+FIRST_DELAY_SECONDS = 0.5
+MAX_DELAY_SECONDS = 4.0
 # Crashes of workers of one rack within this time have a common cause, and so
 # have crashes of workers of one pool if one of them had no new run.
 RACK_LOSS_SECONDS = 1.0
@@ -46,21 +61,35 @@
         crashes: Workers that crashed while a run of the task was on them.
         suspicions: Those that crashed right after the start of the run.
         convicted: Whether the task crashes its workers.
+        early: Crashes in a row right after a start, whatever else crashed.
+            It is not stored.
     """
 
     crashes: int = 0
     suspicions: int = 0
     convicted: bool = False
+    early: int = 0
 
     @property
     def needs_trial(self) -> bool:
         """Whether the task must be the only new run of its worker."""
-        return self.suspicions > 0 or self.crashes >= MAX_SUSPICIONS
+        return (
+            self.suspicions > 0
+            or self.crashes >= MAX_UNTRIED_CRASHES
+            or self.early >= MIN_CRASHES
+        )
 
 
 NO_CRASHES = CrashRecord()
 
 
+class Suspect(Protocol):
+    """A task that had just started on a worker that crashed."""
+
+    crash_record: CrashRecord
+    done: bool
+
+
 class WorkerCrash(NamedTuple):
     """A crash of a worker of the pool.
 
@@ -75,6 +104,28 @@
     is_explained: bool
 
 
+class PastCrash(NamedTuple):
+    """A crash of a worker of the pool, as background of later ones.
+
+    Attributes:
+        at: Monotonic time at which it became known.
+        tasks: Tasks that were on the worker.
+        suspects: Those of them that had just started.
+    """
+
+    at: float
+    tasks: frozenset[Hashable]
+    suspects: frozenset[Suspect] = frozenset()
+
+    @property
+    def has_suspect(self) -> bool:
+        """Whether a task is still suspected of it."""
+        return any(
+            suspect.crash_record.needs_trial and not suspect.done
+            for suspect in self.suspects
+        )
+
+
 class Circumstances(NamedTuple):
     """What a crash of a worker means for the tasks on it.
 
@@ -83,14 +134,87 @@
         lost_with_rack: Whether another worker of the rack crashed at the time.
         has_outside_cause: Whether another worker of the pool crashed at the
             time and neither a start nor a drain explains it.
+        background_rate: Crashes per second and worker of the pool that the
+            task is not among the possible causes of.
     """
 
     suspects: int
     lost_with_rack: bool = False
     has_outside_cause: bool = False
+    background_rate: float = 0.0
+
+
+def background_rate(
+    crashes: Iterable[PastCrash],
+    task: Hashable,
+    workers: int,
+    now: float,
+    watched_since: float,
+) -> float:
+    """Returns the crashes per second and worker that a task did not cause.
+
+    Those that other suspected tasks may have caused do not count. A holder that
+    has not watched the pool for long allows for one that it did not see.
+
+    Args:
+        crashes: Past crashes of workers of the pool.
+        task: The task.
+        workers: Number of workers of the pool.
+        now: Monotonic time.
+        watched_since: Monotonic time from which on crashes are known.
+    """
+    others = sum(
+        now - crash.at < BACKGROUND_SECONDS
+        and task not in crash.tasks
+        and not crash.has_suspect
+        for crash in crashes
+    )
+    unseen = now - watched_since < BACKGROUND_SECONDS
+    return (others + unseen) / (max(1, workers) * BACKGROUND_SECONDS)
+
+
+def crashes_needed(rate: float, seconds: float) -> float:
+    """Returns how many crashes in a row are proof against a task.
+
+    Args:
+        rate: Crashes per second and worker that the task did not cause.
+        seconds: Age that none of the crashed runs had reached.
+
+    Returns:
+        The number; infinity if none is.
+    """
+    chance = rate * seconds
+    if chance >= 1.0:
+        return math.inf
+    if chance <= 0.0:
+        return MIN_CRASHES
+    return max(MIN_CRASHES, math.ceil(math.log(MAX_CHANCE) / math.log(chance)))
+
+
+def may_try(record: CrashRecord, rate: float, waited_seconds: float) -> bool:
+    """Whether a finite suspected task may be started now.
+
+    Args:
+        record: What crashes told.
+        rate: Crashes per second and worker that the task did not cause.
+        waited_seconds: Time since its last run.
+    """
+    if waited_seconds >= MAX_PROOF_WAIT_SECONDS:
+        return True
+    early = max(record.early, record.suspicions)
+    if early >= MIN_CRASHES:
+        # Leaves a margin, as others may crash at the same time.
+        return crashes_needed(rate, 2 * RACK_LOSS_SECONDS) <= early + 1
+    return (
+        record.crashes < MAX_UNTRIED_CRASHES
+        or crashes_needed(rate, ACQUITTAL_SECONDS) <= MAX_CRASHES
+    )
 
 
-_NOTHING_KNOWN = Circumstances(0)
+def restart_delay_seconds(record: CrashRecord) -> float:
+    """Returns how long a long-running task waits that crashes its workers."""
+    doublings = max(0, record.crashes - MIN_CRASHES)
+    return float(min(MAX_DELAY_SECONDS, FIRST_DELAY_SECONDS * 2.0**doublings))
 
 
 def recent_crashes(
@@ -143,41 +267,21 @@
     suspected = is_new and not crash.has_outside_cause
     crashes = record.crashes + 1
     suspicions = record.suspicions + suspected
-    proved = (
-        suspected
-        and crash.suspects == 1
-        and not crash.lost_with_rack
-        and record.suspicions > 0
-        and crashes >= MIN_CRASHES
-    )
-    return CrashRecord(
-        crashes,
-        suspicions,
-        proved
-        or (suspected and suspicions >= MAX_SUSPICIONS)
-        or crashes >= MAX_CRASHES,
-    )
-
-
-def record_unwatched_crash(
-    record: CrashRecord, crash: Circumstances = _NOTHING_KNOWN
-) -> CrashRecord:
-    """Adds the crash of a worker that nobody watched, as its holder changed.
-
-    It tells nothing about the time between the start and the crash, so it is no
-    suspicion.
-
-    Args:
-        record: What earlier crashes told.
-        crash: Circumstances of the crash.
-
-    Returns:
-        The new record.
-    """
-    if crash.has_outside_cause:
-        return record
-    crashes = record.crashes + 1
-    return CrashRecord(crashes, record.suspicions, crashes >= MAX_CRASHES)
+    early = max(record.early, record.suspicions) + 1 if is_new else 0
+    was_alone = is_new and crash.suspects == 1
+    has_common_cause = crash.has_outside_cause or crash.lost_with_rack
+    if was_alone and not crash.lost_with_rack and suspicions >= MIN_CRASHES:
+        least = MIN_CRASHES
+    elif was_alone or suspicions >= MAX_UNTRIED_CRASHES:
+        least = MAX_UNTRIED_CRASHES
+    else:
+        least = MAX_CRASHES
+    rate = crash.background_rate
+    seconds = RACK_LOSS_SECONDS if has_common_cause else PROBATION_SECONDS
+    convicted = (
+        is_new and early >= max(least, crashes_needed(rate, seconds))
+    ) or crashes >= max(MAX_CRASHES, crashes_needed(rate, ACQUITTAL_SECONDS))
+    return CrashRecord(crashes, suspicions, convicted, early)
 
 
 def record_survival(
@@ -195,12 +299,12 @@
     if survived_seconds >= ACQUITTAL_SECONDS:
         return NO_CRASHES
     if survived_seconds >= PROBATION_SECONDS:
-        return record._replace(suspicions=0)
+        return record._replace(suspicions=0, convicted=False, early=0)
     return record
 
 
 def record_explanation(record: CrashRecord) -> CrashRecord:
-    """Takes back a suspicion, as the crash has been explained by another task.
+    """Takes back a crash, as it has been explained by another task.
 
     Args:
         record: What crashes told.
@@ -208,4 +312,8 @@
     Returns:
         The new record.
     """
-    return record._replace(suspicions=max(0, record.suspicions - 1))
+    return CrashRecord(
+        max(0, record.crashes - 1),
+        max(0, record.suspicions - 1),
+        early=max(0, record.early - 1),
+    )
--- a/wisteriasill/machines/batch_crashes.py
+++ b/wisteriasill/machines/batch_crashes.py
@@ -46,10 +46,26 @@
     def _note_crash(self, worker: workers.Worker) -> None:
         """Stores a crash, which may have the same cause as others."""
         now = time.monotonic()
-        is_explained = _may_have_drained(worker) or any(
-            lost.may_have_just_started
-            for lost in self._lost_with(worker, worker.run_by_task.values())
+        lost = self._lost_with(worker, worker.run_by_task.values())
+        drained = _may_have_drained(worker)
+        is_explained = drained or any(
+            lost_run.may_have_just_started for lost_run in lost
         )
+        if not drained:
+            self._past_crash_by_worker = {
+                other: crash
+                for other, crash in self._past_crash_by_worker.items()
+                if now - crash.at < crash_evidence.BACKGROUND_SECONDS
+            }
+            self._past_crash_by_worker[worker] = crash_evidence.PastCrash(
+                now,
+                frozenset(lost_run.run.unit for lost_run in lost),
+                frozenset(
+                    lost_run.run.unit
+                    for lost_run in lost
+                    if lost_run.is_suspect
+                ),
+            )
         self._crash_by_worker = crash_evidence.recent_crashes(
             self._crash_by_worker, now
         ) | {
@@ -58,6 +74,16 @@
             )
         }
 
+    def _background_rate(self, unit: batch_job.Unit, now: float) -> float:
+        """Returns the crashes per second and worker without a unit."""
+        return crash_evidence.background_rate(
+            self._past_crash_by_worker.values(),
+            unit,
+            len({*self.worker_by_id, *self._crash_by_worker}),
+            now,
+            self.claimed_at,
+        )
+
     def _record_evidence(
         self, lost: Iterable[batch_runs.LostRun], worker: workers.Worker
     ) -> None:
@@ -88,16 +114,21 @@
                 if worker_id != worker.worker_id
             ),
         )
+        now = time.monotonic()
         for unit, lost_run in lost_by_unit.items():
-            if unit.done or unit.job.finished:
+            # A former holder's run may have been at work for long.
+            is_watched = (
+                lost_run.is_suspect or not lost_run.may_have_just_started
+            )
+            if unit.done or unit.job.finished or not is_watched:
                 continue
             former = unit.crash_record
-            unit.crash_record = (
-                crash_evidence.record_crash(
-                    former, lost_run.survived_seconds, crash
-                )
-                if lost_run.is_suspect or not lost_run.may_have_just_started
-                else crash_evidence.record_unwatched_crash(former, crash)
+            unit.crash_record = crash_evidence.record_crash(
+                former,
+                lost_run.survived_seconds,
+                crash._replace(
+                    background_rate=self._background_rate(unit, now)
+                ),
             )
             if unit.crash_record == former:
                 continue
@@ -120,14 +151,25 @@
         )
         if record.convicted:
             self._clear_others(unit)
+        if record.convicted and not unit.step.lasting:
             self._fail_job(
                 job, f"task {unit.key} crashed {record.crashes} workers"
             )
-        elif record.needs_trial:
+            return
+        if record.convicted:
+            unit.retry_at = (
+                time.monotonic() + crash_evidence.restart_delay_seconds(record)
+            )
+        if record.needs_trial:
             self.suspect_by_key[job.job_id, unit.key] = unit
 
     def _clear_others(self, convict: batch_job.Unit) -> None:
         """Takes back the suspicions that a convicted task explains."""
+        self._past_crash_by_worker = {
+            worker: crash
+            for worker, crash in self._past_crash_by_worker.items()
+            if convict not in crash.tasks
+        }
         for suspects in convict.suspected_with:
             for unit in suspects:
                 if unit is convict or suspects not in unit.suspected_with:
@@ -137,19 +179,6 @@
                     unit.crash_record
                 )
 
-    def _requeue_crashed(self, unit: batch_job.Unit) -> None:
-        """Queues a unit whose worker ended while no holder watched it."""
-        self._record_unwatched_crash(unit)
-        unit.job.requeue(unit)
-
-    def _record_unwatched_crash(self, unit: batch_job.Unit) -> None:
-        if unit.done or unit.job.finished:
-            return
-        unit.crash_record = crash_evidence.record_unwatched_crash(
-            unit.crash_record
-        )
-        self._judge(unit)
-
     def _record_survivals(self, worker: workers.Worker) -> None:
         """Clears tasks that did not crash the worker that has just reported."""
         self._lapsed_runs_by_worker.pop(worker.worker_id, None)
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -134,6 +134,7 @@
             if unit.key in unit.job.ready
             and now >= unit.retry_at
             and unit not in self._units_at_work
+            and self._may_try(unit, now)
         ]
         # The conviction of the likeliest cause clears the others.
         for unit in sorted(waiting, key=lambda suspect: suspect.doubt):
@@ -154,6 +155,14 @@
             ]
             trials += len(used)
 
+    def _may_try(self, unit: batch_job.Unit, now: float) -> bool:
+        """Whether a suspected task need not wait for calmer times."""
+        return unit.step.lasting or crash_evidence.may_try(
+            unit.crash_record,
+            self._background_rate(unit, now),
+            now - unit.lost_at,
+        )
+
     def _plan_trial(
         self, unit: batch_job.Unit, choices: list[workers.Worker], now: float
     ) -> set[workers.Worker]:
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -146,6 +146,9 @@
             tuple[str, batch_job.UnitKey], batch_job.Unit
         ] = {}
         self._crash_by_worker: dict[str, crash_evidence.WorkerCrash] = {}
+        self._past_crash_by_worker: dict[
+            workers.Worker, crash_evidence.PastCrash
+        ] = {}
         self._trial_runs: list[batch_job.Run] = []
         # Units of reported runs that this holder counted as ended.
         self._units_at_work: set[batch_job.Unit] = set()
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -66,7 +66,6 @@
                     self._requeue_down(restored)
                 else:
                     if stored.started_ms != worker.entry.started_ms:
-                        self._record_unwatched_crash(unit)
                         worker.expect_late_order(self.claimed_at)
                     # Until it has seen this holder's fencing token, the new
                     # incarnation may carry out the order to the former one.
@@ -306,10 +305,7 @@
 
     def _requeue_down(self, restored: batch_runs.RestoredRun) -> None:
         self._lose_restored_run(restored, "its host is down")
-        if restored.stored.worker_id in self._planned_end_ids:
-            restored.unit.job.requeue(restored.unit)
-        else:
-            self._requeue_crashed(restored.unit)
+        restored.unit.job.requeue(restored.unit)
 
     def end_expired_runs(self, now: float) -> None:
         """Ends the runs whose leases have certainly expired."""
@@ -341,7 +337,7 @@
                     self._restored_runs_by_worker.values()
                 ):
                     self._lose_restored_run(restored, "former lease expired")
-                    self._requeue_crashed(restored.unit)
+                    restored.unit.job.requeue(restored.unit)
                 self._restored_runs_by_worker.clear()
 
     def set_drain_requests(self, worker_ids: set[str]) -> None:
