Reset connections of host orders whose call has ended

A fleet holder was cut off with a maintenance order on its way; its call timed out, a successor sent its own order, and the first one arrived when the cut had healed. The same path carries moves and releases.

Cause: curl closes the connection of a call that has timed out in the ordinary way, so the system goes on sending what is undelivered. The store checks row versions and the workers check the token and the incarnation, so such calls fail there; the service for hosts does not (`require_fencing` is false). `is_sole_holder` is checked only before the call. Beside it, a holder could release the shard while calls were on their way.

Ruled out: a successor that claims too early (it waits 3.2 s from its claim for hosts with a stored request), and orders sent after the renewal had become too old (refused since `is_sole_holder`).

The option is set when the socket is opened, so it also holds for a process that ends or is killed during a call. A reset leaves nothing to deliver, so an order arrives at most 2 s after it was sent, which is 3.2 s after the last renewal, and the successor's wait covers that. A holder releases the shard only when its calls have ended.

Not tested: a process that is frozen in the middle of a call while its link is cut can't reset the connection.

--- a/tests/adapter/test_platform_contract_http.py
+++ b/tests/adapter/test_platform_contract_http.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 import socket
 import time
 
@@ -251,3 +251,34 @@
         "i-1",
     )
     assert down == up._replace(state=host_record.HostState.DOWN)
+
+
+@pytest.mark.parametrize(
+    "send",
+    [
+        lambda hosts: hosts.move("m-i-1", "bench", 5),
+        lambda hosts: hosts.move("m-i-1", "rest", 5),
+        lambda hosts: hosts.maintain("m-i-1", 1, 5),
+    ],
+    ids=["move", "release", "maintenance"],
+)
+def test_an_order_without_an_answer_resets_its_connection(
+    monkeypatch: pytest.MonkeyPatch,
+    send: Callable[[wire_hosts.WireHosts], cluster.HostOrderOutcome],
+) -> None:
+    """Otherwise the system goes on sending the order after the call.
+
+    After a partition the service got the orders of a former holder after those
+    of its successor, and it does not check the fencing token.
+    """
+    monkeypatch.setattr(wire_hosts, "CALL_TIMEOUT_SECONDS", 0.1)
+    with socket.create_server((ports.ADDRESS, 0)) as listener:
+        hosts = wire_hosts.WireHosts(
+            f"{ports.ADDRESS}:{listener.getsockname()[1]}", "node-0"
+        )
+        assert send(hosts) is cluster.HostOrderOutcome.UNKNOWN
+        connection, _ = listener.accept()
+        with connection, pytest.raises(ConnectionResetError):
+            connection.settimeout(2.0)
+            while connection.recv(4096):
+                pass
--- a/tests/links/test_http_client.py
+++ b/tests/links/test_http_client.py
@@ -175,3 +175,26 @@
     response = outcome.unwrap()
     assert (response.status, response.body) == (200, b"ab")
     assert response.header("x-a") == "b"
+
+
+@pytest.mark.parametrize("is_reset", [True, False])
+def test_undelivered_bytes_of_a_call_that_timed_out(is_reset: bool) -> None:
+    """Without a reset the system delivers them however late."""
+    body = b"a" * 100_000
+    with socket.socket() as listener:
+        # The window is too small for the body.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+        settings = http_client.ClientSettings(reset_on_close=is_reset)
+        call = http_client.HttpCall("POST", url, 0.3, body=body)
+        fault = http_client.HttpClient(settings).call(call).failure()
+        connection, _ = listener.accept()
+        received = 0
+        with connection, contextlib.suppress(ConnectionResetError):
+            connection.settimeout(5)
+            while chunk := connection.recv(65536):
+                received += len(chunk)
+    assert fault.kind is Kind.TIMED_OUT
+    assert (received < len(body)) is is_reset
--- a/tests/machines/test_fleet_controller.py
+++ b/tests/machines/test_fleet_controller.py
@@ -347,6 +347,24 @@
     assert not hosts.orders
 
 
+def test_a_holder_releases_the_fleet_after_its_last_order(start: Start) -> None:
+    """Nobody checks the token of an order that is still on its way then."""
+
+    class SlowHosts(RecordedHosts):
+        def move(
+            self, host_id: str, service: str, fencing_epoch: int
+        ) -> cluster.HostOrderOutcome:
+            time.sleep(0.4)
+            return super().move(host_id, service, fencing_epoch)
+
+    hosts = SlowHosts({"h1": "bench", "h2": "rest"})
+    controller = start(hosts)
+    request = host_moves.DrainRequest("h2", "", "bench", 0)
+    controller._executor.submit(controller._send_order, request)
+    controller.close(release=True)
+    assert "h2" in hosts.orders
+
+
 @pytest.mark.parametrize("number", [1, 3])
 def test_a_wave_is_not_finished_while_one_list_lacks_its_last_host(
     store: row_store.MemoryRowStore,
--- a/wisteriasill/links/http_client.py
+++ b/wisteriasill/links/http_client.py
@@ -6,6 +6,8 @@
 import enum
 import io
 import queue
+import socket
+import struct
 from typing import Any, NamedTuple
 
 import pycurl
@@ -14,6 +16,7 @@
 Headers = tuple[tuple[str, str], ...]
 
 MAX_IDLE_HANDLES = 32  # Handles kept for reuse; more are created on demand.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # `struct linger`: on, 0 s.
 
 
 class HttpFaultKind(enum.StrEnum):
@@ -40,6 +43,24 @@
     detail: str
 
 
+class ClientSettings(NamedTuple):
+    """Settings of a client.
+
+    Attributes:
+        idle_seconds: Longest idle time of a connection that is reused.
+        reset_on_close: Whether closed connections are reset, by the end of the
+            process as well, so that the server receives nothing after a call
+            has failed. Needed where the server does not check whether a
+            request is outdated.
+    """
+
+    idle_seconds: float = 60.0
+    reset_on_close: bool = False
+
+
+DEFAULT_SETTINGS = ClientSettings()
+
+
 class HttpCall(NamedTuple):
     """A request.
 
@@ -123,17 +144,17 @@
     as well, and each would cost another timeout.
 
     Args:
-        idle_seconds: Longest idle time of a connection that is reused.
+        settings: Settings of all connections.
         on_traffic: Called with the bytes sent and received by each call,
             HTTP headers included.
     """
 
     def __init__(
         self,
-        idle_seconds: float = 60.0,
+        settings: ClientSettings = DEFAULT_SETTINGS,
         on_traffic: Callable[[int, int], None] = lambda sent, received: None,
     ) -> None:
-        self._idle_seconds = max(1, int(idle_seconds))
+        self._settings = settings
         self._on_traffic = on_traffic
         self._idle_handles: queue.LifoQueue[pycurl.Curl] = queue.LifoQueue(
             MAX_IDLE_HANDLES
@@ -150,7 +171,7 @@
         """
         curl = self._acquire()
         collector = _Collector(call.max_body_bytes)
-        _configure(curl, call, collector, self._idle_seconds)
+        _configure(curl, call, collector, self._settings)
         try:
             curl.perform()
         except pycurl.error as error:
@@ -202,7 +223,7 @@
 
 
 def _configure(
-    curl: Any, call: HttpCall, collector: _Collector, idle_seconds: int
+    curl: Any, call: HttpCall, collector: _Collector, settings: ClientSettings
 ) -> None:
     options: Mapping[int, Any] = {
         pycurl.URL: call.url,
@@ -215,7 +236,7 @@
         ),
         pycurl.HTTP_VERSION: pycurl.CURL_HTTP_VERSION_1_1,
         pycurl.TCP_NODELAY: 1,
-        pycurl.MAXAGE_CONN: idle_seconds,
+        pycurl.MAXAGE_CONN: max(1, int(settings.idle_seconds)),
         pycurl.FRESH_CONNECT: int(call.fresh_connection),
         pycurl.FORBID_REUSE: int(call.fresh_connection),
         # An empty Expect header keeps curl from waiting for 100 Continue.
@@ -231,6 +252,11 @@
             if call.open_connection
             else {}
         ),
+        **(
+            {pycurl.SOCKOPTFUNCTION: _reset_on_close}
+            if settings.reset_on_close
+            else {}
+        ),
     }
     for option, value in options.items():
         curl.setopt(option, value)
@@ -241,6 +267,18 @@
     return int(pycurl.SOCKET_BAD)
 
 
+def _reset_on_close(descriptor: int, _: int) -> int:
+    """Makes the system discard undelivered bytes of a socket that is closed."""
+    connection = socket.socket(fileno=descriptor)
+    try:
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+        )
+    finally:
+        connection.detach()  # curl owns the descriptor.
+    return int(pycurl.SOCKOPT_OK)
+
+
 def _configure_method(curl: Any, call: HttpCall) -> None:
     if call.body is not None:
         curl.setopt(pycurl.POST, 1)
--- a/wisteriasill/links/platform_calls.py
+++ b/wisteriasill/links/platform_calls.py
@@ -40,7 +40,8 @@
     ) -> None:
         self._settings = settings
         self._client = http_client.HttpClient(
-            settings.idle_connection_seconds, on_traffic
+            http_client.ClientSettings(settings.idle_connection_seconds),
+            on_traffic,
         )
         self._cache = answer_cache.ResponseCache()
 
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -143,7 +143,8 @@
         self._changed.set()
         if self._rounds:
             self._rounds.join(2.0)
-        self._executor.shutdown(wait=False, cancel_futures=True)
+        # A successor must not send orders beside the last ones of this holder.
+        self._executor.shutdown(wait=release, cancel_futures=True)
         if release and not self.lost:
             self._writer.release()
 
