--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -414,9 +414,8 @@
     def _send_order(
         self, request: host_moves.DrainRequest
     ) -> cluster.HostOrderOutcome:
-        if self._closing.is_set() or not self._writer.is_sole_holder:
-            # The shard is about to be released, this node was paused, or the
-            # store is away.
+        if not self._writer.is_sole_holder:
+            # This node was paused, or the store is away.
             return cluster.HostOrderOutcome.UNKNOWN
         fencing_epoch = self._writer.epoch
         if request.wave:
--- a/wisteriasill/machines/fleet_orders.py
+++ b/wisteriasill/machines/fleet_orders.py
@@ -46,11 +46,13 @@
     Attributes:
         sent_at: Monotonic time of the order, or the latest possible time.
         inherited: Whether a former holder sent it, or was about to.
+        answered: Whether the platform confirmed it.
     """
 
     request: host_moves.DrainRequest
     sent_at: float
     inherited: bool = False
+    answered: bool = True
 
     def ended_worker(self, fleet: fleet_hosts.FleetHosts) -> bool:
         """Whether the host list shows that the order ended a worker.
@@ -83,14 +85,12 @@
             not host.worker_id and now - self.sent_at > SETTLE_SECONDS
         )
 
-    def had_no_effect(self, fleet: fleet_hosts.FleetHosts) -> bool:
-        """Whether the host list shows that the order changed nothing.
-
-        It did not run, or it had been carried out before.
-        """
+    def did_not_run(self, fleet: fleet_hosts.FleetHosts) -> bool:
+        """Whether the host list shows that an unanswered order did not run."""
         host = fleet.host_by_id.get(self.request.host_id)
         return (
-            host is not None
+            not self.answered
+            and host is not None
             and fleet.listed_at - self.sent_at > SETTLE_SECONDS
             and host.state is host_record.HostState.UP
             and host.worker_id == self.request.worker_id
@@ -191,7 +191,7 @@
             if now - order.sent_at > timeout_seconds:
                 del self.order_by_host[host_id]
             elif not order.inherited and (
-                order.took_effect(fleet, now) or order.had_no_effect(fleet)
+                order.took_effect(fleet, now) or order.did_not_run(fleet)
             ):
                 del self.order_by_host[host_id]
                 self._settled_order_by_host[host_id] = order
@@ -233,7 +233,9 @@
         del self.request_by_host[request.host_id]
         sent_at = self._unanswered_at.pop(request.host_id, None)
         if sent_at is not None:
-            self.order_by_host[request.host_id] = SentOrder(request, sent_at)
+            self.order_by_host[request.host_id] = SentOrder(
+                request, sent_at, answered=False
+            )
 
     def in_maintenance(
         self,
@@ -245,19 +247,24 @@
         The list of hosts may lag, so settled orders count as well. Hosts with a
         request are not counted.
         """
-        order_by_host = {**self._settled_order_by_host, **self.order_by_host}
         ordered = {
-            host_id
-            for host_id, order in order_by_host.items()
+            order.request.host_id
+            for order in itertools.chain(
+                self.order_by_host.values(),
+                self._settled_order_by_host.values(),
+            )
             if order.request.wave == wave.number
         }
+        without_order = {*wave.host_ids}.difference(
+            self.order_by_host,
+            self._settled_order_by_host,
+            self.request_by_host,
+        )
         listed = {
             host.host_id
             for host in hosts
             if host.state is host_record.HostState.UPKEEP
-            and host.host_id in wave.host_ids
-            and host.host_id not in order_by_host
-            and host.host_id not in self.request_by_host
+            and host.host_id in without_order
         }
         return len(ordered | listed)
 
