Count a host until its unanswered order is known not to have run

Cause: an order without an answer stays a request that is repeated. `FleetOrders.refresh` dropped that request when the list showed another worker or none, which is the effect of the order itself, and nothing counted the host from then on. A refusal of the repeat, or the 8 s of a request, dropped it as well.

Ruled out: an order that arrives after its call (the connection is reset), and the wave's progress, which is recorded on an answer only.

A request whose order may have run now becomes a sent order when it is withdrawn, so it counts and stays stored for a successor until its effect shows or the list, read 1 s later, shows that it did not run. While the list shows the host in maintenance, the order is repeated: the service confirms one that was carried out, and no worker is left on the host. Hosts that the list shows in maintenance count for their wave whoever ordered them, so a new holder knows them too.

--- a/review/harness/hosts.py
+++ b/review/harness/hosts.py
@@ -4,6 +4,8 @@
 
 from http import server
 import json
+import socket
+import struct
 import threading
 import time
 from typing import Any, NamedTuple
@@ -67,6 +69,9 @@
     Attributes:
         upkeeps: All maintenance that has begun.
         orders: All orders that arrived, in their order.
+        lose_answer: Whether the next maintenance call that is carried out
+            gets no answer, and the service is then away for a while.
+        away_seconds: How long the service is away after that answer.
     """
 
     def __init__(self, machines: list[Machine]) -> None:
@@ -74,6 +79,9 @@
         self._lock = threading.Lock()
         self.upkeeps: list[Upkeep] = []
         self.orders: list[Order] = []
+        self.lose_answer = False
+        self.away_seconds = 0.0
+        self._away_until = 0.0
 
     def serve(self, address: str, port: int) -> server.ThreadingHTTPServer:
         """Starts the service."""
@@ -86,12 +94,24 @@
                 pass
 
             def do_GET(self) -> None:
+                if machines.is_away():
+                    self._reset()
+                    return
                 self._reply(200, machines.listing())
 
             def do_POST(self) -> None:
                 length = int(self.headers.get("Content-Length", 0))
                 body = json.loads(self.rfile.read(length))
+                if machines.is_away():
+                    machines.note(self.path, body, self.headers, "reset")
+                    self._reset()
+                    return
                 status, reply = machines.order(self.path, body)
+                # The service goes away with the answer that is to be lost.
+                if machines.is_away():
+                    machines.note(self.path, body, self.headers, "lost")
+                    self._reset()
+                    return
                 machines.note(
                     self.path, body, self.headers, str((status, reply))
                 )
@@ -105,10 +125,23 @@
                 self.end_headers()
                 self.wfile.write(data)
 
+            def _reset(self) -> None:
+                self.connection.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_LINGER,
+                    struct.pack("ii", 1, 0),
+                )
+                self.close_connection = True
+                self.connection.close()
+
         http_server = server.ThreadingHTTPServer((address, port), Handler)
         threading.Thread(target=http_server.serve_forever, daemon=True).start()
         return http_server
 
+    def is_away(self) -> bool:
+        """Whether the service resets all connections."""
+        return time.monotonic() < self._away_until
+
     def note(
         self, path: str, body: dict[str, Any], headers: Any, answer: str
     ) -> None:
@@ -186,4 +219,7 @@
             upkeep = Upkeep(machine.name, wave, now, now + MAINTENANCE_SECONDS)
             machine.begin_upkeep(upkeep)
             self.upkeeps.append(upkeep)
+            if self.lose_answer:
+                self.lose_answer = False
+                self._away_until = now + self.away_seconds
             return 200, {}
--- a/tests/machines/test_fleet_controller.py
+++ b/tests/machines/test_fleet_controller.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 import threading
 import time
 from typing import cast
@@ -37,6 +37,8 @@
 )
 NO_WAVES: Mapping[int, queues.WaveOrder] = {}
 HOST_ORDER_LEASE_SECONDS = 0.6  # Shortened, so that the tests take less time.
+MAINTENANCE_SECONDS = 1.0
+AWAY_SECONDS = 0.6  # Longer than the interval between lists.
 
 
 class RecordedHosts:
@@ -82,6 +84,66 @@
         return cluster.HostOrderOutcome.DONE
 
 
+class LostAnswerHosts:
+    """Implements `cluster.HostControl`; the first answer to an order is lost.
+
+    The service is then away for a while.
+    """
+
+    def __init__(self, host_ids: Iterable[str]) -> None:
+        self._host_ids = [*host_ids]
+        self._away_until = 0.0
+        self.began_at: dict[str, float] = {}
+
+    def list_hosts(self) -> tuple[host_record.HostRecord, ...] | None:
+        """Lists hosts; those in maintenance have no worker."""
+        now = time.monotonic()
+        if now < self._away_until:
+            return None
+        return tuple(
+            self._record(host_id, now - self.began_at.get(host_id, now))
+            for host_id in self._host_ids
+        )
+
+    def _record(
+        self, host_id: str, maintained_seconds: float
+    ) -> host_record.HostRecord:
+        in_maintenance = 0.0 < maintained_seconds < MAINTENANCE_SECONDS
+        return host_record.HostRecord(
+            host_id,
+            "bench",
+            host_record.HostState.UPKEEP
+            if in_maintenance
+            else host_record.HostState.UP,
+            "zone",
+            ROOM,
+            "r1",
+            ""
+            if in_maintenance
+            else f"w-{host_id}{'-next' * (maintained_seconds > 0.0)}",
+        )
+
+    def move(
+        self, host_id: str, service: str, fencing_epoch: int
+    ) -> cluster.HostOrderOutcome:
+        """Refuses all moves."""
+        return cluster.HostOrderOutcome.BUSY
+
+    def maintain(
+        self, host_id: str, wave: int, fencing_epoch: int
+    ) -> cluster.HostOrderOutcome:
+        """Begins a maintenance."""
+        now = time.monotonic()
+        if now < self._away_until:
+            return cluster.HostOrderOutcome.UNKNOWN
+        if host_id not in self.began_at:
+            self.began_at[host_id] = now
+            if len(self.began_at) == 1:
+                self._away_until = now + AWAY_SECONDS
+                return cluster.HostOrderOutcome.UNKNOWN
+        return cluster.HostOrderOutcome.DONE
+
+
 class WaveReports:
     """Records the reports on waves to operators."""
 
@@ -122,7 +184,8 @@
     controllers: list[fleet_controller.FleetController] = []
 
     def make(
-        hosts: RecordedHosts, waves: Mapping[int, queues.WaveOrder] = NO_WAVES
+        hosts: cluster.HostControl,
+        waves: Mapping[int, queues.WaveOrder] = NO_WAVES,
     ) -> fleet_controller.FleetController:
         writer = shard_writer.ShardWriter(
             store, fleet_rows.SHARD, "n1", threading.Event()
@@ -383,6 +446,26 @@
     assert reports.finished_by_wave[4] == [False]
 
 
+def test_a_maintenance_whose_answer_was_lost_counts_for_its_wave(
+    store: row_store.MemoryRowStore, start: Start
+) -> None:
+    """The list shows the effect of the order before it was repeated.
+
+    The request of the host was dropped then, and the next host of the wave went
+    into maintenance beside it.
+    """
+    host_ids = ("h1", "h2")
+    hosts = LostAnswerHosts(host_ids)
+    start(hosts, {4: queues.WaveOrder(4, host_ids, 20.0, 1)})
+    released = host_moves.WorkerLoad(0, 0, 0.0, True)
+    deadline = time.monotonic() + 6.0
+    while len(hosts.began_at) < 2 and time.monotonic() < deadline:
+        store_load(store, 2, {f"w-{host_id}": released for host_id in host_ids})
+        time.sleep(0.1)
+    first, second = sorted(hosts.began_at.values())
+    assert second - first >= MAINTENANCE_SECONDS
+
+
 def test_a_wave_is_finished_once_its_last_host_has_left(
     store: row_store.MemoryRowStore, start: Start, reports: WaveReports
 ) -> None:
--- a/tests/machines/test_fleet_orders.py
+++ b/tests/machines/test_fleet_orders.py
@@ -9,6 +9,7 @@
 from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import host_record
 from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import fleet_hosts
 from wisteriasill.machines import fleet_orders
@@ -107,3 +108,39 @@
     ended = fleet_rows.DownWorker("w1", 9)
     orders.inherit_ended([ended], 100.0)
     assert orders.ended_workers(101.0) == {"w1": ended}
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [cluster.HostOrderOutcome.UNKNOWN, cluster.HostOrderOutcome.BUSY],
+    ids=["timed out", "refused"],
+)
+def test_a_withdrawn_request_leaves_its_unanswered_order(
+    listed: ListedHosts, outcome: cluster.HostOrderOutcome
+) -> None:
+    """The host counts until the list shows that the order did not run."""
+    fleet = fleet_hosts.FleetHosts(listed)
+    orders = fleet_orders.FleetOrders()
+    orders.request([REQUEST], 100.0)
+    orders.record(REQUEST, cluster.HostOrderOutcome.UNKNOWN, 107.9)
+    orders.record(REQUEST, outcome, 108.0)
+    fleet.refresh(108.1, 7)
+    orders.refresh(fleet, 108.1)
+    assert {*orders.request_by_host} == set()
+    assert {*orders.order_by_host} == {"h1"}
+    fleet.refresh(109.2, 8)
+    orders.refresh(fleet, 109.2)
+    assert {*orders.order_by_host} == set()
+
+
+def test_a_new_holder_counts_the_hosts_that_the_list_shows_in_maintenance(
+    listed: ListedHosts,
+) -> None:
+    orders = fleet_orders.FleetOrders()
+    wave = queues.WaveOrder(1, ("h1",), 20.0, 1)
+    up = listed.record
+    upkeep = up._replace(state=host_record.HostState.UPKEEP, worker_id="")
+    assert orders.in_maintenance(wave, [up]) == 0
+    assert orders.in_maintenance(wave, [upkeep]) == 1
+    orders.request([REQUEST], 100.0)
+    assert orders.in_maintenance(wave, [upkeep]) == 0  # The request counts.
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -242,7 +242,7 @@
                 loads,
                 self._waves.started_hosts(number),
                 [*self._orders.request_by_host.values(), *new_requests],
-                self._orders.in_maintenance(number),
+                self._orders.in_maintenance(wave, self._fleet.hosts),
                 now,
             )
         standby_services = {
@@ -394,7 +394,11 @@
                 else None
             )
             in_standby = pool is not None and pool.standby
-            if in_standby or (worker is not None and worker.released):
+            if (
+                in_standby
+                or (worker is not None and worker.released)
+                or (host is not None and self._orders.in_doubt(host))
+            ):
                 due.append(request)
         for request, outcome in zip(
             due, self._executor.map(self._send_order, due), strict=True
--- a/wisteriasill/machines/fleet_orders.py
+++ b/wisteriasill/machines/fleet_orders.py
@@ -8,6 +8,7 @@
 
 from wisteriasill.contracts import host_moves
 from wisteriasill.contracts import host_record
+from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import fleet_hosts
 from wisteriasill.machines import fleet_rows
@@ -19,9 +20,9 @@
 # A drain request that its pool can't satisfy is withdrawn after this time, so
 # that other hosts can be chosen.
 REQUEST_TIMEOUT_SECONDS = 8.0
-# Time in which the host list shows the effect of an order to a host in standby.
-# Such a host has no worker whose change could show it.
-STANDBY_SETTLE_SECONDS = 1.0
+# Time in which the host list shows the effect of an order that was carried out.
+# A host in standby has no worker whose change could show it.
+SETTLE_SECONDS = 1.0
 # An order whose effect does not show within this time counts as failed.
 ORDER_TIMEOUT_SECONDS = 12.0
 # The registry lists a worker for three heartbeats of 1.5 s after its end.
@@ -45,11 +46,13 @@
     Attributes:
         sent_at: Monotonic time of the order, or the latest possible time.
         inherited: Whether a former holder sent it, or was about to.
+        answered: Whether the platform confirmed it.
     """
 
     request: host_moves.DrainRequest
     sent_at: float
     inherited: bool = False
+    answered: bool = True
 
     def ended_worker(self, fleet: fleet_hosts.FleetHosts) -> bool:
         """Whether the host list shows that the order ended a worker.
@@ -79,7 +82,18 @@
             return False
         # A host in standby has no worker, before or after the order.
         return host.worker_id != self.request.worker_id or (
-            not host.worker_id and now - self.sent_at > STANDBY_SETTLE_SECONDS
+            not host.worker_id and now - self.sent_at > SETTLE_SECONDS
+        )
+
+    def did_not_run(self, fleet: fleet_hosts.FleetHosts) -> bool:
+        """Whether the host list shows that an unanswered order did not run."""
+        host = fleet.host_by_id.get(self.request.host_id)
+        return (
+            not self.answered
+            and host is not None
+            and fleet.listed_at - self.sent_at > SETTLE_SECONDS
+            and host.state is host_record.HostState.UP
+            and host.worker_id == self.request.worker_id
         )
 
 
@@ -102,8 +116,11 @@
         self.request_by_host: dict[str, host_moves.DrainRequest] = {}
         self.order_by_host: dict[str, SentOrder] = {}
         self._requested_at: dict[str, float] = {}
-        # Orders that took effect. They stay stored for a successor, which must
-        # not send orders to their hosts at once; this holder may.
+        # When the last call for a request ended, if it may have been carried
+        # out although no answer came.
+        self._unanswered_at: dict[str, float] = {}
+        # Orders that are over. They stay stored for a successor, which must not
+        # send orders to their hosts at once; this holder may.
         self._settled_order_by_host: dict[str, SentOrder] = {}
         self._ended_by_worker: dict[str, EndedWorker] = {}
 
@@ -141,6 +158,18 @@
         """Whether a host's request was made before a monotonic time."""
         return self._requested_at[host_id] < at
 
+    def in_doubt(self, host: host_record.HostRecord) -> bool:
+        """Whether the listed maintenance of a host may be an order's effect.
+
+        The platform confirms an order that was carried out before, so repeating
+        it tells whose effect it is. No worker is left that it could disturb.
+        """
+        return (
+            host.state is host_record.HostState.UPKEEP
+            and host.host_id in self._unanswered_at
+            and self.request_by_host[host.host_id].wave > 0
+        )
+
     def refresh(self, fleet: fleet_hosts.FleetHosts, now: float) -> None:
         """Removes what took effect, timed out or is outdated."""
         for host_id, order in [*self.order_by_host.items()]:
@@ -161,7 +190,9 @@
             )
             if now - order.sent_at > timeout_seconds:
                 del self.order_by_host[host_id]
-            elif not order.inherited and order.took_effect(fleet, now):
+            elif not order.inherited and (
+                order.took_effect(fleet, now) or order.did_not_run(fleet)
+            ):
                 del self.order_by_host[host_id]
                 self._settled_order_by_host[host_id] = order
         self._settled_order_by_host = {
@@ -173,10 +204,13 @@
             host = fleet.host_by_id.get(host_id)
             if (
                 host is None
-                or host.worker_id != request.worker_id
+                or (
+                    host.worker_id != request.worker_id
+                    and not self.in_doubt(host)
+                )
                 or now - self._requested_at[host_id] > REQUEST_TIMEOUT_SECONDS
             ):
-                del self.request_by_host[host_id]
+                self._withdraw(request)
 
     def record(
         self,
@@ -188,21 +222,51 @@
         if outcome is cluster.HostOrderOutcome.DONE:
             self.order_by_host[request.host_id] = SentOrder(request, now)
             del self.request_by_host[request.host_id]
+            self._unanswered_at.pop(request.host_id, None)
+        elif outcome is cluster.HostOrderOutcome.UNKNOWN:
+            self._unanswered_at[request.host_id] = now
         elif outcome in REJECTED:
-            del self.request_by_host[request.host_id]
+            self._withdraw(request)
+
+    def _withdraw(self, request: host_moves.DrainRequest) -> None:
+        """Removes a request; an order that may have run for it remains."""
+        del self.request_by_host[request.host_id]
+        sent_at = self._unanswered_at.pop(request.host_id, None)
+        if sent_at is not None:
+            self.order_by_host[request.host_id] = SentOrder(
+                request, sent_at, answered=False
+            )
 
-    def in_maintenance(self, wave: int) -> int:
+    def in_maintenance(
+        self,
+        wave: queues.WaveOrder,
+        hosts: Iterable[host_record.HostRecord],
+    ) -> int:
         """Returns how many hosts of a wave may be in maintenance.
 
-        The list of hosts may lag, so settled orders count as well.
+        The list of hosts may lag, so settled orders count as well. Hosts with a
+        request are not counted.
         """
-        return sum(
-            order.request.wave == wave
+        ordered = {
+            order.request.host_id
             for order in itertools.chain(
                 self.order_by_host.values(),
                 self._settled_order_by_host.values(),
             )
+            if order.request.wave == wave.number
+        }
+        without_order = {*wave.host_ids}.difference(
+            self.order_by_host,
+            self._settled_order_by_host,
+            self.request_by_host,
         )
+        listed = {
+            host.host_id
+            for host in hosts
+            if host.state is host_record.HostState.UPKEEP
+            and host.host_id in without_order
+        }
+        return len(ordered | listed)
 
     def arriving_by_service(self) -> dict[str, int]:
         """Returns how many hosts are about to move to each pool."""
