--- a/tests/machines/batch/test_failed_rounds.py
+++ b/tests/machines/batch/test_failed_rounds.py
@@ -3,23 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
-import threading
-from typing import Any, cast
+from typing import Any
 
 import pytest
 
 from standins import batch_worker
 from standins import row_store
 from tests.machines import batch_site
-from wisteriasill import metrics
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_controller
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_tables
-from wisteriasill.machines import site_links
 from wisteriasill.machines import worker as workers
-from wisteriasill.zones import shard_writer
 
 TASK = job_spec.TaskKey("j1", 0, 0, 0)
 STEP = batch_site.step(1)
@@ -62,26 +58,10 @@
 
 @pytest.fixture
 def controller(
-    store: FaultyStore,
+    store: FaultyStore, link: batch_worker.MemoryWorker
 ) -> Iterator[batch_controller.BatchController]:
     """The holder of a pool; the test runs its rounds."""
-    writer = shard_writer.ShardWriter(
-        store, batch_site.SERVICE, "n1", threading.Event()
-    )
-    assert writer.claim(shard_writer.UNOWNED)
-    holder = batch_controller.BatchController(
-        site_links.SiteLinks(
-            store=store,
-            registry=cast(cluster.WorkerRegistry, None),
-            operators=cast(cluster.OperatorOrders, None),
-            hosts=cast(cluster.HostControl, None),
-            advice=None,
-            open_worker=lambda entry: cast(cluster.WorkerLink, None),
-            metrics=metrics.Metrics(),
-        ),
-        writer,
-        batch_site.CONFIGURATION,
-    )
+    holder = batch_site.new_holder(store, link)
     yield holder
     holder.close(release=True)
 
@@ -92,22 +72,7 @@
     link: batch_worker.MemoryWorker,
 ) -> workers.Worker:
     """A worker of the pool that has reported, without threads."""
-    entry = cluster.WorkerEntry(
-        "w1",
-        link.started_ms,
-        batch_site.SERVICE,
-        "10.0.0.1:1",
-        "zone",
-        cluster.WorkerState.READY,
-        link.room,
-        ("a", "r1"),
-        1,
-    )
-    added = workers.Worker(
-        entry, link, controller.pool, controller.pool.former_leases_end_at
-    )
-    controller.pool.add_worker(added)
-    added.poll_once()
+    added = batch_site.join_worker(controller, link)
     controller.pool.on_record(batch_site.job_row("j1", [STEP]))
     return added
 
--- a/tests/machines/batch/test_hand_over_after_errors.py
+++ b/tests/machines/batch/test_hand_over_after_errors.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Iterator, Sequence
 import threading
 import time
-from typing import cast
 
 import pytest
 from returns import result
@@ -14,44 +13,15 @@
 from standins import row_store
 from tests import waiting
 from tests.machines import batch_site
-from wisteriasill import metrics
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_controller
 from wisteriasill.machines import batch_tables
-from wisteriasill.machines import site_links
-from wisteriasill.zones import shard_writer
 
 TASK = job_spec.TaskKey("j1", 0, 0, 0)
 STEP = batch_site.step(1)
 
 
-class OneWorker:
-    """A registry with one worker; implements `cluster.WorkerRegistry`."""
-
-    def read(self) -> result.Result[cluster.RegistryPage, cluster.StoreFault]:
-        """Reads the worker."""
-        entry = cluster.WorkerEntry(
-            "w1",
-            1,
-            batch_site.SERVICE,
-            "10.0.0.1:1",
-            "zone",
-            cluster.WorkerState.READY,
-            batch_site.ROOM,
-            ("a", "r1"),
-            1,
-        )
-        return result.Success(cluster.RegistryPage((entry,), (), True, 1))
-
-    def watch(
-        self, after: int, wait_seconds: float
-    ) -> result.Result[cluster.RegistryPage, cluster.StoreFault]:
-        """Waits in vain."""
-        time.sleep(min(wait_seconds, 0.1))
-        return result.Success(cluster.RegistryPage((), (), False, after))
-
-
 @pytest.fixture
 def store() -> row_store.MemoryRowStore:
     return row_store.MemoryRowStore()
@@ -62,23 +32,7 @@
     store: row_store.MemoryRowStore, link: batch_worker.MemoryWorker
 ) -> Iterator[batch_controller.BatchController]:
     """The holder of a pool of one worker."""
-    writer = shard_writer.ShardWriter(
-        store, batch_site.SERVICE, "n1", threading.Event()
-    )
-    assert writer.claim(shard_writer.UNOWNED)
-    holder = batch_controller.BatchController(
-        site_links.SiteLinks(
-            store=store,
-            registry=OneWorker(),
-            operators=cast(cluster.OperatorOrders, None),
-            hosts=cast(cluster.HostControl, None),
-            advice=None,
-            open_worker=lambda entry: link,
-            metrics=metrics.Metrics(),
-        ),
-        writer,
-        batch_site.CONFIGURATION,
-    )
+    holder = batch_site.new_holder(store, link)
     assert holder.open()
     assert waiting.wait_until(lambda: "w1" in holder.pool.worker_by_id)
     yield holder
--- a/tests/machines/batch/test_interrupted_changes.py
+++ b/tests/machines/batch/test_interrupted_changes.py
@@ -4,24 +4,20 @@
 
 from collections.abc import Callable, Sequence
 import contextlib
-import threading
-from typing import Any, cast
+from typing import Any
 
 import pytest
 
 from standins import batch_worker
 from standins import row_store
 from tests.machines import batch_site
-from wisteriasill import metrics
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_controller
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_runs
 from wisteriasill.machines import batch_tables
-from wisteriasill.machines import site_links
 from wisteriasill.machines import worker as workers
-from wisteriasill.zones import shard_writer
 
 JOBS_TABLE = batch_tables.jobs_table(batch_site.SERVICE)
 
@@ -67,25 +63,11 @@
 
 
 @pytest.fixture
-def controller(store: FaultyStore) -> batch_controller.BatchController:
+def controller(
+    store: FaultyStore, link: batch_worker.MemoryWorker
+) -> batch_controller.BatchController:
     """The holder of a pool without threads."""
-    writer = shard_writer.ShardWriter(
-        store, batch_site.SERVICE, "n1", threading.Event()
-    )
-    assert writer.claim(shard_writer.UNOWNED)
-    return batch_controller.BatchController(
-        site_links.SiteLinks(
-            store=store,
-            registry=cast(cluster.WorkerRegistry, None),
-            operators=cast(cluster.OperatorOrders, None),
-            hosts=cast(cluster.HostControl, None),
-            advice=None,
-            open_worker=lambda entry: cast(cluster.WorkerLink, None),
-            metrics=metrics.Metrics(),
-        ),
-        writer,
-        batch_site.CONFIGURATION,
-    )
+    return batch_site.new_holder(store, link)
 
 
 def test_a_record_that_an_error_left_long_is_shortened_later(
@@ -112,17 +94,13 @@
 
 
 def test_a_run_whose_round_was_interrupted_after_its_planning_is_started(
-    site: batch_site.SteppedPool,
     link: batch_worker.MemoryWorker,
     controller: batch_controller.BatchController,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """It stayed planned, its task neither waiting nor sent."""
     pool = controller.pool
-    entry = site.add_worker("w1", link).entry
-    worker = workers.Worker(entry, link, pool, pool.former_leases_end_at)
-    pool.add_worker(worker)
-    worker.poll_once()
+    worker = batch_site.join_worker(controller, link)
     # The second task fits nowhere, so that only the first one is planned.
     steps = [batch_site.step(1), batch_site.step(1, cpu=99_000)]
     pool.on_record(batch_site.job_row("j1", steps))
@@ -188,17 +166,13 @@
 
 
 def test_a_job_whose_row_cannot_be_stored_does_not_stop_its_pool(
-    site: batch_site.SteppedPool,
     link: batch_worker.MemoryWorker,
     controller: batch_controller.BatchController,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Each round failed on it again, and the pool was not even renewed."""
     pool = controller.pool
-    entry = site.add_worker("w1", link).entry
-    worker = workers.Worker(entry, link, pool, pool.former_leases_end_at)
-    pool.add_worker(worker)
-    worker.poll_once()
+    worker = batch_site.join_worker(controller, link)
     encode = batch_job.encode_progress
 
     def encode_others(job: batch_job.Job) -> bytes:
--- a/tests/machines/batch/test_refused_rows.py
+++ b/tests/machines/batch/test_refused_rows.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Iterator, Sequence
 import threading
-import time
-from typing import cast
 
 import pytest
 from returns import result
@@ -14,13 +12,10 @@
 from standins import row_store
 from tests import waiting
 from tests.machines import batch_site
-from wisteriasill import metrics
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_controller
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_tables
-from wisteriasill.machines import site_links
-from wisteriasill.zones import shard_writer
 
 REFUSED, ACCEPTED = "j1", "j2"
 TABLE = batch_tables.progress_table(batch_site.SERVICE)
@@ -62,32 +57,6 @@
         )
 
 
-class OneWorker:
-    """A registry with one worker; implements `cluster.WorkerRegistry`."""
-
-    def read(self) -> result.Result[cluster.RegistryPage, cluster.StoreFault]:
-        """Reads the worker."""
-        entry = cluster.WorkerEntry(
-            "w1",
-            1,
-            batch_site.SERVICE,
-            "10.0.0.1:1",
-            "zone",
-            cluster.WorkerState.READY,
-            batch_site.ROOM,
-            ("a", "r1"),
-            1,
-        )
-        return result.Success(cluster.RegistryPage((entry,), (), True, 1))
-
-    def watch(
-        self, after: int, wait_seconds: float
-    ) -> result.Result[cluster.RegistryPage, cluster.StoreFault]:
-        """Waits in vain."""
-        time.sleep(wait_seconds)
-        return result.Success(cluster.RegistryPage((), (), False, after))
-
-
 @pytest.fixture
 def store() -> RefusingStore:
     return RefusingStore()
@@ -98,21 +67,7 @@
     store: RefusingStore, link: batch_worker.MemoryWorker
 ) -> Iterator[batch_controller.BatchController]:
     stopping = threading.Event()
-    writer = shard_writer.ShardWriter(store, batch_site.SERVICE, "n1", stopping)
-    assert writer.claim(shard_writer.UNOWNED)
-    holder = batch_controller.BatchController(
-        site_links.SiteLinks(
-            store=store,
-            registry=OneWorker(),
-            operators=cast(cluster.OperatorOrders, None),
-            hosts=cast(cluster.HostControl, None),
-            advice=None,
-            open_worker=lambda entry: link,
-            metrics=metrics.Metrics(),
-        ),
-        writer,
-        batch_site.CONFIGURATION,
-    )
+    holder = batch_site.new_holder(store, link, stopping)
     assert holder.open()
     yield holder
     stopping.set()
--- a/tests/machines/batch_site.py
+++ b/tests/machines/batch_site.py
@@ -6,17 +6,23 @@
 from collections.abc import Sequence
 import threading
 import time
+from typing import cast
 
 import cbor2
+from returns import result
 
 from standins import batch_worker
+from wisteriasill import metrics
 from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
+from wisteriasill.machines import batch_controller
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_pool
 from wisteriasill.machines import batch_records
+from wisteriasill.machines import site_links
 from wisteriasill.machines import worker as workers
+from wisteriasill.zones import shard_writer
 
 SERVICE = "bench"
 ROOM = job_spec.Resources(16_000, 64_000, 0)
@@ -62,6 +68,82 @@
     )
 
 
+class OneWorker:
+    """A registry with one worker; implements `cluster.WorkerRegistry`."""
+
+    def read(self) -> result.Result[cluster.RegistryPage, cluster.StoreFault]:
+        """Reads the worker."""
+        return result.Success(
+            cluster.RegistryPage((worker_entry("w1"),), (), True, 1)
+        )
+
+    def watch(
+        self, after: int, wait_seconds: float
+    ) -> result.Result[cluster.RegistryPage, cluster.StoreFault]:
+        """Waits in vain."""
+        time.sleep(min(wait_seconds, 0.1))
+        return result.Success(cluster.RegistryPage((), (), False, after))
+
+
+def worker_entry(worker_id: str) -> cluster.WorkerEntry:
+    """Builds the registry entry of a worker's first incarnation."""
+    return cluster.WorkerEntry(
+        worker_id,
+        1,
+        SERVICE,
+        "10.0.0.1:1",
+        "zone",
+        cluster.WorkerState.READY,
+        ROOM,
+        ("a", "r1"),
+        1,
+    )
+
+
+def new_holder(
+    store: cluster.RowStore,
+    link: cluster.WorkerLink,
+    stopping: threading.Event | None = None,
+) -> batch_controller.BatchController:
+    """Claims the pool of one worker; the caller opens the holder.
+
+    Args:
+        store: The store.
+        link: The worker.
+        stopping: Ends the retries of transactions.
+    """
+    writer = shard_writer.ShardWriter(
+        store, SERVICE, "n1", stopping or threading.Event()
+    )
+    assert writer.claim(shard_writer.UNOWNED)
+    return batch_controller.BatchController(
+        site_links.SiteLinks(
+            store=store,
+            registry=OneWorker(),
+            operators=cast(cluster.OperatorOrders, None),
+            hosts=cast(cluster.HostControl, None),
+            advice=None,
+            open_worker=lambda entry: link,
+            metrics=metrics.Metrics(),
+        ),
+        writer,
+        CONFIGURATION,
+    )
+
+
+def join_worker(
+    holder: batch_controller.BatchController, link: cluster.WorkerLink
+) -> workers.Worker:
+    """Adds a worker to a holder without threads, and polls it once."""
+    pool = holder.pool
+    worker = workers.Worker(
+        worker_entry("w1"), link, pool, pool.former_leases_end_at
+    )
+    pool.add_worker(worker)
+    worker.poll_once()
+    return worker
+
+
 class SteppedPool:
     """A pool without threads; the test runs each step of their loops."""
 
