--- a/tests/machines/test_fleet_controller.py
+++ b/tests/machines/test_fleet_controller.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 import threading
 import time
 from typing import cast
@@ -96,6 +96,32 @@
         return result.Success(1)
 
 
+class FaultyStore(row_store.MemoryRowStore):
+    """A store of which the next transaction with drain requests fails.
+
+    Attributes:
+        fails: Whether it raises an error.
+    """
+
+    fails = False
+
+    def transact(
+        self,
+        partition_key: str,
+        required: Sequence[cluster.RowVersion],
+        writes: Sequence[cluster.RowWrite],
+        timeout_seconds: float,
+    ) -> result.Result[int, cluster.StoreFault]:
+        """Writes rows, or raises an error."""
+        keys = {write.key for write in writes}
+        if self.fails and fleet_rows.DRAIN_REQUESTS_KEY in keys:
+            self.fails = False
+            raise RuntimeError("injected")
+        return super().transact(
+            partition_key, required, writes, timeout_seconds
+        )
+
+
 Start = Callable[..., fleet_controller.FleetController]
 
 
@@ -105,8 +131,8 @@
 
 
 @pytest.fixture
-def store() -> row_store.MemoryRowStore:
-    return row_store.MemoryRowStore()
+def store() -> FaultyStore:
+    return FaultyStore()
 
 
 @pytest.fixture
@@ -411,3 +437,33 @@
         assert time.monotonic() < ordered_at + 4.0
         time.sleep(0.01)
     assert max(ages) <= time.monotonic() - ordered_at + 0.01
+
+
+def test_an_order_is_sent_only_once_its_request_is_stored(
+    store: FaultyStore, start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """After a failed round a successor did not know of the order."""
+    hosts = RecordedHosts({"h1": "bench", "h2": "rest"})
+    stored_before_order: list[bool] = []
+
+    def move(
+        host_id: str, service: str, fencing_epoch: int
+    ) -> cluster.HostOrderOutcome:
+        rows = store.read(fleet_rows.TABLE, fleet_rows.SHARD).unwrap().rows
+        stored_before_order.append(
+            any(
+                stored.request.host_id == host_id
+                for row in rows
+                if row.key == fleet_rows.DRAIN_REQUESTS_KEY and row.value
+                for stored in fleet_rows.decode_drain_requests(row.value)
+            )
+        )
+        return RecordedHosts.move(hosts, host_id, service, fencing_epoch)
+
+    monkeypatch.setattr(hosts, "move", move)
+    store.fails = True
+    start(hosts)
+    need_hosts(store, 2)
+    await_order(hosts, "h2")
+    assert not store.fails
+    assert stored_before_order == [True]
--- a/tests/machines/test_job_api.py
+++ b/tests/machines/test_job_api.py
@@ -11,11 +11,13 @@
 from tests.machines import batch_site
 from wisteriasill import errors
 from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import queue as queues
 from wisteriasill.contracts import submission_policy
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_tables
 from wisteriasill.machines import job_api
+from wisteriasill.machines import queue_records
 
 JOB = "5c0e7a21d94b36f8"
 SPEC = job_spec.JobSpec("text", (batch_site.step(2),))
@@ -380,3 +382,43 @@
     began = time.monotonic()
     assert isinstance(submit(api, seconds), result.Failure)
     assert time.monotonic() - began < seconds
+
+
+@pytest.fixture
+def moved_queue() -> queues.Queue:
+    """The queue after its route moved to another service."""
+    return batch_site.QUEUE._replace(service="office")
+
+
+def test_a_job_of_a_moved_route_is_not_denied_before_the_queues_are_read(
+    store: row_store.MemoryRowStore, moved_queue: queues.Queue
+) -> None:
+    """A node that had just started answered 410 for an accepted job."""
+    submit(job_api.JobApi(store))
+    records = queue_records.QueueRecords(store)
+    records.add(queues.configuration(1, [batch_site.QUEUE], [], 100_000))
+    assert records.store()
+    started = queue_records.QueueRecords(store)
+    started.add(queues.configuration(2, [moved_queue], [], 100_000))
+    api = job_api.JobApi(store, known_queues=started)
+    address = job_api.JobAddress(
+        moved_queue.host, moved_queue.prefix, JOB, moved_queue
+    )
+    assert kind_of(api.state_at(address)) is errors.ErrorKind.NOT_READY
+    assert started.store()
+    assert isinstance(api.state_at(address), result.Success)
+
+
+def test_a_job_submitted_again_after_its_route_moved_is_one_job(
+    store: row_store.MemoryRowStore, moved_queue: queues.Queue
+) -> None:
+    """The pools of both services ran its tasks."""
+    records = queue_records.QueueRecords(store)
+    records.add(queues.configuration(1, [batch_site.QUEUE], [], 100_000))
+    records.add(queues.configuration(2, [moved_queue], [], 100_000))
+    assert records.store()
+    api = job_api.JobApi(store, known_queues=records)
+    submit(api)
+    api.submit(moved_queue, JOB, SPEC, time.monotonic() + 1.0)
+    rows = store.watch(batch_tables.jobs_table("office"), 0, 0.0).unwrap().rows
+    assert not rows
--- a/tests/machines/test_job_controller_faults.py
+++ b/tests/machines/test_job_controller_faults.py
@@ -138,3 +138,39 @@
         stopping = pool.jobs()["age.1"].state is job_pool.State.STOPPING
         assert stopping or not running
     assert pool.jobs()["age.1"].state is job_pool.State.CANCELLED
+
+
+def test_the_end_of_a_task_outlives_a_refused_write(
+    pool: job_pool.Pool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A task that was done was started again on a worker that had restarted."""
+    pool.contracts = (job_pool.contract("age"),)
+    pool.set_behaviour("age.1", job_pool.Behaviour(run_seconds=5.0))
+    table, start = pool.platform.table, pool.platform.start_task
+    transact = table.transact
+    starts: list[str] = []
+    refused: list[bool] = []
+
+    def refuse_end(conditions: Any, writes: Any) -> Any:
+        ends = any(
+            write.value.get("state") == job_pool.State.FINISHED.value
+            for write in writes
+        )
+        if not ends or refused:
+            return transact(conditions, writes)
+        refused.append(True)
+        for host in pool.hosts:
+            pool.state.tasks.clear_host(host.host_id)
+        return result.Failure(
+            errors.failure(errors.ErrorKind.STORE_UNAVAILABLE, "injected")
+        )
+
+    def record_start(host_id: str, order: platform.TaskOrder) -> Any:
+        starts.append(order.task_id)
+        return start(host_id, order)
+
+    monkeypatch.setattr(table, "transact", refuse_end)
+    monkeypatch.setattr(pool.platform, "start_task", record_start)
+    pool.run(30)
+    assert refused
+    assert len(starts) == 1
--- a/tests/machines/test_site_node.py
+++ b/tests/machines/test_site_node.py
@@ -14,6 +14,8 @@
 from wisteriasill import metrics
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
+from wisteriasill.machines import batch_controller
+from wisteriasill.machines import fleet_controller
 from wisteriasill.machines import fleet_rows
 from wisteriasill.machines import site_links
 from wisteriasill.machines import site_node
@@ -29,6 +31,15 @@
         """Replaces the configuration by one that differs in its version."""
         self._configuration = self._configuration._replace(version=version)
 
+    def replace_queue(self, version: int, queue: queues.Queue) -> None:
+        """Publishes another definition of the only queue."""
+        self._configuration = queues.configuration(
+            version,
+            [queue],
+            [queues.ServicePool(queue.service, True, False)],
+            100_000,
+        )
+
     def remove_all(self, version: int) -> None:
         """Removes all queues and services."""
         self._configuration = queues.configuration(version, [], [], 100_000)
@@ -63,10 +74,18 @@
 
 
 @pytest.fixture
-def node(operators: OneConfiguration) -> Iterator[site_node.SiteNode]:
+def store() -> row_store.MemoryRowStore:
+    """A store that refuses all calls until the test lets it respond."""
+    new_store = row_store.MemoryRowStore()
+    new_store.down = True
+    return new_store
+
+
+@pytest.fixture
+def node(
+    operators: OneConfiguration, store: row_store.MemoryRowStore
+) -> Iterator[site_node.SiteNode]:
     """A started node, whose store refuses all shards."""
-    store = row_store.MemoryRowStore()
-    store.down = True
     new_node = site_node.SiteNode(
         site_node.NodeSettings("n1", "zone-a", 6.0),
         site_links.SiteLinks(
@@ -120,3 +139,28 @@
     assert waiting.wait_until(
         lambda: ([fleet_rows.SHARD], [batch_site.SERVICE]) in checked
     )
+
+
+def test_a_pool_that_is_being_opened_gets_a_new_configuration(
+    node: site_node.SiteNode,
+    operators: OneConfiguration,
+    store: row_store.MemoryRowStore,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It kept the queues of the former one until the next change."""
+    changed = batch_site.QUEUE._replace(priority=7)
+
+    def open_slowly(controller: batch_controller.BatchController) -> bool:
+        operators.replace_queue(2, changed)
+        return waiting.wait_until(lambda: version_in_force(node) == 2)
+
+    monkeypatch.setattr(batch_controller.BatchController, "open", open_slowly)
+    monkeypatch.setattr(
+        fleet_controller.FleetController, "open", lambda controller: True
+    )
+    store.down = False
+    assert waiting.wait_until(lambda: batch_site.SERVICE in node.pools())
+    pool = node.pools()[batch_site.SERVICE]
+    assert waiting.wait_until(
+        lambda: pool._queue_by_name[changed.name] == changed
+    )
--- a/tests/zones/test_shard_claims.py
+++ b/tests/zones/test_shard_claims.py
@@ -6,8 +6,10 @@
 import time
 
 import pytest
+from returns import result
 
 from standins import row_store
+from wisteriasill.links import cluster
 from wisteriasill.zones import shard_claims
 from wisteriasill.zones import shard_writer
 
@@ -244,3 +246,29 @@
     second.required = False
     pass_time([second], 3.2)
     assert second.holds
+
+
+def test_a_required_shard_is_claimed_while_a_former_one_cannot_be_read(
+    store: row_store.MemoryRowStore,
+    pass_time: Callable[[list[Node], float], None],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A store may be unavailable in part."""
+    node = Node(store, "n1", 1.0)
+    node.claims.run_once([SHARD])
+    read = store.read
+
+    def read_others(
+        table: str, partition_key: str, first_key: str = ""
+    ) -> result.Result[cluster.RowPage, cluster.StoreFault]:
+        if partition_key == "former":
+            return result.Failure(row_store.UNAVAILABLE)
+        return read(table, partition_key, first_key)
+
+    monkeypatch.setattr(store, "read", read_others)
+    monkeypatch.setattr(shard_claims, "RETRY_SECONDS", 0.0)
+    monkeypatch.setattr(
+        node, "run_once", lambda: node.claims.run_once([SHARD], ["former"])
+    )
+    pass_time([node], 3.2)
+    assert node.holds
