Log what is known of a run under which a worker crashed

So a log could not tell a start that never arrived from a crash right after a confirmed start, or one burst of crashes from two. The event now has them. No decision changes.

--- a/wisteriasill/machines/batch_crashes.py
+++ b/wisteriasill/machines/batch_crashes.py
@@ -123,32 +123,23 @@
             if unit.done or unit.job.finished or not is_watched:
                 continue
             former = unit.crash_record
+            weighed = crash._replace(
+                background_rate=self._background_rate(unit, now)
+            )
             unit.crash_record = crash_evidence.record_crash(
-                former,
-                lost_run.survived_seconds,
-                crash._replace(
-                    background_rate=self._background_rate(unit, now)
-                ),
+                former, lost_run.survived_seconds, weighed
             )
             if unit.crash_record == former:
                 continue
             if unit.crash_record.suspicions > former.suspicions:
                 unit.suspected_with.append(suspects)
+            _log_crash(worker, lost_run, weighed)
             self._judge(unit)
 
     def _judge(self, unit: batch_job.Unit) -> None:
         """Acts on a task's changed record of crashes."""
         job, record = unit.job, unit.crash_record
         self.dirty_job_by_id[job.job_id] = job
-        events.log(
-            events.Event.TASK_SUSPECTED,
-            "A worker crashed under a task",
-            level="WARNING" if record.convicted else "INFO",
-            job=job.job_id,
-            unit=unit.key,
-            needs_trial=record.needs_trial,
-            **record._asdict(),
-        )
         if record.convicted:
             self._clear_others(unit)
         if record.convicted and not unit.step.lasting:
@@ -204,6 +195,33 @@
             del lapsed_by_worker[next(iter(lapsed_by_worker))]
 
 
+def _log_crash(
+    worker: workers.Worker,
+    lost_run: batch_runs.LostRun,
+    crash: crash_evidence.Circumstances,
+) -> None:
+    run, record = lost_run.run, lost_run.run.unit.crash_record
+    events.log(
+        events.Event.TASK_SUSPECTED,
+        "A worker crashed under a task",
+        level="WARNING" if record.convicted else "INFO",
+        job=run.task.job_id,
+        unit=run.unit.key,
+        run=run.number,
+        worker=worker.worker_id,
+        # A start that was never confirmed may not have arrived.
+        confirmed=bool(run.acked_at),
+        state=run.state.name.lower(),
+        survived_seconds=round(lost_run.survived_seconds, 3),
+        sent_seconds=round(time.monotonic() - run.ordered_at, 3)
+        if run.ordered_at
+        else None,
+        needs_trial=record.needs_trial,
+        **record._asdict(),
+        **crash._asdict(),
+    )
+
+
 def _may_have_drained(worker: workers.Worker) -> bool:
     """Whether a worker that went down may have left as it was to."""
     return (
