Let no start convict a task that its worker has not confirmed

Cause: a run counts as possibly on its worker from the moment its order is sent, and one that is not confirmed counts as alive for 0 s. So an order to a worker that had crashed silently before it was taken for a start that crashed the worker. Evidence: test_starts_that_no_worker_confirmed_fail_no_job failed before, after its second start. Why this works: such a start is doubt.

--- a/tests/contracts/test_crash_evidence.py
+++ b/tests/contracts/test_crash_evidence.py
@@ -132,6 +132,16 @@
     assert crash_evidence.recent_crashes({"w1": crash}, later) == {}
 
 
+def test_an_unconfirmed_start_calls_for_a_trial_and_proves_nothing() -> None:
+    """Its order may have been sent to a worker that had crashed before."""
+    unconfirmed = (0.0, crash_evidence.Circumstances(1, is_confirmed=False))
+    record = record_of(*[unconfirmed] * 4)
+    assert record.needs_trial
+    assert not record.convicted
+    # A confirmed start that ends in a crash is proof after it.
+    assert record_of(unconfirmed, ALONE).convicted
+
+
 def test_an_explained_crash_is_no_suspicion() -> None:
     cleared = crash_evidence.record_explanation(record_of(AMONG_OTHERS))
     assert not cleared.needs_trial
@@ -152,6 +162,7 @@
         WITH_RACK,
         LONG_AFTER_START,
         beside_others,
+        (0.0, crash_evidence.Circumstances(1, is_confirmed=False)),
     ):
         assert record_of(*[crash] * 5).convicted
 
--- /dev/null
+++ b/tests/machines/batch/test_crash_bursts.py
@@ -0,0 +1,104 @@
+"""Tests of sound tasks whose workers crash one after the other.
+
+None of these tasks causes a crash, so none of their jobs may fail.
+"""
+
+from __future__ import annotations
+
+import itertools
+import time
+
+import pytest
+
+from standins import batch_worker
+from tests.machines import batch_site
+from wisteriasill.contracts import crash_evidence
+from wisteriasill.machines import batch_job
+from wisteriasill.machines import worker as workers
+
+LIST_SECONDS = 0.3  # Time until a crash is listed.
+
+
+class SteppedClock:
+    """The monotonic clock; a test advances it."""
+
+    def __init__(self) -> None:
+        self._now = time.monotonic()
+
+    def monotonic(self) -> float:
+        """Returns the time."""
+        return self._now
+
+    def advance(self, seconds: float) -> None:
+        """Advances the time."""
+        self._now += seconds
+
+
+class BurstSite:
+    """A pool with one job of one task, whose workers crash."""
+
+    def __init__(
+        self, pool: batch_site.SteppedPool, clock: SteppedClock
+    ) -> None:
+        self.stepped = pool
+        self.pool = pool.pool
+        self.clock = clock
+        self._numbers = itertools.count(1)
+        self.pool.on_record(batch_site.job_row("j1", [batch_site.step()]))
+        self.job = self.pool.job_by_id["j1"]
+        (self.unit,) = self.job.unit_by_key.values()
+
+    def add_worker(self) -> workers.Worker:
+        """Adds an empty worker on a rack of its own."""
+        number = next(self._numbers)
+        link = batch_worker.MemoryWorker(batch_site.ROOM)
+        worker = self.stepped.add_worker(
+            f"w{number}", link, f"rack-{number}", number
+        )
+        self.stepped.poll(worker)
+        return worker
+
+    def start_on_new_worker(self, silent: bool = False) -> workers.Worker:
+        """Starts the task on a new worker.
+
+        Args:
+            silent: Whether the worker goes silent before the start.
+        """
+        worker = self.add_worker()
+        self.clock.advance(0.1)
+        self.stepped.run_round()
+        link = worker.link
+        assert isinstance(link, batch_worker.MemoryWorker)
+        link.unreachable = silent
+        self.stepped.deliver(worker)
+        return worker
+
+    def list_crashes(self, *crashed: workers.Worker) -> None:
+        """Lists workers as crashed, some time after their crash."""
+        self.clock.advance(LIST_SECONDS)
+        self.pool.set_down_workers(
+            {worker.worker_id: worker.registered_version for worker in crashed}
+        )
+
+
+@pytest.fixture
+def burst_site(monkeypatch: pytest.MonkeyPatch) -> BurstSite:
+    clock = SteppedClock()
+    monkeypatch.setattr(time, "monotonic", clock.monotonic)
+    return BurstSite(batch_site.SteppedPool(), clock)
+
+
+def test_starts_that_no_worker_confirmed_fail_no_job(
+    burst_site: BurstSite,
+) -> None:
+    """Two starts went to workers that had gone silent before.
+
+    Run crash-bursts-dark at Mandacaru, seed 602.
+    """
+    for _ in range(crash_evidence.MAX_CRASHES - 1):
+        worker = burst_site.start_on_new_worker(silent=True)
+        assert [*worker.run_by_task.values()] == burst_site.unit.runs != []
+        burst_site.list_crashes(worker)
+        burst_site.clock.advance(2 * crash_evidence.BACKGROUND_SECONDS)
+    assert burst_site.unit.crash_record.needs_trial
+    assert burst_site.job.state is batch_job.JobState.RUNNING
--- a/wisteriasill/contracts/crash_evidence.py
+++ b/wisteriasill/contracts/crash_evidence.py
@@ -10,6 +10,10 @@
 runs as the only new run of its worker: a crash then convicts it and explains
 the crashes before, and survival acquits it.
 
+A start that the worker did not confirm may not have reached it: a worker that
+crashed silently does not answer, and is listed as down later. So such a start
+is a reason for a trial, and no proof.
+
 A worker that crashes while none of its runs is new has most likely crashed by
 itself. Others of the pool that crash at the same time share that cause, so no
 task is suspected for them. They still count for runs that were new there, as a
@@ -136,12 +140,14 @@
             time and neither a start nor a drain explains it.
         background_rate: Crashes per second and worker of the pool that the
             task is not among the possible causes of.
+        is_confirmed: Whether the worker had confirmed the start of the run.
     """
 
     suspects: int
     lost_with_rack: bool = False
     has_outside_cause: bool = False
     background_rate: float = 0.0
+    is_confirmed: bool = True
 
 
 def background_rate(
@@ -279,7 +285,9 @@
     rate = crash.background_rate
     seconds = RACK_LOSS_SECONDS if has_common_cause else PROBATION_SECONDS
     convicted = (
-        is_new and early >= max(least, crashes_needed(rate, seconds))
+        is_new
+        and crash.is_confirmed
+        and early >= max(least, crashes_needed(rate, seconds))
     ) or crashes >= max(MAX_CRASHES, crashes_needed(rate, ACQUITTAL_SECONDS))
     return CrashRecord(crashes, suspicions, convicted, early)
 
--- a/wisteriasill/machines/batch_crashes.py
+++ b/wisteriasill/machines/batch_crashes.py
@@ -124,7 +124,8 @@
                 continue
             former = unit.crash_record
             weighed = crash._replace(
-                background_rate=self._background_rate(unit, now)
+                background_rate=self._background_rate(unit, now),
+                is_confirmed=bool(lost_run.run.acked_at),
             )
             unit.crash_record = crash_evidence.record_crash(
                 former, lost_run.survived_seconds, weighed
@@ -209,8 +210,6 @@
         unit=run.unit.key,
         run=run.number,
         worker=worker.worker_id,
-        # A start that was never confirmed may not have arrived.
-        confirmed=bool(run.acked_at),
         state=run.state.name.lower(),
         survived_seconds=round(lost_run.survived_seconds, 3),
         sent_seconds=round(time.monotonic() - run.ordered_at, 3)
