Count crashes of one spell as one observation

Cause: after a quiet spell the background of the last 10 s is zero, so two crashes in a row were proof; but the trial of a suspected task starts within a tenth of a second, in the same spell of crashes as the first. Evidence: test_two_crashes_of_one_burst_fail_no_job failed before. Why this works: crashes within 5 s of each other count once, and after two the next trial waits at least as long. A crash of that trial is an independent observation. The delays of long-running tasks keep counting each crash, as they end no job.

--- a/tests/contracts/test_crash_evidence.py
+++ b/tests/contracts/test_crash_evidence.py
@@ -11,6 +11,10 @@
 Crash = tuple[float, crash_evidence.Circumstances]
 
 ALONE: Crash = (0.0, crash_evidence.Circumstances(1))
+ALONE_IN_SPELL: Crash = (
+    0.0,
+    crash_evidence.Circumstances(1, seconds_since_last=0.5),
+)
 AMONG_OTHERS: Crash = (0.0, crash_evidence.Circumstances(2))
 WITH_RACK: Crash = (
     0.0,
@@ -33,6 +37,8 @@
     [
         ([ALONE], False),
         ([ALONE, ALONE], True),
+        ([ALONE, ALONE_IN_SPELL], False),
+        ([ALONE, ALONE_IN_SPELL, ALONE], True),
         ([AMONG_OTHERS, ALONE], True),
         ([AMONG_OTHERS, AMONG_OTHERS], False),
         ([AMONG_OTHERS, WITH_RACK], False),
@@ -162,6 +168,7 @@
         WITH_RACK,
         LONG_AFTER_START,
         beside_others,
+        ALONE_IN_SPELL,
         (0.0, crash_evidence.Circumstances(1, is_confirmed=False)),
     ):
         assert record_of(*[crash] * 5).convicted
@@ -223,7 +230,11 @@
     assert crash_evidence.may_try(record, spell, 0.0)
     record = record_of((0.0, first), (0.0, first))
     assert not crash_evidence.may_try(record, spell, 0.0)
-    assert crash_evidence.may_try(record, calm, 0.0)
+    assert not crash_evidence.may_try(record, calm, 0.0)
+    assert crash_evidence.may_try(record, calm, crash_evidence.SPELL_SECONDS)
+    assert not crash_evidence.may_try(
+        record, spell, crash_evidence.SPELL_SECONDS
+    )
     longest = crash_evidence.MAX_PROOF_WAIT_SECONDS
     assert crash_evidence.may_try(record, spell, longest)
     assert record_of((0.0, first), (0.0, first), ALONE).convicted
@@ -231,7 +242,9 @@
 
 def test_a_long_running_task_waits_longer_each_time_up_to_a_limit() -> None:
     delays = [
-        crash_evidence.restart_delay_seconds(record_of(*[ALONE] * crashes))
+        crash_evidence.restart_delay_seconds(
+            record_of(*[ALONE_IN_SPELL] * crashes), 0.0
+        )
         for crashes in range(2, 9)
     ]
     assert delays == sorted(delays)
--- a/tests/machines/batch/test_crash_bursts.py
+++ b/tests/machines/batch/test_crash_bursts.py
@@ -85,7 +85,9 @@
 def burst_site(monkeypatch: pytest.MonkeyPatch) -> BurstSite:
     clock = SteppedClock()
     monkeypatch.setattr(time, "monotonic", clock.monotonic)
-    return BurstSite(batch_site.SteppedPool(), clock)
+    pool = batch_site.SteppedPool()
+    clock.advance(crash_evidence.BACKGROUND_SECONDS)
+    return BurstSite(pool, clock)
 
 
 def test_starts_that_no_worker_confirmed_fail_no_job(
@@ -102,3 +104,32 @@
         burst_site.clock.advance(2 * crash_evidence.BACKGROUND_SECONDS)
     assert burst_site.unit.crash_record.needs_trial
     assert burst_site.job.state is batch_job.JobState.RUNNING
+
+
+def test_two_crashes_of_one_burst_fail_no_job(burst_site: BurstSite) -> None:
+    """Both starts were confirmed, and no other worker of the pool crashed.
+
+    Run crash-bursts-dark at Mandacaru, seed 602: crashes 0.6 s apart.
+    """
+    for _ in range(2):
+        burst_site.list_crashes(burst_site.start_on_new_worker())
+    assert burst_site.unit.crash_record.early == 2
+    assert burst_site.job.state is batch_job.JobState.RUNNING
+
+
+def test_a_task_that_crashes_its_workers_is_given_up_after_the_burst(
+    burst_site: BurstSite,
+) -> None:
+    """The third crash comes at an independent moment, as its trial waits."""
+    for _ in range(2):
+        burst_site.list_crashes(burst_site.start_on_new_worker())
+    assert not burst_site.start_on_new_worker().run_by_task
+    burst_site.clock.advance(crash_evidence.SPELL_SECONDS)
+    burst_site.start_on_new_worker()
+    (run,) = burst_site.unit.runs
+    burst_site.stepped.deliver(run.worker)
+    assert run.acked_at
+    burst_site.list_crashes(run.worker)
+    burst_site.clock.advance(crash_evidence.RACK_LOSS_SECONDS)
+    burst_site.stepped.run_round()
+    assert burst_site.job.state is batch_job.JobState.FAILED
--- a/wisteriasill/contracts/crash_evidence.py
+++ b/wisteriasill/contracts/crash_evidence.py
@@ -19,8 +19,13 @@
 task is suspected for them. They still count for runs that were new there, as a
 task that crashes each worker may do so beside other crashes.
 
-The crashes of a task are weighed against those of other workers of the pool in
-the same time: it is convicted once its crashes in a row would be very unlikely
+Workers crash in spells, after which nothing may crash for long. The first crash
+of a spell comes out of a calm, and a trial right after it runs in the same
+spell. So crashes within a few seconds of each other are one observation, and
+only a crash at a later moment can prove something.
+
+The observations are weighed against the crashes of other workers of the pool in
+the same time: a task is convicted once as many in a row would be very unlikely
 for a task that does nothing. Where others crash often, that takes more of them,
 so its next trial waits for a time at which one more crash would be proof.
 """
@@ -38,6 +43,9 @@
 MIN_CRASHES = 2
 # Crashes at any age of the run from which on a task needs a trial.
 MAX_UNTRIED_CRASHES = 3
+# Crashes within this time may be of one spell. The first trial does not wait for
+# its end, so that a sound task goes on at once.
+SPELL_SECONDS = 5.0
 # Most crashes to weigh: the platform bars the third start after three crashes.
 MAX_CRASHES = 5
 # Chance at which crashes in a row are not put down to coincidence any more.
@@ -67,12 +75,14 @@
         convicted: Whether the task crashes its workers.
         early: Crashes in a row right after a start, whatever else crashed.
             It is not stored.
+        moments: Independent observations among these. It is not stored.
     """
 
     crashes: int = 0
     suspicions: int = 0
     convicted: bool = False
     early: int = 0
+    moments: int = 0
 
     @property
     def needs_trial(self) -> bool:
@@ -83,6 +93,16 @@
             or self.early >= MIN_CRASHES
         )
 
+    @property
+    def early_crashes(self) -> int:
+        """Crashes in a row right after a start, with a former holder's."""
+        return max(self.early, self.suspicions)
+
+    @property
+    def observations(self) -> int:
+        """Independent observations, with one of a former holder's crashes."""
+        return max(self.moments, min(1, self.suspicions))
+
 
 NO_CRASHES = CrashRecord()
 
@@ -141,6 +161,8 @@
         background_rate: Crashes per second and worker of the pool that the
             task is not among the possible causes of.
         is_confirmed: Whether the worker had confirmed the start of the run.
+        seconds_since_last: Time since a worker crashed right after the former
+            start of the task.
     """
 
     suspects: int
@@ -148,6 +170,7 @@
     has_outside_cause: bool = False
     background_rate: float = 0.0
     is_confirmed: bool = True
+    seconds_since_last: float = math.inf
 
 
 def background_rate(
@@ -207,18 +230,32 @@
     """
     if waited_seconds >= MAX_PROOF_WAIT_SECONDS:
         return True
-    early = max(record.early, record.suspicions)
-    if early >= MIN_CRASHES:
+    if record.early_crashes >= MIN_CRASHES:
         # Leaves a margin, as others may crash at the same time.
-        return crashes_needed(rate, 2 * RACK_LOSS_SECONDS) <= early + 1
+        needed = crashes_needed(rate, 2 * RACK_LOSS_SECONDS)
+        return (
+            waited_seconds >= SPELL_SECONDS
+            and needed <= record.observations + 1
+        )
     return (
         record.crashes < MAX_UNTRIED_CRASHES
         or crashes_needed(rate, ACQUITTAL_SECONDS) <= MAX_CRASHES
     )
 
 
-def restart_delay_seconds(record: CrashRecord) -> float:
-    """Returns how long a long-running task waits that crashes its workers."""
+def restart_delay_seconds(record: CrashRecord, rate: float) -> float:
+    """Returns how long a long-running task waits after a crash.
+
+    It waits if its crashes are unlikely for a task that does nothing. Unlike a
+    conviction, that needs no independent observations, as it ends no job.
+
+    Args:
+        record: What crashes told.
+        rate: Crashes per second and worker that the task did not cause.
+    """
+    needed = crashes_needed(rate, PROBATION_SECONDS)
+    if not record.convicted and record.early_crashes < needed:
+        return 0.0
     doublings = max(0, record.crashes - MIN_CRASHES)
     return float(min(MAX_DELAY_SECONDS, FIRST_DELAY_SECONDS * 2.0**doublings))
 
@@ -273,7 +310,12 @@
     suspected = is_new and not crash.has_outside_cause
     crashes = record.crashes + 1
     suspicions = record.suspicions + suspected
-    early = max(record.early, record.suspicions) + 1 if is_new else 0
+    early = record.early_crashes + 1 if is_new else 0
+    is_observation = is_new and (
+        not record.observations
+        or (crash.is_confirmed and crash.seconds_since_last >= SPELL_SECONDS)
+    )
+    moments = record.observations + is_observation if is_new else 0
     was_alone = is_new and crash.suspects == 1
     has_common_cause = crash.has_outside_cause or crash.lost_with_rack
     if was_alone and not crash.lost_with_rack and suspicions >= MIN_CRASHES:
@@ -285,11 +327,9 @@
     rate = crash.background_rate
     seconds = RACK_LOSS_SECONDS if has_common_cause else PROBATION_SECONDS
     convicted = (
-        is_new
-        and crash.is_confirmed
-        and early >= max(least, crashes_needed(rate, seconds))
+        is_observation and moments >= max(least, crashes_needed(rate, seconds))
     ) or crashes >= max(MAX_CRASHES, crashes_needed(rate, ACQUITTAL_SECONDS))
-    return CrashRecord(crashes, suspicions, convicted, early)
+    return CrashRecord(crashes, suspicions, convicted, early, moments)
 
 
 def record_survival(
@@ -307,7 +347,7 @@
     if survived_seconds >= ACQUITTAL_SECONDS:
         return NO_CRASHES
     if survived_seconds >= PROBATION_SECONDS:
-        return record._replace(suspicions=0, convicted=False, early=0)
+        return CrashRecord(record.crashes)
     return record
 
 
@@ -320,8 +360,10 @@
     Returns:
         The new record.
     """
+    early = max(0, record.early - 1)
     return CrashRecord(
         max(0, record.crashes - 1),
         max(0, record.suspicions - 1),
-        early=max(0, record.early - 1),
+        early=early,
+        moments=min(record.moments, early),
     )
--- a/wisteriasill/machines/batch_crashes.py
+++ b/wisteriasill/machines/batch_crashes.py
@@ -126,6 +126,7 @@
             weighed = crash._replace(
                 background_rate=self._background_rate(unit, now),
                 is_confirmed=bool(lost_run.run.acked_at),
+                seconds_since_last=now - unit.early_crash_at,
             )
             unit.crash_record = crash_evidence.record_crash(
                 former, lost_run.survived_seconds, weighed
@@ -134,6 +135,12 @@
                 continue
             if unit.crash_record.suspicions > former.suspicions:
                 unit.suspected_with.append(suspects)
+            if lost_run.may_have_just_started:
+                unit.early_crash_at = now
+            if unit.step.lasting:
+                unit.retry_at = now + crash_evidence.restart_delay_seconds(
+                    unit.crash_record, weighed.background_rate
+                )
             _log_crash(worker, lost_run, weighed)
             self._judge(unit)
 
@@ -148,10 +155,6 @@
                 job, f"task {unit.key} crashed {record.crashes} workers"
             )
             return
-        if record.convicted:
-            unit.retry_at = (
-                time.monotonic() + crash_evidence.restart_delay_seconds(record)
-            )
         if record.needs_trial:
             self.suspect_by_key[job.job_id, unit.key] = unit
 
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -146,6 +146,8 @@
         crash_record: Crashes of workers under its runs.
         suspected_with: The suspects of each of these crashes, this one
             included; the last one started comes first.
+        early_crash_at: Monotonic time at which this or a former holder last
+            learnt of a crash right after its start; 0 if none did.
         restored: Stored runs of a former holder whose workers this one does
             not know yet.
         avoided: Workers that a new run avoids: a run failed there, or was
@@ -159,6 +161,7 @@
         "checkpoint",
         "crash_record",
         "done",
+        "early_crash_at",
         "failed_run",
         "failures",
         "indexes",
@@ -192,6 +195,7 @@
         self.failed_run = 0
         self.crash_record = crash_evidence.NO_CRASHES
         self.suspected_with: list[list[Unit]] = []
+        self.early_crash_at = 0.0
         self.done = False
         self.checkpoint = ""
         self.runs: list[Run] = []
