Model bursts of silent crashes and unconfirmed starts

Sound jobs were shown as failed for crashes of workers, while the experiment crash-evidence reported no sound task given up: in its pool workers crashed at a steady period only, no order went to a worker that had crashed unnoticed, and each start was confirmed.

Change: patterns of crashes have a module of their own. New are bursts (five of 30% of the pool 0.25 s apart, 10 s quiet; ten of 20% 0.4 s apart, 8 s quiet; drawn at random), silent crashes that become known 0.1 to 0.6 s later, starts without an answer, bad tasks that crash the worker before the confirmation, and the times of crashes in other pools, which no decision uses yet. Pools of 6 workers beside those of the site, at loads of 0.2 and 0.8.

--- a/bench/crash_pool.py
+++ b/bench/crash_pool.py
@@ -1,7 +1,9 @@
 """Simulated pool of the experiment on crashes of workers.
 
-The pool learns of a crash 0.1 to 0.4 s later. It knows how long a run was alive
-from reports every 0.1 s.
+The pool learns of a crash 0.1 to 0.4 s later, of a silent one 0.1 to 0.6 s
+later. It knows how long a run was alive from reports every 0.1 s. As the
+product sends the orders of a worker one by one, one start at most is in flight
+to a worker that does not answer, and those behind it were never sent.
 """
 
 from __future__ import annotations
@@ -9,24 +11,53 @@
 from collections.abc import Iterator
 import dataclasses
 import random
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
+from bench import crash_patterns
 from wisteriasill.contracts import crash_evidence
 
 RACKS = 5
 SLOTS = 4  # Tasks of a worker.
-LOAD = 0.7  # Share of the slots for which there are tasks.
 LONG_SHARE = 0.05  # Share of the tasks that last until the end.
-SPELL_SECONDS = 20.0
-DURATION_SECONDS = 50.0
-STEP_SECONDS = 0.05
+CALM_SECONDS = 30.0  # Time without crashes after the spell.
+STEP_SECONDS = crash_patterns.STEP_SECONDS
 REPORT_SECONDS = 0.1
 RESTART_SECONDS = 0.5
+KNOWN_SECONDS = (0.1, 0.4)
+SILENT_KNOWN_SECONDS = (0.1, 0.6)
+
+# When a bad task crashes its worker, seen from the answer to the start order.
+BadKind = Literal["confirmed", "unconfirmed"]
+
+
+class Variant(NamedTuple):
+    """Settings of a simulated pool.
+
+    Attributes:
+        workers: Number of workers.
+        pattern: Crashes that no task causes.
+        bad: Number of tasks that crash each worker that starts them.
+        bad_kind: Whether those do so before their start is confirmed.
+        load: Share of the slots for which there are tasks.
+    """
+
+    workers: int
+    pattern: crash_patterns.CrashPattern
+    bad: int
+    bad_kind: BadKind = "confirmed"
+    load: float = 0.7
 
 
 @dataclasses.dataclass(eq=False)
 class Task:
-    """A task and what the pool knows of it."""
+    """A task, its current run, and what the pool knows of both.
+
+    Attributes:
+        started_at: Time at which the start order was sent or queued.
+        is_sent: Whether the start order was sent.
+        is_confirmed: Whether the worker answered it.
+        has_begun: Whether the worker got it, which the pool may not know.
+    """
 
     seconds: float
     bad: bool
@@ -34,6 +65,9 @@
     crash_record: crash_evidence.CrashRecord = crash_evidence.NO_CRASHES
     crashed_workers: int = 0
     started_at: float = 0.0
+    is_sent: bool = False
+    is_confirmed: bool = False
+    has_begun: bool = False
     longest_wait: float = 0.0
     given_up: bool = False
     done: bool = False
@@ -41,6 +75,8 @@
 
     def survived_seconds(self, now: float) -> float:
         """Returns for how long reports have shown its run alive."""
+        if not self.is_confirmed:
+            return 0.0
         reports = int((now - self.started_at) / REPORT_SECONDS + 1e-6)
         return max(0, reports - 1) * REPORT_SECONDS
 
@@ -51,7 +87,12 @@
 
 @dataclasses.dataclass(eq=False)
 class Worker:
-    """A worker; `crashed_at` is set until the pool knows of the crash."""
+    """A worker; `crashed_at` is set until the pool knows of the crash.
+
+    Attributes:
+        is_silent: Whether calls to it get no answer.
+        has_order: Whether a start order is in flight without an answer.
+    """
 
     rack: str
     tasks: list[Task] = dataclasses.field(default_factory=list)
@@ -59,6 +100,26 @@
     known_at: float = 0.0
     back_at: float = 0.0
     has_trial: bool = False
+    is_silent: bool = False
+    has_order: bool = False
+
+    def seen_until(self, now: float) -> float:
+        """Returns the time of its last report."""
+        return now if self.crashed_at < 0 else self.crashed_at
+
+    @property
+    def lost_tasks(self) -> list[Task]:
+        """Tasks that the pool must assume to have been on it at its crash."""
+        return [task for task in self.tasks if task.is_sent]
+
+    @property
+    def suspects(self) -> list[Task]:
+        """Those that had just started, the last one first."""
+        return [
+            task
+            for task in reversed(self.lost_tasks)
+            if task.is_new(self.crashed_at)
+        ]
 
 
 class Crash(NamedTuple):
@@ -71,23 +132,31 @@
 class PoolRun:
     """One variant with one seed."""
 
-    def __init__(self, workers: int, share: float, bad: int, seed: int) -> None:
-        self._random = random.Random(f"{workers}/{share}/{bad}/{seed}")
-        self._share = share
+    def __init__(self, variant: Variant, seed: int) -> None:
+        workers, pattern, bad = variant[:3]
+        self._variant = variant
+        self._random = random.Random(f"{workers}/{pattern.name}/{bad}/{seed}")
         self._workers = [Worker(f"r{n % RACKS}") for n in range(workers)]
         self._bad_at = sorted(
-            self._random.uniform(0, SPELL_SECONDS) for _ in range(bad)
+            self._random.uniform(0, pattern.spell_seconds) for _ in range(bad)
         )
-        self._period = self._random.uniform(0.6, 2.5)
-        self._next_crash_at = self._period
+        self._crash_times = [*pattern.times(self._random)]
+        self._duration = pattern.spell_seconds + CALM_SECONDS
         self._crashes: list[Crash] = []
         self._waiting: list[Task] = []
+        self._other_pools = random.Random(f"{pattern.name}/{seed}")
+        self._other_pool_crashes: list[float] = []
         self.tasks: list[Task] = []
         self._now = 0.0
 
+    @property
+    def other_pool_crashes(self) -> list[float]:
+        """Times at which crashes in other pools became known, until now."""
+        return sorted(at for at in self._other_pool_crashes if at <= self._now)
+
     def run(self) -> None:
         """Plays the day."""
-        steps = round(DURATION_SECONDS / STEP_SECONDS)
+        steps = round(self._duration / STEP_SECONDS)
         for number in range(steps):
             self._now = number * STEP_SECONDS
             self._crash_workers()
@@ -97,22 +166,31 @@
             self._start_tasks()
 
     def _crash_workers(self) -> None:
-        if not self._next_crash_at <= self._now < SPELL_SECONDS:
-            return
-        self._next_crash_at = self._now + self._period
-        count = max(1, round(self._share * len(self._workers)))
-        for worker in self._random.sample(self._workers, count):
-            if self._is_up(worker):
-                self._crash(worker)
-
-    def _crash(self, worker: Worker) -> None:
+        while self._crash_times and self._crash_times[0].at <= self._now:
+            crash = self._crash_times.pop(0)
+            count = max(1, round(crash.share * len(self._workers)))
+            for worker in self._random.sample(self._workers, count):
+                if self._is_up(worker):
+                    self._crash(worker, crash.silent)
+            self._other_pool_crashes += [
+                self._now + self._other_pools.uniform(*SILENT_KNOWN_SECONDS)
+                for _ in range(count * crash.other_pools)
+            ]
+
+    def _crash(self, worker: Worker, silent: bool = False) -> None:
+        bounds = SILENT_KNOWN_SECONDS if silent else KNOWN_SECONDS
+        worker.is_silent = silent
         worker.crashed_at = self._now
-        worker.known_at = self._now + self._random.uniform(0.1, 0.4)
+        worker.known_at = self._now + self._random.uniform(*bounds)
         worker.back_at = self._now + RESTART_SECONDS
 
     def _is_up(self, worker: Worker) -> bool:
         return worker.crashed_at < 0 and self._now >= worker.back_at
 
+    def _seems_up(self, worker: Worker) -> bool:
+        is_gone_unnoticed = worker.crashed_at >= 0 and worker.is_silent
+        return is_gone_unnoticed or self._is_up(worker)
+
     def _learn_crashes(self) -> None:
         known = [
             worker
@@ -127,25 +205,26 @@
             ]
             worker.tasks = []
             worker.crashed_at = -1.0
-            worker.has_trial = False
+            worker.has_trial = worker.is_silent = worker.has_order = False
 
     def _note(self, worker: Worker) -> Crash:
-        new = [task for task in worker.tasks if task.is_new(worker.crashed_at)]
+        suspects = worker.suspects
         crash = Crash(
-            crash_evidence.WorkerCrash(self._now, worker.rack, bool(new)),
+            crash_evidence.WorkerCrash(self._now, worker.rack, bool(suspects)),
             crash_evidence.PastCrash(
-                self._now, frozenset(worker.tasks), frozenset(new)
+                self._now, frozenset(worker.lost_tasks), frozenset(suspects)
             ),
         )
+        self._crashes = [
+            other
+            for other in self._crashes
+            if self._now - other.past.at < crash_evidence.BACKGROUND_SECONDS
+        ]
         self._crashes.append(crash)
         return crash
 
     def _judge_tasks(self, worker: Worker, crash: Crash) -> None:
-        suspects = [
-            task
-            for task in reversed(worker.tasks)
-            if task.is_new(worker.crashed_at)
-        ]
+        suspects = worker.suspects
         circumstances = crash_evidence.circumstances(
             len(suspects),
             worker.rack,
@@ -158,9 +237,10 @@
             ),
         )
         for task in worker.tasks:
-            former = task.crash_record
-            task.crashed_workers += 1
+            task.crashed_workers += task.has_begun
             task.lost_at = self._now
+        for task in worker.lost_tasks:
+            former = task.crash_record
             task.crash_record = crash_evidence.record_crash(
                 former,
                 task.survived_seconds(worker.crashed_at),
@@ -199,9 +279,10 @@
                 continue
             for task in worker.tasks:
                 survived = task.survived_seconds(self._now)
-                task.crash_record = crash_evidence.record_survival(
-                    task.crash_record, survived
-                )
+                if task.crash_record is not crash_evidence.NO_CRASHES:
+                    task.crash_record = crash_evidence.record_survival(
+                        task.crash_record, survived
+                    )
                 if survived >= crash_evidence.PROBATION_SECONDS:
                     task.suspected_with.clear()
                     worker.has_trial = False
@@ -216,14 +297,14 @@
             self._bad_at.pop(0)
             self._waiting.append(self._new_task(bad=True))
         at_work = sum(len(worker.tasks) for worker in self._workers)
-        wanted = round(LOAD * SLOTS * len(self._workers))
+        wanted = round(self._variant.load * SLOTS * len(self._workers))
         missing = wanted - at_work - len(self._waiting)
         self._waiting += [self._new_task(bad=False) for _ in range(missing)]
 
     def _new_task(self, bad: bool) -> Task:
         is_long = self._random.random() < LONG_SHARE
         seconds = self._random.uniform(0.5, 4.0)
-        task = Task(DURATION_SECONDS if is_long else seconds, bad, self._now)
+        task = Task(self._duration if is_long else seconds, bad, self._now)
         self.tasks.append(task)
         return task
 
@@ -234,33 +315,47 @@
             waiting, key=lambda task: not task.crash_record.needs_trial
         ):
             worker = next(self._choices(task), None)
-            if worker is None:
+            if worker is None or not self._may_try(task):
                 self._waiting.append(task)
                 continue
             task.longest_wait = max(task.longest_wait, self._now - task.lost_at)
-            task.started_at = self._now
-            worker.tasks.append(task)
             worker.has_trial = task.crash_record.needs_trial
-            if task.bad:
-                self._crash(worker)
+            self._start(task, worker)
+
+    def _start(self, task: Task, worker: Worker) -> None:
+        worker.tasks.append(task)
+        task.started_at = self._now
+        task.has_begun = worker.crashed_at < 0
+        task.is_sent = not worker.has_order
+        task.is_confirmed = task.has_begun
+        if not task.has_begun:
+            worker.has_order = True
+        elif task.bad:
+            task.is_confirmed = self._variant.bad_kind == "confirmed"
+            self._crash(worker)
+
+    def _may_try(self, task: Task) -> bool:
+        record = task.crash_record
+        return not record.needs_trial or crash_evidence.may_try(
+            record, self._rate(task), self._now - task.lost_at
+        )
 
     def _choices(self, task: Task) -> Iterator[Worker]:
         """Returns workers for a task, those with the fewest runs first."""
         on_trial = task.crash_record.needs_trial
-        if on_trial and not crash_evidence.may_try(
-            task.crash_record, self._rate(task), self._now - task.lost_at
-        ):
-            return iter(())
-        # The pool finds out about a crash later, as no call returns.
         return (
             worker
             for worker in sorted(
                 self._workers, key=lambda worker: len(worker.tasks)
             )
-            if self._is_up(worker)
+            if self._seems_up(worker)
             and len(worker.tasks) < SLOTS
             and not worker.has_trial
             and not (
-                on_trial and any(run.is_new(self._now) for run in worker.tasks)
+                on_trial
+                and any(
+                    run.is_new(worker.seen_until(self._now))
+                    for run in worker.tasks
+                )
             )
         )
