Mark rows of the fleet as stored only once they are

Callers saw: after a round of the fleet controller that failed in its commit, the next one sent its orders to hosts although no row had their requests. The same held for a row that the store refuses for good, and the progress of a wave was not stored until its next order.

Cause: the marks of what is stored (requests, ended workers, due hosts, waves) and of the last heartbeat were set before the commit.

Fix: the marks are read from the rows that the store confirmed, by the function that reads them at the start, and an order is sent only for a request that is among them. A failed round leaves them as they were, so the next one writes the rows again.

--- a/tests/machines/test_fleet_controller.py
+++ b/tests/machines/test_fleet_controller.py
@@ -568,3 +568,67 @@
     await_order(hosts, "h2")
     assert not store.fails
     assert stored_before_order == [True]
+
+
+def test_no_order_is_sent_while_the_store_refuses_its_request(
+    store: FaultyStore, start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A row that is left out of a commit counted as stored."""
+    transact = store.transact
+
+    def refuse_requests(
+        partition_key: str,
+        required: Sequence[cluster.RowVersion],
+        writes: Sequence[cluster.RowWrite],
+        timeout_seconds: float,
+    ) -> result.Result[int, cluster.StoreFault]:
+        if any(row.key == fleet_rows.DRAIN_REQUESTS_KEY for row in writes):
+            return result.Failure(row_store.INVALID)
+        return transact(partition_key, required, writes, timeout_seconds)
+
+    hosts = RecordedHosts({"h1": "bench", "h2": "rest"})
+    with monkeypatch.context() as patch:
+        patch.setattr(store, "transact", refuse_requests)
+        start(hosts)
+        need_hosts(store, 2)
+        time.sleep(1.0)
+        assert not hosts.orders
+    need_hosts(store, 2)
+    await_order(hosts, "h2")
+
+
+def test_the_progress_of_a_wave_is_stored_after_a_round_that_failed(
+    store: FaultyStore, start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A successor did not know of the maintenance and ordered it again."""
+    transact = store.transact
+    failed: list[bool] = []
+
+    def fail_once(
+        partition_key: str,
+        required: Sequence[cluster.RowVersion],
+        writes: Sequence[cluster.RowWrite],
+        timeout_seconds: float,
+    ) -> result.Result[int, cluster.StoreFault]:
+        started = [
+            row for row in writes if row.key == "1" and row.value != b"\x80"
+        ]
+        if started and not failed:
+            failed.append(True)
+            raise RuntimeError("injected")
+        return transact(partition_key, required, writes, timeout_seconds)
+
+    hosts = RecordedHosts({"h1": "bench", "h2": "rest"})
+    monkeypatch.setattr(store, "transact", fail_once)
+    start(hosts, {1: queues.WaveOrder(1, ("h2",), 60.0, 1)})
+    need_hosts(store, 1)
+    await_order(hosts, "h2")
+    assert waiting.wait_until(
+        lambda: any(
+            row.key == "1" and row.value and cbor2.loads(row.value) == ["h2"]
+            for row in store.read(fleet_rows.TABLE, fleet_rows.SHARD)
+            .unwrap()
+            .rows
+        )
+    )
+    assert failed
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from concurrent import futures
 import threading
 import time
@@ -100,15 +100,14 @@
         for row in page.rows:
             if row.value is None:
                 continue
+            self._record_stored(row.key, row.value)
             if row.key == fleet_rows.DRAIN_REQUESTS_KEY:
                 # The former holder may have sent orders to these hosts.
-                stored_requests = fleet_rows.decode_drain_requests(row.value)
-                self._stored_requests = {
-                    stored_request.request for stored_request in stored_requests
-                }
-                self._orders.inherit(stored_requests, self._claimed_at)
+                self._orders.inherit(
+                    fleet_rows.decode_drain_requests(row.value),
+                    self._claimed_at,
+                )
             elif row.key == fleet_rows.DOWN_KEY:
-                self._stored_down = fleet_rows.decode_down(row.value)
                 self._fleet.inherit(
                     {
                         host_id: down
@@ -124,9 +123,7 @@
                     ),
                     self._claimed_at,
                 )
-            elif row.key == fleet_rows.DUE_KEY:
-                self._stored_due = fleet_rows.decode_due(row.value)
-            else:
+            elif row.key != fleet_rows.DUE_KEY:
                 self._waves.load(int(row.key), row.value)
         self._rounds, _ = (
             restarting_task.start(name, run, self._closing)
@@ -311,7 +308,6 @@
         stored_requests = self._orders.to_store(now)
         requests = {stored.request for stored in stored_requests}
         if requests != self._stored_requests:
-            self._stored_requests = requests
             writes.append(
                 cluster.RowWrite(
                     fleet_rows.TABLE,
@@ -329,12 +325,11 @@
         if down != self._stored_down and (
             heartbeat_due or _worker_ids(down) != _worker_ids(self._stored_down)
         ):
-            self._stored_down = down
             writes.append(
                 cluster.RowWrite(
                     fleet_rows.TABLE,
                     fleet_rows.DOWN_KEY,
-                    fleet_rows.encode_down(self._stored_down),
+                    fleet_rows.encode_down(down),
                 )
             )
         due = {
@@ -343,7 +338,6 @@
             if host.host_id in self._due_host_ids and host.worker_id
         }
         if due != self._stored_due:
-            self._stored_due = due
             writes.append(
                 cluster.RowWrite(
                     fleet_rows.TABLE,
@@ -352,25 +346,47 @@
                 )
             )
         writes += self._waves.row_writes(self._unstored_waves)
-        self._unstored_waves = set()
-        status = None
-        if heartbeat_due:
-            status = cbor2.dumps({})
-            self._heartbeat_at = now
+        status = cbor2.dumps({}) if heartbeat_due else None
         if not writes and status is None:
             return True
-        return self._commit(writes, status)
+        if not self._commit(writes, status):
+            return False
+        if heartbeat_due:
+            self._heartbeat_at = now
+        return True
 
     def _commit(
         self, writes: list[cluster.RowWrite], status: bytes | None = None
     ) -> bool:
-        outcome = self._writer.commit(writes, status)
+        outcome = self._writer.commit(
+            writes, status, shard_writer.RowHandlers(self._record_writes)
+        )
         if outcome is shard_writer.CommitOutcome.STORED:
             return True
         self.lost = outcome is shard_writer.CommitOutcome.LOST
         self._closing.set()
         return False
 
+    def _record_writes(self, writes: Sequence[cluster.RowWrite]) -> None:
+        """Records what the rows of a stored transaction hold."""
+        for write in writes:
+            if write.table == fleet_rows.TABLE and write.value is not None:
+                self._record_stored(write.key, write.value)
+
+    def _record_stored(self, key: str, value: bytes) -> None:
+        """Records what a row of the fleet holds in the store."""
+        if key == fleet_rows.DRAIN_REQUESTS_KEY:
+            self._stored_requests = {
+                stored.request
+                for stored in fleet_rows.decode_drain_requests(value)
+            }
+        elif key == fleet_rows.DOWN_KEY:
+            self._stored_down = fleet_rows.decode_down(value)
+        elif key == fleet_rows.DUE_KEY:
+            self._stored_due = fleet_rows.decode_due(value)
+        else:
+            self._unstored_waves.discard(int(key))
+
     def _send_due_orders(
         self, now: float, configuration: queues.SiteConfiguration
     ) -> None:
@@ -379,6 +395,9 @@
         host_by_id = self._fleet.host_by_id
         due: list[host_moves.DrainRequest] = []
         for request in self._orders.request_by_host.values():
+            if request not in self._stored_requests:
+                # The store refused the row.
+                continue
             host = host_by_id.get(request.host_id)
             service = host.service if host else ""
             pool = configuration.service_by_name.get(service)
