Keep a shard whose rows an interrupted commit has written

Callers saw: after an unexpected error behind a stored transaction the holder of a shard took its own newer rows for those of another holder and left without a release; the pool or the fleet stood still until it was taken over. An unchanged heartbeat that was stored that way also counted as renewed when it was sent again, although others saw the first one only: the holder could believe that it was alone after another node could claim the shard.

Cause: the writer knew row versions only from answers that it had read.

Fix: the writer remembers the rows of transactions that an error ended. On a conflict with the owner row unchanged, only this writer can have written them, as each transaction requires that row; it adopts their versions and repeats. A newer row that no interrupted commit explains still counts as a lost shard, and so does any other version of the owner row. The heartbeat counts as renewed only when it is written again.

--- a/tests/zones/test_shard_writer.py
+++ b/tests/zones/test_shard_writer.py
@@ -17,6 +17,33 @@
 from wisteriasill.links import cluster
 from wisteriasill.zones import shard_writer
 
+
+class InterruptedStore(row_store.MemoryRowStore):
+    """A store of which calls raise an error.
+
+    Attributes:
+        errors: Number of upcoming transactions that raise an error.
+    """
+
+    errors = 0
+
+    def transact(
+        self,
+        partition_key: str,
+        required: Sequence[cluster.RowVersion],
+        writes: Sequence[cluster.RowWrite],
+        timeout_seconds: float,
+    ) -> result.Result[int, cluster.StoreFault]:
+        """Carries a transaction out, or not, and raises an error if due."""
+        outcome = super().transact(
+            partition_key, required, writes, timeout_seconds
+        )
+        if self.errors:
+            self.errors -= 1
+            raise RuntimeError("injected")
+        return outcome
+
+
 STORED = shard_writer.CommitOutcome.STORED
 LOST = shard_writer.CommitOutcome.LOST
 
@@ -26,6 +53,11 @@
     return row_store.MemoryRowStore()
 
 
+@pytest.fixture
+def interrupted_store() -> InterruptedStore:
+    return InterruptedStore()
+
+
 def claim(
     store: row_store.MemoryRowStore, node: str
 ) -> shard_writer.ShardWriter:
@@ -263,3 +295,105 @@
     )
     assert outcome is shard_writer.CommitOutcome.STOPPED
     assert not refused
+
+
+def interrupt(
+    store: InterruptedStore,
+    writer: shard_writer.ShardWriter,
+    writes: Sequence[cluster.RowWrite],
+    status: bytes | None = None,
+) -> None:
+    """Commits rows; an error hides the outcome."""
+    store.errors = 1
+    with pytest.raises(RuntimeError):
+        writer.commit(writes, status)
+
+
+@pytest.mark.parametrize("former", [b"1", None], ids=["written", "deleted"])
+@pytest.mark.parametrize("new", [b"1", b"2", None], ids=["1", "2", "deleted"])
+def test_rows_of_an_interrupted_commit_are_written_again(
+    interrupted_store: InterruptedStore,
+    former: bytes | None,
+    new: bytes | None,
+) -> None:
+    """They counted as rows of another holder."""
+    writer = claim(interrupted_store, "n1")
+    assert writer.commit([cluster.RowWrite("t", "k", b"0")]) is STORED
+    interrupt(interrupted_store, writer, [cluster.RowWrite("t", "k", former)])
+    rows = [
+        cluster.RowWrite("t", "other", b"1"),
+        cluster.RowWrite("t", "k", new),
+    ]
+    assert writer.commit(rows) is STORED
+    assert value_of(interrupted_store, "k") == new
+    assert value_of(interrupted_store, "other") == b"1"
+
+
+def test_an_interrupted_commit_does_not_hide_a_claim(
+    interrupted_store: InterruptedStore,
+) -> None:
+    writer = claim(interrupted_store, "n1")
+    interrupt(interrupted_store, writer, [cluster.RowWrite("t", "k", b"1")])
+    claim(interrupted_store, "n2")
+    assert writer.commit([cluster.RowWrite("t", "k", b"2")]) is LOST
+    assert value_of(interrupted_store, "k") == b"1"
+
+
+@pytest.mark.parametrize("interrupted", [False, True])
+def test_a_row_that_no_interrupted_commit_explains_is_not_overwritten(
+    interrupted_store: InterruptedStore, interrupted: bool
+) -> None:
+    writer = claim(interrupted_store, "n1")
+    if interrupted:
+        row = cluster.RowWrite("t", "other", b"1")
+        interrupt(interrupted_store, writer, [row])
+    interrupted_store.transact(
+        "s", [], [cluster.RowWrite("t", "k", b"1")], 1.0
+    ).unwrap()
+    rows = [cluster.RowWrite("t", key, b"2") for key in ("k", "other")]
+    assert writer.commit(rows) is LOST
+    assert value_of(interrupted_store, "k") == b"1"
+
+
+def test_a_late_write_of_an_interrupted_commit_does_not_undo_a_newer_one(
+    interrupted_store: InterruptedStore,
+) -> None:
+    writer = claim(interrupted_store, "n1")
+    interrupted_store.delayed_writes = 1
+    interrupt(interrupted_store, writer, [cluster.RowWrite("t", "k", b"1")])
+    assert writer.commit([cluster.RowWrite("t", "k", b"2")]) is STORED
+    outcomes = interrupted_store.deliver_delayed()
+    assert not isinstance(outcomes[0], result.Success)
+    assert value_of(interrupted_store, "k") == b"2"
+
+
+def test_a_late_write_of_an_interrupted_commit_is_overwritten_later(
+    interrupted_store: InterruptedStore,
+) -> None:
+    writer = claim(interrupted_store, "n1")
+    interrupted_store.delayed_writes = 1
+    interrupt(interrupted_store, writer, [cluster.RowWrite("t", "k", b"1")])
+    assert writer.commit([cluster.RowWrite("t", "other", b"1")]) is STORED
+    assert isinstance(interrupted_store.deliver_delayed()[0], result.Success)
+    assert writer.commit([cluster.RowWrite("t", "k", b"2")]) is STORED
+    assert value_of(interrupted_store, "k") == b"2"
+
+
+def test_a_holder_is_alone_only_by_a_heartbeat_that_others_see(
+    interrupted_store: InterruptedStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The heartbeat of the interrupted commit counted as a new one.
+
+    Others count from that one and may claim the shard earlier.
+    """
+    writer = claim(interrupted_store, "n1")
+    interrupt(interrupted_store, writer, [], b"\xa0")
+    seen = shard_writer.read_state(interrupted_store, "s").unwrap()
+    boot_seconds = clock.boot_seconds()
+    monkeypatch.setattr(clock, "boot_seconds", lambda: boot_seconds + 2.0)
+    assert writer.commit([], b"\xa0") is STORED
+    assert writer.is_sole_holder
+    other = shard_writer.ShardWriter(
+        interrupted_store, "s", "n2", threading.Event()
+    )
+    assert not other.claim(seen)
--- a/wisteriasill/zones/shard_writer.py
+++ b/wisteriasill/zones/shard_writer.py
@@ -181,6 +181,8 @@
         self.seized_at = -math.inf
         self._last_heartbeat = b""
         self._version_by_row: dict[tuple[str, str], int] = {}
+        # Rows of transactions that an error ended with an unknown outcome.
+        self._unresolved_rows: set[tuple[str, str]] = set()
         self.stored_at = 0.0
         self.confirmed_at = -math.inf
         self.stored_version = 0
@@ -212,6 +214,7 @@
         self.stored_version = self.epoch
         self._last_heartbeat = status
         self._version_by_row = {(TABLE, HEARTBEAT): self.epoch}
+        self._unresolved_rows.clear()
         self.stored_at = time.monotonic()
         self.seized_at = (
             self.stored_at
@@ -351,17 +354,17 @@
         )
 
     def _store_batch(self, batch: Sequence[cluster.RowWrite]) -> CommitOutcome:
-        conditions = [
-            cluster.RowVersion(TABLE, OWNER, self.epoch),
-            *(
-                cluster.RowVersion(
-                    write.table,
-                    write.key,
-                    self._version_by_row.get((write.table, write.key), 0),
-                )
-                for write in batch
-            ),
-        ]
+        try:
+            return self._store_until_known(batch)
+        except Exception:
+            self._unresolved_rows |= {
+                (write.table, write.key) for write in batch
+            }
+            raise
+
+    def _store_until_known(
+        self, batch: Sequence[cluster.RowWrite]
+    ) -> CommitOutcome:
         last_delay = RETRY_SECONDS[-1]
         failed_at = 0.0
         for wait_seconds in itertools.chain(
@@ -370,7 +373,10 @@
             sent_at = time.monotonic()
             confirmed_at = clocks.boot_seconds()
             written = self._store.transact(
-                self.shard, conditions, batch, self._timeout.seconds
+                self.shard,
+                self._conditions(batch),
+                batch,
+                self._timeout.seconds,
             )
             if _is_answered(written):
                 self.response_seconds = time.monotonic() - sent_at
@@ -391,6 +397,8 @@
             failed_at = failed_at or time.monotonic()
             fault = written.failure()
             if fault.kind is cluster.StoreFaultKind.CONFLICT:
+                if self._adopt_unresolved(batch, fault):
+                    continue
                 outcome = self._resolve_conflict(batch, fault)
                 if outcome is CommitOutcome.STORED:
                     self.confirmed_at = confirmed_at
@@ -417,6 +425,49 @@
                 return CommitOutcome.STOPPED
         return CommitOutcome.STOPPED
 
+    def _conditions(
+        self, batch: Sequence[cluster.RowWrite]
+    ) -> list[cluster.RowVersion]:
+        return [
+            cluster.RowVersion(TABLE, OWNER, self.epoch),
+            *(
+                cluster.RowVersion(
+                    write.table,
+                    write.key,
+                    self._version_by_row.get((write.table, write.key), 0),
+                )
+                for write in batch
+            ),
+        ]
+
+    def _adopt_unresolved(
+        self, batch: Sequence[cluster.RowWrite], fault: cluster.StoreFault
+    ) -> bool:
+        """Adopts the versions of rows that an interrupted commit has written.
+
+        While the owner row is unchanged, only this writer can have written
+        them. The heartbeat counts as renewed only once it is written again.
+
+        Returns:
+            Whether any version was adopted, so that a repeat may succeed.
+        """
+        version_by_row = {
+            (row.table, row.key): row.version
+            for row in fault.rows
+            if row.value is not None
+        }
+        if version_by_row.get((TABLE, OWNER)) != self.epoch:
+            return False
+        adopted = {
+            row: version_by_row.get(row, 0)
+            for write in batch
+            if (row := (write.table, write.key)) in self._unresolved_rows
+            and version_by_row.get(row, 0) != self._version_by_row.get(row, 0)
+        }
+        self._version_by_row.update(adopted)
+        self._unresolved_rows -= adopted.keys()
+        return bool(adopted)
+
     def _resolve_conflict(
         self, batch: Sequence[cluster.RowWrite], fault: cluster.StoreFault
     ) -> CommitOutcome:
@@ -453,6 +504,8 @@
                 self._version_by_row.pop((write.table, write.key), None)
             else:
                 self._version_by_row[write.table, write.key] = version
+                # An older transaction requires an older version of the row.
+                self._unresolved_rows.discard((write.table, write.key))
 
 
 def _is_answered(
