Keep the end of a task until its row is stored

Callers saw: when the store refused the row of a task's end and the worker restarted meanwhile, the holder on an entry host started the task again, though it was done; a cancelled task was started once more before its job counted as cancelled. Entry hosts only, which the platform does not start.

Cause: what was observed of a task was dropped when its next row was planned. A task that is unknown is taken for one of a former holder, whose start may still be in flight, so it is started; the report that decided on it was gone as well.

Fix: an observation is dropped once no stored row names its task; a task that has ended is not stopped again, so no call can start it. The row that was decided on for an ended task is kept and written before anything else, also before a drain or a cancellation, until its job is no longer stored as running.

--- a/tests/machines/test_job_controller_faults.py
+++ b/tests/machines/test_job_controller_faults.py
@@ -174,3 +174,84 @@
     pool.run(30)
     assert refused
     assert len(starts) == 1
+
+
+class RefusedEnd(NamedTuple):
+    """What a pool did around a refused write of a job's end.
+
+    Attributes:
+        refused: Times of the refused writes.
+        starts: Tasks that were started.
+    """
+
+    refused: list[float]
+    starts: list[str]
+
+
+RefuseEnd = Callable[[job_pool.State], RefusedEnd]
+
+
+@pytest.fixture
+def refuse_end(
+    pool: job_pool.Pool, monkeypatch: pytest.MonkeyPatch
+) -> RefuseEnd:
+    """Returns a function that has the next write of a state refused.
+
+    All workers restart with it and know no tasks.
+    """
+    table, start = pool.platform.table, pool.platform.start_task
+    transact = table.transact
+
+    def refuse(state: job_pool.State) -> RefusedEnd:
+        observed = RefusedEnd([], [])
+
+        def refuse_once(conditions: Any, writes: Any) -> Any:
+            if observed.refused or not any(
+                write.value.get("state") == state.value for write in writes
+            ):
+                return transact(conditions, writes)
+            observed.refused.append(pool.clock.monotonic())
+            for host in pool.hosts:
+                pool.state.tasks.clear_host(host.host_id)
+            return result.Failure(
+                errors.failure(errors.ErrorKind.STORE_UNAVAILABLE, "injected")
+            )
+
+        def record_start(host_id: str, order: platform.TaskOrder) -> Any:
+            observed.starts.append(order.task_id)
+            return start(host_id, order)
+
+        monkeypatch.setattr(table, "transact", refuse_once)
+        monkeypatch.setattr(pool.platform, "start_task", record_start)
+        return observed
+
+    return refuse
+
+
+def test_a_stopped_task_is_not_started_after_a_refused_write(
+    pool: job_pool.Pool, refuse_end: RefuseEnd
+) -> None:
+    """The end of a cancelled task was forgotten, so it was started again."""
+    pool.contracts = (job_pool.contract("age"),)
+    observed = refuse_end(job_pool.State.CANCELLED)
+    pool.run(3)
+    pool.controller.cancel(pool.epoch_row, f"{job_pool.POOL}.age.1").unwrap()
+    pool.run(10)
+    assert observed.refused
+    assert len(observed.starts) == 1
+    assert pool.jobs()["age.1"].state is job_pool.State.CANCELLED
+
+
+def test_a_drained_host_does_not_run_a_task_again_whose_end_is_not_stored(
+    pool: job_pool.Pool, refuse_end: RefuseEnd
+) -> None:
+    pool.contracts = (job_pool.contract("age"),)
+    pool.set_behaviour("age.1", job_pool.Behaviour(run_seconds=5.0))
+    observed = refuse_end(job_pool.State.FINISHED)
+    while not observed.refused:
+        pool.step()
+    for host in pool.hosts:
+        pool.controller.checkpoint_host(pool.epoch_row, host.host_id).unwrap()
+    pool.run(40)
+    assert len(observed.starts) == 1
+    assert pool.jobs()["age.1"].state is job_pool.State.FINISHED
--- a/wisteriasill/machines/job_controller.py
+++ b/wisteriasill/machines/job_controller.py
@@ -108,6 +108,7 @@
 
     def _run_phases(self, step_input: job_soft_state.StepInput) -> Outcome:
         self._last_input = step_input
+        self._tasks.keep_only(self._rows.jobs_by_id.values())
         phases: tuple[Callable[[job_soft_state.StepInput], Outcome], ...] = (
             self._reconcile_declared,
             self._starter.start_urgent,
@@ -216,7 +217,16 @@
                 self._tasks.forget_all()
                 self._reset_soft_state()
 
-        return self._rows.open(epoch_row).map(reset_if_taken_over)
+        # Before all else, so that no job whose task is done is requeued.
+        return (
+            self._rows.open(epoch_row)
+            .map(reset_if_taken_over)
+            .bind(
+                lambda _: self._ends.store_decided(
+                    self._last_input.quota_by_team
+                )
+            )
+        )
 
     def _reset_soft_state(self) -> None:
         self._soft_state = job_soft_state.JobSoftState(self._clock)
--- a/wisteriasill/machines/job_ends.py
+++ b/wisteriasill/machines/job_ends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 import math
 
 from returns import result
@@ -14,6 +15,7 @@
 from wisteriasill.contracts import job_sizes
 from wisteriasill.contracts import jobs
 from wisteriasill.contracts import placement
+from wisteriasill.contracts import service as services
 from wisteriasill.links import platform
 from wisteriasill.machines import job_rows
 from wisteriasill.machines import job_soft_state
@@ -40,16 +42,39 @@
         self._soft_state = soft_state
         self._policy = policy
         self._clock = clock
+        # A worker that restarts no longer reports the end, so the decision is
+        # kept until its row is stored.
+        self._decided_row_by_task: dict[str, jobs.Job] = {}
 
     def process_ended(self, step_input: job_soft_state.StepInput) -> Outcome:
-        """Writes the next row of each job whose task has ended."""
-        changes = [
-            change
+        """Decides on each job whose task has ended and writes its next row."""
+        for job in self._rows.running():
+            if (
+                job.task_id not in self._decided_row_by_task
+                and self._tasks.observation_of(job).ended_at < math.inf
+                and (row := self._next_row(job, step_input)) is not None
+            ):
+                self._decided_row_by_task[job.task_id] = row
+        return self.store_decided(step_input.quota_by_team)
+
+    def store_decided(
+        self, quota_by_team: Mapping[str, services.TeamQuota]
+    ) -> Outcome:
+        """Writes the decided rows that are not stored yet.
+
+        Args:
+            quota_by_team: Quotas of the teams that have jobs in the pool.
+        """
+        self._decided_row_by_task = {
+            job.task_id: self._decided_row_by_task[job.task_id]
             for job in self._rows.running()
-            if self._tasks.observation_of(job).ended_at < math.inf
-            and (change := self._next_row(job, step_input)) is not None
-        ]
-        return self._rows.commit(changes, step_input.quota_by_team)
+            if job.task_id in self._decided_row_by_task
+        }
+        if not self._decided_row_by_task:
+            return result.Success(None)
+        return self._rows.commit(
+            [*self._decided_row_by_task.values()], quota_by_team
+        )
 
     def _next_row(
         self, job: jobs.Job, step_input: job_soft_state.StepInput
@@ -86,7 +111,6 @@
             )
         else:
             change = job_changes.waiting(job, "its lease lapsed")
-        self._tasks.forget(job)
         return change
 
     def _row_after_failure(
--- a/wisteriasill/machines/job_follower.py
+++ b/wisteriasill/machines/job_follower.py
@@ -209,7 +209,6 @@
         if status is job_tasks.TaskStatus.REFUSED:
             return self._starter.refused(job)
         if status is job_tasks.TaskStatus.LAPSED:
-            self._tasks.forget(job)
             return job_changes.waiting(job, f"lost with host {job.host_id}")
         observation = self._tasks.observation_of(job)
         ran_seconds = self._clock.monotonic() - observation.started_at
--- a/wisteriasill/machines/job_starts.py
+++ b/wisteriasill/machines/job_starts.py
@@ -119,7 +119,6 @@
                 break
             if self._tasks.stop(job) is not job_tasks.TaskStatus.UNCERTAIN:
                 stopped.append(job_changes.stopped(job))
-                self._tasks.forget(job)
                 _log(events.Event.JOB_STOPPED, "Job stopped", job)
         return stopped
 
@@ -197,7 +196,6 @@
         self._soft_state.cordon_host(
             job.host_id, job_soft_state.REFUSAL_CORDON_SECONDS
         )
-        self._tasks.forget(job)
         return job_changes.waiting(job, f"refused by host {job.host_id}")
 
     def _wait_changes(self, plan: job_schedule.Plan) -> list[jobs.Job]:
--- a/wisteriasill/machines/job_tasks.py
+++ b/wisteriasill/machines/job_tasks.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import enum
 import math
 from typing import Any, NamedTuple, TypeVar
@@ -102,9 +102,18 @@
         """Records that a task ran long enough to show that its host works."""
         self._update(job, healthy=True)
 
-    def forget(self, job: jobs.Job) -> None:
-        """Drops the observation of a task that has certainly ended."""
-        self._observation_by_task.pop(job.task_id, None)
+    def keep_only(self, stored_jobs: Iterable[jobs.Job]) -> None:
+        """Drops the observations of tasks that no stored row names.
+
+        An end that is not stored yet must not be forgotten, as a task that is
+        unknown here may be started again.
+        """
+        named = {job.task_id for job in stored_jobs}
+        self._observation_by_task = {
+            task_id: observation
+            for task_id, observation in self._observation_by_task.items()
+            if task_id in named
+        }
 
     def forget_all(self) -> None:
         """Drops all observations, after a change of holder."""
@@ -176,7 +185,18 @@
         return self._expired_or_uncertain(job)
 
     def stop(self, job: jobs.Job) -> TaskStatus:
-        """Stops a job's task; returns ENDED if the worker has confirmed it."""
+        """Stops a job's task; returns ENDED if the worker has confirmed it.
+
+        A task that has certainly ended is not stopped again.
+        """
+        if self.observation_of(job).ended_at < math.inf:
+            return TaskStatus.ENDED
+        status = self._stop(job)
+        if status is not TaskStatus.UNCERTAIN:
+            self._record_end(job)
+        return status
+
+    def _stop(self, job: jobs.Job) -> TaskStatus:
         outcome = self._call(
             job, lambda: self._tasks.stop_task(job.task_id, job.epoch)
         )
@@ -194,7 +214,7 @@
         # A start may still be in flight. Starting and stopping the task makes
         # the worker refuse it when it arrives.
         if self.start(job) is TaskStatus.RUNNING:
-            return self.stop(job)
+            return self._stop(job)
         return self._expired_or_uncertain(job)
 
     def checkpoint(self, job: jobs.Job) -> str:
