Deny no job before the stored queues are read

Callers saw: a node that had just started answered 410 for an accepted job whose route had moved to another service (LOST), and to its cancellation, after which the job ran on.

Cause: a node that knows a queue at the address did not wait for the stored queues, though the job may belong to a former queue of the same address.

Fix: a node that finds no job answers 503 until it has read the stored queues. What the present queue shows is answered at once, as before. The refusal of a cancellation says that its effect is not known, as the present service may have noted it. A JobApi without known queues counts as one that has read them.

--- a/tests/machines/test_job_api.py
+++ b/tests/machines/test_job_api.py
@@ -421,6 +421,38 @@
     assert isinstance(api.state_at(address), result.Success)
 
 
+def test_a_cancellation_is_not_denied_before_the_queues_are_read(
+    store: row_store.MemoryRowStore, moved_queue: queues.Queue
+) -> None:
+    """A node that had just started answered 410, and the job ran on."""
+    submit(job_api.JobApi(store))
+    records = queue_records.QueueRecords(store)
+    records.add(queues.configuration(1, [batch_site.QUEUE], [], 100_000))
+    assert records.store()
+    started = queue_records.QueueRecords(store)
+    started.add(queues.configuration(2, [moved_queue], [], 100_000))
+    api = job_api.JobApi(store, known_queues=started)
+    address = job_api.JobAddress(
+        moved_queue.host, moved_queue.prefix, JOB, moved_queue
+    )
+    failure = api.cancel_at(address, time.monotonic() + 3.0).failure()
+    assert failure.kind is errors.ErrorKind.NOT_READY
+    assert failure.executed is errors.Executed.UNKNOWN
+    assert started.store()
+    cancelled = api.cancel_at(address, time.monotonic() + 3.0)
+    assert cancelled.unwrap() is batch_job.JobState.CANCELLED
+
+
+def test_a_job_of_a_present_queue_is_shown_before_the_queues_are_read(
+    api: job_api.JobApi,
+) -> None:
+    submit(api)
+    address = job_api.JobAddress(
+        batch_site.QUEUE.host, batch_site.QUEUE.prefix, JOB, batch_site.QUEUE
+    )
+    assert api.state_at(address).unwrap() is batch_job.JobState.QUEUED
+
+
 def test_a_job_submitted_again_after_its_route_moved_is_one_job(
     store: row_store.MemoryRowStore, moved_queue: queues.Queue
 ) -> None:
--- a/wisteriasill/machines/job_api.py
+++ b/wisteriasill/machines/job_api.py
@@ -83,7 +83,9 @@
         limits: cluster.StoreLimits = cluster.DOCUMENTED_LIMITS,
     ) -> None:
         self._store = store
-        self._known_queues = known_queues or queue_records.QueueRecords(store)
+        self._known_queues = known_queues or queue_records.QueueRecords(
+            store, loaded=True
+        )
         self._limits = limits
         self._admission = job_admission.JobAdmission(store, view_backlog)
         self._relay = relay
@@ -259,12 +261,7 @@
         """
         current = address.queue
         if current is None and not self._known_queues.loaded:
-            return result.Failure(
-                errors.failure(
-                    errors.ErrorKind.NOT_READY,
-                    "the node has not read the removed queues yet",
-                )
-            )
+            return result.Failure(_queues_unread(errors.Executed.NO))
         former = self._known_queues.at(address.host, address.prefix)
         candidates = (current, *former) if current else former
         # The service locates the rows, so one queue of each is asked.
@@ -277,6 +274,9 @@
                 outcome.failure().kind is not errors.ErrorKind.NO_SUCH_JOB
             ):
                 return outcome
+        if not self._known_queues.loaded:
+            # The queue that was asked may have noted a cancellation.
+            return result.Failure(_queues_unread(errors.Executed.UNKNOWN))
         return result.Failure(
             _no_such_job(address.job_id)
             if current
@@ -432,5 +432,13 @@
     )
 
 
+def _queues_unread(executed: errors.Executed) -> errors.Failure:
+    return errors.failure(
+        errors.ErrorKind.NOT_READY,
+        "the node has not read the former queues yet",
+        executed,
+    )
+
+
 def _unavailable(fault: cluster.StoreFault) -> errors.Failure:
     return errors.failure(errors.ErrorKind.STORE_UNAVAILABLE, fault.detail)
--- a/wisteriasill/machines/queue_records.py
+++ b/wisteriasill/machines/queue_records.py
@@ -102,12 +102,13 @@
 
     Args:
         store: The platform's store.
+        loaded: Whether no queues can have been stored before.
 
     Attributes:
         loaded: Whether the stored queues have been read.
     """
 
-    def __init__(self, store: cluster.RowStore) -> None:
+    def __init__(self, store: cluster.RowStore, loaded: bool = False) -> None:
         self._store = store
         self._lock = threading.Lock()
         # Both are replaced as a whole, so that readers need no lock.
@@ -116,7 +117,7 @@
             tuple[str, str], tuple[queues.Queue, ...]
         ] = {}
         self._unreadable_keys: set[str] = set()
-        self.loaded = False
+        self.loaded = loaded
 
     def add(self, configuration: queues.SiteConfiguration) -> None:
         """Takes in the queues of a configuration; `store` stores them."""
