Run a job once whose route has moved between services

Callers saw: a job that was submitted again after its route had moved to another service was stored in the tables of both, and the pools of both ran its tasks (TWICE).

Cause: a submission looked only at the table of the service in force. A check of the other tables alone would not do: the store may carry out the first submission seconds later, and nodes adopt a configuration at different times.

Fix: before a job is inserted, it is barred from the services that had the address before: a row with the version of the configuration takes the place of the job's row. A job that is found there is the same job. A row of a newer version is never replaced, and the node answers 504, so of two nodes with different configurations only one can insert the job. A node waits for the stored queues before it accepts anything. An address that has had one service costs no further call.

Left: a node that skipped the version before the move knows the former service only once another node has stored its queues.

--- a/tests/machines/test_job_api.py
+++ b/tests/machines/test_job_api.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import random
 import time
+from typing import NamedTuple
 
 import pytest
 from returns import result
@@ -15,6 +17,7 @@
 from wisteriasill.contracts import submission_policy
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
+from wisteriasill.machines import batch_records
 from wisteriasill.machines import batch_tables
 from wisteriasill.machines import job_api
 from wisteriasill.machines import queue_records
@@ -466,3 +469,194 @@
     api.submit(moved_queue, JOB, SPEC, time.monotonic() + 1.0)
     rows = store.watch(batch_tables.jobs_table("office"), 0, 0.0).unwrap().rows
     assert not rows
+
+
+class RouteHistory(NamedTuple):
+    """A node for each configuration of a route that moves to and fro.
+
+    Attributes:
+        api_by_version: The nodes by the version of their configuration.
+        queue_by_version: The queue by the version of the configuration.
+    """
+
+    api_by_version: dict[int, job_api.JobApi]
+    queue_by_version: dict[int, queues.Queue]
+
+    def submit(self, version: int, seconds: float = 1.0) -> job_api.Outcome:
+        """Submits the job under a configuration."""
+        return self.api_by_version[version].submit(
+            self.queue_by_version[version],
+            JOB,
+            SPEC,
+            time.monotonic() + seconds,
+        )
+
+    def address(self, version: int) -> job_api.JobAddress:
+        """Returns the address of the job under a configuration."""
+        queue = self.queue_by_version[version]
+        return job_api.JobAddress(queue.host, queue.prefix, JOB, queue)
+
+
+@pytest.fixture
+def route(
+    store: row_store.MemoryRowStore, moved_queue: queues.Queue
+) -> RouteHistory:
+    """A route that moves with version 2, returns with 3 and moves with 4.
+
+    Each node knows its own configuration and the ones before.
+    """
+    queue_by_version = {
+        1: batch_site.QUEUE,
+        2: moved_queue,
+        3: batch_site.QUEUE._replace(priority=1),
+        4: moved_queue._replace(priority=1),
+    }
+    api_by_version: dict[int, job_api.JobApi] = {}
+    for newest in queue_by_version:
+        records = queue_records.QueueRecords(store, loaded=True)
+        for version in range(1, newest + 1):
+            records.add(
+                queues.configuration(
+                    version, [queue_by_version[version]], [], 100_000
+                )
+            )
+        api_by_version[newest] = job_api.JobApi(store, known_queues=records)
+    return RouteHistory(api_by_version, queue_by_version)
+
+
+def records_of(
+    store: row_store.MemoryRowStore, service: str
+) -> list[job_spec.JobRecord]:
+    """Returns the jobs that the pool of a service would run."""
+    records = batch_tables.read_records(store, service)
+    assert records is not None
+    return [
+        job_spec.decode_row(row.value)
+        for row in records.rows
+        if row.value is not None and job_spec.holds_job(row.value)
+    ]
+
+
+def all_records(store: row_store.MemoryRowStore) -> list[job_spec.JobRecord]:
+    return [
+        record
+        for service in (batch_site.SERVICE, "office")
+        for record in records_of(store, service)
+    ]
+
+
+def test_a_late_write_under_the_former_route_fails(
+    route: RouteHistory, store: row_store.MemoryRowStore
+) -> None:
+    store.delayed_writes = 100
+    assert kind_of(route.submit(1, 0.4)) is errors.ErrorKind.ACCEPTANCE_UNKNOWN
+    store.delayed_writes = 0
+    assert isinstance(route.submit(2), result.Success)
+    store.deliver_delayed()
+    assert records_of(store, "office")
+    assert len(all_records(store)) == 1
+
+
+def test_a_node_with_the_former_route_does_not_accept_a_moved_job(
+    route: RouteHistory, store: row_store.MemoryRowStore
+) -> None:
+    assert isinstance(route.submit(2), result.Success)
+    outcome = route.submit(1, 0.4)
+    assert kind_of(outcome) is errors.ErrorKind.ACCEPTANCE_UNKNOWN
+    assert len(all_records(store)) == 1
+    shown = route.api_by_version[1].state_at(route.address(1))
+    assert kind_of(shown) is errors.ErrorKind.NOT_READY
+    for version in (2, 3, 4):
+        shown = route.api_by_version[version].state_at(route.address(version))
+        assert shown.unwrap() is batch_job.JobState.QUEUED
+
+
+def test_a_job_is_accepted_where_its_route_has_returned(
+    route: RouteHistory, store: row_store.MemoryRowStore
+) -> None:
+    """The bar of a job that was never stored must not pass for the job."""
+    moves = route.api_by_version[2]._moves
+    queue = route.queue_by_version[2]
+    assert moves.locate(queue, JOB, time.monotonic() + 1.0) == "office"
+    assert isinstance(route.submit(3), result.Success)
+    assert records_of(store, batch_site.SERVICE)
+    assert isinstance(route.submit(2), result.Success)
+    assert len(all_records(store)) == 1
+
+
+def test_an_older_configuration_does_not_lift_a_newer_bar(
+    route: RouteHistory, store: row_store.MemoryRowStore
+) -> None:
+    """A job was stored at one service between the two steps at the other."""
+
+    def locate(version: int) -> str | None:
+        return route.api_by_version[version]._moves.locate(
+            route.queue_by_version[version], JOB, time.monotonic() + 1.0
+        )
+
+    assert locate(4) == "office"
+    assert locate(2) is None
+    outcome = route.submit(3, 0.4)
+    assert kind_of(outcome) is errors.ErrorKind.ACCEPTANCE_UNKNOWN
+    assert isinstance(route.submit(4), result.Success)
+    assert records_of(store, "office")
+    assert len(all_records(store)) == 1
+
+
+def test_a_job_cancelled_before_it_arrives_runs_under_no_route(
+    route: RouteHistory, store: row_store.MemoryRowStore
+) -> None:
+    moves = route.api_by_version[2]._moves
+    moves.locate(route.queue_by_version[2], JOB, time.monotonic() + 1.0)
+    outcome = route.api_by_version[3].cancel_at(
+        route.address(3), time.monotonic() + 3.0
+    )
+    assert kind_of(outcome) is errors.ErrorKind.NO_SUCH_JOB
+    for version in route.api_by_version:
+        route.submit(version, 0.4)
+    assert all(record.cancelled for record in all_records(store))
+
+
+def test_a_pool_does_not_run_a_job_that_is_barred_from_it(
+    route: RouteHistory, store: row_store.MemoryRowStore
+) -> None:
+    route.submit(2)
+    records = batch_tables.read_records(store, batch_site.SERVICE)
+    assert records is not None
+    site = batch_site.SteppedPool(records=records.rows)
+    for row in records.rows:
+        site.pool.on_record(row)
+    assert not site.pool.job_by_id
+    late = time.monotonic() + batch_records.SHORT_ROW_TTL_SECONDS + 1.0
+    assert [row.job_id for row in site.pool.take_expired_rows(late)] == [JOB]
+
+
+def test_no_job_is_submitted_before_the_queues_are_read(
+    store: row_store.MemoryRowStore, moved_queue: queues.Queue
+) -> None:
+    started = queue_records.QueueRecords(store)
+    started.add(queues.configuration(2, [moved_queue], [], 100_000))
+    api = job_api.JobApi(store, known_queues=started)
+    outcome = api.submit(moved_queue, JOB, SPEC, time.monotonic() + 0.4)
+    assert outcome.failure().executed is errors.Executed.UNKNOWN
+    assert not all_records(store)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_order_of_submissions_and_lost_answers_stores_a_job_twice(
+    route: RouteHistory, store: row_store.MemoryRowStore, seed: int
+) -> None:
+    drawn = random.Random(seed)
+    accepted = False
+    for _ in range(6):
+        store.lost_answers = drawn.choice((0, 0, 1))
+        store.delayed_writes = drawn.choice((0, 1, 2))
+        store.refused_calls = drawn.choice((0, 0, 1))
+        outcome = route.submit(drawn.choice((1, 2, 3, 4)), 0.25)
+        accepted |= isinstance(outcome, result.Success)
+        if drawn.random() < 0.5:
+            store.deliver_delayed()
+        assert len(all_records(store)) <= 1
+        assert not accepted or all_records(store)
+    store.deliver_delayed()
+    assert len(all_records(store)) <= 1
--- a/wisteriasill/contracts/job_spec.py
+++ b/wisteriasill/contracts/job_spec.py
@@ -157,6 +157,7 @@
 CANCELLATION = b"x"
 
 REFUSAL_PREFIX = b"!"
+MOVE_PREFIX = b">"
 
 
 class Refusal(NamedTuple):
@@ -190,11 +191,31 @@
     )
 
 
+def encode_move(configuration: int) -> bytes:
+    """Returns the value that bars a job from a service that lost its route.
+
+    It takes the place of the job's row, so that a submission under an older
+    configuration fails, however late the store carries it out.
+
+    Args:
+        configuration: Version that sends the route to another service.
+    """
+    return MOVE_PREFIX + cbor2.dumps(configuration)
+
+
+def decode_move(value: bytes | None) -> int | None:
+    """Returns the version in such a value; None for any other value."""
+    if value is None or not value.startswith(MOVE_PREFIX):
+        return None
+    return int(cbor2.loads(value[len(MOVE_PREFIX) :]))
+
+
 def holds_job(value: bytes | None) -> bool:
     """Whether a row's value is a job that has not been shortened."""
     return (
         value not in (None, TOMBSTONE, CANCELLATION)
         and decode_refusal(value) is None
+        and decode_move(value) is None
     )
 
 
--- a/wisteriasill/machines/job_api.py
+++ b/wisteriasill/machines/job_api.py
@@ -24,6 +24,7 @@
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_tables
 from wisteriasill.machines import job_admission
+from wisteriasill.machines import job_moves
 from wisteriasill.machines import progress_rows
 from wisteriasill.machines import queue_records
 from wisteriasill.zones import shard_writer
@@ -86,6 +87,9 @@
         self._known_queues = known_queues or queue_records.QueueRecords(
             store, loaded=True
         )
+        self._moves = job_moves.JobMoves(
+            store, self._known_queues, self._read_record
+        )
         self._limits = limits
         self._admission = job_admission.JobAdmission(store, view_backlog)
         self._relay = relay
@@ -121,6 +125,17 @@
             return result.Failure(
                 errors.failure(errors.ErrorKind.BAD_REQUEST, reason)
             )
+        give_up_at = deadline - RESPONSE_MARGIN_SECONDS
+        service = self._moves.locate(queue, job_id, give_up_at)
+        if service is None:
+            return result.Failure(
+                errors.failure(
+                    errors.ErrorKind.ACCEPTANCE_UNKNOWN,
+                    f"job {job_id}: another service may have it",
+                )
+            )
+        configuration = self._known_queues.version_of(queue)
+        queue = queue._replace(service=service)
         retry_after_seconds = self._admission.turn_away(
             queue,
             job_id,
@@ -139,7 +154,6 @@
         submission = submission_relay.Submission(
             queue.service, job_id, cbor2.dumps(job_spec.encode(record))
         )
-        give_up_at = deadline - RESPONSE_MARGIN_SECONDS
         outcome: submission_policy.Outcome | None = None
         outcome_unknown = False
         refused_until = time.monotonic() + BUSY_SECONDS
@@ -154,7 +168,7 @@
                 relayed = True
                 outcome = self._relay.store(submission, give_up_at)
             else:
-                outcome = self.store(submission, give_up_at)
+                outcome = self.store(submission, give_up_at, configuration)
             if outcome is submission_policy.Outcome.STORED:
                 return result.Success(batch_job.JobState.QUEUED)
             if outcome is submission_policy.Outcome.UNKNOWN:
@@ -181,13 +195,18 @@
         )
 
     def store(
-        self, submission: submission_relay.Submission, deadline: float
+        self,
+        submission: submission_relay.Submission,
+        deadline: float,
+        configuration: int = 0,
     ) -> submission_relay.Outcome:
         """Stores a job's row, unless a row of the same id exists.
 
         Args:
             submission: The row.
             deadline: Monotonic time until which to wait for the store.
+            configuration: Version that sends the job to its service; 0 if it
+                is not known. Older bars of the job give way to it.
 
         Returns:
             Whether the row is stored; an existing row counts as stored.
@@ -203,6 +222,13 @@
             outcome, row = self._insert(submission, row.version, give_up_at)
             if row is not None and job_spec.decode_refusal(row.value):
                 return submission_relay.Outcome.REFUSED
+        barred_by = job_spec.decode_move(row.value) if row else None
+        if row is not None and barred_by is not None:
+            if barred_by >= configuration:
+                return submission_relay.Outcome.UNKNOWN
+            outcome, row = self._insert(submission, row.version, give_up_at)
+            if row is not None and job_spec.decode_move(row.value) is not None:
+                return submission_relay.Outcome.UNKNOWN
         if row is not None and row.value == job_spec.CANCELLATION:
             record = job_spec.decode_row(submission.value)
             cancelled = submission._replace(value=_cancelled_value(record))
@@ -296,7 +322,24 @@
         row = progress.unwrap()
         if row is not None and row.value is not None:
             return result.Success(batch_job.decode_state(row.value))
-        return self._read_record(queue.service, job_id).bind(_queued)
+        return self._read_record(queue.service, job_id).bind(self._queued)
+
+    def _queued(self, row: cluster.StoredRow | None) -> Outcome:
+        if row is not None and job_spec.holds_job(row.value):
+            return result.Success(batch_job.JobState.QUEUED)
+        return result.Failure(self._absence(row))
+
+    def _absence(self, row: cluster.StoredRow | None) -> errors.Failure:
+        """Returns why a row holds no job."""
+        if row is not None and self._is_barred_by_newer(row):
+            # A service that this node does not know yet may have it.
+            return _queues_unread(errors.Executed.NO)
+        return _no_such_job(row.key if row else "with this id")
+
+    def _is_barred_by_newer(self, row: cluster.StoredRow) -> bool:
+        """Whether a configuration that is not known here moved a job."""
+        barred_by = job_spec.decode_move(row.value)
+        return barred_by is not None and barred_by > self._known_queues.version
 
     def _read_record(
         self, service: str, job_id: str
@@ -338,8 +381,11 @@
                 record = job_spec.decode(cbor2.loads(row.value))
                 if record.cancelled:
                     return result.Success(batch_job.JobState.CANCELLED)
-            elif row is not None and not job_spec.decode_refusal(row.value):
-                return result.Failure(_no_such_job(job_id))
+            elif row is not None and (
+                not job_moves.is_replaceable(row.value)
+                or self._is_barred_by_newer(row)
+            ):
+                return result.Failure(self._absence(row))
             written = self._store.transact(
                 row.partition_key
                 if row
@@ -420,12 +466,6 @@
     return cbor2.dumps(job_spec.encode(record._replace(cancelled=True)))
 
 
-def _queued(row: cluster.StoredRow | None) -> Outcome:
-    if row is None or not job_spec.holds_job(row.value):
-        return result.Failure(_no_such_job(row.key if row else "with this id"))
-    return result.Success(batch_job.JobState.QUEUED)
-
-
 def _no_such_job(job_id: str) -> errors.Failure:
     return errors.failure(
         errors.ErrorKind.NO_SUCH_JOB, f"job {job_id} does not exist"
--- a/wisteriasill/machines/queue_records.py
+++ b/wisteriasill/machines/queue_records.py
@@ -106,6 +106,7 @@
 
     Attributes:
         loaded: Whether the stored queues have been read.
+        version: Newest configuration that was added; 0 before the first.
     """
 
     def __init__(self, store: cluster.RowStore, loaded: bool = False) -> None:
@@ -116,11 +117,21 @@
         self._queues_by_address: Mapping[
             tuple[str, str], tuple[queues.Queue, ...]
         ] = {}
+        self._oldest_version_by_key: dict[str, int] = {}
         self._unreadable_keys: set[str] = set()
         self.loaded = loaded
+        self.version = 0
+        # Newest added configuration that sends an address to a service.
+        self._version_by_route: dict[tuple[str, str, str], int] = {}
 
     def add(self, configuration: queues.SiteConfiguration) -> None:
         """Takes in the queues of a configuration; `store` stores them."""
+        for queue in configuration.queue_by_name.values():
+            route = queue.host, queue.prefix, queue.service
+            self._version_by_route[route] = max(
+                self._version_by_route.get(route, 0), configuration.version
+            )
+        self.version = max(self.version, configuration.version)
         self._merge(
             {
                 _key(queue): KnownQueue(
@@ -184,8 +195,37 @@
         """Returns all queues that have had an address, the newest first."""
         return self._queues_by_address.get((host, prefix), ())
 
+    def version_of(self, queue: queues.Queue) -> int:
+        """Returns the newest configuration with a queue's address and service.
+
+        Returns:
+            The version; 0 if no such configuration was added.
+        """
+        route = queue.host, queue.prefix, queue.service
+        return self._version_by_route.get(route, 0)
+
+    def versions_of_others(self, queue: queues.Queue) -> dict[str, int]:
+        """Returns the other services that have had the address of a queue.
+
+        Returns:
+            The oldest known configuration of each, by service.
+        """
+        version_by_service: dict[str, int] = {}
+        for other in self.at(queue.host, queue.prefix):
+            if other.service != queue.service:
+                version = self._oldest_version_by_key[_key(other)]
+                version_by_service[other.service] = min(
+                    version, version_by_service.get(other.service, version)
+                )
+        return version_by_service
+
     def _merge(self, other_by_key: Mapping[str, KnownQueue]) -> None:
         with self._lock:
+            for key, other in other_by_key.items():
+                self._oldest_version_by_key[key] = min(
+                    other.configuration,
+                    self._oldest_version_by_key.get(key, other.configuration),
+                )
             self._known_by_key = {
                 **self._known_by_key,
                 **{
