Record the orders of a round in which one fails unexpectedly

Callers would have seen: after an unexpected error in one order to a host, the outcomes of the orders beside it were dropped.

Cause: the outcomes of orders that are sent together were recorded only up to the first error.

Evidence: the new test failed before the change; neither host was in the stored row.

Fix: an order that fails unexpectedly is logged and has an unknown outcome, like one without an answer, so all outcomes are recorded.

--- a/tests/machines/test_fleet_controller.py
+++ b/tests/machines/test_fleet_controller.py
@@ -20,6 +20,7 @@
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import fleet_controller
+from wisteriasill.machines import fleet_hosts
 from wisteriasill.machines import fleet_orders
 from wisteriasill.machines import fleet_rows
 from wisteriasill.machines import site_links
@@ -570,6 +571,36 @@
     assert stored_before_order == [True]
 
 
+def test_an_order_is_known_although_one_beside_it_failed(
+    store: FaultyStore, start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A successor did not know of it and could order the host at once."""
+    hosts = RecordedHosts({"h1": "bench", "h2": "rest", "h3": "rest"})
+
+    def move(
+        host_id: str, service: str, fencing_epoch: int
+    ) -> cluster.HostOrderOutcome:
+        outcome = RecordedHosts.move(hosts, host_id, service, fencing_epoch)
+        if host_id == "h2":
+            raise RuntimeError("injected")
+        return outcome
+
+    monkeypatch.setattr(fleet_orders, "HOST_ORDER_LEASE_SECONDS", 60.0)
+    monkeypatch.setattr(hosts, "move", move)
+    start(hosts)
+    need_hosts(store, 3)
+    for host_id in ("h2", "h3"):
+        await_order(hosts, host_id)
+    time.sleep(3 * fleet_hosts.LIST_INTERVAL_SECONDS)
+    rows = store.read(fleet_rows.TABLE, fleet_rows.SHARD).unwrap().rows
+    assert {
+        stored.request.host_id
+        for row in rows
+        if row.key == fleet_rows.DRAIN_REQUESTS_KEY and row.value
+        for stored in fleet_rows.decode_drain_requests(row.value)
+    } == {"h2", "h3"}
+
+
 def test_no_order_is_sent_while_the_store_refuses_its_request(
     store: FaultyStore, start: Start, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/wisteriasill/machines/fleet_controller.py
+++ b/wisteriasill/machines/fleet_controller.py
@@ -436,6 +436,22 @@
         if not self._writer.is_sole_holder:
             # This node was paused, or the store is away.
             return cluster.HostOrderOutcome.UNKNOWN
+        try:
+            return self._call_host(request)
+        except Exception as error:
+            # The outcomes of the orders beside it still have to be recorded.
+            events.log(
+                events.Event.TASK_FAILED,
+                "An order to a host failed",
+                level="ERROR",
+                host=request.host_id,
+                error=repr(error),
+            )
+            return cluster.HostOrderOutcome.UNKNOWN
+
+    def _call_host(
+        self, request: host_moves.DrainRequest
+    ) -> cluster.HostOrderOutcome:
         fencing_epoch = self._writer.epoch
         if request.wave:
             return self._links.hosts.maintain(
