--- a/tests/machines/test_fleet_controller.py
+++ b/tests/machines/test_fleet_controller.py
@@ -20,6 +20,7 @@
 from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 from wisteriasill.machines import fleet_controller
+from wisteriasill.machines import fleet_hosts
 from wisteriasill.machines import fleet_orders
 from wisteriasill.machines import fleet_rows
 from wisteriasill.machines import site_links
@@ -568,3 +569,97 @@
     await_order(hosts, "h2")
     assert not store.fails
     assert stored_before_order == [True]
+
+
+def test_an_order_is_known_although_one_beside_it_failed(
+    store: FaultyStore, start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A successor did not know of it and could order the host at once."""
+    hosts = RecordedHosts({"h1": "bench", "h2": "rest", "h3": "rest"})
+
+    def move(
+        host_id: str, service: str, fencing_epoch: int
+    ) -> cluster.HostOrderOutcome:
+        outcome = RecordedHosts.move(hosts, host_id, service, fencing_epoch)
+        if host_id == "h2":
+            raise RuntimeError("injected")
+        return outcome
+
+    monkeypatch.setattr(fleet_orders, "HOST_ORDER_LEASE_SECONDS", 60.0)
+    monkeypatch.setattr(hosts, "move", move)
+    start(hosts)
+    need_hosts(store, 3)
+    for host_id in ("h2", "h3"):
+        await_order(hosts, host_id)
+    time.sleep(3 * fleet_hosts.LIST_INTERVAL_SECONDS)
+    rows = store.read(fleet_rows.TABLE, fleet_rows.SHARD).unwrap().rows
+    assert {
+        stored.request.host_id
+        for row in rows
+        if row.key == fleet_rows.DRAIN_REQUESTS_KEY and row.value
+        for stored in fleet_rows.decode_drain_requests(row.value)
+    } == {"h2", "h3"}
+
+
+def test_no_order_is_sent_while_the_store_refuses_its_request(
+    store: FaultyStore, start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A row that is left out of a commit counted as stored."""
+    transact = store.transact
+
+    def refuse_requests(
+        partition_key: str,
+        required: Sequence[cluster.RowVersion],
+        writes: Sequence[cluster.RowWrite],
+        timeout_seconds: float,
+    ) -> result.Result[int, cluster.StoreFault]:
+        if any(row.key == fleet_rows.DRAIN_REQUESTS_KEY for row in writes):
+            return result.Failure(row_store.INVALID)
+        return transact(partition_key, required, writes, timeout_seconds)
+
+    hosts = RecordedHosts({"h1": "bench", "h2": "rest"})
+    with monkeypatch.context() as patch:
+        patch.setattr(store, "transact", refuse_requests)
+        start(hosts)
+        need_hosts(store, 2)
+        time.sleep(1.0)
+        assert not hosts.orders
+    need_hosts(store, 2)
+    await_order(hosts, "h2")
+
+
+def test_the_progress_of_a_wave_is_stored_after_a_round_that_failed(
+    store: FaultyStore, start: Start, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A successor did not know of the maintenance and ordered it again."""
+    transact = store.transact
+    failed: list[bool] = []
+
+    def fail_once(
+        partition_key: str,
+        required: Sequence[cluster.RowVersion],
+        writes: Sequence[cluster.RowWrite],
+        timeout_seconds: float,
+    ) -> result.Result[int, cluster.StoreFault]:
+        started = [
+            row for row in writes if row.key == "1" and row.value != b"\x80"
+        ]
+        if started and not failed:
+            failed.append(True)
+            raise RuntimeError("injected")
+        return transact(partition_key, required, writes, timeout_seconds)
+
+    hosts = RecordedHosts({"h1": "bench", "h2": "rest"})
+    monkeypatch.setattr(store, "transact", fail_once)
+    start(hosts, {1: queues.WaveOrder(1, ("h2",), 60.0, 1)})
+    need_hosts(store, 1)
+    await_order(hosts, "h2")
+    assert waiting.wait_until(
+        lambda: any(
+            row.key == "1" and row.value and cbor2.loads(row.value) == ["h2"]
+            for row in store.read(fleet_rows.TABLE, fleet_rows.SHARD)
+            .unwrap()
+            .rows
+        )
+    )
+    assert failed
