Add a failing test of a gang that runs on after its job has ended

The job is no longer in the pool, so its cancellation, which callers see acknowledged, stops nothing, and the leases of the second run are renewed.

The test fails on at its last line. The users' sites have no gangs, so this is not the cause of their report.

--- a/tests/machines/batch/test_stops.py
+++ b/tests/machines/batch/test_stops.py
@@ -552,5 +552,45 @@
     )
 
 
+def test_a_gang_started_again_is_stopped_when_its_lost_run_was_done(
+    site: batch_site.SteppedPool,
+) -> None:
+    """The second run went on after the cancellation was acknowledged."""
+    gang = batch_site.step(2, cpu=9_000, gang=True)
+    links = {
+        worker_id: batch_worker.MemoryWorker(batch_site.ROOM)
+        for worker_id in ("w1", "w2", "w3", "w4")
+    }
+    for worker_id, link in links.items():
+        site.poll(site.add_worker(worker_id, link))
+    site.pool.on_record(batch_site.job_row("j1", [gang]))
+    site.run_round()
+    _deliver_and_poll(site)
+    cut_links = [link for link in links.values() if link.running]
+    for link in cut_links:
+        link.unreachable = True
+        (task,) = link.running
+        link.finish(task)
+    _deliver_and_poll(site)
+    site.pool.end_expired_runs(time.monotonic() + 20)
+    site.run_round(time.monotonic() + 1)
+    _deliver_and_poll(site)
+    assert sum(len(link.running) for link in links.values()) == 2
+    for link in cut_links:
+        link.unreachable = False
+    _deliver_and_poll(site)
+    cancel(site, gang)
+    for _ in range(3):
+        site.run_round()
+        _deliver_and_poll(site)
+    assert not any(link.running for link in links.values())
+
+
+def _deliver_and_poll(site: batch_site.SteppedPool) -> None:
+    for worker in [*site.pool.worker_by_id.values()]:
+        site.deliver(worker)
+        site.poll(worker)
+
+
 def _raise_error(*args: object) -> cluster.OrderAnswer:
     raise RuntimeError("unexpected")
