--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -231,6 +231,9 @@
         if job is None or run_end.kind is not cluster.RunEndKind.DONE:
             return
         if unit := job.unit_of(run_end.task):
+            # Of a gang, the members of its present run go on.
+            for run in [*unit.runs]:
+                self._stop_run(run, "a former run of its task is done")
             self._record_done(unit)
 
     def _record_done(self, unit: batch_job.Unit) -> None:
