Count each failed run of a task that is no gang

Cause: a failure was not counted if a run with a higher number had failed before, as it was taken for another member of a gang. A copy of a slow task has a higher number, and its end may be reported first. Evidence: test_a_failed_run_counts_also_if_a_later_copy_failed_first failed before. Why this works: only members of a gang share the number of a run, so for all other tasks each end that is reported counts.

--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -251,8 +251,8 @@
     def _record_failure(self, unit: batch_job.Unit, run: batch_job.Run) -> None:
         job = unit.job
         unit.avoided.add(run.worker.worker_id)
-        if unit.failed_run >= run.number:
-            return  # Another member of the same gang already counted.
+        if unit.step.gang and unit.failed_run >= run.number:
+            return  # Another member of the same run already counted.
         unit.failed_run = run.number
         unit.failures += 1
         max_attempts = self._max_attempts(job)
