Insert a job with the version that barred it elsewhere

Callers would have seen: a node that adopted two configurations between the bars and the insertion of a job replaced a newer bar with its old bars only, so the job could be stored at two services (TWICE).

Cause: the version was looked up twice.

Evidence: the new test failed before the change: the job was accepted.

Fix: the version is looked up once and passed on. The answer to a cancellation that a newer bar leaves open says that its effect is not known.

--- a/tests/machines/test_job_api.py
+++ b/tests/machines/test_job_api.py
@@ -4,7 +4,7 @@
 
 import random
 import time
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import pytest
 from returns import result
@@ -491,6 +491,12 @@
             time.monotonic() + seconds,
         )
 
+    def locate(self, version: int) -> str | None:
+        """Bars the job as a submission does that ends before its insertion."""
+        return self.api_by_version[version]._moves.locate(
+            self.queue_by_version[version], JOB, version, time.monotonic() + 1.0
+        )
+
     def address(self, version: int) -> job_api.JobAddress:
         """Returns the address of the job under a configuration."""
         queue = self.queue_by_version[version]
@@ -575,9 +581,7 @@
     route: RouteHistory, store: row_store.MemoryRowStore
 ) -> None:
     """The bar of a job that was never stored must not pass for the job."""
-    moves = route.api_by_version[2]._moves
-    queue = route.queue_by_version[2]
-    assert moves.locate(queue, JOB, time.monotonic() + 1.0) == "office"
+    assert route.locate(2) == "office"
     assert isinstance(route.submit(3), result.Success)
     assert records_of(store, batch_site.SERVICE)
     assert isinstance(route.submit(2), result.Success)
@@ -588,14 +592,8 @@
     route: RouteHistory, store: row_store.MemoryRowStore
 ) -> None:
     """A job was stored at one service between the two steps at the other."""
-
-    def locate(version: int) -> str | None:
-        return route.api_by_version[version]._moves.locate(
-            route.queue_by_version[version], JOB, time.monotonic() + 1.0
-        )
-
-    assert locate(4) == "office"
-    assert locate(2) is None
+    assert route.locate(4) == "office"
+    assert route.locate(2) is None
     outcome = route.submit(3, 0.4)
     assert kind_of(outcome) is errors.ErrorKind.ACCEPTANCE_UNKNOWN
     assert isinstance(route.submit(4), result.Success)
@@ -603,11 +601,36 @@
     assert len(all_records(store)) == 1
 
 
+def test_a_configuration_adopted_meanwhile_lifts_no_bar(
+    route: RouteHistory,
+    store: row_store.MemoryRowStore,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The insertion used a newer version than the bars before it."""
+    api = route.api_by_version[1]
+    locate = api._moves.locate
+
+    def adopt_after(*args: Any) -> str | None:
+        service = locate(*args)
+        assert route.locate(2) == "office"
+        for version in (2, 3):
+            queue = route.queue_by_version[version]
+            api._known_queues.add(
+                queues.configuration(version, [queue], [], 100_000)
+            )
+        return service
+
+    monkeypatch.setattr(api._moves, "locate", adopt_after)
+    outcome = route.submit(1, 0.4)
+    assert kind_of(outcome) is errors.ErrorKind.ACCEPTANCE_UNKNOWN
+    assert isinstance(route.submit(2), result.Success)
+    assert len(all_records(store)) == 1
+
+
 def test_a_job_cancelled_before_it_arrives_runs_under_no_route(
     route: RouteHistory, store: row_store.MemoryRowStore
 ) -> None:
-    moves = route.api_by_version[2]._moves
-    moves.locate(route.queue_by_version[2], JOB, time.monotonic() + 1.0)
+    assert route.locate(2) == "office"
     outcome = route.api_by_version[3].cancel_at(
         route.address(3), time.monotonic() + 3.0
     )
--- a/wisteriasill/machines/job_api.py
+++ b/wisteriasill/machines/job_api.py
@@ -126,7 +126,9 @@
                 errors.failure(errors.ErrorKind.BAD_REQUEST, reason)
             )
         give_up_at = deadline - RESPONSE_MARGIN_SECONDS
-        service = self._moves.locate(queue, job_id, give_up_at)
+        # A version adopted meanwhile has not barred the job elsewhere.
+        configuration = self._known_queues.version_of(queue)
+        service = self._moves.locate(queue, job_id, configuration, give_up_at)
         if service is None:
             return result.Failure(
                 errors.failure(
@@ -134,7 +136,6 @@
                     f"job {job_id}: another service may have it",
                 )
             )
-        configuration = self._known_queues.version_of(queue)
         queue = queue._replace(service=service)
         retry_after_seconds = self._admission.turn_away(
             queue,
@@ -333,7 +334,7 @@
         """Returns why a row holds no job."""
         if row is not None and self._is_barred_by_newer(row):
             # A service that this node does not know yet may have it.
-            return _queues_unread(errors.Executed.NO)
+            return _queues_unread(errors.Executed.UNKNOWN)
         return _no_such_job(row.key if row else "with this id")
 
     def _is_barred_by_newer(self, row: cluster.StoredRow) -> bool:
@@ -475,7 +476,7 @@
 def _queues_unread(executed: errors.Executed) -> errors.Failure:
     return errors.failure(
         errors.ErrorKind.NOT_READY,
-        "the node has not read the former queues yet",
+        "the node does not know all queues of the address yet",
         executed,
     )
 
--- a/wisteriasill/machines/job_moves.py
+++ b/wisteriasill/machines/job_moves.py
@@ -51,13 +51,18 @@
         self._read_record = read_record
 
     def locate(
-        self, queue: queues.Queue, job_id: str, give_up_at: float
+        self,
+        queue: queues.Queue,
+        job_id: str,
+        version: int,
+        give_up_at: float,
     ) -> str | None:
         """Returns the service whose pool runs a job.
 
         Args:
             queue: Queue to which the job is submitted.
             job_id: The caller's id for the job.
+            version: Version of the configuration that the insertion uses.
             give_up_at: Monotonic time until which to wait for the store.
 
         Returns:
@@ -68,7 +73,6 @@
             if time.monotonic() >= give_up_at:
                 return None
             time.sleep(RETRY_SECONDS)
-        version = self._known_queues.version_of(queue)
         others = self._known_queues.versions_of_others(queue)
         for service, other_version in others.items():
             # A service that gets the address later bars this one itself.
