Let a worker of the soak crash silently

Cause: a crash of the stand-in for workers showed at once: its calls ended and the list of hosts had it as down.

Change: `TimedWorker.crash` takes the time for which connections stay open without responses, and the time until the list of hosts shows the crash. A worker can fall silent between a start and its confirmation. Each worker has a rack. The log of runs keeps the starts of each task by themselves, as a search of the whole log at each acknowledgement takes too long in a run of hours.

--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -187,7 +187,7 @@
             "zone": "z1",
             "state": "ready",
             "capacity": {"cpu": room.cpu, "mem_mb": room.memory_mb},
-            "labels": ["a", "r1"],
+            "labels": ["a", self.worker.rack],
             "born": self.worker.started_ms,
             "seq": int(time.monotonic() * 1000),
         }
@@ -200,7 +200,14 @@
         ).encode()
 
     def answer(self, request: wrappers.Request) -> JsonResponse:
-        """Handles one call."""
+        """Handles one call, which a silent worker does not answer."""
+        response = self._answer(request)
+        if self.worker.responds.is_set():
+            return response
+        self.worker.responds.wait()
+        return 500, {}  # Represents a reset connection.
+
+    def _answer(self, request: wrappers.Request) -> JsonResponse:
         late = self.worker.unreachable
         while self.worker.unreachable:
             time.sleep(timed_worker.POLL_SECONDS)
@@ -319,9 +326,9 @@
                 {
                     "machine": f"m-{worker.worker_id}",
                     "pool": self._service,
-                    "state": "down" if worker.down else "up",
+                    "state": "down" if worker.is_listed_down else "up",
                     "zone": "z1",
-                    "labels": ["a", "r1"],
+                    "labels": ["a", worker.rack],
                     "capacity": {
                         "cpu": worker.room.cpu,
                         "mem_mb": worker.room.memory_mb,
--- a/standins/timed_worker.py
+++ b/standins/timed_worker.py
@@ -56,6 +56,7 @@
         self.lock = threading.Lock()
         self.run_events: list[RunEvent] = []
         self.violations: list[str] = []
+        self._starts_by_task: dict[job_spec.TaskKey, list[RunEvent]] = {}
         # Runs without a recorded end, each with a function that checks
         # whether the run is over by now.
         self._open_runs_by_task: dict[
@@ -89,17 +90,17 @@
             late: Whether the order was executed after its delivery.
         """
         with self.lock:
-            self.run_events.append(
-                RunEvent(
-                    time.monotonic(),
-                    task,
-                    run,
-                    worker_id,
-                    "start",
-                    fencing_epoch,
-                    late,
-                )
+            run_event = RunEvent(
+                time.monotonic(),
+                task,
+                run,
+                worker_id,
+                "start",
+                fencing_epoch,
+                late,
             )
+            self.run_events.append(run_event)
+            self._starts_by_task.setdefault(task, []).append(run_event)
             open_runs = self._open_runs_by_task.setdefault(task, {})
             others = {
                 key
@@ -174,10 +175,8 @@
                 f"run {started.run} of {task} started on {started.worker_id} "
                 f"{started.at - done_at:.2f} s after run {run} had ended as "
                 f"done on {worker_id}"
-                for started in self.run_events
-                if started.task == task
-                and started.event == "start"
-                and started.at > done_at
+                for started in self._starts_by_task.get(task, [])
+                if started.at > done_at
             )
 
 
@@ -188,24 +187,41 @@
         worker_id: Id of the worker, kept over restarts.
         room: Capacity of the worker.
         log: Log of the starts and ends of runs.
+        rack: Label of the rack of its host.
 
     Attributes:
+        down: Whether it has crashed and is not back yet.
+        responds: Set unless it is silent: its connections stay open without
+            responses then.
+        silent_at_start: Whether the next start makes it silent before it
+            confirms the start.
+        last_start_at: Monotonic time of the last start.
         max_stop_seconds: Longest time that a run goes on after its stop.
     """
 
     def __init__(
-        self, worker_id: str, room: job_spec.Resources, log: RunLog
+        self,
+        worker_id: str,
+        room: job_spec.Resources,
+        log: RunLog,
+        rack: str = "r1",
     ) -> None:
         self.worker_id = worker_id
+        self.rack = rack
         self.room = room
         self.unreachable = False
         self.down = False
+        self.responds = threading.Event()
+        self.responds.set()
+        self.silent_at_start = False
+        self.last_start_at = 0.0
         self.started_ms = 0
         self.max_stop_seconds = 0.0
         # Held while an order is executed, so that no restart interrupts it.
         self.lock = threading.RLock()
         self._log = log
         self._restart_lock = threading.Lock()
+        self._listed_down_at = 0.0
         self._ends_at_by_task: dict[job_spec.TaskKey, float] = {}
         self._stops_at_by_run: dict[tuple[job_spec.TaskKey, int], float] = {}
         self._start_incarnation()
@@ -218,16 +234,38 @@
         self._ends_at_by_task.clear()
         self._stops_at_by_run.clear()
 
-    def crash(self, seconds: float = RESTART_SECONDS) -> None:
-        """Ends this incarnation and its runs; starts another after a delay."""
+    @property
+    def is_listed_down(self) -> bool:
+        """Whether the list of hosts shows that it is down."""
+        return self.down and time.monotonic() >= self._listed_down_at
+
+    def crash(
+        self,
+        seconds: float = RESTART_SECONDS,
+        silent_seconds: float = 0.0,
+        unlisted_seconds: float = 0.0,
+    ) -> None:
+        """Ends this incarnation and its runs; starts another after a delay.
+
+        Args:
+            seconds: Time from the reset of its connections to its return.
+            silent_seconds: Time before, in which they stay open without
+                responses.
+            unlisted_seconds: Time until the list of hosts may show the crash.
+        """
         with self._restart_lock:
             with self.lock:
+                self._listed_down_at = time.monotonic() + unlisted_seconds
                 self.down = True
+                if silent_seconds:
+                    self.responds.clear()
                 self._advance()
                 for task, run in self._worker.running.items():
                     self._log.ended(task, run, self.worker_id, "crash")
                 self._log.forget_done(self.worker_id)
                 self._start_incarnation()
+            time.sleep(silent_seconds)
+            self.responds.set()
             time.sleep(seconds)
             with self.lock:
                 self._start_incarnation()
@@ -263,6 +301,9 @@
                     order.fencing_epoch,
                     late,
                 )
+                self.last_start_at = time.monotonic()
+                if self.silent_at_start:
+                    self.responds.clear()
             return answer
 
     def _over_check(
--- a/tests/test_order_faults.py
+++ b/tests/test_order_faults.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from concurrent import futures
 import json
+import threading
 from typing import Any
 
 import pytest
@@ -107,6 +109,41 @@
     assert call("/api/run-start", START | {"fencing_token": 6}) == 200
 
 
+@pytest.mark.parametrize("starts_before", [False, True])
+def test_a_silent_worker_answers_nothing_until_its_connections_are_reset(
+    faulty: order_faults.FaultyWorkerService,
+    call: Call,
+    log: timed_worker.RunLog,
+    starts_before: bool,
+) -> None:
+    worker = faulty.service.worker
+    hosts = platform_http.HostService([worker], "bench")
+    worker.silent_at_start = starts_before
+    crash = threading.Thread(target=worker.crash, args=(0.3, 0.5, 0.4))
+    with futures.ThreadPoolExecutor() as executor:
+        if starts_before:
+            unconfirmed = executor.submit(call, "/api/run-start", START)
+            assert waiting.wait_until(lambda: not worker.responds.is_set())
+        crash.start()
+        assert waiting.wait_until(lambda: worker.down)
+        assert listed_state(hosts) == "up"
+        if not starts_before:
+            unconfirmed = executor.submit(call, "/api/run-start", START)
+        assert waiting.wait_until(lambda: listed_state(hosts) == "down")
+        assert not unconfirmed.done()
+        assert unconfirmed.result() == 500
+    crash.join()
+    assert [run_event.event for run_event in log.run_events] == [
+        "start",
+        "crash",
+    ] * starts_before
+
+
+def listed_state(hosts: platform_http.HostService) -> str:
+    request = test.EnvironBuilder("/api/machines").get_request()
+    return str(hosts.answer(request)[1]["machines"][0]["state"])
+
+
 @pytest.mark.parametrize("malformed", [False, True])
 def test_a_registry_entry_may_lack_fields(
     faulty: order_faults.FaultyWorkerService, malformed: bool
