Check in the soak that no job is shown as failed without cause

Cause: the soak read the states of jobs after the last fault only. Nodes forget a job 240 s after its end, so that a longer run could not see how a job ended, and a job that failed and was then cancelled could pass.

Change: the states of accepted jobs are read once a second until each has ended. A job that is shown as failed breaks LOST unless one of its tasks ended as `failed` as often as it may; the stand-ins end no run so. Workers are spread over four racks, as evidence from crashes depends on the rack.

Result: five new cases in tests/test_soak_checks.py pass. The reads take no numbers from the generator of the jobs.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
 from soak import configurations
 from soak import disturbances
 from soak import faults
+from soak import job_states
 from soak import known_seeds
 from soak import plans
 from soak import site as sites
@@ -41,7 +42,6 @@
 READY_TIMEOUT_SECONDS = 20.0
 # Changes of the configuration come in quick succession or some seconds apart.
 CHANGE_PAUSES_SECONDS = (0.2, 1.0, 3.0, 6.0)
-FINAL_STATES = ("completed", "cancelled")
 
 
 def main() -> int:
@@ -127,6 +127,7 @@
         site, plan.seed, plan.per_second, fault_set.habits
     )
     probe = configurations.ConfigurationProbe(site)
+    states = job_states.JobStates(callers)
     try:
         for node in site.nodes:
             node.start()
@@ -135,16 +136,18 @@
             _wait_until_held(site)
         callers.start()
         probe.start()
+        states.start()
         injected = _inject_faults(site, plan)
         callers.close()
         probe.close()
-        unfinished = _wait_until_ended(callers)
+        states.close()
+        _wait_until_ended(states)
         _wait_until_cancelled(site, callers)
         with site.log.lock:
             violations = [
                 *site.log.violations,
                 *probe.violations,
-                *_check(site, callers, unfinished),
+                *_check(site, callers, states),
                 *_check_cancelled(site, callers, plan),
             ]
         _write_run_events(site, directory / "runs.jsonl")
@@ -232,25 +235,13 @@
     return injected
 
 
-def _wait_until_ended(callers: soak_callers.Callers) -> dict[str, str]:
-    """Waits until every accepted job has ended.
-
-    Returns:
-        The last state of those that have not.
-    """
+def _wait_until_ended(states: job_states.JobStates) -> None:
+    """Waits until every accepted job has ended."""
     deadline = time.monotonic() + SETTLE_TIMEOUT_SECONDS
-    unfinished = {
-        job.job_id: "not read" for job in callers.jobs if job.accepted
-    }
-    while unfinished and time.monotonic() < deadline:
-        for job_id in [*unfinished]:
-            status, body = callers.call("GET", job_id)
-            state = body.get("state", "")
-            unfinished[job_id] = f"{status} {state}"
-            if status == 200 and state in FINAL_STATES:
-                del unfinished[job_id]
+    states.read()
+    while states.unfinished and time.monotonic() < deadline:
         time.sleep(0.2)
-    return unfinished
+        states.read()
 
 
 def _wait_until_cancelled(
@@ -269,14 +260,21 @@
 
 
 def _check(
-    site: sites.Site, callers: soak_callers.Callers, unfinished: dict[str, str]
+    site: sites.Site,
+    callers: soak_callers.Callers,
+    states: job_states.JobStates,
 ) -> list[str]:
     """Checks the guarantees by the observations of callers and workers.
 
     No job runs that nobody submitted or that was refused, and an accepted job
     ends with all tasks done.
     """
-    violations = [f"job {key} is {state}" for key, state in unfinished.items()]
+    violations = [
+        *(f"job {key} is {state}" for key, state in states.unfinished.items()),
+        *job_states.unfounded_failures(
+            states.failed, site.log.run_events, sites.MAX_ATTEMPTS
+        ),
+    ]
     done_tasks_by_job: dict[str, set[object]] = collections.defaultdict(set)
     started_jobs: set[str] = set()
     for run_event in site.log.run_events:
@@ -294,7 +292,8 @@
         if (
             job.accepted
             and not job.cancelled
-            and job.job_id not in unfinished
+            and job.job_id not in states.unfinished
+            and job.job_id not in states.failed
             and len(done_tasks_by_job[job.job_id]) != job.tasks
         ):
             violations.append(
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -129,6 +129,9 @@
         self._habits = habits
         self._pause_seconds = 1.0 / per_second
         self._client = http_client.HttpClient()
+        # Reads come at times of their own, so they must not take numbers from
+        # the generator of the jobs.
+        self._reading_rng = random.Random(seed)
         self._closing = threading.Event()
         self.jobs: list[SubmittedJob] = []
         self.cancelled_at_by_job: dict[str, float] = {}
@@ -231,6 +234,16 @@
     ) -> tuple[int, dict[str, str]]:
         """Calls a random node; status 0 if there is no complete response."""
         node = self._rng.choice(self._site.nodes)
+        return self._call(node, method, job_id, body)
+
+    def read(self, job_id: str) -> tuple[int, dict[str, str]]:
+        """Reads a job's state from a random node, as `call` does."""
+        node = self._reading_rng.choice(self._site.nodes)
+        return self._call(node, "GET", job_id, None)
+
+    def _call(
+        self, node: sites.Node, method: str, job_id: str, body: object
+    ) -> tuple[int, dict[str, str]]:
         called = self._client.call(
             http_client.HttpCall(
                 method,
--- a/soak/site.py
+++ b/soak/site.py
@@ -34,8 +34,10 @@
 HOST = "jobs.example"
 ROOM = job_spec.Resources(4000, 64_000, 0)
 FIRST_VERSION = 3
+MAX_ATTEMPTS = 3
 STORE_THREADS_PER_NODE = 16  # Each node watches several tables at a time.
 HOST_LIST_THREADS = 8
+RACKS = 4
 # Heartbeats that a worker misses before the registry drops its entry.
 MISSED_HEARTBEATS = 3
 
@@ -55,7 +57,7 @@
                 "host": HOST,
                 "prefix": prefix,
                 "service": SERVICE,
-                "max_attempts": 3,
+                "max_attempts": MAX_ATTEMPTS,
                 "stretch": 2,
                 "target_latency_ms": 1000,
                 "timeout_ms": 3000,
@@ -176,7 +178,9 @@
         self.services: list[order_faults.FaultyWorkerService] = []
         self.worker_disturbances: dict[str, disturbances.Disturbance] = {}
         for number, port in enumerate(worker_ports):
-            worker = timed_worker.TimedWorker(f"i-{number:04}", ROOM, self.log)
+            worker = timed_worker.TimedWorker(
+                f"i-{number:04}", ROOM, self.log, f"r{number % RACKS}"
+            )
             worker.max_stop_seconds = max_stop_seconds
             service = order_faults.FaultyWorkerService(
                 platform_http.WorkerService(
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -9,6 +9,7 @@
 from soak import cancellations
 from soak import disturbances
 from soak import holders
+from soak import job_states
 from soak import ports
 from standins import row_store
 from standins import timed_worker
@@ -125,6 +126,32 @@
     assert len(check(started_at, ended_at, disturbed, late)) == violations
 
 
+@pytest.mark.parametrize(
+    ("ends", "violations"),
+    [
+        ([], 1),
+        (["crash"] * 5, 1),
+        (["lapsed", "stopped", "crash"], 1),
+        (["failed"] * 2, 1),
+        (["failed", "crash", "failed", "failed"], 0),
+    ],
+    ids=["no run", "crashes", "other ends", "too few failures", "failures"],
+)
+def test_only_failures_of_one_task_fail_a_job(
+    ends: list[str], violations: int
+) -> None:
+    other = TASK._replace(position=1)
+    run_events = [
+        timed_worker.RunEvent(float(run), task, run, "w1", event)
+        for run, end in enumerate(ends)
+        for task, event in ((TASK, "start"), (TASK, end))
+    ]
+    run_events.append(timed_worker.RunEvent(9.0, other, 1, "w1", "failed"))
+    assert (
+        len(job_states.unfounded_failures(["j1"], run_events, 3)) == violations
+    )
+
+
 def test_holders_follow_from_transactions(observed: holders.Holders) -> None:
     for node, version in (("node-0", 3), ("", 5), ("node-1", 8)):
         observed.record(claim(node, version))
