Record a start in the soak at the time at which it was executed

Its start was recorded when the log was free, its end counted from before the wait for the log.

Change: `RunLog.started` takes the time of the start.

Result: the new test fails without the change, and passes with it.

--- a/standins/timed_worker.py
+++ b/standins/timed_worker.py
@@ -76,6 +76,7 @@
         is_over: Callable[[], bool],
         fencing_epoch: int = 0,
         late: bool = False,
+        at: float | None = None,
     ) -> None:
         """Records a start and checks that the task runs nowhere else.
 
@@ -88,10 +89,11 @@
                 much later.
             fencing_epoch: Fencing token of the order.
             late: Whether the order was executed after its delivery.
+            at: Monotonic time of the start; None for now.
         """
         with self.lock:
             run_event = RunEvent(
-                time.monotonic(),
+                time.monotonic() if at is None else at,
                 task,
                 run,
                 worker_id,
@@ -288,7 +290,8 @@
             answer = self._worker.start(order)
             if answer.outcome is cluster.OrderOutcome.DONE and not is_running:
                 # The payload is the run time of the task in milliseconds.
-                ends_at = time.monotonic() + int(order.payload) / 1000
+                started_at = time.monotonic()
+                ends_at = started_at + int(order.payload) / 1000
                 self._ends_at_by_task[order.task] = ends_at
                 self._lease_until_ms = max(
                     self._lease_until_ms, order.lease_until_ms
@@ -300,8 +303,9 @@
                     self._over_check(order.task, order.run, ends_at),
                     order.fencing_epoch,
                     late,
+                    started_at,
                 )
-                self.last_start_at = time.monotonic()
+                self.last_start_at = started_at
                 if self.silent_at_start:
                     self.responds.clear()
             return answer
--- a/tests/test_timed_worker.py
+++ b/tests/test_timed_worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 import time
 
 import pytest
@@ -129,3 +130,25 @@
     first.max_stop_seconds = 0.5
     first.start(order(1, 9000, 9000)._replace(fencing_epoch=2))
     assert first.stop(TASK, 1, 1).outcome is cluster.OrderOutcome.FENCED
+
+
+def test_a_start_counts_from_its_execution(
+    log: timed_worker.RunLog, first: timed_worker.TimedWorker
+) -> None:
+    """A start whose record waits for the log began before its end.
+
+    In soak seed 9643, the record of a start was later than that of its end.
+    """
+    other = TASK._replace(position=1)
+    first.start(order(1, 9000, 9000)._replace(task=other))
+    with log.lock:
+        starting = threading.Thread(
+            target=first.start, args=(order(1, 50, 9000),)
+        )
+        starting.start()
+        time.sleep(0.1)
+    starting.join()
+    report = first.poll(1, 0, None, 1.0)
+    assert isinstance(report, cluster.WorkerReport)
+    first.poll(1, report.ends[-1].number, None, 0.0)
+    assert not log.violations
