Add bursts of crashes of workers to the faults of the soak

Cause: the soak drew crashes of single workers or of a rack at a time, at any moment.

Change: the fault set `crashes` crashes 20 to 50% of the workers one after the other, 0.1 to 0.5 s apart, or 10 to 30% at a time in several waves, after calm for 5 to 12 s, beside kills, stops and pauses of nodes. Workers fall silent or reset their connections, at any time, before a start is confirmed or soon after it. Jobs have many short tasks, or tasks that last.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -25,7 +25,6 @@
 LASTING_MS = 3_600_000
 OCCURRENCES = 6
 OCCURRENCE_INTERVAL_MS = 700
-MAX_TASKS = 4
 
 
 class Habits(NamedTuple):
@@ -40,6 +39,7 @@
         repeated_share: Share of the cancelled jobs that are submitted again
             after their cancellation.
         max_task_ms: Longest run time of a task.
+        max_tasks: Most tasks of a step.
         gang_share: Share of the other jobs that are gangs, which last until
             they are cancelled.
         scheduled_share: Share of the other jobs that run several times and are
@@ -55,6 +55,7 @@
     lasting_share: float = 0.0
     repeated_share: float = 0.0
     max_task_ms: int = 900
+    max_tasks: int = 4
     gang_share: float = 0.0
     scheduled_share: float = 0.0
     early_jobs: int = 0
@@ -71,6 +72,17 @@
     early_jobs=3,
     max_early_cancel_seconds=20.0,
 )
+# Callers with many short tasks beside lasting ones, some of which stay longer.
+SHORT_TASKS = Habits(
+    0.1,
+    0.3,
+    4.0,
+    0.1,
+    max_task_ms=600,
+    max_tasks=12,
+    early_jobs=3,
+    max_early_cancel_seconds=20.0,
+)
 
 
 class Draft(NamedTuple):
@@ -145,7 +157,7 @@
             self.jobs.append(
                 self._submit(
                     self._new_id(),
-                    _lasting(self._rng.randint(1, MAX_TASKS)),
+                    _lasting(self._rng.randint(1, self._habits.max_tasks)),
                     self._habits.max_early_cancel_seconds,
                 )
             )
@@ -170,8 +182,8 @@
             )
 
     def _draft(self) -> Draft:
-        tasks = self._rng.randint(1, MAX_TASKS)
         habits = self._habits
+        tasks = self._rng.randint(1, habits.max_tasks)
         if self._rng.random() < habits.lasting_share:
             return _lasting(tasks)
         # A share of 0 draws no number, so that known seeds submit the same.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 from soak import cancellations
 from soak import proxy
 from soak import site as sites
+from soak import worker_crashes
 from soak import worker_faults
 
 Fault = Callable[[sites.Site, random.Random], str]
@@ -160,6 +161,18 @@
         cancellations.STOP_SECONDS,
         True,
     ),
+    "crashes": FaultSet(
+        (
+            *worker_crashes.FAULTS,
+            *worker_crashes.FAULTS,
+            kill_node,
+            stop_node,
+            pause_node,
+        ),
+        callers.SHORT_TASKS,
+        cancellations.STOP_SECONDS,
+        True,
+    ),
     "cancellations": FaultSet(
         worker_faults.CANCELLATION_FAULTS,
         callers.LATE_CANCELLING,
--- a/soak/site.py
+++ b/soak/site.py
@@ -37,7 +37,7 @@
 MAX_ATTEMPTS = 3
 STORE_THREADS_PER_NODE = 16  # Each node watches several tables at a time.
 HOST_LIST_THREADS = 8
-RACKS = 4
+RACKS = 8
 # Heartbeats that a worker misses before the registry drops its entry.
 MISSED_HEARTBEATS = 3
 
