Crash the workers of two runs of one task within a burst

Change: a fault crashes the workers of two runs of a task, each 5 to 200 ms after its start, and 1 to 3 of 10 workers meanwhile. It does not crash a third.

--- a/soak/worker_crashes.py
+++ b/soak/worker_crashes.py
@@ -10,6 +10,7 @@
 
 from soak import site as sites
 from standins import timed_worker
+from wisteriasill.contracts import job_spec
 
 # Shares of the workers that crash in a series, and in each wave of several.
 SERIES_SHARES = (0.2, 0.5)
@@ -25,6 +26,8 @@
 LAPSING_SECONDS = (1.6, 2.5)
 START_WAIT_SECONDS = 0.3
 CONFIRMED_SECONDS = (0.005, 0.2)
+# Longest wait for the next start of a task after the crash of its worker.
+RESTARTED_SECONDS = 4.0
 
 
 class Moment(enum.StrEnum):
@@ -52,16 +55,74 @@
 
 def crash_in_series(site: sites.Site, rng: random.Random) -> str:
     """Crashes some workers one after the other, after a calm spell."""
+    time.sleep(rng.uniform(*QUIET_SECONDS))
     count = _count(site, rng.uniform(*SERIES_SHARES))
     return _crash_waves(site, rng, [1] * max(2, count))
 
 
 def crash_in_waves(site: sites.Site, rng: random.Random) -> str:
     """Crashes some workers at a time, again and again, after a calm spell."""
+    time.sleep(rng.uniform(*QUIET_SECONDS))
     count = _count(site, rng.uniform(*WAVE_SHARES))
     return _crash_waves(site, rng, [count] * rng.randint(*WAVES))
 
 
+def crash_twice_under_a_task(site: sites.Site, rng: random.Random) -> str:
+    """Crashes workers after two starts of a task, and others meanwhile."""
+    time.sleep(rng.uniform(*QUIET_SECONDS))
+    count = _count(site, rng.uniform(*SERIES_SHARES))
+    is_silent = rng.random() < SILENT_SHARE
+    draws = [
+        (
+            _draw(rng, is_silent)._replace(moment=Moment.ANY),
+            rng.uniform(*CONFIRMED_SECONDS),
+        )
+        for _ in range(2)
+    ]
+    first, task = len(site.log.run_events), None
+    with futures.ThreadPoolExecutor(3) as executor:
+        crashes = [
+            executor.submit(_crash_waves, site, rng, [1] * max(1, count - 2))
+        ]
+        for crash, delay_seconds in draws:
+            started = _next_start(site, first, task)
+            if started is None:
+                break
+            first, task = len(site.log.run_events), started.task
+            time.sleep(delay_seconds)
+            workers = [
+                worker
+                for worker in site.workers
+                if worker.worker_id == started.worker_id
+            ]
+            crashes.append(executor.submit(_crash, site, workers, crash))
+        descriptions = [crash.result() for crash in crashes]
+    return f"under {task}: " + "; ".join(filter(None, descriptions))
+
+
+def _next_start(
+    site: sites.Site, first: int, task: job_spec.TaskKey | None
+) -> timed_worker.RunEvent | None:
+    """Waits for a start, of a certain task if there is one.
+
+    Args:
+        site: The site.
+        first: Number of the first event in the log to consider.
+        task: The task; None for any.
+    """
+    deadline = time.monotonic() + RESTARTED_SECONDS
+    while time.monotonic() < deadline:
+        with site.log.lock:
+            for run_event in site.log.run_events[first:]:
+                if run_event.event == "start" and task in (
+                    None,
+                    run_event.task,
+                ):
+                    return run_event
+        time.sleep(timed_worker.POLL_SECONDS)
+    return None
+
+
 def _count(site: sites.Site, share: float) -> int:
     return max(1, round(share * len(site.workers)))
 
@@ -69,7 +130,6 @@
 def _crash_waves(
     site: sites.Site, rng: random.Random, counts: list[int]
 ) -> str:
-    time.sleep(rng.uniform(*QUIET_SECONDS))
     gap_seconds = rng.uniform(*GAP_SECONDS)
     is_silent = rng.random() < SILENT_SHARE
     with futures.ThreadPoolExecutor(sum(counts)) as executor:
@@ -144,4 +204,4 @@
     return started or workers[0]
 
 
-FAULTS = (crash_in_series, crash_in_waves)
+FAULTS = (crash_in_series, crash_in_waves, crash_twice_under_a_task)
