--- a/soak/known_seeds.py
+++ b/soak/known_seeds.py
@@ -15,6 +15,9 @@
 LISTED_AS_DOWN = plans.RunPlan(
     5116, "takeovers", seconds=8.0, workers=4, per_second=10.0, series=1
 )
+CRASH_BURSTS = plans.RunPlan(
+    9966, "crashes", seconds=25.0, workers=10, per_second=10.0, series=1
+)
 LATE_CANCELLATIONS = plans.RunPlan(
     8001, "cancellations", seconds=8.0, workers=4, series=1
 )
@@ -105,6 +108,7 @@
     plans.RunPlan(
         6935, "takeovers", seconds=8.0, workers=4, per_second=10.0, series=1
     ): "as seed 5116",
+    CRASH_BURSTS: "two crashes of one burst convicted a sound task",
 }
 # Run in CI, a few seconds each.
 CI_PLANS = (
@@ -112,4 +116,5 @@
     REFUSED_STOP,
     LISTED_AS_DOWN,
     LATE_CANCELLATIONS,
+    CRASH_BURSTS,
 )
