--- a/soak/callers.py
+++ b/soak/callers.py
@@ -25,7 +25,6 @@
 LASTING_MS = 3_600_000
 OCCURRENCES = 6
 OCCURRENCE_INTERVAL_MS = 700
-MAX_TASKS = 4
 
 
 class Habits(NamedTuple):
@@ -40,6 +39,7 @@
         repeated_share: Share of the cancelled jobs that are submitted again
             after their cancellation.
         max_task_ms: Longest run time of a task.
+        max_tasks: Most tasks of a step.
         gang_share: Share of the other jobs that are gangs, which last until
             they are cancelled.
         scheduled_share: Share of the other jobs that run several times and are
@@ -55,6 +55,7 @@
     lasting_share: float = 0.0
     repeated_share: float = 0.0
     max_task_ms: int = 900
+    max_tasks: int = 4
     gang_share: float = 0.0
     scheduled_share: float = 0.0
     early_jobs: int = 0
@@ -71,6 +72,17 @@
     early_jobs=3,
     max_early_cancel_seconds=20.0,
 )
+# Callers with many short tasks beside lasting ones, some of which stay longer.
+SHORT_TASKS = Habits(
+    0.1,
+    0.3,
+    4.0,
+    0.1,
+    max_task_ms=600,
+    max_tasks=12,
+    early_jobs=3,
+    max_early_cancel_seconds=20.0,
+)
 
 
 class Draft(NamedTuple):
@@ -129,6 +141,9 @@
         self._habits = habits
         self._pause_seconds = 1.0 / per_second
         self._client = http_client.HttpClient()
+        # Reads come at times of their own, so they must not take numbers from
+        # the generator of the jobs.
+        self._reading_rng = random.Random(seed)
         self._closing = threading.Event()
         self.jobs: list[SubmittedJob] = []
         self.cancelled_at_by_job: dict[str, float] = {}
@@ -142,7 +157,7 @@
             self.jobs.append(
                 self._submit(
                     self._new_id(),
-                    _lasting(self._rng.randint(1, MAX_TASKS)),
+                    _lasting(self._rng.randint(1, self._habits.max_tasks)),
                     self._habits.max_early_cancel_seconds,
                 )
             )
@@ -167,8 +182,8 @@
             )
 
     def _draft(self) -> Draft:
-        tasks = self._rng.randint(1, MAX_TASKS)
         habits = self._habits
+        tasks = self._rng.randint(1, habits.max_tasks)
         if self._rng.random() < habits.lasting_share:
             return _lasting(tasks)
         # A share of 0 draws no number, so that known seeds submit the same.
@@ -231,6 +246,16 @@
     ) -> tuple[int, dict[str, str]]:
         """Calls a random node; status 0 if there is no complete response."""
         node = self._rng.choice(self._site.nodes)
+        return self._call(node, method, job_id, body)
+
+    def read(self, job_id: str) -> tuple[int, dict[str, str]]:
+        """Reads a job's state from a random node, as `call` does."""
+        node = self._reading_rng.choice(self._site.nodes)
+        return self._call(node, "GET", job_id, None)
+
+    def _call(
+        self, node: sites.Node, method: str, job_id: str, body: object
+    ) -> tuple[int, dict[str, str]]:
         called = self._client.call(
             http_client.HttpCall(
                 method,
