Count the crashes of a gang's workers once a run

Callers would have seen: the job of a gang shown as failed, as one rack went down once, just after the start of five tasks (LOST). Cause: each worker of the gang counted as one crash, and the fifth ends the job, whatever else crashed. Why this works: the members of a run share its number, so the first of their workers stands for all.

--- a/wisteriasill/machines/batch_crashes.py
+++ b/wisteriasill/machines/batch_crashes.py
@@ -162,6 +162,9 @@
             )
             if unit.done or unit.job.finished or not is_watched:
                 continue
+            if unit.step.gang and unit.crashed_run >= lost_run.run.number:
+                continue  # The worker of another member counted already.
+            unit.crashed_run = max(unit.crashed_run, lost_run.run.number)
             crash = batch_runs.TaskCrash(
                 unit.crash_record,
                 lost_run,
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -144,6 +144,7 @@
     Attributes:
         last_run: Number of the last run.
         crash_record: Crashes of workers under its runs.
+        crashed_run: Highest run of which a worker crashed.
         suspected_with: The suspects of each of these crashes, this one
             included; the last one started comes first.
         early_crash_at: Monotonic time at which this or a former holder last
@@ -160,6 +161,7 @@
         "avoided",
         "checkpoint",
         "crash_record",
+        "crashed_run",
         "done",
         "early_crash_at",
         "failed_run",
@@ -194,6 +196,7 @@
         self.failures = 0
         self.failed_run = 0
         self.crash_record = crash_evidence.NO_CRASHES
+        self.crashed_run = 0
         self.suspected_with: list[list[Unit]] = []
         self.early_crash_at = 0.0
         self.done = False
