Let a new holder wait before the trial of a suspected task

Callers would have seen: one more worker lost to a task that crashes its workers, or a sound task that crashed once more in the same spell. Cause: the time at which a task lost its last run is not stored, so a new holder took it for long ago, and the trial that waits for the end of the spell began at once. Evidence: test_a_trial_waits_for_the_end_of_a_spell_after_a_takeover failed. Why this works: the holder counts the wait from its claim, as the crash may have come just before it.

--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -271,8 +271,8 @@
             unit.failures = stored.failures
             unit.checkpoint = stored.checkpoint
             unit.crash_record = stored.crash_record
-            if stored.crash_record.suspicions:
-                unit.early_crash_at = self.claimed_at
+            if stored.crash_record.crashes:
+                unit.early_crash_at = unit.lost_at = self.claimed_at
             if stored.done or stored.failures or stored.checkpoint:
                 job.has_begun = True
             if unit.crash_record.needs_trial and not stored.done:
