Take no end for a crash elsewhere that is listed again or known here

Callers would have seen: a task that crashes its workers goes on doing so, as its crashes seemed to have a common cause; sound suspected tasks wait longer. Cause: the list of ended workers gives a known end a newer version at its next heartbeat, and all of them at a change of the fleet's holder; each looked like a crash in another pool. So did the end of a worker of this pool that a verdict had explained. And the first list after a claim counted for workers of this pool only. Why this works: only ids that the list did not have before count, and a crash that is explained stays known as settled.

--- a/bench/crash_pool.py
+++ b/bench/crash_pool.py
@@ -323,7 +323,8 @@
 
     def _clear_others(self, convict: Task) -> None:
         self._crashes = [
-            crash for crash in self._crashes if convict not in crash.tasks
+            crash._replace(is_settled=True) if convict in crash.tasks else crash
+            for crash in self._crashes
         ]
         for suspects in convict.suspected_with:
             for task in suspects:
--- a/tests/contracts/test_crash_evidence.py
+++ b/tests/contracts/test_crash_evidence.py
@@ -128,7 +128,9 @@
         ),
         (crash_evidence.WorkerCrash(9.5), FROM_OUTSIDE),
         (
-            crash_evidence.WorkerCrash(10.5, is_explained=True, drained=True),
+            crash_evidence.WorkerCrash(
+                10.5, is_explained=True, is_settled=True
+            ),
             crash_evidence.Circumstances(1),
         ),
         (crash_evidence.WorkerCrash(11.0), crash_evidence.Circumstances(1)),
--- a/wisteriasill/contracts/crash_evidence.py
+++ b/wisteriasill/contracts/crash_evidence.py
@@ -130,15 +130,16 @@
     Attributes:
         at: Monotonic time at which it became known.
         is_explained: Whether a start or a drain may have caused it.
-        drained: Whether the worker may have left as it was to.
+        is_settled: Whether the worker may have left as it was to, or a
+            convicted task crashed it.
         tasks: Tasks that were on the worker.
         suspects: Those of them that had just started.
-        tried: Those of the suspects that were on trial.
+        tried: Those of the suspects that had been suspected before.
     """
 
     at: float
     is_explained: bool = False
-    drained: bool = False
+    is_settled: bool = False
     tasks: frozenset[Hashable] = frozenset()
     suspects: frozenset[Suspect] = frozenset()
     tried: frozenset[Suspect] = frozenset()
@@ -150,8 +151,8 @@
 
     @property
     def is_accounted_for(self) -> bool:
-        """Whether it is put down to a drain or to a task on trial."""
-        return self.drained or any(map(_is_suspected, self.tried))
+        """Whether it is put down to a drain or to a suspected task."""
+        return self.is_settled or any(map(_is_suspected, self.tried))
 
 
 def _is_suspected(task: Suspect) -> bool:
@@ -206,7 +207,7 @@
     others = sum(
         now - crash.at < BACKGROUND_SECONDS
         and task not in crash.tasks
-        and not crash.drained
+        and not crash.is_settled
         and not crash.has_suspect
         for crash in crashes
     )
--- a/wisteriasill/machines/batch_crashes.py
+++ b/wisteriasill/machines/batch_crashes.py
@@ -277,9 +277,10 @@
     def _clear_others(self, convict: batch_job.Unit) -> None:
         """Takes back the suspicions that a convicted task explains."""
         self._crash_by_worker = {
-            worker: crash
+            worker: crash._replace(is_settled=True)
+            if convict in crash.tasks
+            else crash
             for worker, crash in self._crash_by_worker.items()
-            if convict not in crash.tasks
         }
         for suspects in convict.suspected_with:
             for unit in suspects:
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -155,7 +155,6 @@
         self._changed = changed
         self._drain_requested_ids: set[str] = set()
         self._down_version_by_id: dict[str, int] = {}
-        self._has_read_down_list = False
         self._planned_end_ids: frozenset[str] = frozenset()
         self.due_worker_ids: set[str] = set()
         self._orphans_by_worker: dict[str, list[batch_job.Run]] = {}
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -248,11 +248,14 @@
                 for worker_id, version in version_by_id.items()
                 if version > self._down_version_by_id.get(worker_id, 0)
             )
+            # A known end may be listed again, with a newer version.
+            self._note_crashes_elsewhere(
+                version_by_id.keys()
+                - self._down_version_by_id.keys()
+                - {*planned_ids}
+            )
             self._down_version_by_id = {**version_by_id}
             self._planned_end_ids = frozenset(planned_ids)
-            if self._has_read_down_list:
-                self._note_crashes_elsewhere({*new_ids} - {*planned_ids})
-            self._has_read_down_list = True
             down = [
                 worker
                 for worker_id in new_ids
