Let one task at a time be on a trial whose crash may convict it

Callers would have seen: two sound jobs shown as failed, as the trials of both began after the same wait, and the next burst took both workers (LOST). Each crash counted as explained by the other task, so both seemed isolated. Evidence: test_trials_that_crash_together_fail_no_job failed. It crashed the workers of both trials; now that only one trial begins, it crashes the other worker all the same, as the burst does. Why this works: the next such trial begins once the former has survived or has its verdict.

--- a/bench/crash_pool.py
+++ b/bench/crash_pool.py
@@ -378,7 +378,11 @@
             waiting, key=lambda task: not task.crash_record.needs_trial
         ):
             worker = next(self._choices(task), None)
-            if worker is None or not self._may_try(task):
+            if (
+                worker is None
+                or not self._may_try(task)
+                or (_needs_proof(task) and self._has_open_proof())
+            ):
                 self._waiting.append(task)
                 continue
             task.longest_wait = max(task.longest_wait, self._now - task.lost_at)
@@ -414,6 +418,14 @@
             )
         )
 
+    def _has_open_proof(self) -> bool:
+        """Whether a task that a crash may convict is on trial, or judged."""
+        return bool(self._verdict_by_task) or any(
+            _needs_proof(task) and task.is_new(worker.seen_until(self._now))
+            for worker in self._workers
+            for task in worker.tasks
+        )
+
     def _choices(self, task: Task) -> Iterator[Worker]:
         """Returns workers for a task, those with the fewest runs first."""
         on_trial = task.crash_record.needs_trial
@@ -433,3 +445,8 @@
                 )
             )
         )
+
+
+def _needs_proof(task: Task) -> bool:
+    early_crashes = task.crash_record.early_crashes
+    return early_crashes >= crash_evidence.MIN_CRASHES
--- a/tests/machines/batch/test_crash_review.py
+++ b/tests/machines/batch/test_crash_review.py
@@ -130,8 +130,10 @@
     units = [unit for job in jobs for unit in job.unit_by_key.values()]
     for pause in (0.0, crash_evidence.SPELL_SECONDS, 0.0):
         start_on_workers(site, 2)
-        assert all(run.acked_at for unit in units for run in unit.runs)
-        site.list_crashes(*(unit.runs[0].worker for unit in units))
+        runs = [run for unit in units for run in unit.runs]
+        assert runs
+        assert all(run.acked_at for run in runs)
+        site.list_crashes(*site.pool.worker_by_id.values())
         site.clock.advance(pause)
     site.reach_verdict()
     assert [job.state for job in jobs] == [batch_job.JobState.RUNNING] * 2
--- a/wisteriasill/machines/batch_crashes.py
+++ b/wisteriasill/machines/batch_crashes.py
@@ -107,6 +107,10 @@
             self._crash_by_worker.values(), self._crashed_elsewhere_at
         )
 
+    def has_open_verdict(self) -> bool:
+        """Whether a crash under a finite task waits for its verdict."""
+        return any(not unit.step.lasting for unit in self._verdict_by_unit)
+
     def may_try(
         self,
         unit: batch_job.Unit,
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -133,6 +133,10 @@
         trials = len(trial_workers)
         held = 0
         isolated = self.isolated_crashes()
+        # Two trials that crash together would excuse or convict each other.
+        may_prove = not self.has_open_verdict() and not any(
+            _needs_proof(run.unit) for run in self._trial_runs
+        )
         waiting = [
             unit
             for unit in self.suspect_by_key.values()
@@ -151,7 +155,11 @@
             ]
             if not choices:
                 return
+            if _needs_proof(unit) and not may_prove:
+                continue
             used = self._plan_trial(unit, choices, now)
+            if _needs_proof(unit) and unit.runs:
+                may_prove = False
             if not used and held < accepting // WORKERS_PER_TRIAL:
                 used = self._hold_worker(unit, choices, now)
                 held += len(used)
@@ -643,6 +651,12 @@
             self.dirty_job_by_id[unit.job.job_id] = unit.job
 
 
+def _needs_proof(unit: batch_job.Unit) -> bool:
+    """Whether a crash under a task may convict it."""
+    early_crashes = unit.crash_record.early_crashes
+    return not unit.step.lasting and early_crashes >= crash_evidence.MIN_CRASHES
+
+
 def _run_count(worker: workers.Worker) -> int:
     return len(worker.run_by_task)
 
