Weigh a crash by when it may have happened, not when it became known

Callers would have seen: sound jobs shown as failed (LOST), where the second crash of a burst became known late: its worker was never listed as down, so its leases had to expire first, 5 s later, and the crash looked like one at an independent moment. Or the holder had been paused, and reached a verdict before it read which others had crashed. Or a task lost another worker while its verdict was pending, and that crash was forgotten. Why this works: a crash lies between the time at which its worker was last known to be up and the one at which it became known; other crashes in that span, and 1 s before and after, may share its cause, and the time since the former crash counts from its begin. After a pause of 0.5 s between two rounds a verdict waits 1 s more. A verdict changes only what it is about, if the record has changed since. The tests' rounds come every 0.25 s, as the holder's do.

--- a/bench/crash_pool.py
+++ b/bench/crash_pool.py
@@ -130,14 +130,14 @@
 
     Attributes:
         former: What earlier crashes had told of the task.
-        at: Time at which it became known.
+        time: When it happened.
         weighed: Its circumstances, of which those that may change later are
             weighed again.
     """
 
     former: crash_evidence.CrashRecord
     survived_seconds: float
-    at: float
+    time: crash_evidence.CrashTime
     crash: crash_evidence.WorkerCrash
     weighed: crash_evidence.Circumstances
 
@@ -249,15 +249,16 @@
         for task in worker.lost_tasks:
             former = task.crash_record
             survived_seconds = task.survived_seconds(worker.crashed_at)
+            alive_at = task.started_at + survived_seconds
             task_crash = TaskCrash(
                 former,
                 survived_seconds,
-                self._now,
+                crash_evidence.CrashTime(alive_at, self._now),
                 crash,
                 crash_evidence.Circumstances(
                     len(suspects),
                     is_confirmed=task.is_confirmed,
-                    seconds_since_last=self._now - task.early_crash_at,
+                    seconds_since_last=alive_at - task.early_crash_at,
                 ),
             )
             record = self._weigh(task, task_crash)
@@ -266,7 +267,7 @@
                 task.suspected_with.append(suspects)
             if task.is_new(worker.crashed_at):
                 task.early_crash_at = self._now
-            if record.is_proof_after(former):
+            if record.needs_verdict(former):
                 self._verdict_by_task[task] = task_crash
                 task.retry_at = self._now + crash_evidence.COMMON_CAUSE_SECONDS
 
@@ -275,7 +276,7 @@
     ) -> crash_evidence.CrashRecord:
         circumstances = crash_evidence.circumstances(
             task_crash.weighed.suspects,
-            task_crash.at,
+            task_crash.time,
             (other for other in self._crashes if other is not task_crash.crash),
             self.other_pool_crashes,
         )
@@ -294,7 +295,7 @@
         due = [
             (task, crash)
             for task, crash in self._verdict_by_task.items()
-            if self._now - crash.at >= crash_evidence.COMMON_CAUSE_SECONDS
+            if self._now - crash.time.at >= crash_evidence.COMMON_CAUSE_SECONDS
         ]
         for task, crash in due:
             if self._verdict_by_task.pop(task, None) is None:
--- a/tests/contracts/test_crash_evidence.py
+++ b/tests/contracts/test_crash_evidence.py
@@ -29,6 +29,9 @@
 )
 
 
+AT_TEN = crash_evidence.CrashTime(10.0, 10.0)
+
+
 def record_of(*crashes: Crash) -> crash_evidence.CrashRecord:
     record = crash_evidence.NO_CRASHES
     for crash in crashes:
@@ -141,7 +144,7 @@
     other: crash_evidence.WorkerCrash,
     expected: crash_evidence.Circumstances,
 ) -> None:
-    assert crash_evidence.circumstances(1, 10.0, [other]) == expected
+    assert crash_evidence.circumstances(1, AT_TEN, [other]) == expected
 
 
 def test_crashes_in_other_pools_may_have_a_common_cause() -> None:
@@ -150,11 +153,19 @@
     Run crash-bursts-dark at Mandacaru, seed 602.
     """
     for at, common in ((9.5, True), (10.5, True), (9.0, False), (11.0, False)):
-        crash = crash_evidence.circumstances(1, 10.0, [], [at])
+        crash = crash_evidence.circumstances(1, AT_TEN, [], [at])
         assert crash.has_common_cause is common
         assert not crash.has_outside_cause
 
 
+def test_a_crash_that_became_known_late_may_have_an_earlier_cause() -> None:
+    """Its worker was never listed as down; its leases lapsed 5 s later."""
+    late = crash_evidence.CrashTime(5.0, 10.0)
+    for at, common in ((3.5, False), (4.5, True), (7.5, True), (11.5, False)):
+        crash = crash_evidence.circumstances(1, late, [], [at])
+        assert crash.has_common_cause is common
+
+
 @dataclasses.dataclass(frozen=True)
 class TriedTask(crash_evidence.Suspect):
     """A task on trial."""
@@ -170,7 +181,7 @@
     other = crash_evidence.WorkerCrash(
         10.5, is_explained=True, suspects=tried, tried=tried
     )
-    crash = crash_evidence.circumstances(1, 10.0, [other])
+    crash = crash_evidence.circumstances(1, AT_TEN, [other])
     assert crash.has_common_cause is done
 
 
--- a/tests/machines/batch/test_crash_bursts.py
+++ b/tests/machines/batch/test_crash_bursts.py
@@ -77,14 +77,16 @@
     def list_crashes(self, *crashed: workers.Worker) -> None:
         """Lists workers as crashed, some time after their crash."""
         self.clock.advance(LIST_SECONDS)
+        self.stepped.run_round()
         self.pool.set_down_workers(
             {worker.worker_id: worker.registered_version for worker in crashed}
         )
 
     def reach_verdict(self) -> None:
         """Runs a round once the circumstances of all crashes are known."""
-        self.clock.advance(crash_evidence.COMMON_CAUSE_SECONDS)
-        self.stepped.run_round()
+        for _ in range(8):
+            self.clock.advance(crash_evidence.COMMON_CAUSE_SECONDS / 4)
+            self.stepped.run_round()
 
 
 @pytest.fixture
--- a/wisteriasill/contracts/crash_evidence.py
+++ b/wisteriasill/contracts/crash_evidence.py
@@ -80,8 +80,9 @@
         suspicions: Those that crashed right after the start of the run.
         convicted: Whether the task crashes its workers.
         early: Crashes in a row right after a start, whatever else crashed.
-            It is not stored.
-        moments: Independent observations among these. It is not stored.
+            It is not stored; `early_crashes` allows for that.
+        moments: Independent observations among these. It is not stored;
+            `observations` allows for that.
     """
 
     crashes: int = 0
@@ -109,7 +110,7 @@
         """Independent observations, with one of a former holder's crashes."""
         return max(self.moments, min(1, self.suspicions))
 
-    def is_proof_after(self, former: CrashRecord) -> bool:
+    def needs_verdict(self, former: CrashRecord) -> bool:
         """Whether the crash after a former record may help to convict."""
         return self.convicted or self.moments > max(1, former.observations)
 
@@ -172,8 +173,8 @@
             task is not among the possible causes of.
         isolated_rate: The same of isolated crashes only.
         is_confirmed: Whether the worker had confirmed the start of the run.
-        seconds_since_last: Time since a worker crashed right after the former
-            start of the task.
+        seconds_since_last: Time from the crash after the former start of the
+            task until the worker was last known to be up.
     """
 
     suspects: int
@@ -228,13 +229,17 @@
         elsewhere_at: Monotonic times of crashes in other pools.
     """
     crashes = [*crashes]
-    unaccounted = [crash for crash in crashes if not crash.is_accounted_for]
-    times = sorted([*(crash.at for crash in unaccounted), *elsewhere_at])
-    counted = {id(crash) for crash in unaccounted}
+    times = sorted(
+        itertools.chain(
+            (crash.at for crash in crashes if not crash.is_accounted_for),
+            elsewhere_at,
+        )
+    )
     return [
         crash
         for crash in crashes
-        if _count_beside(times, crash.at) == (id(crash) in counted)
+        # One that is not accounted for is among the times itself.
+        if _count_beside(times, crash.at) <= (not crash.is_accounted_for)
     ]
 
 
@@ -345,9 +350,29 @@
     return float(min(MAX_DELAY_SECONDS, FIRST_DELAY_SECONDS * 2.0**doublings))
 
 
+class CrashTime(NamedTuple):
+    """When a worker crashed, as far as it is known.
+
+    Attributes:
+        alive_at: Monotonic time at which the worker was last known to be up.
+        at: Monotonic time at which the crash became known.
+    """
+
+    alive_at: float
+    at: float
+
+    def may_share_cause(self, other_at: float) -> bool:
+        """Whether a crash that became known at another time may be of it."""
+        return (
+            self.alive_at - COMMON_CAUSE_SECONDS
+            < other_at
+            < self.at + COMMON_CAUSE_SECONDS
+        )
+
+
 def circumstances(
     suspects: int,
-    at: float,
+    time: CrashTime,
     others: Iterable[WorkerCrash],
     elsewhere_at: Iterable[float] = (),
 ) -> Circumstances:
@@ -355,23 +380,19 @@
 
     Args:
         suspects: Number of tasks on the worker that had just started.
-        at: Monotonic time at which it became known.
+        time: When it happened.
         others: Crashes of other workers of the pool.
         elsewhere_at: Monotonic times of crashes in other pools.
     """
-    beside = [other for other in others if _may_share_cause(other.at, at)]
+    beside = [other for other in others if time.may_share_cause(other.at)]
     return Circumstances(
         suspects,
         any(not crash.is_explained for crash in beside),
         any(not crash.is_accounted_for for crash in beside)
-        or any(_may_share_cause(other_at, at) for other_at in elsewhere_at),
+        or any(map(time.may_share_cause, elsewhere_at)),
     )
 
 
-def _may_share_cause(at: float, other_at: float) -> bool:
-    return abs(other_at - at) < COMMON_CAUSE_SECONDS
-
-
 def record_crash(
     record: CrashRecord, survived_seconds: float, crash: Circumstances
 ) -> CrashRecord:
--- a/wisteriasill/machines/batch_crashes.py
+++ b/wisteriasill/machines/batch_crashes.py
@@ -13,6 +13,8 @@
 from wisteriasill.machines import batch_runs
 from wisteriasill.machines import worker as workers
 
+# A longer pause between two planning rounds may hide crashes.
+MAX_PAUSE_SECONDS = 0.5
 # Silent workers whose runs are kept until it is known whether they crashed.
 MAX_LAPSED_WORKERS = 200
 
@@ -169,12 +171,13 @@
             if unit.step.gang and unit.crashed_run >= lost_run.run.number:
                 continue  # The worker of another member counted already.
             unit.crashed_run = max(unit.crashed_run, lost_run.run.number)
+            alive_at = lost_run.alive_at
             crash = batch_runs.TaskCrash(
                 unit.crash_record,
                 lost_run,
                 len(suspects),
-                now,
-                now - unit.early_crash_at,
+                crash_evidence.CrashTime(alive_at, now),
+                alive_at - unit.early_crash_at,
             )
             weighed = self._weigh(crash, now)
             record = crash_evidence.record_crash(
@@ -187,7 +190,11 @@
             if lost_run.may_have_just_started:
                 unit.early_crash_at = now
             unit.crash_record = record._replace(convicted=False)
-            self._restart_later(unit, crash, record, weighed.background_rate)
+            if record.needs_verdict(crash.former):
+                self._verdict_by_unit[unit] = crash._replace(
+                    recorded=unit.crash_record
+                )
+            self._restart_later(unit, record, weighed.background_rate, now)
             self.dirty_job_by_id[unit.job.job_id] = unit.job
             if record.needs_trial:
                 self.suspect_by_key[unit.job.job_id, unit.key] = unit
@@ -201,7 +208,7 @@
         crashes = self._crash_by_worker
         return crash_evidence.circumstances(
             crash.suspects,
-            crash.at,
+            crash.time,
             (
                 other
                 for worker, other in crashes.items()
@@ -222,26 +229,32 @@
     def _restart_later(
         self,
         unit: batch_job.Unit,
-        crash: batch_runs.TaskCrash,
         record: crash_evidence.CrashRecord,
         rate: float,
+        now: float,
     ) -> None:
         """Delays the next start of a task after a crash."""
-        if record.is_proof_after(crash.former):
-            self._verdict_by_unit[unit] = crash
         if unit.step.lasting:
-            unit.retry_at = crash.at + crash_evidence.restart_delay_seconds(
+            unit.retry_at = now + crash_evidence.restart_delay_seconds(
                 record, rate
             )
         elif unit in self._verdict_by_unit:
-            unit.retry_at = crash.at + crash_evidence.COMMON_CAUSE_SECONDS
+            unit.retry_at = now + crash_evidence.COMMON_CAUSE_SECONDS
 
     def reach_verdicts(self, now: float) -> None:
         """Judges tasks by crashes of which the circumstances are known now."""
+        if now - self._checked_verdicts_at > MAX_PAUSE_SECONDS:
+            # This holder was paused, or the store away, so it learns only now
+            # of other crashes.
+            self._verdict_by_unit = {
+                unit: crash._replace(time=crash.time._replace(at=now))
+                for unit, crash in self._verdict_by_unit.items()
+            }
+        self._checked_verdicts_at = now
         due = [
             (unit, crash)
             for unit, crash in self._verdict_by_unit.items()
-            if now - crash.at >= crash_evidence.COMMON_CAUSE_SECONDS
+            if now - crash.time.at >= crash_evidence.COMMON_CAUSE_SECONDS
         ]
         for unit, crash in due:
             # The verdict on another task may have explained the crash.
@@ -250,9 +263,15 @@
             if unit.done or unit.job.finished:
                 continue
             weighed = self._weigh(crash, now)
-            unit.crash_record = crash_evidence.record_crash(
+            record = crash_evidence.record_crash(
                 crash.former, crash.lost_run.survived_seconds, weighed
             )
+            if unit.crash_record != crash.recorded:
+                # The worker of another run of it has crashed meanwhile.
+                record = unit.crash_record._replace(
+                    convicted=record.convicted, moments=record.moments
+                )
+            unit.crash_record = record
             self._judge(unit, weighed)
 
     def _judge(
@@ -338,7 +357,7 @@
         worker=run.worker.worker_id,
         state=run.state.name.lower(),
         survived_seconds=round(crash.lost_run.survived_seconds, 3),
-        sent_seconds=round(crash.at - run.ordered_at, 3)
+        sent_seconds=round(crash.time.at - run.ordered_at, 3)
         if run.ordered_at
         else None,
         needs_trial=record.needs_trial,
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -68,6 +68,15 @@
     run: batch_job.Run
     survived_seconds: float
 
+    @property
+    def alive_at(self) -> float:
+        """Monotonic time at which its worker was last known to be up."""
+        run = self.run
+        return max(
+            run.ordered_at,
+            run.acked_at and run.acked_at + self.survived_seconds,
+        )
+
     @property
     def may_have_just_started(self) -> bool:
         """Whether its worker may have crashed by its start."""
@@ -89,15 +98,17 @@
         former: What earlier crashes had told of the task.
         lost_run: The run that was on the worker.
         suspects: Number of tasks on the worker that had just started.
-        at: Monotonic time at which it became known.
+        time: When it happened.
         seconds_since_last: As in `crash_evidence.Circumstances`.
+        recorded: What it told at once.
     """
 
     former: crash_evidence.CrashRecord
     lost_run: LostRun
     suspects: int
-    at: float
+    time: crash_evidence.CrashTime
     seconds_since_last: float
+    recorded: crash_evidence.CrashRecord = crash_evidence.NO_CRASHES
 
 
 class PoolRuns:
@@ -172,6 +183,7 @@
         self._crashed_elsewhere_at: list[float] = []
         # Crashes that may prove a task guilty, until a verdict is due.
         self._verdict_by_unit: dict[batch_job.Unit, TaskCrash] = {}
+        self._checked_verdicts_at = claimed_at
         self._trial_runs: list[batch_job.Run] = []
         # Units of reported runs that this holder counted as ended.
         self._units_at_work: set[batch_job.Unit] = set()
