Silence a worker of the soak before the second start of a task

Cause: in half of the cases that the users read, the second crash of a task was that of a worker which had gone silent before the start order reached it.

Change: the fault that follows a task may silence the worker that gets its next start order, so that the task never starts there.

--- a/soak/worker_crashes.py
+++ b/soak/worker_crashes.py
@@ -5,6 +5,7 @@
 from concurrent import futures
 import enum
 import random
+import threading
 import time
 from typing import NamedTuple
 
@@ -28,6 +29,8 @@
 CONFIRMED_SECONDS = (0.005, 0.2)
 # Longest wait for the next start of a task after the crash of its worker.
 RESTARTED_SECONDS = 4.0
+# Held while workers wait for the start of a task; there is only one such task.
+_silencing_lock = threading.Lock()
 
 
 class Moment(enum.StrEnum):
@@ -68,15 +71,16 @@
 
 
 def crash_twice_under_a_task(site: sites.Site, rng: random.Random) -> str:
-    """Crashes workers after two starts of a task, and others meanwhile."""
+    """Crashes workers at two starts of a task, and others meanwhile.
+
+    The first run has started; the second one has, or its worker falls silent
+    before it gets the order.
+    """
     time.sleep(rng.uniform(*QUIET_SECONDS))
     count = _count(site, rng.uniform(*SERIES_SHARES))
     is_silent = rng.random() < SILENT_SHARE
     draws = [
-        (
-            _draw(rng, is_silent)._replace(moment=Moment.ANY),
-            rng.uniform(*CONFIRMED_SECONDS),
-        )
+        (_draw(rng, is_silent), rng.uniform(*CONFIRMED_SECONDS))
         for _ in range(2)
     ]
     first, task = len(site.log.run_events), None
@@ -85,17 +89,24 @@
             executor.submit(_crash_waves, site, rng, [1] * max(1, count - 2))
         ]
         for crash, delay_seconds in draws:
-            started = _next_start(site, first, task)
-            if started is None:
-                break
-            first, task = len(site.log.run_events), started.task
-            time.sleep(delay_seconds)
-            workers = [
-                worker
-                for worker in site.workers
-                if worker.worker_id == started.worker_id
-            ]
-            crashes.append(executor.submit(_crash, site, workers, crash))
+            if task and crash.moment is Moment.UNCONFIRMED:
+                workers = _silence_before_start(site, task)
+            else:
+                started = _next_start(site, first, task)
+                if started is None:
+                    break
+                first, task = len(site.log.run_events), started.task
+                time.sleep(delay_seconds)
+                workers = [
+                    worker
+                    for worker in site.workers
+                    if worker.worker_id == started.worker_id
+                ]
+            crashes.append(
+                executor.submit(
+                    _crash, site, workers, crash._replace(moment=Moment.ANY)
+                )
+            )
         descriptions = [crash.result() for crash in crashes]
     return f"under {task}: " + "; ".join(filter(None, descriptions))
 
@@ -123,6 +134,32 @@
     return None
 
 
+def _silence_before_start(
+    site: sites.Site, task: job_spec.TaskKey
+) -> list[timed_worker.TimedWorker]:
+    """Silences the worker that gets the next start order of a task.
+
+    Returns:
+        That worker, if there was an order in time.
+    """
+    with _silencing_lock:
+        for worker in site.workers:
+            worker.silent_at_task = task
+        deadline = time.monotonic() + RESTARTED_SECONDS
+        while (
+            all(worker.silent_at_task for worker in site.workers)
+            and time.monotonic() < deadline
+        ):
+            time.sleep(timed_worker.POLL_SECONDS)
+        silent = []
+        for worker in site.workers:
+            with worker.lock:
+                if worker.silent_at_task is None:
+                    silent.append(worker)
+                worker.silent_at_task = None
+    return silent
+
+
 def _count(site: sites.Site, share: float) -> int:
     return max(1, round(share * len(site.workers)))
 
--- a/standins/timed_worker.py
+++ b/standins/timed_worker.py
@@ -197,6 +197,8 @@
             responses then.
         silent_at_start: Whether the next start makes it silent before it
             confirms the start.
+        silent_at_task: Task whose next start order makes it silent before the
+            task starts; None for none, or once it has.
         last_start_at: Monotonic time of the last start.
         max_stop_seconds: Longest time that a run goes on after its stop.
     """
@@ -216,6 +218,7 @@
         self.responds = threading.Event()
         self.responds.set()
         self.silent_at_start = False
+        self.silent_at_task: job_spec.TaskKey | None = None
         self.last_start_at = 0.0
         self.started_ms = 0
         self.max_stop_seconds = 0.0
@@ -279,6 +282,10 @@
         """Starts a run if there is capacity for it."""
         with self.lock:
             self._advance()
+            if self.silent_at_task == order.task:
+                self.silent_at_task = None
+                self.responds.clear()
+                return cluster.OrderAnswer(cluster.OrderOutcome.UNKNOWN)
             is_running = self._worker.running.get(order.task) == order.run
             if (
                 not is_running
--- a/tests/test_order_faults.py
+++ b/tests/test_order_faults.py
@@ -139,6 +139,23 @@
     ] * starts_before
 
 
+def test_a_worker_falls_silent_before_the_start_of_a_task(
+    faulty: order_faults.FaultyWorkerService,
+    call: Call,
+    log: timed_worker.RunLog,
+) -> None:
+    worker = faulty.service.worker
+    worker.silent_at_task = job_spec.TaskKey("j1", 0, 0, 0)
+    assert call("/api/run-start", START | {"task": "j1.0.0.1"}) == 200
+    with futures.ThreadPoolExecutor() as executor:
+        unconfirmed = executor.submit(call, "/api/run-start", START)
+        assert waiting.wait_until(lambda: not worker.responds.is_set())
+        assert worker.silent_at_task is None
+        worker.crash(0.0)
+        assert unconfirmed.result() == 500
+    assert {run_event.task.position for run_event in log.run_events} == {1}
+
+
 def listed_state(hosts: platform_http.HostService) -> str:
     request = test.EnvironBuilder("/api/machines").get_request()
     return str(hosts.answer(request)[1]["machines"][0]["state"])
