--- a/soak/known_seeds.py
+++ b/soak/known_seeds.py
@@ -18,6 +18,7 @@
 CRASH_BURSTS = plans.RunPlan(
     9966, "crashes", seconds=25.0, workers=10, per_second=10.0, series=1
 )
+UNCONFIRMED_STARTS = CRASH_BURSTS._replace(seed=10286)
 LATE_CANCELLATIONS = plans.RunPlan(
     8001, "cancellations", seconds=8.0, workers=4, series=1
 )
@@ -109,6 +110,7 @@
         6935, "takeovers", seconds=8.0, workers=4, per_second=10.0, series=1
     ): "as seed 5116",
     CRASH_BURSTS: "two crashes of one burst convicted a sound task",
+    UNCONFIRMED_STARTS: "a start that never arrived convicted a sound task",
 }
 # Run in CI, a few seconds each.
 CI_PLANS = (
@@ -117,4 +119,5 @@
     LISTED_AS_DOWN,
     LATE_CANCELLATIONS,
     CRASH_BURSTS,
+    UNCONFIRMED_STARTS,
 )
