--- a/bench/crash_pool.py
+++ b/bench/crash_pool.py
@@ -1,32 +1,64 @@
 """Simulated pool of the experiment on crashes of workers.
 
-The pool learns of a crash 0.1 to 0.4 s later. It knows how long a run was alive
-from reports every 0.1 s.
+The pool learns of a crash 0.1 to 0.4 s later, of a silent one 0.1 to 0.6 s
+later. It knows how long a run was alive from reports every 0.1 s. As the
+product sends the orders of a worker one by one, one start at most is in flight
+to a worker that does not answer, and those behind it were never sent.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 import dataclasses
+import math
 import random
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
+from bench import crash_patterns
 from wisteriasill.contracts import crash_evidence
 
 RACKS = 5
 SLOTS = 4  # Tasks of a worker.
-LOAD = 0.7  # Share of the slots for which there are tasks.
 LONG_SHARE = 0.05  # Share of the tasks that last until the end.
-SPELL_SECONDS = 20.0
-DURATION_SECONDS = 50.0
-STEP_SECONDS = 0.05
+CALM_SECONDS = 30.0  # Time without crashes after the spell.
+STEP_SECONDS = crash_patterns.STEP_SECONDS
 REPORT_SECONDS = 0.1
 RESTART_SECONDS = 0.5
+KNOWN_SECONDS = (0.1, 0.4)
+SILENT_KNOWN_SECONDS = (0.1, 0.6)
+
+# When a bad task crashes its worker, seen from the answer to the start order.
+BadKind = Literal["confirmed", "unconfirmed"]
+
+
+class Variant(NamedTuple):
+    """Settings of a simulated pool.
+
+    Attributes:
+        workers: Number of workers.
+        pattern: Crashes that no task causes.
+        bad: Number of tasks that crash each worker that starts them.
+        bad_kind: Whether those do so before their start is confirmed.
+        load: Share of the slots for which there are tasks.
+    """
+
+    workers: int
+    pattern: crash_patterns.CrashPattern
+    bad: int
+    bad_kind: BadKind = "confirmed"
+    load: float = 0.7
 
 
 @dataclasses.dataclass(eq=False)
 class Task:
-    """A task and what the pool knows of it."""
+    """A task, its current run, and what the pool knows of both.
+
+    Attributes:
+        started_at: Time at which the start order was sent or queued.
+        is_sent: Whether the start order was sent.
+        is_confirmed: Whether the worker answered it.
+        has_begun: Whether the worker got it, which the pool may not know.
+    """
 
     seconds: float
     bad: bool
@@ -34,6 +66,11 @@
     crash_record: crash_evidence.CrashRecord = crash_evidence.NO_CRASHES
     crashed_workers: int = 0
     started_at: float = 0.0
+    is_sent: bool = False
+    is_confirmed: bool = False
+    has_begun: bool = False
+    early_crash_at: float = -math.inf
+    retry_at: float = 0.0
     longest_wait: float = 0.0
     given_up: bool = False
     done: bool = False
@@ -41,6 +78,8 @@
 
     def survived_seconds(self, now: float) -> float:
         """Returns for how long reports have shown its run alive."""
+        if not self.is_confirmed:
+            return 0.0
         reports = int((now - self.started_at) / REPORT_SECONDS + 1e-6)
         return max(0, reports - 1) * REPORT_SECONDS
 
@@ -51,7 +90,12 @@
 
 @dataclasses.dataclass(eq=False)
 class Worker:
-    """A worker; `crashed_at` is set until the pool knows of the crash."""
+    """A worker; `crashed_at` is set until the pool knows of the crash.
+
+    Attributes:
+        is_silent: Whether calls to it get no answer.
+        has_order: Whether a start order is in flight without an answer.
+    """
 
     rack: str
     tasks: list[Task] = dataclasses.field(default_factory=list)
@@ -59,60 +103,109 @@
     known_at: float = 0.0
     back_at: float = 0.0
     has_trial: bool = False
+    is_silent: bool = False
+    has_order: bool = False
+
+    def seen_until(self, now: float) -> float:
+        """Returns the time of its last report."""
+        return now if self.crashed_at < 0 else self.crashed_at
+
+    @property
+    def lost_tasks(self) -> list[Task]:
+        """Tasks that the pool must assume to have been on it at its crash."""
+        return [task for task in self.tasks if task.is_sent]
+
+    @property
+    def suspects(self) -> list[Task]:
+        """Those that had just started, the last one first."""
+        return [
+            task
+            for task in reversed(self.lost_tasks)
+            if task.is_new(self.crashed_at)
+        ]
 
 
-class Crash(NamedTuple):
-    """A crash as the pool knows it."""
+class TaskCrash(NamedTuple):
+    """A crash under a task that may help to convict it.
 
-    recent: crash_evidence.WorkerCrash
-    past: crash_evidence.PastCrash
+    Attributes:
+        former: What earlier crashes had told of the task.
+        time: When it happened.
+        weighed: Its circumstances, of which those that may change later are
+            weighed again.
+    """
+
+    former: crash_evidence.CrashRecord
+    survived_seconds: float
+    time: crash_evidence.CrashTime
+    crash: crash_evidence.WorkerCrash
+    weighed: crash_evidence.Circumstances
 
 
 class PoolRun:
     """One variant with one seed."""
 
-    def __init__(self, workers: int, share: float, bad: int, seed: int) -> None:
-        self._random = random.Random(f"{workers}/{share}/{bad}/{seed}")
-        self._share = share
+    def __init__(self, variant: Variant, seed: int) -> None:
+        workers, pattern, bad = variant[:3]
+        self._variant = variant
+        self._random = random.Random(f"{workers}/{pattern.name}/{bad}/{seed}")
         self._workers = [Worker(f"r{n % RACKS}") for n in range(workers)]
         self._bad_at = sorted(
-            self._random.uniform(0, SPELL_SECONDS) for _ in range(bad)
+            self._random.uniform(0, pattern.spell_seconds) for _ in range(bad)
         )
-        self._period = self._random.uniform(0.6, 2.5)
-        self._next_crash_at = self._period
-        self._crashes: list[Crash] = []
+        self._crash_times = [*pattern.times(self._random)]
+        self._duration = pattern.spell_seconds + CALM_SECONDS
+        self._crashes: list[crash_evidence.WorkerCrash] = []
+        self._verdict_by_task: dict[Task, TaskCrash] = {}
         self._waiting: list[Task] = []
+        self._other_pools = random.Random(f"{pattern.name}/{seed}")
+        self._other_pool_crashes: list[float] = []
         self.tasks: list[Task] = []
         self._now = 0.0
 
+    @property
+    def other_pool_crashes(self) -> list[float]:
+        """Times at which crashes in other pools became known, until now."""
+        return sorted(at for at in self._other_pool_crashes if at <= self._now)
+
     def run(self) -> None:
         """Plays the day."""
-        steps = round(DURATION_SECONDS / STEP_SECONDS)
+        steps = round(self._duration / STEP_SECONDS)
         for number in range(steps):
             self._now = number * STEP_SECONDS
             self._crash_workers()
             self._learn_crashes()
+            self._reach_verdicts()
             self._take_reports()
             self._add_tasks()
             self._start_tasks()
 
     def _crash_workers(self) -> None:
-        if not self._next_crash_at <= self._now < SPELL_SECONDS:
-            return
-        self._next_crash_at = self._now + self._period
-        count = max(1, round(self._share * len(self._workers)))
-        for worker in self._random.sample(self._workers, count):
-            if self._is_up(worker):
-                self._crash(worker)
-
-    def _crash(self, worker: Worker) -> None:
+        while self._crash_times and self._crash_times[0].at <= self._now:
+            crash = self._crash_times.pop(0)
+            count = max(1, round(crash.share * len(self._workers)))
+            for worker in self._random.sample(self._workers, count):
+                if self._is_up(worker):
+                    self._crash(worker, crash.silent)
+            self._other_pool_crashes += [
+                self._now + self._other_pools.uniform(*SILENT_KNOWN_SECONDS)
+                for _ in range(count * crash.other_pools)
+            ]
+
+    def _crash(self, worker: Worker, silent: bool = False) -> None:
+        bounds = SILENT_KNOWN_SECONDS if silent else KNOWN_SECONDS
+        worker.is_silent = silent
         worker.crashed_at = self._now
-        worker.known_at = self._now + self._random.uniform(0.1, 0.4)
+        worker.known_at = self._now + self._random.uniform(*bounds)
         worker.back_at = self._now + RESTART_SECONDS
 
     def _is_up(self, worker: Worker) -> bool:
         return worker.crashed_at < 0 and self._now >= worker.back_at
 
+    def _seems_up(self, worker: Worker) -> bool:
+        is_gone_unnoticed = worker.crashed_at >= 0 and worker.is_silent
+        return is_gone_unnoticed or self._is_up(worker)
+
     def _learn_crashes(self) -> None:
         known = [
             worker
@@ -122,59 +215,107 @@
         crash_by_worker = {worker: self._note(worker) for worker in known}
         for worker, crash in crash_by_worker.items():
             self._judge_tasks(worker, crash)
-            self._waiting += [
-                task for task in worker.tasks if not task.given_up
-            ]
+            self._waiting += worker.tasks
             worker.tasks = []
             worker.crashed_at = -1.0
-            worker.has_trial = False
-
-    def _note(self, worker: Worker) -> Crash:
-        new = [task for task in worker.tasks if task.is_new(worker.crashed_at)]
-        crash = Crash(
-            crash_evidence.WorkerCrash(self._now, worker.rack, bool(new)),
-            crash_evidence.PastCrash(
-                self._now, frozenset(worker.tasks), frozenset(new)
+            worker.has_trial = worker.is_silent = worker.has_order = False
+
+    def _note(self, worker: Worker) -> crash_evidence.WorkerCrash:
+        suspects = frozenset(worker.suspects)
+        crash = crash_evidence.WorkerCrash(
+            self._now,
+            bool(suspects),
+            tasks=frozenset(worker.lost_tasks),
+            suspects=suspects,
+            tried=frozenset(
+                task for task in suspects if task.crash_record.needs_trial
             ),
         )
+        self._crashes = [
+            other
+            for other in self._crashes
+            if self._now - other.at < crash_evidence.BACKGROUND_SECONDS
+        ]
         self._crashes.append(crash)
         return crash
 
-    def _judge_tasks(self, worker: Worker, crash: Crash) -> None:
-        suspects = [
-            task
-            for task in reversed(worker.tasks)
-            if task.is_new(worker.crashed_at)
-        ]
-        circumstances = crash_evidence.circumstances(
-            len(suspects),
-            worker.rack,
-            (
-                other.recent
-                for other in self._crashes
-                if other is not crash
-                and self._now - other.recent.at
-                < crash_evidence.RACK_LOSS_SECONDS
-            ),
-        )
+    def _judge_tasks(
+        self, worker: Worker, crash: crash_evidence.WorkerCrash
+    ) -> None:
+        suspects = worker.suspects
         for task in worker.tasks:
-            former = task.crash_record
-            task.crashed_workers += 1
+            task.crashed_workers += task.has_begun
             task.lost_at = self._now
-            task.crash_record = crash_evidence.record_crash(
+        for task in worker.lost_tasks:
+            former = task.crash_record
+            survived_seconds = task.survived_seconds(worker.crashed_at)
+            alive_at = task.started_at + survived_seconds
+            task_crash = TaskCrash(
                 former,
-                task.survived_seconds(worker.crashed_at),
-                circumstances._replace(background_rate=self._rate(task)),
+                survived_seconds,
+                crash_evidence.CrashTime(alive_at, self._now),
+                crash,
+                crash_evidence.Circumstances(
+                    len(suspects),
+                    is_confirmed=task.is_confirmed,
+                    seconds_since_last=alive_at - task.early_crash_at,
+                ),
             )
-            if task.crash_record.suspicions > former.suspicions:
+            record = self._weigh(task, task_crash)
+            task.crash_record = record._replace(convicted=False)
+            if record.suspicions > former.suspicions:
                 task.suspected_with.append(suspects)
+            if task.is_new(worker.crashed_at):
+                task.early_crash_at = self._now
+            if record.needs_verdict(former):
+                self._verdict_by_task[task] = task_crash
+                task.retry_at = self._now + crash_evidence.COMMON_CAUSE_SECONDS
+
+    def _weigh(
+        self, task: Task, task_crash: TaskCrash
+    ) -> crash_evidence.CrashRecord:
+        circumstances = crash_evidence.circumstances(
+            task_crash.weighed.suspects,
+            task_crash.time,
+            (other for other in self._crashes if other is not task_crash.crash),
+            self.other_pool_crashes,
+        )
+        return crash_evidence.record_crash(
+            task_crash.former,
+            task_crash.survived_seconds,
+            task_crash.weighed._replace(
+                has_outside_cause=circumstances.has_outside_cause,
+                has_common_cause=circumstances.has_common_cause,
+                background_rate=self._rate(task, self._crashes),
+                isolated_rate=self._rate(task, self._isolated_crashes()),
+            ),
+        )
+
+    def _reach_verdicts(self) -> None:
+        due = [
+            (task, crash)
+            for task, crash in self._verdict_by_task.items()
+            if self._now - crash.time.at >= crash_evidence.COMMON_CAUSE_SECONDS
+        ]
+        for task, crash in due:
+            if self._verdict_by_task.pop(task, None) is None:
+                continue
+            task.crash_record = self._weigh(task, crash)
             if task.crash_record.convicted:
                 task.given_up = True
+                self._waiting.remove(task)
                 self._clear_others(task)
 
-    def _rate(self, task: Task) -> float:
+    def _isolated_crashes(self) -> list[crash_evidence.WorkerCrash]:
+        return crash_evidence.isolated_crashes(
+            self._crashes, self.other_pool_crashes
+        )
+
+    def _rate(
+        self, task: Task, crashes: Iterable[crash_evidence.WorkerCrash]
+    ) -> float:
         return crash_evidence.background_rate(
-            (crash.past for crash in self._crashes),
+            crashes,
             task,
             len(self._workers),
             self._now,
@@ -183,7 +324,8 @@
 
     def _clear_others(self, convict: Task) -> None:
         self._crashes = [
-            crash for crash in self._crashes if convict not in crash.past.tasks
+            crash._replace(is_settled=True) if convict in crash.tasks else crash
+            for crash in self._crashes
         ]
         for suspects in convict.suspected_with:
             for task in suspects:
@@ -192,6 +334,7 @@
                     task.crash_record = crash_evidence.record_explanation(
                         task.crash_record
                     )
+                    self._verdict_by_task.pop(task, None)
 
     def _take_reports(self) -> None:
         for worker in self._workers:
@@ -199,10 +342,12 @@
                 continue
             for task in worker.tasks:
                 survived = task.survived_seconds(self._now)
-                task.crash_record = crash_evidence.record_survival(
-                    task.crash_record, survived
-                )
+                if task.crash_record is not crash_evidence.NO_CRASHES:
+                    task.crash_record = crash_evidence.record_survival(
+                        task.crash_record, survived
+                    )
                 if survived >= crash_evidence.PROBATION_SECONDS:
+                    self._verdict_by_task.pop(task, None)
                     task.suspected_with.clear()
                     worker.has_trial = False
             for task in worker.tasks:
@@ -216,14 +361,14 @@
             self._bad_at.pop(0)
             self._waiting.append(self._new_task(bad=True))
         at_work = sum(len(worker.tasks) for worker in self._workers)
-        wanted = round(LOAD * SLOTS * len(self._workers))
+        wanted = round(self._variant.load * SLOTS * len(self._workers))
         missing = wanted - at_work - len(self._waiting)
         self._waiting += [self._new_task(bad=False) for _ in range(missing)]
 
     def _new_task(self, bad: bool) -> Task:
         is_long = self._random.random() < LONG_SHARE
         seconds = self._random.uniform(0.5, 4.0)
-        task = Task(DURATION_SECONDS if is_long else seconds, bad, self._now)
+        task = Task(self._duration if is_long else seconds, bad, self._now)
         self.tasks.append(task)
         return task
 
@@ -234,33 +379,75 @@
             waiting, key=lambda task: not task.crash_record.needs_trial
         ):
             worker = next(self._choices(task), None)
-            if worker is None:
+            if (
+                worker is None
+                or not self._may_try(task)
+                or (_needs_proof(task) and self._has_open_proof())
+            ):
                 self._waiting.append(task)
                 continue
             task.longest_wait = max(task.longest_wait, self._now - task.lost_at)
-            task.started_at = self._now
-            worker.tasks.append(task)
             worker.has_trial = task.crash_record.needs_trial
-            if task.bad:
-                self._crash(worker)
+            self._start(task, worker)
+
+    def _start(self, task: Task, worker: Worker) -> None:
+        worker.tasks.append(task)
+        task.started_at = self._now
+        task.has_begun = worker.crashed_at < 0
+        task.is_sent = not worker.has_order
+        task.is_confirmed = task.has_begun
+        if not task.has_begun:
+            worker.has_order = True
+        elif task.bad:
+            task.is_confirmed = self._variant.bad_kind == "confirmed"
+            self._crash(worker)
+
+    def _may_try(self, task: Task) -> bool:
+        record = task.crash_record
+        return not record.needs_trial or (
+            self._now >= task.retry_at
+            and crash_evidence.may_try(
+                record,
+                crash_evidence.TrialConditions(
+                    self._rate(task, self._crashes),
+                    self._rate(task, self._isolated_crashes()),
+                    self._now - task.lost_at,
+                    crash_evidence.quiet_seconds(
+                        self._crashes, task, self.other_pool_crashes, self._now
+                    ),
+                ),
+            )
+        )
+
+    def _has_open_proof(self) -> bool:
+        """Whether a task that a crash may convict is on trial, or judged."""
+        return bool(self._verdict_by_task) or any(
+            _needs_proof(task) and task.is_new(worker.seen_until(self._now))
+            for worker in self._workers
+            for task in worker.tasks
+        )
 
     def _choices(self, task: Task) -> Iterator[Worker]:
         """Returns workers for a task, those with the fewest runs first."""
         on_trial = task.crash_record.needs_trial
-        if on_trial and not crash_evidence.may_try(
-            task.crash_record, self._rate(task), self._now - task.lost_at
-        ):
-            return iter(())
-        # The pool finds out about a crash later, as no call returns.
         return (
             worker
             for worker in sorted(
                 self._workers, key=lambda worker: len(worker.tasks)
             )
-            if self._is_up(worker)
+            if self._seems_up(worker)
             and len(worker.tasks) < SLOTS
             and not worker.has_trial
             and not (
-                on_trial and any(run.is_new(self._now) for run in worker.tasks)
+                on_trial
+                and any(
+                    run.is_new(worker.seen_until(self._now))
+                    for run in worker.tasks
+                )
             )
         )
+
+
+def _needs_proof(task: Task) -> bool:
+    early_crashes = task.crash_record.early_crashes
+    return early_crashes >= crash_evidence.MIN_CRASHES
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -144,8 +144,11 @@
     Attributes:
         last_run: Number of the last run.
         crash_record: Crashes of workers under its runs.
+        crashed_run: Highest run of which a worker crashed.
         suspected_with: The suspects of each of these crashes, this one
             included; the last one started comes first.
+        early_crash_at: Monotonic time at which this or a former holder last
+            learnt of a crash right after its start; 0 if none did.
         restored: Stored runs of a former holder whose workers this one does
             not know yet.
         avoided: Workers that a new run avoids: a run failed there, or was
@@ -158,7 +161,9 @@
         "avoided",
         "checkpoint",
         "crash_record",
+        "crashed_run",
         "done",
+        "early_crash_at",
         "failed_run",
         "failures",
         "indexes",
@@ -191,7 +196,9 @@
         self.failures = 0
         self.failed_run = 0
         self.crash_record = crash_evidence.NO_CRASHES
+        self.crashed_run = 0
         self.suspected_with: list[list[Unit]] = []
+        self.early_crash_at = 0.0
         self.done = False
         self.checkpoint = ""
         self.runs: list[Run] = []
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -231,6 +231,9 @@
         if job is None or run_end.kind is not cluster.RunEndKind.DONE:
             return
         if unit := job.unit_of(run_end.task):
+            # Of a gang, the members of its present run go on.
+            for run in [*unit.runs]:
+                self._stop_run(run, "a former run of its task is done")
             self._record_done(unit)
 
     def _record_done(self, unit: batch_job.Unit) -> None:
@@ -248,8 +251,8 @@
     def _record_failure(self, unit: batch_job.Unit, run: batch_job.Run) -> None:
         job = unit.job
         unit.avoided.add(run.worker.worker_id)
-        if unit.failed_run >= run.number:
-            return  # Another member of the same gang already counted.
+        if unit.step.gang and unit.failed_run >= run.number:
+            return  # Another member of the same run already counted.
         unit.failed_run = run.number
         unit.failures += 1
         max_attempts = self._max_attempts(job)
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -68,6 +68,15 @@
     run: batch_job.Run
     survived_seconds: float
 
+    @property
+    def alive_at(self) -> float:
+        """Monotonic time at which its worker was last known to be up."""
+        run = self.run
+        return max(
+            run.ordered_at,
+            run.acked_at and run.acked_at + self.survived_seconds,
+        )
+
     @property
     def may_have_just_started(self) -> bool:
         """Whether its worker may have crashed by its start."""
@@ -82,6 +91,26 @@
         return self.may_have_just_started and self.run.ordered_at > 0
 
 
+class TaskCrash(NamedTuple):
+    """A crash of a worker under a task.
+
+    Attributes:
+        former: What earlier crashes had told of the task.
+        lost_run: The run that was on the worker.
+        suspects: Number of tasks on the worker that had just started.
+        time: When it happened.
+        seconds_since_last: As in `crash_evidence.Circumstances`.
+        recorded: What it told at once.
+    """
+
+    former: crash_evidence.CrashRecord
+    lost_run: LostRun
+    suspects: int
+    time: crash_evidence.CrashTime
+    seconds_since_last: float
+    recorded: crash_evidence.CrashRecord = crash_evidence.NO_CRASHES
+
+
 class PoolRuns:
     """A pool's jobs, workers and runs.
 
@@ -147,10 +176,14 @@
         self.suspect_by_key: dict[
             tuple[str, batch_job.UnitKey], batch_job.Unit
         ] = {}
-        self._crash_by_worker: dict[str, crash_evidence.WorkerCrash] = {}
-        self._past_crash_by_worker: dict[
-            workers.Worker, crash_evidence.PastCrash
+        self._crash_by_worker: dict[
+            workers.Worker, crash_evidence.WorkerCrash
         ] = {}
+        # When crashes of workers of other pools became known.
+        self._crashed_elsewhere_at: list[float] = []
+        # Crashes that may prove a task guilty, until a verdict is due.
+        self._verdict_by_unit: dict[batch_job.Unit, TaskCrash] = {}
+        self._checked_verdicts_at = claimed_at
         self._trial_runs: list[batch_job.Run] = []
         # Units of reported runs that this holder counted as ended.
         self._units_at_work: set[batch_job.Unit] = set()
