Log what is known of a run and its worker when the run counts as lost

RUN_LOST tells the state of the run, whether its worker had confirmed the start, when it was ordered and confirmed, and the incarnation; for a run of a former holder the versions that are compared. WORKER_LOST tells the incarnation, both versions and since when the worker was silent. Log fields only.

--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -160,6 +160,10 @@
             worker=worker.worker_id,
             reason=removal.reason,
             uncertain_runs=len(orphans),
+            started_ms=worker.entry.started_ms,
+            registered_version=worker.registered_version,
+            listed_version=self._down_version_by_id.get(worker.worker_id, 0),
+            silent_since=worker.silent_since,
         )
         self._changed.set()
 
@@ -201,6 +205,11 @@
                 run=run.number,
                 worker=worker.worker_id,
                 reason=reason,
+                state=run.state.name.lower(),
+                confirmed=worker.has_confirmed(run),
+                ordered_at=run.ordered_at,
+                acked_at=run.acked_at,
+                started_ms=worker.entry.started_ms,
             )
             self._end_run(run)
 
@@ -222,6 +231,8 @@
             worker=stored.worker_id,
             reason=reason,
             stored_started_ms=stored.started_ms,
+            stored_version=stored.registered_version,
+            listed_version=self._down_version_by_id.get(stored.worker_id, 0),
         )
 
     def set_down_workers(
