Test a run that ends while its start waits for the pool's lock

The thread that sends orders checks that the run is not ended, then waits for the pool's lock to read the payload. A worker that is removed meanwhile ends the run as one that was never sent, so the next incarnation is not told to refuse it, and the start is sent there.

--- a/tests/machines/batch/test_unproven_ends.py
+++ b/tests/machines/batch/test_unproven_ends.py
@@ -13,9 +13,11 @@
 from tests.machines import batch_site
 from wisteriasill.contracts import job_spec
 from wisteriasill.links import cluster
+from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_records
 from wisteriasill.machines import batch_reports
 from wisteriasill.machines import batch_tables
+from wisteriasill.machines import batch_workers
 from wisteriasill.machines import worker as workers
 
 TASK = job_spec.TaskKey("j1", 0, 0, 0)
@@ -148,6 +150,39 @@
     assert not restarted.running
 
 
+def test_a_run_that_ends_while_its_start_waits_for_the_pool_is_not_started(
+    site: batch_site.SteppedPool,
+    starts_elsewhere: Callable[..., list[tuple[job_spec.TaskKey, int]]],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The thread that sends orders waits for the pool's lock before the call.
+
+    Meanwhile the registry shows a new incarnation. The run counted as never
+    sent, was carried out there, and ran beside the second one.
+    """
+    worker = site.add_worker("w1", batch_worker.MemoryWorker(batch_site.ROOM))
+    site.poll(worker)
+    site.pool.on_record(ROW)
+    site.run_round()
+    restarted = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    worker.link = restarted
+    payload = site.pool.payload
+
+    def wait_for_lock(run: batch_job.Run) -> tuple[str, str]:
+        removal = batch_workers.Removal(
+            "registered with a new incarnation", restarted=True, crashed=True
+        )
+        site.pool.remove_worker(worker, removal)
+        return payload(run)
+
+    monkeypatch.setattr(site.pool, "payload", wait_for_lock)
+    worker.send_once()
+    assert starts_elsewhere() == [(TASK, 2)]
+    new_worker = site.add_worker("w1", restarted)
+    site.deliver(new_worker)
+    assert not restarted.running
+
+
 @pytest.mark.parametrize("answered", [False, True])
 def test_a_start_that_a_restarted_worker_got_keeps_its_longer_lease(
     site: batch_site.SteppedPool,
