Count a move only once a worker has stopped the run

Callers saw slow jobs: a task on a worker that was cut off counted as slower than others of its step, since the report of its end was missing. The pool ordered a move, counted it at once and quarantined the worker. The stop never arrived, the run ended with its lease, and each counted move multiplies the limit for the next one by eight, so that a really slow run of the task was left alone eight times as long.

Cause: an order counted as carried out when it was decided on.

- A silent worker's runs are not moved: they may have ended unnoticed, and a stop would not arrive.
Their leases expire anyway.
Speculative copies of them are started as before.
- A move counts when the worker reports the run as stopped, which covers a stop whose answer was lost, and a worker that is cut but not silent yet.
A run that ends by itself or with its lease is no move.

Ruled out: counting the accepted answer to the stop, as a run that had ended before gives the same one.

test_a_stop_that_never_reached_its_worker_is_no_move and test_a_move_counts_once_its_worker_stops_the_run[False] failed before.

--- a/tests/machines/batch/test_crash_review.py
+++ b/tests/machines/batch/test_crash_review.py
@@ -376,3 +376,31 @@
     assert run.state is batch_job.RunState.ENDED
     assert not memory_link(run.worker).stops
     assert second.moves == 0
+
+
+@pytest.mark.parametrize("arrives", [True, False])
+def test_a_move_counts_once_its_worker_stops_the_run(
+    site: test_crash_bursts.BurstSite, arrives: bool
+) -> None:
+    """The worker that is cut off has just reported, so it is not silent yet."""
+    cancel_first_job(site)
+    job = add_job(site, "j2", 2, ALL_CORES)
+    start_on_workers(site, 2)
+    first, second = job.unit_by_key.values()
+    (run,) = first.runs
+    site.clock.advance(1.0)
+    memory_link(run.worker).finish(run.task, cluster.RunEndKind.DONE)
+    site.stepped.poll(run.worker)
+    (run,) = second.runs
+    site.clock.advance(3.0)
+    site.stepped.poll(run.worker)
+    memory_link(run.worker).unreachable = not arrives
+    site.stepped.run_round()
+    assert run.stopping
+    site.stepped.deliver(run.worker)
+    site.stepped.poll(run.worker)
+    assert bool(memory_link(run.worker).stops) is arrives
+    site.clock.advance(workers.MAX_LEASE_SECONDS / workers.MIN_CLOCK_RATE)
+    site.stepped.run_round()
+    assert run.state is batch_job.RunState.ENDED
+    assert second.moves == arrives
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -63,6 +63,7 @@
         pace: Share of full speed that this holder orders, in percent.
         measure: Tail latency or CPU use, see `cluster.RunReport`.
         stopping: Whether a stop was ordered.
+        moving: Whether it is stopped to be started on another worker.
         stop_refused: Whether the worker has refused a stop, which is logged
             once.
         ordered_at: When this holder sent the start order.
@@ -78,6 +79,7 @@
         "full_speed_at",
         "index",
         "measure",
+        "moving",
         "number",
         "ordered_at",
         "pace",
@@ -104,6 +106,7 @@
         self.pace = 100
         self.measure = 0.0
         self.stopping = False
+        self.moving = False
         self.stop_refused = False
         self.planned_at = 0.0
         self.ordered_at = 0.0
@@ -154,7 +157,7 @@
         avoided: Workers that a new run avoids: a run failed there, or was
             much slower than others.
         retry_at: Monotonic time before which it is not started again.
-        moves: How often it was moved as a straggler.
+        moves: How often a worker stopped it as a straggler.
     """
 
     __slots__ = (
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -615,8 +615,13 @@
             unit.step.copies,
             unit.moves,
         )
-        if unit.step.copies and run.worker.silent_since:
-            action = stragglers.Action.COPY
+        if run.worker.silent_since:
+            # Its runs may have ended unnoticed, and a stop would not arrive.
+            action = (
+                stragglers.Action.COPY
+                if unit.step.copies
+                else stragglers.Action.WAIT
+            )
         if action is stragglers.Action.WAIT:
             return
         events.log(
@@ -631,7 +636,7 @@
         )
         unit.avoided.add(run.worker.worker_id)
         if action is stragglers.Action.MOVE:
-            unit.moves += 1
+            run.moving = True
             if worker_quarantine.may_be_slow(
                 run.worker, self.worker_by_id.values()
             ):
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -179,6 +179,8 @@
             return
         unit = run.unit
         unit.job.has_begun = True
+        if run.moving and run_end.kind is cluster.RunEndKind.STOPPED:
+            unit.moves += 1
         if run_end.checkpoint:
             unit.checkpoint = run_end.checkpoint
         self._end_run(run)
