Count explained crashes against the limit of starts

A task that crashes its workers before they confirm the start got a third start after three crashes (BUDGET), if another such task was on its first worker: the conviction of the other one took the shared crash back, so that the count to the fifth crash began one lower.

Cause: one number was both evidence and the number of workers lost under the task. A conviction changes what a shared crash proves, not that it happened.

The record now keeps explained crashes apart. They are no evidence and call for no trial, but lower the number of crashes in a row at which an unproven task is given up, to three at least. So that two own crashes of one burst don't give up a sound task that was beside convicts, its trials wait for quiet one crash earlier.

Ruled out: keeping the crash in the count, as sound tasks that were beside several convicts would be given up after one burst.

What this leaves: a task that was beside three convicts or more before it crashes three workers by itself is started more often than BUDGET allows.

--- a/bench/crash_pool.py
+++ b/bench/crash_pool.py
@@ -449,5 +449,4 @@
 
 
 def _needs_proof(task: Task) -> bool:
-    early_crashes = task.crash_record.early_crashes
-    return early_crashes >= crash_evidence.MIN_CRASHES
+    return task.crash_record.needs_proof
--- a/tests/contracts/test_crash_evidence.py
+++ b/tests/contracts/test_crash_evidence.py
@@ -202,6 +202,55 @@
     assert crash_evidence.record_explanation(twice).needs_trial
 
 
+def explained_record(count: int) -> crash_evidence.CrashRecord:
+    """Returns the record of a task after crashes beside convicted ones."""
+    record = crash_evidence.NO_CRASHES
+    for _ in range(count):
+        record = crash_evidence.record_explanation(
+            crash_evidence.record_crash(record, *AMONG_OTHERS)
+        )
+    return record
+
+
+@pytest.mark.parametrize("explained", [1, 2])
+@pytest.mark.parametrize(
+    "crash",
+    [
+        (0.0, crash_evidence.Circumstances(1, is_confirmed=False)),
+        BESIDE_OTHERS,
+        LONG_AFTER_START,
+    ],
+)
+def test_explained_crashes_leave_no_third_start_after_three_crashes(
+    explained: int, crash: Crash
+) -> None:
+    record = explained_record(explained)
+    starts = explained
+    while not record.convicted and starts < 10:
+        record = crash_evidence.record_crash(record, *crash)
+        starts += 1
+    assert starts == crash_evidence.MAX_CRASHES
+
+
+def test_explained_crashes_are_no_evidence() -> None:
+    """Many convicted tasks may have been beside a sound one."""
+    record = explained_record(10)
+    assert not record.needs_trial
+    unconfirmed = crash_evidence.Circumstances(1, is_confirmed=False)
+    for _ in range(crash_evidence.MAX_UNTRIED_CRASHES - 1):
+        record = crash_evidence.record_crash(record, 0.0, unconfirmed)
+        assert not record.convicted
+        # No two trials meet the same burst.
+        in_burst = CALM._replace(quiet_seconds=1.0)
+        assert not crash_evidence.may_try(record, in_burst)
+    alive = crash_evidence.record_survival(record, ALIVE)
+    assert not alive.needs_trial
+    assert (
+        crash_evidence.record_survival(alive, crash_evidence.ACQUITTAL_SECONDS)
+        == crash_evidence.NO_CRASHES
+    )
+
+
 def test_no_task_outlives_the_platforms_limit() -> None:
     """The third start after three crashes must not happen.
 
--- a/tests/machines/batch/test_crash_review.py
+++ b/tests/machines/batch/test_crash_review.py
@@ -290,6 +290,18 @@
     assert crashes - 3 <= MAX_STARTS_AFTER_THIRD_CRASH
 
 
+def test_work_clears_a_task_of_a_crash_beside_a_convict(
+    site: test_crash_bursts.BurstSite,
+) -> None:
+    """The explained crash is the only one that is known of the task."""
+    site.unit.crash_record = crash_evidence.CrashRecord(explained=1)
+    worker = site.start_on_new_worker()
+    assert worker.run_by_task
+    site.clock.advance(crash_evidence.ACQUITTAL_SECONDS)
+    site.stepped.poll(worker)
+    assert site.unit.crash_record == crash_evidence.NO_CRASHES
+
+
 def test_a_crash_while_a_verdict_is_pending_counts(
     site: test_crash_bursts.BurstSite,
 ) -> None:
--- a/wisteriasill/contracts/crash_evidence.py
+++ b/wisteriasill/contracts/crash_evidence.py
@@ -32,6 +32,11 @@
 the same time: a task is convicted once as many in a row would be very unlikely
 for a task that does nothing. Where others crash often, that takes more of them,
 so its next trial waits for a time at which one more crash would be proof.
+
+A conviction explains the crashes that the convicted task shared with others.
+One of these may crash its workers as well, and the platform counts the shared
+crash under it. So explained crashes are no evidence, but they leave fewer
+starts until a task is given up.
 """
 
 from __future__ import annotations
@@ -76,13 +81,16 @@
     """What crashes tell about a task.
 
     Attributes:
-        crashes: Workers that crashed while a run of the task was on them.
+        crashes: Workers that crashed while a run of the task was on them, and
+            for which no other task was convicted.
         suspicions: Those that crashed right after the start of the run.
         convicted: Whether the task crashes its workers.
         early: Crashes in a row right after a start, whatever else crashed.
             It is not stored; `early_crashes` allows for that.
         moments: Independent observations among these. It is not stored;
             `observations` allows for that.
+        explained: Crashes for which another task was convicted. It is not
+            stored.
     """
 
     crashes: int = 0
@@ -90,6 +98,7 @@
     convicted: bool = False
     early: int = 0
     moments: int = 0
+    explained: int = 0
 
     @property
     def needs_trial(self) -> bool:
@@ -110,6 +119,25 @@
         """Independent observations, with one of a former holder's crashes."""
         return max(self.moments, min(1, self.suspicions))
 
+    @property
+    def needs_proof(self) -> bool:
+        """Whether its next trial waits until a crash would prove something.
+
+        One crash beside a convicted task counts: the task may have caused it
+        as well, and few more starts may follow.
+        """
+        early = self.early_crashes
+        return early > 0 and early + self.explained >= MIN_CRASHES
+
+    @property
+    def crashes_allowed(self) -> int:
+        """Unexplained crashes at which the task may be given up unproven.
+
+        Explained ones lower the number, as they count as crashes under the
+        task, though not as evidence: the trials after them wait for it.
+        """
+        return max(MAX_UNTRIED_CRASHES, MAX_CRASHES - self.explained)
+
     def needs_verdict(self, former: CrashRecord) -> bool:
         """Whether the crash after a former record may help to convict."""
         return self.convicted or self.moments > max(1, former.observations)
@@ -316,7 +344,7 @@
     """
     if conditions.waited_seconds >= MAX_PROOF_WAIT_SECONDS:
         return True
-    if record.early_crashes >= MIN_CRASHES:
+    if record.needs_proof:
         # Leaves a margin, as others may crash at the same time.
         needed = crashes_needed(
             conditions.isolated_rate, 2 * COMMON_CAUSE_SECONDS
@@ -433,8 +461,12 @@
     rate = crash.isolated_rate if is_isolated else crash.background_rate
     convicted = (
         is_observation and moments >= max(least, needed)
-    ) or crashes >= max(MAX_CRASHES, crashes_needed(rate, ACQUITTAL_SECONDS))
-    return CrashRecord(crashes, suspicions, convicted, early, moments)
+    ) or crashes >= max(
+        record.crashes_allowed, crashes_needed(rate, ACQUITTAL_SECONDS)
+    )
+    return CrashRecord(
+        crashes, suspicions, convicted, early, moments, record.explained
+    )
 
 
 def record_survival(
@@ -452,7 +484,7 @@
     if survived_seconds >= ACQUITTAL_SECONDS:
         return NO_CRASHES
     if survived_seconds >= PROBATION_SECONDS:
-        return CrashRecord(record.crashes)
+        return CrashRecord(record.crashes, explained=record.explained)
     return record
 
 
@@ -471,4 +503,5 @@
         max(0, record.suspicions - 1),
         early=early,
         moments=min(record.moments, early),
+        explained=record.explained + 1,
     )
--- a/wisteriasill/machines/batch_crashes.py
+++ b/wisteriasill/machines/batch_crashes.py
@@ -320,7 +320,7 @@
         self._lapsed_runs_by_worker.pop(worker.worker_id, None)
         for run in worker.run_by_task.values():
             unit = run.unit
-            if not unit.crash_record.crashes:
+            if unit.crash_record == crash_evidence.NO_CRASHES:
                 continue
             survived_seconds = worker.survived_seconds(run)
             unit.crash_record = crash_evidence.record_survival(
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -658,8 +658,7 @@
 
 def _needs_proof(unit: batch_job.Unit) -> bool:
     """Whether a crash under a task may convict it."""
-    early_crashes = unit.crash_record.early_crashes
-    return not unit.step.lasting and early_crashes >= crash_evidence.MIN_CRASHES
+    return not unit.step.lasting and unit.crash_record.needs_proof
 
 
 def _run_count(worker: workers.Worker) -> int:
