--- a/tests/machines/batch/test_crash_review.py
+++ b/tests/machines/batch/test_crash_review.py
@@ -290,6 +290,18 @@
     assert crashes - 3 <= MAX_STARTS_AFTER_THIRD_CRASH
 
 
+def test_work_clears_a_task_of_a_crash_beside_a_convict(
+    site: test_crash_bursts.BurstSite,
+) -> None:
+    """The explained crash is the only one that is known of the task."""
+    site.unit.crash_record = crash_evidence.CrashRecord(explained=1)
+    worker = site.start_on_new_worker()
+    assert worker.run_by_task
+    site.clock.advance(crash_evidence.ACQUITTAL_SECONDS)
+    site.stepped.poll(worker)
+    assert site.unit.crash_record == crash_evidence.NO_CRASHES
+
+
 def test_a_crash_while_a_verdict_is_pending_counts(
     site: test_crash_bursts.BurstSite,
 ) -> None:
@@ -376,3 +388,31 @@
     assert run.state is batch_job.RunState.ENDED
     assert not memory_link(run.worker).stops
     assert second.moves == 0
+
+
+@pytest.mark.parametrize("arrives", [True, False])
+def test_a_move_counts_once_its_worker_stops_the_run(
+    site: test_crash_bursts.BurstSite, arrives: bool
+) -> None:
+    """The worker that is cut off has just reported, so it is not silent yet."""
+    cancel_first_job(site)
+    job = add_job(site, "j2", 2, ALL_CORES)
+    start_on_workers(site, 2)
+    first, second = job.unit_by_key.values()
+    (run,) = first.runs
+    site.clock.advance(1.0)
+    memory_link(run.worker).finish(run.task, cluster.RunEndKind.DONE)
+    site.stepped.poll(run.worker)
+    (run,) = second.runs
+    site.clock.advance(3.0)
+    site.stepped.poll(run.worker)
+    memory_link(run.worker).unreachable = not arrives
+    site.stepped.run_round()
+    assert run.stopping
+    site.stepped.deliver(run.worker)
+    site.stepped.poll(run.worker)
+    assert bool(memory_link(run.worker).stops) is arrives
+    site.clock.advance(workers.MAX_LEASE_SECONDS / workers.MIN_CLOCK_RATE)
+    site.stepped.run_round()
+    assert run.state is batch_job.RunState.ENDED
+    assert second.moves == arrives
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -615,8 +615,13 @@
             unit.step.copies,
             unit.moves,
         )
-        if unit.step.copies and run.worker.silent_since:
-            action = stragglers.Action.COPY
+        if run.worker.silent_since:
+            # Its runs may have ended unnoticed, and a stop would not arrive.
+            action = (
+                stragglers.Action.COPY
+                if unit.step.copies
+                else stragglers.Action.WAIT
+            )
         if action is stragglers.Action.WAIT:
             return
         events.log(
@@ -631,7 +636,7 @@
         )
         unit.avoided.add(run.worker.worker_id)
         if action is stragglers.Action.MOVE:
-            unit.moves += 1
+            run.moving = True
             if worker_quarantine.may_be_slow(
                 run.worker, self.worker_by_id.values()
             ):
@@ -653,8 +658,7 @@
 
 def _needs_proof(unit: batch_job.Unit) -> bool:
     """Whether a crash under a task may convict it."""
-    early_crashes = unit.crash_record.early_crashes
-    return not unit.step.lasting and early_crashes >= crash_evidence.MIN_CRASHES
+    return not unit.step.lasting and unit.crash_record.needs_proof
 
 
 def _run_count(worker: workers.Worker) -> int:
