Write the rows of a long job again after a failed round

Callers would see TWICE: after a round that ended in an error, the starts of a job whose progress takes several rows were sent though the rows with their runs were not stored. The next holder knew none of the runs and started every task again.

Cause: the rows of units counted as stored once they were encoded. return_changed gave the job back, but the next round compared with rows that may not exist and wrote the job's own row only.

A round that fails now leaves the stored values of its jobs' rows unknown, so each of them is written, or deleted, again. Ruled out: going back to the values from before the round, as part of the commit may be stored.

--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -249,7 +249,8 @@
         has_begun: Whether a worker has confirmed that it began a task.
         units_per_row: Units in each row of its progress; 0 while all are in
             the job's own row.
-        part_value_by_key: Values of its stored rows of units.
+        part_value_by_key: Values of its stored rows of units; None for a
+            deleted row.
         ready: Units that wait for a worker.
         core_seconds_left: Predicted CPU time of the units not done.
     """
@@ -273,7 +274,7 @@
         self.done_seconds_by_step: dict[tuple[int, int], list[float]] = {}
         self.has_begun = False
         self.units_per_row = 0
-        self.part_value_by_key: dict[str, bytes] = {}
+        self.part_value_by_key: dict[str, bytes | None] = {}
         self.ready: dict[UnitKey, Unit] = {}
         self.opened_occurrences = 0
         self.waiting_logged_at = age_since
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -19,6 +19,7 @@
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import batch_reports
 from wisteriasill.machines import batch_runs
+from wisteriasill.machines import progress_rows
 from wisteriasill.machines import worker as workers
 from wisteriasill.machines import worker_quarantine
 from wisteriasill.zones import shard_writer
@@ -293,6 +294,7 @@
         with self.lock:
             for job in changed.jobs:
                 self.dirty_job_by_id.setdefault(job.job_id, job)
+                progress_rows.rewrite_parts(job)
                 first_end_by_worker = self.first_end_by_job.setdefault(
                     job.job_id, {}
                 )
--- a/wisteriasill/machines/progress_rows.py
+++ b/wisteriasill/machines/progress_rows.py
@@ -28,6 +28,7 @@
 _TEXT_HEADER = 3
 # Runs of a task of a step with copies, former holders' runs included.
 _RUNS_WITH_COPIES = 4
+_UNKNOWN_VALUE = b""  # Differs from the value of any row.
 
 
 class ProgressRow(NamedTuple):
@@ -134,17 +135,25 @@
 ) -> list[ProgressRow]:
     """Records the rows of a job's units; returns those that differ."""
     former = job.part_value_by_key
-    job.part_value_by_key = dict(value_by_key)
+    job.part_value_by_key = {
+        **value_by_key,
+        **{key: None for key in former if key not in value_by_key},
+    }
     return [
-        *(
-            ProgressRow(key, value)
-            for key, value in value_by_key.items()
-            if former.get(key) != value
-        ),
-        *(ProgressRow(key, None) for key in former if key not in value_by_key),
+        ProgressRow(key, value)
+        for key, value in job.part_value_by_key.items()
+        if former.get(key) != value
     ]
 
 
+def rewrite_parts(job: batch_job.Job) -> None:
+    """Has all rows of a job's units written or deleted again.
+
+    After a failed round, any of the rows encoded for it may be stored.
+    """
+    job.part_value_by_key = dict.fromkeys(job.part_value_by_key, _UNKNOWN_VALUE)
+
+
 def job_id_of(key: str) -> str:
     """Returns the id of the job whose progress a row holds."""
     return key.partition(PART_SEPARATOR)[0]
