Keep a worker that reports an unknown run when its entry expires

Callers would see TWICE: a worker that is cut from the store only goes on working while its registry entry expires. Had it no known run, it was removed, though it reported one that should not be there, and the task was started elsewhere.

Cause: a worker without known runs counted as idle. It is kept now until its runs are reported no more or its leases have expired, as planning does already.

--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -337,7 +337,7 @@
                     # The worker may have crashed or only be cut off.
                     self._keep_lapsed_runs(worker, sent_runs)
                     self._end_lost_runs(worker, sent_runs, "lease expired")
-                if not worker.run_by_task and not worker.listed:
+                if not worker.listed and not _may_have_runs(worker, now):
                     # The list of hosts may never have shown a worker that
                     # crashed soon after it had joined.
                     self.remove_worker(
@@ -478,6 +478,13 @@
     )
 
 
+def _may_have_runs(worker: workers.Worker, now: float) -> bool:
+    """Whether a worker may be at work, also on runs that should be gone."""
+    return bool(worker.run_by_task) or (
+        bool(worker.unknown_run_by_key) and not worker.leases_expired(now)
+    )
+
+
 def _worker_load(worker: workers.Worker, now: float) -> host_moves.WorkerLoad:
     lasting = sum(run.unit.step.lasting for run in worker.run_by_task.values())
     count = len(worker.run_by_task)
