Send no start to a worker that does not respond, and count refusals

Callers saw jobs wait at a peak with lost responses.

Cause: planning offered a worker with `silent_since`, the worker's own thread refused each start to it, and a refusal of this kind set no delay. The task took another run number each time and went back to the same worker.

A worker that does not respond is no candidate until it has reported. A start that the holder itself does not send is no start: the run ends without a log line, its number is used again (the worker never saw it; members of a gang keep theirs, as they share it) and the reason is counted. A worker whose orders waited too long gets no more of them for a moment, so the tasks go elsewhere. Refusals by workers are counted, too, and all of them delay the next try.

Ruled out: a delay alone.

--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -280,6 +280,8 @@
         worker_count = len(load.load_by_worker)
         node_metrics.set_gauge(f"pool_pending_jobs/{service}", pending)
         node_metrics.set_gauge(f"pool_workers/{service}", worker_count)
+        for reason, count in self.pool.take_refused_starts().items():
+            node_metrics.count(f"refused_starts_{reason}/{service}", count)
         for name, seconds in self.pool.backlog._asdict().items():
             node_metrics.set_gauge(f"pool_backlog_{name}/{service}", seconds)
         node_metrics.set_gauge(
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -357,6 +357,8 @@
     def _accepts_tasks(self, worker: workers.Worker, now: float) -> bool:
         return (
             worker.is_reachable
+            # It gets no start until it has reported.
+            and not worker.silent_since
             and worker.listed
             # Unknown runs hold room that the pool does not count.
             and not worker.unknown_run_by_key
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import time
 
 from wisteriasill import events
@@ -333,6 +334,32 @@
             run.stopping = True
             run.worker.send(workers.WorkerOrder("stop", run))
 
+    def on_start_withdrawn(
+        self, run: batch_job.Run, reason: workers.Withdrawal
+    ) -> None:
+        """Handles a start that was not sent; its number is used again."""
+        with self.lock:
+            if run.state is batch_job.RunState.ENDED:
+                return
+            self._refused_starts[reason.value] += 1
+            if reason is workers.Withdrawal.STALE:
+                run.worker.no_starts_until = (
+                    time.monotonic() + RESOURCE_BACKOFF_SECONDS
+                )
+            unit = run.unit
+            # Members of a gang share the number, and some may have started.
+            if not unit.step.gang and unit.last_run == run.number:
+                unit.last_run -= 1
+            self._end_run(run)
+        self._changed.set()
+
+    def take_refused_starts(self) -> collections.Counter[str]:
+        """Returns the starts refused since the last call, by reason."""
+        with self.lock:
+            refused = self._refused_starts
+            self._refused_starts = collections.Counter()
+            return refused
+
     def _reject_start(
         self, run: batch_job.Run, outcome: cluster.OrderOutcome
     ) -> None:
@@ -363,9 +390,9 @@
             self.permits_by_step.pop(run.unit.step_key, None)
         elif outcome is cluster.OrderOutcome.FENCED:
             self._record_fenced(worker)
+        self._refused_starts[outcome.value] += 1
         self._end_run(run)
-        if outcome is not cluster.OrderOutcome.LEASE_TOO_OLD:
-            run.unit.retry_at = now + REJECTION_BACKOFF_SECONDS
+        run.unit.retry_at = now + REJECTION_BACKOFF_SECONDS
 
     def on_stop_answer(
         self, run: batch_job.Run, answer: cluster.OrderAnswer
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -134,6 +134,8 @@
         changed: threading.Event,
     ) -> None:
         self.service = service
+        # Starts that were refused or not sent since the last count, by reason.
+        self._refused_starts: collections.Counter[str] = collections.Counter()
         self.lock = threading.RLock()
         self.job_by_id: dict[str, batch_job.Job] = {}
         self.worker_by_id: dict[str, workers.Worker] = {}
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import enum
 import threading
 import time
 from typing import NamedTuple, Protocol
@@ -91,6 +92,14 @@
     received_at: float
 
 
+class Withdrawal(enum.StrEnum):
+    """Why a planned start is not sent."""
+
+    STALE = "stale"
+    SILENT_WORKER = "silent-worker"
+    NOT_WANTED = "not-wanted"
+
+
 class WorkerOwner(Protocol):
     """The pool that a worker belongs to."""
 
@@ -122,6 +131,11 @@
     ) -> None:
         """Handles the outcome of a start order."""
 
+    def on_start_withdrawn(
+        self, run: batch_job.Run, reason: Withdrawal
+    ) -> None:
+        """Handles a start that was not sent."""
+
     def on_stop_answer(
         self, run: batch_job.Run, answer: cluster.OrderAnswer
     ) -> None:
@@ -533,14 +547,17 @@
         if not self._orders:
             return False
         order = self._orders[0]
-        return order.verb == "start" and self._is_outdated(order.run)
-
-    def _is_outdated(self, run: batch_job.Run) -> bool:
-        """Whether the start of a run is not to be sent any more."""
-        stale = time.monotonic() - run.planned_at > STALE_ORDER_SECONDS
-        return (
-            stale or bool(self.silent_since) or not self._owner.may_start(run)
-        )
+        return order.verb == "start" and bool(self._withdrawal(order.run))
+
+    def _withdrawal(self, run: batch_job.Run) -> Withdrawal | None:
+        """Returns why the start of a run is not to be sent any more."""
+        if not self._owner.may_start(run):
+            return Withdrawal.NOT_WANTED
+        if self.silent_since:
+            return Withdrawal.SILENT_WORKER
+        if time.monotonic() - run.planned_at > STALE_ORDER_SECONDS:
+            return Withdrawal.STALE
+        return None
 
     def _next_stop(self) -> batch_job.Run | None:
         """Returns the run whose stop has been due for the longest time."""
@@ -555,10 +572,8 @@
         return None
 
     def _start(self, run: batch_job.Run) -> None:
-        if self._is_outdated(run):
-            self._owner.on_start_answer(
-                run, cluster.OrderAnswer(cluster.OrderOutcome.LEASE_TOO_OLD)
-            )
+        if reason := self._withdrawal(run):
+            self._owner.on_start_withdrawn(run, reason)
             return
         payload, ticket = self._owner.payload(run)
         # The lease is extended before the run counts as sent; otherwise a
@@ -617,9 +632,7 @@
     def _stop(self, run: batch_job.Run) -> None:
         if run.state is batch_job.RunState.ORDERED and not run.ordered_at:
             # Its start is still queued behind this stop.
-            self._owner.on_start_answer(
-                run, cluster.OrderAnswer(cluster.OrderOutcome.LEASE_TOO_OLD)
-            )
+            self._owner.on_start_withdrawn(run, Withdrawal.NOT_WANTED)
             return
         # Set before the call, so that an error leaves the stop to be repeated.
         self._delay_stop(run, STOP_RETRY_SECONDS)
