Repeat a start without an answer before it is given up by a stop

Cause: a start waited 1 s for an answer that takes milliseconds and was hardly ever repeated. Then the run was stopped, by stops of 0.4 s each, before its task could start elsewhere; all orders of the worker waited behind.

The timeout of an order now follows the response times of its worker, or of the pool before the first answer, with a backoff after each call without one (contracts/order_policy.py). The worker answers a repeated start as the first, so nothing runs twice; "old" for a repeat tells that the run is not there and will not start any more. Any other refusal says nothing about the first call, as before. Timeouts go through WorkerLink as arguments; platform/ has none for orders.

A run that had a start without an answer counts as unconfirmed by its worker's incarnation until the worker has refused it: the call may be carried out in the next one. So its task waits until that one has refused the order.

A slow worker learns its timeout within one start; a cut one costs a second for the first start, as before, and the starts behind go back without a call.

--- a/bench/event_world.py
+++ b/bench/event_world.py
@@ -62,18 +62,29 @@
         self._heard_ms = 0
         self.is_cut = False
 
-    def start(self, order: cluster.StartOrder) -> cluster.OrderAnswer:
+    def start(
+        self, order: cluster.StartOrder, timeout_seconds: float
+    ) -> cluster.OrderAnswer:
         """Starts a run."""
         return self._call(lambda: self._worker.start(order))
 
     def stop(
-        self, task: job_spec.TaskKey, run: int, fencing_epoch: int
+        self,
+        task: job_spec.TaskKey,
+        run: int,
+        fencing_epoch: int,
+        timeout_seconds: float,
     ) -> cluster.OrderAnswer:
         """Stops a run."""
         return self._call(lambda: self._worker.stop(task, run, fencing_epoch))
 
     def pace(
-        self, task: job_spec.TaskKey, run: int, percent: int, fencing_epoch: int
+        self,
+        task: job_spec.TaskKey,
+        run: int,
+        percent: int,
+        fencing_epoch: int,
+        timeout_seconds: float,
     ) -> cluster.OrderAnswer:
         """Does nothing, as no task here is best effort."""
         return cluster.OrderAnswer(cluster.OrderOutcome.DONE)
--- a/standins/batch_worker.py
+++ b/standins/batch_worker.py
@@ -79,7 +79,9 @@
                 )
             )
 
-    def start(self, order: cluster.StartOrder) -> cluster.OrderAnswer:
+    def start(
+        self, order: cluster.StartOrder, timeout_seconds: float = 1.0
+    ) -> cluster.OrderAnswer:
         """Starts a run."""
         with self._lock:
             if self.unreachable:
@@ -102,7 +104,11 @@
             return self._answer(cluster.OrderOutcome.DONE)
 
     def stop(
-        self, task: job_spec.TaskKey, run: int, fencing_epoch: int
+        self,
+        task: job_spec.TaskKey,
+        run: int,
+        fencing_epoch: int,
+        timeout_seconds: float = 1.0,
     ) -> cluster.OrderAnswer:
         """Stops a run; if it has not started, rejects its later start."""
         with self._lock:
@@ -122,7 +128,12 @@
             return self._answer(cluster.OrderOutcome.DONE)
 
     def pace(
-        self, task: job_spec.TaskKey, run: int, percent: int, fencing_epoch: int
+        self,
+        task: job_spec.TaskKey,
+        run: int,
+        percent: int,
+        fencing_epoch: int,
+        timeout_seconds: float = 1.0,
     ) -> cluster.OrderAnswer:
         """Limits a run to a percentage of full speed."""
         self.pace_by_task[task] = percent
--- a/tests/adapter/test_platform_contract_http.py
+++ b/tests/adapter/test_platform_contract_http.py
@@ -149,8 +149,8 @@
 
 
 def test_a_run_from_start_to_end(link: wire_workers.WireWorker) -> None:
-    assert link.start(order()).outcome is cluster.OrderOutcome.DONE
-    assert link.start(order()).outcome is cluster.OrderOutcome.DONE
+    assert link.start(order(), 1.0).outcome is cluster.OrderOutcome.DONE
+    assert link.start(order(), 1.0).outcome is cluster.OrderOutcome.DONE
     deadline = time.monotonic() + 5
     while time.monotonic() < deadline:
         report = link.poll(5, 0, 60_000, 0.5)
@@ -179,9 +179,9 @@
     late: cluster.StartOrder,
     outcome: cluster.OrderOutcome,
 ) -> None:
-    link.start(order(payload="9000"))
-    assert link.stop(TASK, 1, 5).outcome is cluster.OrderOutcome.DONE
-    assert link.start(late).outcome is outcome
+    link.start(order(payload="9000"), 1.0)
+    assert link.stop(TASK, 1, 5, 0.4).outcome is cluster.OrderOutcome.DONE
+    assert link.start(late, 1.0).outcome is outcome
 
 
 def test_an_unanswered_stop_is_given_up_soon() -> None:
@@ -199,7 +199,7 @@
         )
         link = wire_workers.WireWorker(entry)
         began = time.monotonic()
-        answer = link.stop(TASK, 1, 5)
+        answer = link.stop(TASK, 1, 5, 0.4)
         assert answer.outcome is cluster.OrderOutcome.UNKNOWN
         assert time.monotonic() - began < 0.8
         link.close()
@@ -209,7 +209,7 @@
     link: wire_workers.WireWorker, worker: timed_worker.TimedWorker
 ) -> None:
     worker.worker_id = "i-2"
-    answer = link.start(order())
+    answer = link.start(order(), 1.0)
     assert answer.outcome is cluster.OrderOutcome.OTHER_WORKER
 
 
@@ -223,7 +223,9 @@
     """
     assert isinstance(link.poll(5, 0, 60_000, 0.0), cluster.WorkerReport)
     worker.crash()
-    assert link.start(order(payload="1")).outcome is (cluster.OrderOutcome.DONE)
+    assert link.start(order(payload="1"), 1.0).outcome is (
+        cluster.OrderOutcome.DONE
+    )
     time.sleep(0.05)
     for _ in range(3):
         link.poll(5, 1, 60_000, 0.0)
@@ -235,7 +237,9 @@
 def test_ends_are_acknowledged_to_the_same_incarnation(
     link: wire_workers.WireWorker, worker: timed_worker.TimedWorker
 ) -> None:
-    assert link.start(order(payload="1")).outcome is (cluster.OrderOutcome.DONE)
+    assert link.start(order(payload="1"), 1.0).outcome is (
+        cluster.OrderOutcome.DONE
+    )
     time.sleep(0.05)
     for _ in range(2):
         assert isinstance(link.poll(5, 1, 60_000, 0.0), cluster.WorkerReport)
--- a/tests/adapter/test_resent_orders.py
+++ b/tests/adapter/test_resent_orders.py
@@ -88,6 +88,6 @@
 
     The worker may have started it, or may start it late.
     """
-    link.stop(TASK, 1, 5)  # Leaves a connection to reuse.
-    answer = link.start(cluster.StartOrder(TASK, 2, "50", 60_000, 5))
+    link.stop(TASK, 1, 5, 0.4)  # Leaves a connection to reuse.
+    answer = link.start(cluster.StartOrder(TASK, 2, "50", 60_000, 5), 1.0)
     assert answer.outcome is cluster.OrderOutcome.UNKNOWN
--- a/tests/machines/batch/test_races.py
+++ b/tests/machines/batch/test_races.py
@@ -68,7 +68,9 @@
     monkeypatch.setattr(
         link,
         "start",
-        lambda order: cluster.OrderAnswer(cluster.OrderOutcome.UNREACHABLE),
+        lambda order, timeout_seconds: cluster.OrderAnswer(
+            cluster.OrderOutcome.UNREACHABLE
+        ),
     )
     site.deliver(worker)
     assert TASK not in worker.run_by_task
--- a/tests/machines/batch/test_stops.py
+++ b/tests/machines/batch/test_stops.py
@@ -269,7 +269,9 @@
     site.run_round()
     start = link.start
 
-    def start_and_fail(order: cluster.StartOrder) -> cluster.OrderAnswer:
+    def start_and_fail(
+        order: cluster.StartOrder, timeout_seconds: float
+    ) -> cluster.OrderAnswer:
         if sent:
             start(order)
         raise RuntimeError("unexpected")
--- a/tests/machines/batch/test_unanswered_starts.py
+++ b/tests/machines/batch/test_unanswered_starts.py
@@ -1,4 +1,4 @@
-"""Tests of starts that are not sent or get no answer."""
+"""Tests of starts that get no answer: repeated, adopted or stopped."""
 
 from __future__ import annotations
 
@@ -9,8 +9,180 @@
 from standins import batch_worker
 from tests.machines import batch_site
 from wisteriasill import events
+from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import order_policy
+from wisteriasill.links import cluster
+from wisteriasill.machines import batch_job
+from wisteriasill.machines import batch_workers
 from wisteriasill.machines import worker as workers
 
+TASK = job_spec.TaskKey("j1", 0, 0, 0)
+SETTINGS = order_policy.DEFAULT_SETTINGS
+NO_ANSWER = cluster.OrderAnswer(cluster.OrderOutcome.UNKNOWN)
+
+
+class LateOrders:
+    """A worker whose starts get no answer and are carried out later.
+
+    Attributes:
+        late: Starts that wait.
+        is_lossy: Whether the next start waits, too.
+    """
+
+    def __init__(
+        self, link: batch_worker.MemoryWorker, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        self.late: list[cluster.StartOrder] = []
+        self.is_lossy = True
+        self._start = link.start
+        monkeypatch.setattr(link, "start", self.start)
+
+    def start(
+        self, order: cluster.StartOrder, timeout_seconds: float
+    ) -> cluster.OrderAnswer:
+        """Starts a run, or keeps the order."""
+        if not self.is_lossy:
+            return self._start(order, timeout_seconds)
+        self.late.append(order)
+        return NO_ANSWER
+
+    def carry_out(self) -> list[cluster.OrderOutcome]:
+        """Carries out the orders that wait."""
+        late, self.late = self.late, []
+        return [self._start(order).outcome for order in late]
+
+
+@pytest.fixture
+def late_orders(
+    link: batch_worker.MemoryWorker, monkeypatch: pytest.MonkeyPatch
+) -> LateOrders:
+    return LateOrders(link, monkeypatch)
+
+
+@pytest.fixture(autouse=True)
+def _short_delays(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(workers, "STOP_RETRY_SECONDS", 0.02)
+
+
+def order_start(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    *steps: job_spec.StepSpec,
+) -> workers.Worker:
+    """Sends the starts of a job until the worker is given up for now."""
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    site.pool.on_record(batch_site.job_row("j1", steps))
+    site.run_round()
+    while worker._orders:
+        worker.send_once()
+    return worker
+
+
+def test_a_start_answered_at_its_third_call_runs_once(
+    site: batch_site.SteppedPool, link: batch_worker.MemoryWorker
+) -> None:
+    """After one repeat the run was stopped and its task started again."""
+    link.lost_starts = 0
+    answers = iter([NO_ANSWER, NO_ANSWER])
+    start = link.start
+
+    def lose_answers(
+        order: cluster.StartOrder, timeout_seconds: float = 1.0
+    ) -> cluster.OrderAnswer:
+        answer = start(order)
+        return next(answers, answer)
+
+    link.start = lose_answers  # type: ignore[method-assign]
+    worker = order_start(site, link, batch_site.step(1))
+    site.deliver(worker)
+    assert [started[:2] for started in link.starts] == [(TASK, 1)]
+    assert not link.stops
+    assert link.running == {TASK: 1}
+
+
+def test_a_late_first_order_after_a_stop_does_not_run(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    late_orders: LateOrders,
+) -> None:
+    worker = order_start(site, link, batch_site.step(1))
+    assert len(late_orders.late) == SETTINGS.max_start_calls
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    site.run_round(time.monotonic() + 1)
+    site.deliver(other)
+    assert not other_link.starts
+    site.deliver(worker)
+    assert link.stops == [(TASK, 1)]
+    assert {*late_orders.carry_out()} == {cluster.OrderOutcome.RUN_TOO_OLD}
+    time.sleep(0.1)
+    site.poll(worker)
+    late_orders.is_lossy = False
+    site.run_round(time.monotonic() + 1)
+    for ordered in (worker, other):
+        site.deliver(ordered)
+    assert [*link.running.items(), *other_link.running.items()] == [(TASK, 2)]
+
+
+def test_a_cut_worker_holds_up_its_orders_no_longer_than_one_call(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each start behind the first one goes back without a call."""
+    waited: list[float] = []
+
+    def wait_in_vain(
+        order: cluster.StartOrder, timeout_seconds: float
+    ) -> cluster.OrderAnswer:
+        time.sleep(timeout_seconds)
+        waited.append(timeout_seconds)
+        return NO_ANSWER
+
+    monkeypatch.setattr(link, "start", wait_in_vain)
+    worker = order_start(site, link, batch_site.step(5))
+    assert sum(waited) < 2 * SETTINGS.max_start_seconds
+    assert len(waited) <= SETTINGS.max_start_calls
+    assert len(worker.run_by_task) == 1
+
+
+def test_a_slow_worker_is_not_flooded(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A worker that takes half a second gets about one call for each start."""
+    starts = 20
+    response_seconds = 0.5
+    now = time.monotonic()
+    clock = [now]
+    calls: list[float] = []
+    start = link.start
+
+    def answer_slowly(
+        order: cluster.StartOrder, timeout_seconds: float
+    ) -> cluster.OrderAnswer:
+        calls.append(timeout_seconds)
+        clock[0] += min(timeout_seconds, response_seconds)
+        answer = start(order)
+        return answer if timeout_seconds > response_seconds else NO_ANSWER
+
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    monkeypatch.setattr(time, "monotonic", lambda: clock[0])
+    monkeypatch.setattr(link, "start", answer_slowly)
+    for number in range(starts):
+        site.pool.on_record(
+            batch_site.job_row(f"j{number}", [batch_site.step(1, 100)])
+        )
+        site.run_round()
+        site.poll(worker)
+        site.deliver(worker)
+    assert len(link.running) == starts
+    assert len(calls) <= 1.3 * starts
+
 
 def test_no_start_goes_to_a_worker_that_does_not_respond(
     site: batch_site.SteppedPool,
@@ -60,3 +232,33 @@
     assert {run.number for run in site.run_round(time.monotonic() + 1)} == {1}
     site.deliver(worker)
     assert len(link.running) == 3
+
+
+def test_a_repeat_may_reach_the_next_incarnation_of_a_worker(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    late_orders: LateOrders,
+) -> None:
+    """A confirmed run may have a repeat that is still to be carried out."""
+    worker = order_start(site, link, batch_site.step(1))
+    late, late_orders.late = late_orders.late, late_orders.late[:1]
+    late_orders.carry_out()
+    site.poll(worker)
+    site.poll(worker)
+    assert worker.run_by_task[TASK].state is batch_job.RunState.RUNNING
+    site.pool.remove_worker(
+        worker, batch_workers.Removal("restarted", restarted=True)
+    )
+    other = site.add_worker("w2", other_link)
+    site.poll(other)
+    site.run_round(time.monotonic() + 1)
+    site.deliver(other)
+    assert not other_link.starts
+    next_link = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    next_worker = site.add_worker("w1", next_link)
+    site.poll(next_worker)
+    site.deliver(next_worker)
+    assert next_link.start(late[-1]).outcome is (
+        cluster.OrderOutcome.RUN_TOO_OLD
+    )
--- a/tests/machines/batch/test_worker_loss.py
+++ b/tests/machines/batch/test_worker_loss.py
@@ -313,7 +313,9 @@
     site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
     site.run_round()
 
-    def lose_shard(order: cluster.StartOrder) -> cluster.OrderAnswer:
+    def lose_shard(
+        order: cluster.StartOrder, timeout_seconds: float
+    ) -> cluster.OrderAnswer:
         sent.append(order)
         site.pool.fenced = True
         return cluster.OrderAnswer(cluster.OrderOutcome.UNKNOWN)
@@ -349,12 +351,16 @@
     site.run_round()
     start = link.start
 
-    def start_then_refuse(order: cluster.StartOrder) -> cluster.OrderAnswer:
+    def start_then_refuse(
+        order: cluster.StartOrder, timeout_seconds: float = 1.0
+    ) -> cluster.OrderAnswer:
         link.start = refuse  # type: ignore[method-assign]
         start(order)
         return cluster.OrderAnswer(cluster.OrderOutcome.UNKNOWN)
 
-    def refuse(order: cluster.StartOrder) -> cluster.OrderAnswer:
+    def refuse(
+        order: cluster.StartOrder, timeout_seconds: float = 1.0
+    ) -> cluster.OrderAnswer:
         return cluster.OrderAnswer(outcome)
 
     link.start = start_then_refuse  # type: ignore[method-assign]
@@ -424,7 +430,9 @@
     restarted = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
     orders: list[cluster.StartOrder] = []
 
-    def delay(order: cluster.StartOrder) -> cluster.OrderAnswer:
+    def delay(
+        order: cluster.StartOrder, timeout_seconds: float = 1.0
+    ) -> cluster.OrderAnswer:
         orders.append(order)
         if not answered:
             return cluster.OrderAnswer(cluster.OrderOutcome.UNKNOWN)
--- a/wisteriasill/links/cluster.py
+++ b/wisteriasill/links/cluster.py
@@ -339,19 +339,29 @@
     """Connections to one worker.
 
     Each call carries the id of the intended worker, so that another worker at
-    the same address rejects it.
+    the same address rejects it. An order that gets no answer within its
+    `timeout_seconds` may be carried out later.
     """
 
-    def start(self, order: StartOrder) -> OrderAnswer:
+    def start(self, order: StartOrder, timeout_seconds: float) -> OrderAnswer:
         """Starts a run; idempotent."""
 
     def stop(
-        self, task: job_spec.TaskKey, run: int, fencing_epoch: int
+        self,
+        task: job_spec.TaskKey,
+        run: int,
+        fencing_epoch: int,
+        timeout_seconds: float,
     ) -> OrderAnswer:
         """Stops a run; if it has not started, rejects its later start."""
 
     def pace(
-        self, task: job_spec.TaskKey, run: int, percent: int, fencing_epoch: int
+        self,
+        task: job_spec.TaskKey,
+        run: int,
+        percent: int,
+        fencing_epoch: int,
+        timeout_seconds: float,
     ) -> OrderAnswer:
         """Limits a run to a percentage of full speed."""
 
--- a/wisteriasill/machines/batch_controller.py
+++ b/wisteriasill/machines/batch_controller.py
@@ -79,6 +79,7 @@
             writer.stored_at,
             former_leases_end_at(writer),
             self._changed,
+            links.orders,
         )
         self.pool.confirmed_at = writer.confirmed_at
         self.pool.configure(configuration)
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -63,6 +63,8 @@
         pace: Share of full speed that this holder orders, in percent.
         measure: Tail latency or CPU use, see `cluster.RunReport`.
         stopping: Whether a stop was ordered.
+        has_unanswered_start: Whether a start order got no answer, so that it
+            may be carried out later.
         stop_refused: Whether the worker has refused a stop, which is logged
             once.
         ordered_at: When this holder sent the start order.
@@ -76,6 +78,7 @@
         "acked_at",
         "checkpoint",
         "full_speed_at",
+        "has_unanswered_start",
         "index",
         "measure",
         "number",
@@ -104,6 +107,7 @@
         self.pace = 100
         self.measure = 0.0
         self.stopping = False
+        self.has_unanswered_start = False
         self.stop_refused = False
         self.planned_at = 0.0
         self.ordered_at = 0.0
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -316,6 +316,10 @@
                 self._mark_start_unknown(run)
                 run.worker.wake()
                 return
+            if run.has_unanswered_start:
+                self._record_refused_repeat(run, outcome)
+                run.worker.wake()
+                return
             self._reject_start(run, outcome)
         self._changed.set()
 
@@ -334,6 +338,24 @@
             run.stopping = True
             run.worker.send(workers.WorkerOrder("stop", run))
 
+    def _record_refused_repeat(
+        self, run: batch_job.Run, outcome: cluster.OrderOutcome
+    ) -> None:
+        """Handles an answer that shows a run not to be at work.
+
+        A former call for its start may still be carried out.
+        """
+        if outcome is cluster.OrderOutcome.FENCED:
+            self._record_fenced(run.worker)
+        if run.state is batch_job.RunState.RUNNING:
+            return  # Its end is to be reported.
+        run.state = batch_job.RunState.UNCERTAIN
+        run.stopping = True
+        if outcome is cluster.OrderOutcome.RUN_TOO_OLD:
+            run.start_blocked_at = time.monotonic()
+        else:
+            run.worker.send(workers.WorkerOrder("stop", run))
+
     def on_start_withdrawn(
         self, run: batch_job.Run, reason: workers.Withdrawal
     ) -> None:
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -18,6 +18,7 @@
 from wisteriasill.contracts import arrival_rate
 from wisteriasill.contracts import crash_evidence
 from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import order_policy
 from wisteriasill.contracts import overload_policy
 from wisteriasill.contracts import queue as queues
 from wisteriasill.contracts import run_times
@@ -123,6 +124,8 @@
         former_leases_end_at: Monotonic time at which the last lease of the
             former holder has expired.
         changed: Set when there is something to plan or store.
+        orders: What the orders of the node share; None for orders of this pool
+            only.
     """
 
     def __init__(
@@ -132,8 +135,12 @@
         claimed_at: float,
         former_leases_end_at: float,
         changed: threading.Event,
+        orders: order_policy.NodeOrders | None = None,
     ) -> None:
         self.service = service
+        self.orders = order_policy.PoolOrders(
+            orders or order_policy.NodeOrders()
+        )
         # Starts that were refused or not sent since the last count, by reason.
         self._refused_starts: collections.Counter[str] = collections.Counter()
         self.lock = threading.RLock()
--- a/wisteriasill/machines/site_links.py
+++ b/wisteriasill/machines/site_links.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from wisteriasill import metrics
+from wisteriasill.contracts import order_policy
 from wisteriasill.links import cluster
 
 
@@ -15,6 +16,8 @@
     Attributes:
         advice: None if the platform has no advice service.
         limits: Limits of the store.
+        orders: What the orders to workers share; None for a policy of each
+            pool's own.
     """
 
     store: cluster.RowStore
@@ -25,3 +28,4 @@
     open_worker: Callable[[cluster.WorkerEntry], cluster.WorkerLink]
     metrics: metrics.Metrics
     limits: cluster.StoreLimits = cluster.DOCUMENTED_LIMITS
+    orders: order_policy.NodeOrders | None = None
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Callable
 import enum
+import itertools
 import threading
 import time
 from typing import NamedTuple, Protocol
@@ -15,6 +17,7 @@
 from wisteriasill import restarting_task
 from wisteriasill.contracts import crash_evidence
 from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import order_policy
 from wisteriasill.contracts import worker_choice
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
@@ -44,8 +47,9 @@
 SILENT_RETRY_SECONDS = 0.25  # Pause after a poll without a response.
 # A start order that waited longer is planned again: its decision is outdated.
 STALE_ORDER_SECONDS = 1.5
-# A call that fails sooner did not time out: its connection was lost.
-SOON_SECONDS = 0.5
+# A call that fails after a smaller share of its timeout did not time out: its
+# connection was lost.
+TIMED_OUT_SHARE = 0.9
 # Delay before a stop that a worker did not accept is retried.
 STOP_RETRY_SECONDS = 0.2
 # The same for an accepted one: a run has up to 0.9 s to stop, and the report
@@ -57,6 +61,12 @@
     cluster.OrderOutcome.UNKNOWN,
     cluster.OrderOutcome.UNREACHABLE,
 )
+# Answers to a repeated start that hold for the first one too: the run is there,
+# or it was there or stopped, and no start of it is carried out any more.
+_CONCLUSIVE_REPEATS = (
+    cluster.OrderOutcome.DONE,
+    cluster.OrderOutcome.RUN_TOO_OLD,
+)
 # A worker that gives one of these answers to a stop starts the run no more.
 STOP_ACCEPTED = (
     cluster.OrderOutcome.DONE,
@@ -107,6 +117,10 @@
     def fencing_epoch(self) -> int:
         """Fencing token of the pool's holder."""
 
+    @property
+    def orders(self) -> order_policy.PoolOrders:
+        """What the orders to the pool's workers share."""
+
     def may_renew(self) -> bool:
         """Whether the pool may still extend leases."""
 
@@ -215,6 +229,7 @@
         self._orders: collections.deque[WorkerOrder] = collections.deque()
         # When to send the next stop of each run that should be gone.
         self._stop_due_at_by_run: dict[batch_job.Run, float] = {}
+        self._order_calls = order_policy.WorkerOrders(owner.orders)
         self._order_ready = threading.Event()
         self._closing = threading.Event()
         self._wake = threading.Event()
@@ -326,10 +341,12 @@
         """Whether this incarnation received a run's order, or none was sent.
 
         A response that came after the last answered poll was sent may be that
-        of another incarnation.
+        of another incarnation, and so may the one that carries out a start
+        without an answer.
         """
-        return (
-            not run.may_be_on_worker or 0 < run.acked_at <= self.last_polled_at
+        return not run.may_be_on_worker or (
+            not run.has_unanswered_start
+            and 0 < run.acked_at <= self.last_polled_at
         )
 
     def expects(self, run: batch_job.Run) -> bool:
@@ -575,12 +592,18 @@
         if reason := self._withdrawal(run):
             self._owner.on_start_withdrawn(run, reason)
             return
+        answer = self._call_start(run, self._start_order(run))
+        self._check_incarnation(answer)
+        self.record_clock(answer.clock_ms, time.monotonic())
+        self._owner.on_start_answer(run, answer)
+
+    def _start_order(self, run: batch_job.Run) -> cluster.StartOrder:
         payload, ticket = self._owner.payload(run)
         # The lease is extended before the run counts as sent; otherwise a
         # concurrent check could end the run by an older lease.
         lease_until_ms = self._extend_lease()
         run.ordered_at = time.monotonic()
-        order = cluster.StartOrder(
+        return cluster.StartOrder(
             run.task,
             run.number,
             payload,
@@ -589,31 +612,70 @@
             run.checkpoint,
             ticket,
         )
-        answer = self.link.start(order)
-        if (
-            answer.outcome is cluster.OrderOutcome.UNKNOWN
-            and self._may_be_answered(run.ordered_at)
-            and self._owner.may_start(run)
-        ):
-            # The worker answers a repeated start of the same run as the
-            # first, so a run whose answer was lost goes on.
-            run.ordered_at = time.monotonic()
-            answer = self.link.start(order)
-            if answer.outcome is not cluster.OrderOutcome.DONE:
-                # A refusal of the repeat says nothing about the first call,
-                # which may have started the run.
-                answer = answer._replace(outcome=cluster.OrderOutcome.UNKNOWN)
-        self._check_incarnation(answer)
-        self.record_clock(answer.clock_ms, time.monotonic())
-        self._owner.on_start_answer(run, answer)
 
-    def _may_be_answered(self, sent_at: float) -> bool:
-        """Whether a repeat of an unanswered call is likely to be answered.
+    def _call_start(
+        self, run: batch_job.Run, order: cluster.StartOrder
+    ) -> cluster.OrderAnswer:
+        """Sends a start, and repeats it while it gets no answer.
 
-        A cut worker would hold up the orders behind it for another timeout.
+        The worker answers a repeated start of the same run as the first, so a
+        run whose answer was lost goes on.
         """
-        failed_soon = time.monotonic() - sent_at < SOON_SECONDS
-        return failed_soon or self._clock.received_at > sent_at
+        # Until a call is answered, an error leaves the order uncertain.
+        run.has_unanswered_start = True
+        first_sent_at = time.monotonic()
+        answer = self._call_start_once(order)
+        if answer.outcome is not cluster.OrderOutcome.UNKNOWN:
+            run.has_unanswered_start = False
+            return answer
+        for calls in itertools.count(1):
+            delay_seconds = self._order_calls.repeat_delay(
+                order_policy.Attempts(calls, time.monotonic() - first_sent_at)
+            )
+            if delay_seconds is None or self._closing.wait(delay_seconds):
+                break
+            if run.state is batch_job.RunState.RUNNING:
+                # A report has shown it in the meantime.
+                return cluster.OrderAnswer(cluster.OrderOutcome.DONE)
+            if (
+                run.state is batch_job.RunState.ENDED
+                or not self._owner.may_start(run)
+            ):
+                break
+            run.ordered_at = time.monotonic()
+            answer = self._call_start_once(order)
+            if answer.outcome in _CONCLUSIVE_REPEATS:
+                return answer
+            if answer.outcome not in _UNANSWERED:
+                break
+        # A refusal of a repeat says nothing about the first call, which may
+        # have started the run.
+        return answer._replace(outcome=cluster.OrderOutcome.UNKNOWN)
+
+    def _call_start_once(
+        self, order: cluster.StartOrder
+    ) -> cluster.OrderAnswer:
+        return self._call(
+            order_policy.Verb.START,
+            lambda timeout_seconds: self.link.start(order, timeout_seconds),
+        )
+
+    def _call(
+        self,
+        verb: order_policy.Verb,
+        send: Callable[[float], cluster.OrderAnswer],
+    ) -> cluster.OrderAnswer:
+        """Sends an order with a timeout by earlier ones, and measures it."""
+        calls = self._order_calls
+        timeout_seconds = calls.timeout_seconds(verb)
+        sent_at = time.monotonic()
+        answer = send(timeout_seconds)
+        seconds = time.monotonic() - sent_at
+        if answer.outcome not in _UNANSWERED:
+            calls.record_answer(seconds)
+        elif seconds >= TIMED_OUT_SHARE * timeout_seconds:
+            calls.record_timeout()
+        return answer
 
     def _check_incarnation(self, answer: cluster.OrderAnswer) -> None:
         """Treats the worker as unresponsive if it may have restarted.
@@ -636,7 +698,15 @@
             return
         # Set before the call, so that an error leaves the stop to be repeated.
         self._delay_stop(run, STOP_RETRY_SECONDS)
-        answer = self.link.stop(run.task, run.number, self._owner.fencing_epoch)
+        answer = self._call(
+            order_policy.Verb.STOP,
+            lambda timeout_seconds: self.link.stop(
+                run.task,
+                run.number,
+                self._owner.fencing_epoch,
+                timeout_seconds,
+            ),
+        )
         if run.worker is not self:
             return  # The next incarnation stops it.
         if answer.outcome is cluster.OrderOutcome.FENCED:
@@ -661,7 +731,16 @@
     def _pace(self, run: batch_job.Run, percent: int) -> None:
         if run.pace != percent:
             return  # A newer pace order is queued.
-        self.link.pace(run.task, run.number, percent, self._owner.fencing_epoch)
+        self._call(
+            order_policy.Verb.PACE,
+            lambda timeout_seconds: self.link.pace(
+                run.task,
+                run.number,
+                percent,
+                self._owner.fencing_epoch,
+                timeout_seconds,
+            ),
+        )
 
 
 def _is_starting_to_serve(run: batch_job.Run) -> bool:
