Adopt a run whose start got no answer before it is stopped

Cause: a stop of an uncertain run neither asked the disruption budget of its step nor was dropped when the run turned out to be at work.

A report or an answer that shows such a run at work makes it an ordinary one. It is not adopted if its task is done, cancelled or at work elsewhere, if it is to be stopped for another reason, or once a stop was sent: a stop without an answer may end it at any time, so it must not count for the budget.

The stop of a lasting run that may be serving asks the budget just before it is sent. While the budget is used up, the start is repeated instead, as any answer tells what became of it: "done" adopts it, a refusal shows that it is not at work, so that its stop disrupts nothing. Its lease goes on until then.

--- a/tests/machines/batch/test_unanswered_starts.py
+++ b/tests/machines/batch/test_unanswered_starts.py
@@ -126,6 +126,157 @@
     assert [*link.running.items(), *other_link.running.items()] == [(TASK, 2)]
 
 
+@pytest.mark.parametrize("lasting", [False, True])
+def test_an_unanswered_run_that_is_at_work_is_adopted(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    late_orders: LateOrders,
+    monkeypatch: pytest.MonkeyPatch,
+    lasting: bool,
+) -> None:
+    """Its pending stop ended the run that was at work."""
+    logged: list[events.Event] = []
+    monkeypatch.setattr(
+        events, "log", lambda event, *_, **__: logged.append(event)
+    )
+    worker = order_start(site, link, batch_site.step(1, lasting=lasting))
+    run = worker.run_by_task[TASK]
+    assert run.stopping
+    late_orders.carry_out()
+    site.poll(worker)
+    assert logged.count(events.Event.RUN_ADOPTED) == 1
+    assert run.state is batch_job.RunState.RUNNING
+    assert not run.stopping
+    site.deliver(worker)
+    time.sleep(2 * workers.STOP_RETRY_SECONDS)
+    site.deliver(worker)
+    site.poll(worker)
+    assert not link.stops
+    assert link.running == {TASK: 1}
+    assert worker._needs_lease()
+
+
+@pytest.mark.parametrize("end", ["cancelled", "gang", "stopped"])
+def test_an_unanswered_run_that_is_not_wanted_is_not_adopted(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    late_orders: LateOrders,
+    end: str,
+) -> None:
+    step = batch_site.step(1, gang=end == "gang")
+    worker = order_start(site, link, step)
+    run = worker.run_by_task[TASK]
+    if end == "cancelled":
+        site.pool.on_record(batch_site.job_row("j1", [step], True, version=2))
+    elif end == "gang":
+        site.pool._stop_run(run, "another run of its gang ended")
+    else:
+        link.stop_outcomes.append(cluster.OrderOutcome.UNKNOWN)
+        worker.send_once()
+    late_orders.carry_out()
+    assert link.running == {TASK: 1}
+    site.poll(worker)
+    assert run.stopping
+    time.sleep(2 * workers.STOP_RETRY_SECONDS)
+    site.deliver(worker)
+    assert not link.running
+
+
+def start_two_lasting(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    late_orders: LateOrders,
+) -> tuple[workers.Worker, workers.Worker]:
+    """Starts two lasting tasks; the one on the first worker gets no answer."""
+    pair = (site.add_worker("w1", link), site.add_worker("w2", other_link))
+    for worker in pair:
+        site.poll(worker)
+    lasting = batch_site.step(
+        2, 9000, lasting=True, may_be_away=1, most_per_worker=1
+    )
+    site.pool.on_record(batch_site.job_row("j1", [lasting]))
+    site.run_round()
+    pair[0].send_once()
+    return pair
+
+
+def test_the_stop_of_an_unanswered_run_waits_for_the_disruption_budget(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    late_orders: LateOrders,
+) -> None:
+    """Grown Mandacaru, reborn-late, seed 801: AVAIL.
+
+    The order was carried out late, and the stop ended the run at work while
+    the other task of its step was away.
+    """
+    worker, other = start_two_lasting(site, link, other_link, late_orders)
+    (task,) = worker.run_by_task
+    late_orders.carry_out()
+    site.deliver(worker)
+    assert link.running == {task: 1}
+    assert not link.stops
+    site.deliver(other)
+    site.poll(other)
+    late_orders.is_lossy = True
+    time.sleep(2 * workers.STOP_RETRY_SECONDS)
+    site.deliver(worker)
+    assert link.stops == [(task, 1)]
+
+
+def test_a_start_whose_stop_has_to_wait_is_repeated(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    late_orders: LateOrders,
+) -> None:
+    """No other call tells soon whether it is at work."""
+    worker, _ = start_two_lasting(site, link, other_link, late_orders)
+    (run,) = worker.run_by_task.values()
+    late_orders.is_lossy = False
+    site.deliver(worker)
+    assert run.stopping  # The worker is silent.
+    site.poll(worker)
+    time.sleep(2 * workers.STOP_RETRY_SECONDS)
+    site.deliver(worker)
+    assert run.state is batch_job.RunState.RUNNING
+    assert not run.stopping
+    assert not link.stops
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [cluster.OrderOutcome.UNHEALTHY, cluster.OrderOutcome.RUN_TOO_OLD],
+)
+def test_a_run_that_its_worker_refuses_to_start_does_not_wait_for_a_budget(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    other_link: batch_worker.MemoryWorker,
+    late_orders: LateOrders,
+    monkeypatch: pytest.MonkeyPatch,
+    outcome: cluster.OrderOutcome,
+) -> None:
+    """The refusal shows that it is not at work."""
+    worker, _ = start_two_lasting(site, link, other_link, late_orders)
+    (run,) = worker.run_by_task.values()
+    site.poll(worker)
+    monkeypatch.setattr(
+        link,
+        "start",
+        lambda order, timeout_seconds: cluster.OrderAnswer(outcome),
+    )
+    time.sleep(2 * workers.STOP_RETRY_SECONDS)
+    site.deliver(worker)
+    time.sleep(2 * workers.STOP_RETRY_SECONDS)
+    site.deliver(worker)
+    assert run.start_blocked_at
+    time.sleep(0.1)
+    site.poll(worker)
+    assert run.state is batch_job.RunState.ENDED
+
+
 def test_a_cut_worker_holds_up_its_orders_no_longer_than_one_call(
     site: batch_site.SteppedPool,
     link: batch_worker.MemoryWorker,
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -63,6 +63,9 @@
         pace: Share of full speed that this holder orders, in percent.
         measure: Tail latency or CPU use, see `cluster.RunReport`.
         stopping: Whether a stop was ordered.
+        is_abandoned: Whether its stop was ordered only because its start got no
+            answer.
+        stop_sent: Whether a stop may have reached the worker.
         has_unanswered_start: Whether a start order got no answer, so that it
             may be carried out later.
         stop_refused: Whether the worker has refused a stop, which is logged
@@ -80,6 +83,7 @@
         "full_speed_at",
         "has_unanswered_start",
         "index",
+        "is_abandoned",
         "measure",
         "number",
         "ordered_at",
@@ -89,6 +93,7 @@
         "start_blocked_at",
         "state",
         "stop_refused",
+        "stop_sent",
         "stopping",
         "unit",
         "worker",
@@ -107,6 +112,8 @@
         self.pace = 100
         self.measure = 0.0
         self.stopping = False
+        self.is_abandoned = False
+        self.stop_sent = False
         self.has_unanswered_start = False
         self.stop_refused = False
         self.planned_at = 0.0
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -76,9 +76,7 @@
             self._stop_unknown_run(worker, run_report)
             return
         run.unit.job.has_begun = True
-        if run.state is not batch_job.RunState.RUNNING:
-            run.state = batch_job.RunState.RUNNING
-            run.acked_at = now
+        self._confirm_run(run, now)
         run.percent = run_report.percent
         run.measure = run_report.measure
         if run_report.percent >= run.pace and not run.full_speed_at:
@@ -87,6 +85,42 @@
             run.checkpoint = run_report.checkpoint
             run.unit.checkpoint = run_report.checkpoint
 
+    def _confirm_run(self, run: batch_job.Run, now: float) -> None:
+        """Records that a run is at work."""
+        if run.state is not batch_job.RunState.RUNNING:
+            run.state = batch_job.RunState.RUNNING
+            run.acked_at = now
+        if run.is_abandoned and self._may_adopt(run):
+            run.is_abandoned = run.stopping = False
+            events.log(
+                events.Event.RUN_ADOPTED,
+                "A run whose start got no answer is at work and goes on",
+                job=run.task.job_id,
+                task=run.task,
+                run=run.number,
+                worker=run.worker.worker_id,
+                sent_seconds=round(now - run.ordered_at, 3),
+            )
+
+    def _may_adopt(self, run: batch_job.Run) -> bool:
+        """Whether an abandoned run that is at work may go on.
+
+        A stop that was sent may end it at any time, so that it must not count
+        for the disruption budget of its step.
+        """
+        unit = run.unit
+        is_alone = not any(
+            other is not run and other.task == run.task for other in unit.runs
+        )
+        return (
+            not run.stop_sent
+            and not run.start_blocked_at
+            and not unit.done
+            and not unit.job.finished
+            and not unit.job.record.cancelled
+            and (is_alone or unit.step.copies)
+        )
+
     def _stop_unknown_run(
         self, worker: workers.Worker, run_report: cluster.RunReport
     ) -> None:
@@ -107,6 +141,7 @@
             unit, run_report.task.position, run_report.run, worker
         )
         run.state = batch_job.RunState.RUNNING
+        run.stopping = True
         worker.unknown_run_by_key[run_key] = run
         events.log(
             events.Event.RUN_UNKNOWN,
@@ -308,9 +343,7 @@
                 return
             if outcome is cluster.OrderOutcome.DONE:
                 run.unit.job.has_begun = True
-                if run.state is not batch_job.RunState.RUNNING:
-                    run.state = batch_job.RunState.RUNNING
-                    run.acked_at = time.monotonic()
+                self._confirm_run(run, time.monotonic())
                 return
             if outcome is cluster.OrderOutcome.UNKNOWN:
                 self._mark_start_unknown(run)
@@ -335,6 +368,7 @@
         )
         if run.state is not batch_job.RunState.RUNNING:
             run.state = batch_job.RunState.UNCERTAIN
+            run.is_abandoned = not run.stopping
             run.stopping = True
             run.worker.send(workers.WorkerOrder("stop", run))
 
@@ -351,6 +385,8 @@
             return  # Its end is to be reported.
         run.state = batch_job.RunState.UNCERTAIN
         run.stopping = True
+        # A stop does not disrupt its step.
+        run.is_abandoned = False
         if outcome is cluster.OrderOutcome.RUN_TOO_OLD:
             run.start_blocked_at = time.monotonic()
         else:
@@ -382,6 +418,28 @@
             self._refused_starts = collections.Counter()
             return refused
 
+    def claim_stop(self, run: batch_job.Run) -> workers.StopPermit:
+        """Returns whether a stop may be sent, and counts it as sent.
+
+        The stop of a lasting run that may have begun to serve asks the
+        disruption budget of its step like every other stop.
+        """
+        with self.lock:
+            if run.state is batch_job.RunState.ENDED or not run.stopping:
+                return workers.StopPermit.DROP
+            if (
+                run.is_abandoned
+                and run.unit.step.lasting
+                and not run.start_blocked_at
+                and not run.unit.job.finished
+                and not run.unit.job.record.cancelled
+                and not self.fenced
+                and not self._has_disruption_budget(run.unit)
+            ):
+                return workers.StopPermit.WAIT
+            run.stop_sent = True
+            return workers.StopPermit.SEND
+
     def _reject_start(
         self, run: batch_job.Run, outcome: cluster.OrderOutcome
     ) -> None:
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -298,6 +298,8 @@
         unit.job.requeue(unit)
 
     def _stop_run(self, run: batch_job.Run, reason: str) -> None:
+        # Any other reason to stop a run holds even if it is at work.
+        run.is_abandoned = False
         if run.stopping or run.state is batch_job.RunState.ENDED:
             return
         run.stopping = True
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -91,6 +91,7 @@
         run.worker = worker
         run.state = batch_job.RunState.UNCERTAIN
         run.stopping = True
+        run.is_abandoned = False
         run.start_blocked_at = 0.0
         worker.expect_late_order(self._latest_order_at(run))
         worker.run_by_task[run.task] = run
@@ -378,10 +379,15 @@
                         )
 
     def _may_disrupt(self, run: batch_job.Run) -> bool:
+        """Whether a run may be stopped for the sake of its worker."""
+        return (
+            not run.stopping
+            and run.state is batch_job.RunState.RUNNING
+            and self._has_disruption_budget(run.unit)
+        )
+
+    def _has_disruption_budget(self, unit: batch_job.Unit) -> bool:
         """Whether a step's disruption budget allows one more stopped task."""
-        unit = run.unit
-        if run.stopping or run.state is not batch_job.RunState.RUNNING:
-            return False
         now = time.monotonic()
         unavailable = sum(
             not any(
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -102,6 +102,18 @@
     received_at: float
 
 
+class StopPermit(enum.Enum):
+    """Whether a stop that is due may be sent.
+
+    WAIT means that the run may be serving and that the disruption budget of its
+    step is used up; DROP that the run goes on.
+    """
+
+    SEND = enum.auto()
+    WAIT = enum.auto()
+    DROP = enum.auto()
+
+
 class Withdrawal(enum.StrEnum):
     """Why a planned start is not sent."""
 
@@ -150,6 +162,9 @@
     ) -> None:
         """Handles a start that was not sent."""
 
+    def claim_stop(self, run: batch_job.Run) -> StopPermit:
+        """Returns whether a stop may be sent, and counts it as sent."""
+
     def on_stop_answer(
         self, run: batch_job.Run, answer: cluster.OrderAnswer
     ) -> None:
@@ -466,9 +481,13 @@
     def _needs_lease(self) -> bool:
         """Whether it has runs that should go on.
 
-        The end of the lease ends the others if their stops do not arrive.
+        The end of the lease ends the others if their stops do not arrive. A
+        lasting run whose start got no answer may serve until its stop.
         """
-        return any(not run.stopping for run in [*self.run_by_task.values()])
+        return any(
+            not run.stopping or (run.is_abandoned and run.unit.step.lasting)
+            for run in [*self.run_by_task.values()]
+        )
 
     def _poll_wait_seconds(self) -> float:
         runs = [*self.run_by_task.values()]
@@ -582,7 +601,7 @@
         for run, due_at in sorted(
             due_at_by_run.items(), key=lambda item: item[1]
         ):
-            if run.state is batch_job.RunState.ENDED:
+            if run.state is batch_job.RunState.ENDED or not run.stopping:
                 del due_at_by_run[run]
             elif due_at <= time.monotonic():
                 return run
@@ -698,6 +717,11 @@
             return
         # Set before the call, so that an error leaves the stop to be repeated.
         self._delay_stop(run, STOP_RETRY_SECONDS)
+        permit = self._owner.claim_stop(run)
+        if permit is StopPermit.WAIT:
+            self._repeat_held_start(run)
+        if permit is not StopPermit.SEND:
+            return
         answer = self._call(
             order_policy.Verb.STOP,
             lambda timeout_seconds: self.link.stop(
@@ -725,6 +749,25 @@
         if answer.outcome not in _UNANSWERED:
             self._owner.on_stop_answer(run, answer)
 
+    def _repeat_held_start(self, run: batch_job.Run) -> None:
+        """Repeats a start without an answer whose stop has to wait.
+
+        Any answer tells what became of the order. After a stop, which may also
+        be carried out late, only reports do.
+        """
+        if (
+            run.stop_sent
+            or run.state is not batch_job.RunState.UNCERTAIN
+            or not self.is_responsive(time.monotonic())
+            or not self._owner.may_renew()
+            or not self._order_calls.withdraw_repeat()
+        ):
+            return
+        answer = self._call_start_once(self._start_order(run))
+        if answer.outcome not in _UNANSWERED:
+            self.record_clock(answer.clock_ms, time.monotonic())
+            self._owner.on_start_answer(run, answer)
+
     def _delay_stop(self, run: batch_job.Run, seconds: float) -> None:
         self._stop_due_at_by_run[run] = time.monotonic() + seconds
 
