--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -64,6 +64,11 @@
         measure: Tail latency or CPU use, see `cluster.RunReport`.
         stopping: Whether a stop was ordered.
         moving: Whether it is stopped to be started on another worker.
+        is_abandoned: Whether its stop was ordered only because its start got no
+            answer.
+        stop_sent: Whether a stop may have reached the worker.
+        has_unanswered_start: Whether a start order got no answer, so that it
+            may be carried out later.
         stop_refused: Whether the worker has refused a stop, which is logged
             once.
         ordered_at: When this holder sent the start order.
@@ -77,7 +82,9 @@
         "acked_at",
         "checkpoint",
         "full_speed_at",
+        "has_unanswered_start",
         "index",
+        "is_abandoned",
         "measure",
         "moving",
         "number",
@@ -88,6 +95,7 @@
         "start_blocked_at",
         "state",
         "stop_refused",
+        "stop_sent",
         "stopping",
         "unit",
         "worker",
@@ -107,6 +115,9 @@
         self.measure = 0.0
         self.stopping = False
         self.moving = False
+        self.is_abandoned = False
+        self.stop_sent = False
+        self.has_unanswered_start = False
         self.stop_refused = False
         self.planned_at = 0.0
         self.ordered_at = 0.0
