Take a first clock reading of 0 for a reading

Cause: 0 stood for a missing clock in the answers to orders and for a reading in reports. Only answers to orders may lack one; a report's reading always counts.

--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -426,9 +426,14 @@
             self._lease_until_ms = clock_ms + int(
                 self._first_lease_seconds * 1000
             )
-        if clock_ms and clock_ms >= self._clock.clock_ms:
+        if clock_ms >= self._clock.clock_ms:
             self._clock = ClockReading(clock_ms, received_at)
 
+    def _record_answer_clock(self, answer: cluster.OrderAnswer) -> None:
+        """Records the reading in the answer to an order, if it has one."""
+        if answer.clock_ms:
+            self.record_clock(answer.clock_ms, time.monotonic())
+
     def _extend_lease(self) -> int:
         # A successor relies on the longest lease from the clock that it reads,
         # so the estimate must not be ahead of a slow clock.
@@ -613,7 +618,7 @@
             return
         answer = self._call_start(run, self._start_order(run))
         self._check_incarnation(answer)
-        self.record_clock(answer.clock_ms, time.monotonic())
+        self._record_answer_clock(answer)
         self._owner.on_start_answer(run, answer)
 
     def _start_order(self, run: batch_job.Run) -> cluster.StartOrder:
@@ -765,7 +770,7 @@
             return
         answer = self._call_start_once(self._start_order(run))
         if answer.outcome not in _UNANSWERED:
-            self.record_clock(answer.clock_ms, time.monotonic())
+            self._record_answer_clock(answer)
             self._owner.on_start_answer(run, answer)
 
     def _delay_stop(self, run: batch_job.Run, seconds: float) -> None:
