Keep the later end of a lease that two threads extend

One that was interrupted between the comparison and the assignment stored its earlier end over the later one, and a run counted as ended while its worker still held the longer lease.

Cause: a read, a comparison and a write without a lock. They are under one now.

--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -238,6 +238,8 @@
         self.quarantined_until = 0.0
         self.trial_run: batch_job.Run | None = None
         self._clock = ClockReading(0.0, 0.0)
+        # Both threads extend the lease.
+        self._lease_lock = threading.Lock()
         self._lease_until_ms = 0
         self._former_leases_end_at = former_leases_end_at
         self._first_lease_seconds = LEASE_SECONDS
@@ -421,13 +423,14 @@
 
     def record_clock(self, clock_ms: int, received_at: float) -> None:
         """Records a reading of the worker's clock."""
-        if not self._clock.received_at:
-            # An earlier holder may have granted a lease until just now.
-            self._lease_until_ms = clock_ms + int(
-                self._first_lease_seconds * 1000
-            )
-        if clock_ms >= self._clock.clock_ms:
-            self._clock = ClockReading(clock_ms, received_at)
+        with self._lease_lock:
+            if not self._clock.received_at:
+                # An earlier holder may have granted a lease until just now.
+                self._lease_until_ms = clock_ms + int(
+                    self._first_lease_seconds * 1000
+                )
+            if clock_ms >= self._clock.clock_ms:
+                self._clock = ClockReading(clock_ms, received_at)
 
     def _record_answer_clock(self, answer: cluster.OrderAnswer) -> None:
         """Records the reading in the answer to an order, if it has one."""
@@ -437,11 +440,13 @@
     def _extend_lease(self) -> int:
         # A successor relies on the longest lease from the clock that it reads,
         # so the estimate must not be ahead of a slow clock.
-        clock_ms, received_at = self._clock
-        elapsed_ms = (time.monotonic() - received_at) * 1000 * MIN_CLOCK_RATE
-        until_ms = int(clock_ms + elapsed_ms + LEASE_SECONDS * 1000)
-        self._lease_until_ms = max(self._lease_until_ms, until_ms)
-        return until_ms
+        with self._lease_lock:
+            clock_ms, received_at = self._clock
+            elapsed_seconds = time.monotonic() - received_at
+            elapsed_ms = elapsed_seconds * 1000 * MIN_CLOCK_RATE
+            until_ms = int(clock_ms + elapsed_ms + LEASE_SECONDS * 1000)
+            self._lease_until_ms = max(self._lease_until_ms, until_ms)
+            return until_ms
 
     def _poll_loop(self) -> None:
         while not self._closing.is_set():
