Keep starts from the next incarnation of a worker

A worker crashed and was back under its id within 0.3 s, unseen by a poll. A start for the former incarnation was sent on a new connection, and the next incarnation executed it. The list of hosts, read in between, then ended the run with the former incarnation, and its successor started elsewhere.

Cause: a call names its worker by the id and the address, which both survive a restart. Only acknowledgements of run ends were bound to an incarnation. So each proof that a run has ended with its incarnation held for that incarnation, and not for the one that got the order.

Now `WorkerLink` guarantees that only the incarnation of its entry executes a start. Without a report the start is not sent: the outcome is `UNREACHABLE`, or `OTHER_WORKER`, which now also counts as a sign of a restart. Stops and paces may reach any incarnation, as before: a stop that reaches the next one blocks the run there.

Weighed against it: keeping each run whose order was not confirmed as possibly at work until the next incarnation has refused it, or for the longest lease (10.3 s). That delays the tasks of each worker that crashes after an unanswered start, beyond the 3 s and 6 s of LOST, where no new incarnation joins, and it has to be repeated for each way in which a run can end.

Evidence: test_reused_worker_ids.py on the HTTP stand-ins.

--- a/soak/known_seeds.py
+++ b/soak/known_seeds.py
@@ -110,6 +110,10 @@
         6935, "takeovers", seconds=8.0, workers=4, per_second=10.0, series=1
     ): "as seed 5116",
     CRASH_BURSTS: "two crashes of one burst convicted a sound task",
+    plans.RunPlan(
+        6, seconds=6.0, workers=4
+    ): "a start to a crashed worker ran on its next incarnation after the list "
+    "of hosts had ended the run",
     UNCONFIRMED_STARTS: "a start that never arrived convicted a sound task",
 }
 # Run in CI, a few seconds each.
--- /dev/null
+++ b/tests/adapter/test_reused_worker_ids.py
@@ -0,0 +1,158 @@
+"""Tests of workers that are back under their ids after a crash."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+import contextlib
+import time
+
+import pytest
+import wire_workers
+
+from soak import ports
+from soak import site as sites
+from standins import platform_http
+from standins import timed_worker
+from tests.machines import batch_site
+from wisteriasill.contracts import job_spec
+from wisteriasill.links import cluster
+from wisteriasill.machines import worker as workers
+
+TASK = job_spec.TaskKey("j1", 0, 0, 0)
+RUN_MS = "9000"
+REGISTERED, LISTED = 1, 2  # Store versions.
+UNSENT = (cluster.OrderOutcome.OTHER_WORKER, cluster.OrderOutcome.UNREACHABLE)
+
+ServeWorker = Callable[
+    [timed_worker.TimedWorker],
+    tuple[cluster.WorkerEntry, wire_workers.WireWorker],
+]
+
+
+@pytest.fixture
+def log() -> timed_worker.RunLog:
+    return timed_worker.RunLog()
+
+
+@pytest.fixture
+def worker(log: timed_worker.RunLog) -> timed_worker.TimedWorker:
+    return timed_worker.TimedWorker("i-1", sites.ROOM, log)
+
+
+@pytest.fixture
+def serve() -> Iterator[ServeWorker]:
+    """Returns a function that serves a worker over HTTP."""
+    with contextlib.ExitStack() as stack:
+
+        def serve_worker(
+            worker: timed_worker.TimedWorker,
+        ) -> tuple[cluster.WorkerEntry, wire_workers.WireWorker]:
+            (port,) = ports.free_ports(1)
+            address = f"{ports.ADDRESS}:{port}"
+            service = platform_http.WorkerService(
+                worker, address, batch_site.SERVICE
+            )
+            server = platform_http.serve(ports.ADDRESS, port, service.answer, 8)
+            stack.callback(server.stop)
+            row = cluster.StoredRow(
+                "servers", "", worker.worker_id, service.entry(), REGISTERED
+            )
+            entry = wire_workers._entry(row)
+            assert entry is not None
+            link = stack.enter_context(
+                contextlib.closing(wire_workers.WireWorker(entry))
+            )
+            return entry, link
+
+        yield serve_worker
+
+
+def test_a_start_to_a_former_incarnation_is_not_executed_beside_its_next_run(
+    serve: ServeWorker,
+    worker: timed_worker.TimedWorker,
+    log: timed_worker.RunLog,
+) -> None:
+    """The next incarnation ran it when the list of hosts had ended the run.
+
+    Soak seed 6: the start was sent on a new connection after a restart that no
+    poll had shown yet.
+    """
+    site = batch_site.SteppedPool()
+    former = join_pool(site, *serve(worker))
+    worker.crash(0.0)
+    site.pool.on_record(
+        batch_site.job_row("j1", [batch_site.step()], payload=RUN_MS)
+    )
+    site.run_round()
+    site.deliver(former)
+    other_worker = timed_worker.TimedWorker("i-2", sites.ROOM, log)
+    other = join_pool(site, *serve(other_worker))
+    site.pool.set_down_workers({"i-1": LISTED})
+    site.run_round(time.monotonic() + 1.0)
+    site.deliver(other)
+    assert not log.violations
+    assert [run_event.worker_id for run_event in log.run_events] == ["i-2"]
+
+
+def join_pool(
+    site: batch_site.SteppedPool,
+    entry: cluster.WorkerEntry,
+    link: cluster.WorkerLink,
+) -> workers.Worker:
+    """Registers a worker without its threads, and polls it once."""
+    worker = workers.Worker(
+        entry, link, site.pool, site.pool.former_leases_end_at
+    )
+    site.pool.add_worker(worker)
+    worker.poll_once()
+    return worker
+
+
+@pytest.mark.parametrize("stopped_at", ["neither", "former", "next"])
+def test_a_start_does_not_reach_the_next_incarnation(
+    serve: ServeWorker,
+    worker: timed_worker.TimedWorker,
+    log: timed_worker.RunLog,
+    stopped_at: str,
+) -> None:
+    """A stop leaves a connection, whose incarnation it does not tell."""
+    _, link = serve(worker)
+    if stopped_at == "former":
+        link.stop(TASK, 1, 5)
+    worker.crash(0.0)
+    if stopped_at == "next":
+        link.stop(TASK, 1, 5)
+    answer = link.start(cluster.StartOrder(TASK, 2, RUN_MS, 60_000, 5))
+    assert answer.outcome in UNSENT
+    assert not log.run_events
+
+
+def test_a_start_after_a_confirmed_one_does_not_reach_the_next_incarnation(
+    serve: ServeWorker,
+    worker: timed_worker.TimedWorker,
+    log: timed_worker.RunLog,
+) -> None:
+    _, link = serve(worker)
+    first = link.start(cluster.StartOrder(TASK, 1, RUN_MS, 60_000, 5))
+    assert first.outcome is cluster.OrderOutcome.DONE
+    worker.crash(0.0)
+    for run in (2, 3):
+        answer = link.start(cluster.StartOrder(TASK, run, RUN_MS, 60_000, 5))
+        assert answer.outcome is not cluster.OrderOutcome.DONE
+    assert [run_event.event for run_event in log.run_events] == [
+        "start",
+        "crash",
+    ]
+
+
+def test_the_check_of_the_incarnation_grants_no_lease_and_forgets_no_end(
+    serve: ServeWorker, worker: timed_worker.TimedWorker
+) -> None:
+    _, link = serve(worker)
+    worker.start(cluster.StartOrder(TASK, 1, "0", 60_000, 4))
+    link.start(cluster.StartOrder(TASK._replace(position=1), 1, RUN_MS, 1, 5))
+    report = worker.poll(5, 0, None, 0.0)
+    assert isinstance(report, cluster.WorkerReport)
+    assert [run_end.kind for run_end in report.ends] == [
+        cluster.RunEndKind.DONE
+    ]
--- a/wisteriasill/links/cluster.py
+++ b/wisteriasill/links/cluster.py
@@ -336,14 +336,20 @@
 
 
 class WorkerLink(Protocol):
-    """Connections to one worker.
+    """Connections to one incarnation of a worker.
 
     Each call carries the id of the intended worker, so that another worker at
-    the same address rejects it.
+    the same address rejects it. A later incarnation may have the same id and
+    address, so the link itself keeps starts from it; other calls may reach it.
     """
 
     def start(self, order: StartOrder) -> OrderAnswer:
-        """Starts a run; idempotent."""
+        """Starts a run; idempotent.
+
+        Only the incarnation that the link was opened for may execute a start,
+        also one that gets no response. The outcome is `OTHER_WORKER` if
+        another one has taken its place.
+        """
 
     def stop(
         self, task: job_spec.TaskKey, run: int, fencing_epoch: int
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -56,6 +56,8 @@
     cluster.OrderOutcome.UNKNOWN,
     cluster.OrderOutcome.UNREACHABLE,
 )
+# Outcomes of a start whose worker may have restarted.
+_UNCONFIRMED = (*_UNANSWERED, cluster.OrderOutcome.OTHER_WORKER)
 # A worker that gives one of these answers to a stop starts the run no more.
 STOP_ACCEPTED = (
     cluster.OrderOutcome.DONE,
@@ -603,13 +605,14 @@
     def _check_incarnation(self, answer: cluster.OrderAnswer) -> None:
         """Treats the worker as unresponsive if it may have restarted.
 
-        A clock that went back, or a call without a response, may mean that a
-        new incarnation has the worker's id. Until a poll confirms the
-        incarnation, no run end is acknowledged and no run is started.
+        A clock that went back, a call without a response, or the response of
+        another worker may mean that a new incarnation has the worker's id.
+        Until a poll confirms the incarnation, no run end is acknowledged and
+        no run is started.
         """
         known_ms = self._clock.clock_ms
         clock_went_back = 0 < answer.clock_ms < known_ms - CLOCK_SLACK_MS
-        if (clock_went_back or answer.outcome in _UNANSWERED) and (
+        if (clock_went_back or answer.outcome in _UNCONFIRMED) and (
             not self.silent_since
         ):
             self.silent_since = time.monotonic()
