Draw restarts that a holder has not seen in event-orders

The new event restarts a worker under its id, with the list of hosts read in between, while a holder goes on planning and ordering.

The simulated link now keeps the guarantee of `WorkerLink.start`.

--- a/bench/event_kinds.py
+++ b/bench/event_kinds.py
@@ -196,6 +196,34 @@
             world.register(worker)
 
 
+def _restart_unseen(
+    world: event_world.World, holder: event_world.Holder, rng: random.Random
+) -> None:
+    """Restarts a worker under its id while a holder goes on without a poll.
+
+    The list of hosts is read in between, and may be used later. No run has
+    just started there, so that the crash is no evidence against its task.
+    """
+    worker = rng.choice([*world.worker_by_id.values()])
+    known = holder.controller.pool.worker_by_id.get(worker.worker_id)
+    if known is None or not holder.controller.pool.may_renew():
+        return
+    known.poll_once()
+    if known.has_unproven_run():
+        return
+    if not worker.is_down:
+        worker.crash()
+    world.list_down_workers()
+    world.register(worker)
+    _submit(world, rng)
+    world.read_records(holder)
+    world.run_round(holder)
+    while known.send_once():
+        pass
+    if rng.random() < 0.5:
+        world.read_down_workers(holder)
+
+
 def _cut(
     world: event_world.World, holder: event_world.Holder, rng: random.Random
 ) -> None:
@@ -235,6 +263,7 @@
     "finish": EventKind(4, _finish),
     "crash": EventKind(1, _crash),
     "restart": EventKind(2, _restart),
+    "restart unseen": EventKind(2, _at_holder(_restart_unseen)),
     "cut": EventKind(2, _at_holder(_cut)),
     "late call": EventKind(3, _execute_late),
     "advance": EventKind(6, _advance),
--- a/bench/event_world.py
+++ b/bench/event_world.py
@@ -55,15 +55,24 @@
     """A holder's connection to a worker; implements `cluster.WorkerLink`."""
 
     def __init__(
-        self, world: World, worker: event_workers.SimulatedWorker
+        self,
+        world: World,
+        worker: event_workers.SimulatedWorker,
+        started_ms: int,
     ) -> None:
         self._world = world
         self._worker = worker
+        self._started_ms = started_ms
         self._heard_ms = 0
         self.is_cut = False
 
     def start(self, order: cluster.StartOrder) -> cluster.OrderAnswer:
-        """Starts a run."""
+        """Starts a run in the incarnation that the link was opened for."""
+        if not self._worker.is_down and (
+            self._worker.started_ms != self._started_ms
+        ):
+            self._world.clock.advance(CALL_SECONDS)
+            return cluster.OrderAnswer(cluster.OrderOutcome.OTHER_WORKER)
         return self._call(lambda: self._worker.start(order))
 
     def stop(
@@ -294,7 +303,9 @@
         links: list[SimulatedLink] = []
 
         def open_worker(entry: cluster.WorkerEntry) -> SimulatedLink:
-            link = SimulatedLink(self, self.worker_by_id[entry.worker_id])
+            link = SimulatedLink(
+                self, self.worker_by_id[entry.worker_id], entry.started_ms
+            )
             links.append(link)
             return link
 
