--- a/tests/adapter/test_reused_worker_ids.py
+++ b/tests/adapter/test_reused_worker_ids.py
@@ -145,14 +145,36 @@
     ]
 
 
+class PolledWorker(timed_worker.TimedWorker):
+    """A worker that records its polls.
+
+    Attributes:
+        polls: Fencing token, acknowledged end, lease and wait of each poll.
+    """
+
+    def __init__(self, log: timed_worker.RunLog) -> None:
+        super().__init__("i-1", sites.ROOM, log)
+        self.polls: list[tuple[int, int, int | None, float]] = []
+
+    def poll(
+        self,
+        fencing_epoch: int,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_seconds: float,
+    ) -> cluster.WorkerReport | cluster.OrderOutcome:
+        """Records a poll and answers it."""
+        poll = fencing_epoch, acknowledged, lease_until_ms, wait_seconds
+        self.polls.append(poll)
+        return super().poll(*poll)
+
+
 def test_the_check_of_the_incarnation_grants_no_lease_and_forgets_no_end(
-    serve: ServeWorker, worker: timed_worker.TimedWorker
+    serve: ServeWorker, log: timed_worker.RunLog
 ) -> None:
+    """One report confirms a connection for all starts sent over it."""
+    worker = PolledWorker(log)
     _, link = serve(worker)
-    worker.start(cluster.StartOrder(TASK, 1, "0", 60_000, 4))
-    link.start(cluster.StartOrder(TASK._replace(position=1), 1, RUN_MS, 1, 5))
-    report = worker.poll(5, 0, None, 0.0)
-    assert isinstance(report, cluster.WorkerReport)
-    assert [run_end.kind for run_end in report.ends] == [
-        cluster.RunEndKind.DONE
-    ]
+    for run in (1, 2):
+        link.start(cluster.StartOrder(TASK, run, "0", 60_000, 5))
+    assert worker.polls == [(5, 0, None, 0.0)]
