--- a/tests/adapter/test_reused_worker_ids.py
+++ b/tests/adapter/test_reused_worker_ids.py
@@ -178,3 +178,21 @@
     for run in (1, 2):
         link.start(cluster.StartOrder(TASK, run, "0", 60_000, 5))
     assert worker.polls == [(5, 0, None, 0.0)]
+
+
+def test_starts_queued_for_a_former_incarnation_are_refused_without_calls(
+    serve: ServeWorker, log: timed_worker.RunLog
+) -> None:
+    """Each of them asked the next incarnation for a report."""
+    worker = PolledWorker(log)
+    site = batch_site.SteppedPool()
+    former = join_pool(site, *serve(worker))
+    worker.crash(0.0)
+    worker.polls.clear()
+    site.pool.on_record(
+        batch_site.job_row("j1", [batch_site.step(3)], payload=RUN_MS)
+    )
+    site.run_round()
+    site.deliver(former)
+    assert len(worker.polls) == 1
+    assert not log.run_events
