Send no start whose run has ended while it waited for the pool

Callers would see TWICE: the thread that sends a start waits for the pool's lock just before the call. Meanwhile the registry may show a new incarnation of the worker, which ends its runs; the run counted as never sent, its task was started elsewhere, and the order was sent after all.

Cause: the check whether a run is still wanted and the note that it was sent were two steps, with other threads in between. claim_start does both under the pool's lock, as claim_stop does for stops.

--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -420,6 +420,14 @@
             self._refused_starts = collections.Counter()
             return refused
 
+    def claim_start(self, run: batch_job.Run) -> bool:
+        """Counts a start as sent, unless its run has ended."""
+        with self.lock:
+            if run.state is batch_job.RunState.ENDED:
+                return False
+            run.ordered_at = time.monotonic()
+            return True
+
     def claim_stop(self, run: batch_job.Run) -> workers.StopPermit:
         """Returns whether a stop may be sent, and counts it as sent.
 
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -164,6 +164,9 @@
     ) -> None:
         """Handles a start that was not sent."""
 
+    def claim_start(self, run: batch_job.Run) -> bool:
+        """Counts a start as sent, unless its run has ended."""
+
     def claim_stop(self, run: batch_job.Run) -> StopPermit:
         """Returns whether a stop may be sent, and counts it as sent."""
 
@@ -623,7 +626,10 @@
         if reason := self._withdrawal(run):
             self._owner.on_start_withdrawn(run, reason)
             return
-        answer = self._call_start(run, self._start_order(run))
+        order = self._start_order(run)
+        if not self._owner.claim_start(run):
+            return
+        answer = self._call_start(run, order)
         self._check_incarnation(answer)
         self._record_answer_clock(answer)
         self._owner.on_start_answer(run, answer)
@@ -633,7 +639,6 @@
         # The lease is extended before the run counts as sent; otherwise a
         # concurrent check could end the run by an older lease.
         lease_until_ms = self._extend_lease()
-        run.ordered_at = time.monotonic()
         return cluster.StartOrder(
             run.task,
             run.number,
@@ -776,7 +781,10 @@
             or not self._order_calls.withdraw_repeat()
         ):
             return
-        answer = self._call_start_once(self._start_order(run))
+        order = self._start_order(run)
+        if not self._owner.claim_start(run):
+            return
+        answer = self._call_start_once(order)
         if answer.outcome not in _UNANSWERED:
             self._record_answer_clock(answer)
             self._owner.on_start_answer(run, answer)
