--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -180,12 +180,8 @@
         lapsed = self._lapsed_runs_by_worker.get(worker.worker_id, [])
         unconfirmed = [
             run
-            for run in dict.fromkeys(
-                itertools.chain(
-                    lost_runs,
-                    (lost.run for lost in lapsed),
-                    worker.blocked_runs,
-                )
+            for run in itertools.chain(
+                lost_runs, (lost.run for lost in lapsed), worker.blocked_runs
             )
             if not worker.has_confirmed(run)
         ]
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -55,8 +55,6 @@
 # The same for an accepted one: a run has up to 0.9 s to stop, and the report
 # that shows its end may come two long polls later.
 ACCEPTED_STOP_RETRY_SECONDS = 2.5
-# Ended runs whose orders a new incarnation is told to refuse.
-MAX_BLOCKED_RUNS = 100
 
 
 _UNANSWERED = (
@@ -188,8 +186,8 @@
         run_by_task: Runs that may be on the worker, by task.
         unknown_run_by_key: Runs that it reported and that should not be there,
             by task and number, until it reports them no more.
-        blocked_runs: Ended runs, also of its former incarnation, whose late
-            orders the next one is told to refuse.
+        blocked_runs: Runs of its former incarnation whose late orders it is
+            told to refuse.
         free_cpu: Millicores that no run reserves.
         last_received_end: Number of the last run end that was received.
         last_stored_end: Number of the last run end that is stored.
@@ -224,9 +222,7 @@
         self.unknown_run_by_key: dict[
             tuple[job_spec.TaskKey, int], batch_job.Run
         ] = {}
-        self.blocked_runs: collections.deque[batch_job.Run] = collections.deque(
-            maxlen=MAX_BLOCKED_RUNS
-        )
+        self.blocked_runs: list[batch_job.Run] = []
         self.free_cpu = entry.room.cpu
         self.free_memory_mb = entry.room.memory_mb
         self.free_accelerators = entry.room.accelerators
