Confirm a connection for orders by a later poll

A connection that was open before a poll was sent leads to the incarnation that answers the poll: it was alive before, as it had registered, and after. So the stop that follows an unanswered start, and the next poll, confirm the connection at no cost. Only a start that has to open a connection itself still asks.

--- a/tests/adapter/test_reused_worker_ids.py
+++ b/tests/adapter/test_reused_worker_ids.py
@@ -180,6 +180,37 @@
     assert worker.polls == [(5, 0, None, 0.0)]
 
 
+@pytest.mark.parametrize("polls_after_stop", [0, 1])
+def test_a_poll_confirms_the_connection_that_a_stop_has_opened(
+    serve: ServeWorker, log: timed_worker.RunLog, polls_after_stop: int
+) -> None:
+    """Only one that was sent after it proves that the incarnation was alive."""
+    worker = PolledWorker(log)
+    _, link = serve(worker)
+    link.poll(5, 0, None, 0.0)
+    link.stop(TASK, 1, 5)
+    for _ in range(polls_after_stop):
+        link.poll(5, 0, None, 0.0)
+    answer = link.start(cluster.StartOrder(TASK, 2, RUN_MS, 60_000, 5))
+    assert answer.outcome is cluster.OrderOutcome.DONE
+    assert len(worker.polls) == 2
+
+
+def test_a_poll_before_a_restart_confirms_no_later_connection(
+    serve: ServeWorker,
+    worker: timed_worker.TimedWorker,
+    log: timed_worker.RunLog,
+) -> None:
+    _, link = serve(worker)
+    link.poll(5, 0, None, 0.0)
+    worker.crash(0.0)
+    link.stop(TASK, 1, 5)
+    link.poll(5, 0, None, 0.0)
+    answer = link.start(cluster.StartOrder(TASK, 2, RUN_MS, 60_000, 5))
+    assert answer.outcome in UNSENT
+    assert not log.run_events
+
+
 def test_starts_queued_for_a_former_incarnation_are_refused_without_calls(
     serve: ServeWorker, log: timed_worker.RunLog
 ) -> None:
