Keep what is known of a connection with that connection

One flag for a client with several connections would hold only while a single thread sends orders: a stop beside a start may open a connection to the next incarnation, and a later start may take it for the confirmed one.

--- a/tests/adapter/test_reused_worker_ids.py
+++ b/tests/adapter/test_reused_worker_ids.py
@@ -145,6 +145,25 @@
     ]
 
 
+def test_a_start_does_not_use_the_connection_of_an_order_beside_it(
+    serve: ServeWorker,
+    worker: timed_worker.TimedWorker,
+    log: timed_worker.RunLog,
+) -> None:
+    """What one order knows of its connection holds for no other one."""
+    _, link = serve(worker)
+    first = link.start(cluster.StartOrder(TASK, 1, "0", 60_000, 5))
+    assert first.outcome is cluster.OrderOutcome.DONE
+    with link._order_clients.client():
+        worker.crash(0.0)
+        link.stop(TASK, 2, 5)
+        beside = link.start(cluster.StartOrder(TASK, 3, RUN_MS, 60_000, 5))
+    after = link.start(cluster.StartOrder(TASK, 4, RUN_MS, 60_000, 5))
+    assert beside.outcome in UNSENT
+    assert after.outcome is not cluster.OrderOutcome.DONE
+    assert {run_event.run for run_event in log.run_events} == {1}
+
+
 class PolledWorker(timed_worker.TimedWorker):
     """A worker that records its polls.
 
