Replace a lost connection for orders by one that a poll has confirmed

An order without an answer costs its connection, and a start on a new one waits for a report, which may get no answer either. Now the connection of the next poll that the incarnation answers takes its place, and later polls use a new one. No call is added.

--- a/tests/adapter/test_reused_worker_ids.py
+++ b/tests/adapter/test_reused_worker_ids.py
@@ -154,7 +154,7 @@
     _, link = serve(worker)
     first = link.start(cluster.StartOrder(TASK, 1, "0", 60_000, 5))
     assert first.outcome is cluster.OrderOutcome.DONE
-    with link._order_clients.client():
+    with link._order_clients.client(0.0):
         worker.crash(0.0)
         link.stop(TASK, 2, 5)
         beside = link.start(cluster.StartOrder(TASK, 3, RUN_MS, 60_000, 5))
@@ -215,6 +215,29 @@
     assert len(worker.polls) == 2
 
 
+def test_a_polled_connection_replaces_one_that_an_order_has_lost(
+    serve: ServeWorker,
+    log: timed_worker.RunLog,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Under lost calls each start waited for one more call that may be lost."""
+    monkeypatch.setattr(wire_workers, "ORDER_TIMEOUT_SECONDS", 0.1)
+    worker = PolledWorker(log)
+    _, link = serve(worker)
+    start = cluster.StartOrder(TASK, 1, RUN_MS, 60_000, 5)
+    link.start(start)
+    worker.unreachable = True
+    lost = link.start(start._replace(task=TASK._replace(position=1)))
+    assert lost.outcome is cluster.OrderOutcome.UNKNOWN
+    worker.unreachable = False
+    for _ in range(2):
+        link.poll(5, 0, None, 0.0)
+    worker.polls.clear()
+    answer = link.start(start._replace(task=TASK._replace(position=2)))
+    assert answer.outcome is cluster.OrderOutcome.DONE
+    assert not worker.polls
+
+
 def test_a_poll_before_a_restart_confirms_no_later_connection(
     serve: ServeWorker,
     worker: timed_worker.TimedWorker,
