--- a/tests/adapter/test_reused_worker_ids.py
+++ b/tests/adapter/test_reused_worker_ids.py
@@ -177,6 +177,25 @@
     ]
 
 
+def test_a_start_does_not_use_the_connection_of_an_order_beside_it(
+    serve: ServeWorker,
+    worker: timed_worker.TimedWorker,
+    log: timed_worker.RunLog,
+) -> None:
+    """What one order knows of its connection holds for no other one."""
+    _, link = serve(worker)
+    first = link.start(cluster.StartOrder(TASK, 1, "0", 60_000, 5), 1.0)
+    assert first.outcome is cluster.OrderOutcome.DONE
+    with link._order_clients.client(0.0):
+        worker.crash(0.0)
+        link.stop(TASK, 2, 5, 0.4)
+        beside = link.start(cluster.StartOrder(TASK, 3, RUN_MS, 60_000, 5), 1.0)
+    after = link.start(cluster.StartOrder(TASK, 4, RUN_MS, 60_000, 5), 1.0)
+    assert beside.outcome in UNSENT
+    assert after.outcome is not cluster.OrderOutcome.DONE
+    assert {run_event.run for run_event in log.run_events} == {1}
+
+
 class PolledWorker(timed_worker.TimedWorker):
     """A worker that records its polls.
 
@@ -212,6 +231,57 @@
     assert worker.polls == [(5, 0, None, 0.0)]
 
 
+@pytest.mark.parametrize("polls_after_stop", [0, 1])
+def test_a_poll_confirms_the_connection_that_a_stop_has_opened(
+    serve: ServeWorker, log: timed_worker.RunLog, polls_after_stop: int
+) -> None:
+    """Only one that was sent after it proves that the incarnation was alive."""
+    worker = PolledWorker(log)
+    _, link = serve(worker)
+    link.poll(5, 0, None, 0.0)
+    link.stop(TASK, 1, 5, 0.4)
+    for _ in range(polls_after_stop):
+        link.poll(5, 0, None, 0.0)
+    answer = link.start(cluster.StartOrder(TASK, 2, RUN_MS, 60_000, 5), 1.0)
+    assert answer.outcome is cluster.OrderOutcome.DONE
+    assert len(worker.polls) == 2
+
+
+def test_a_polled_connection_replaces_one_that_an_order_has_lost(
+    serve: ServeWorker, log: timed_worker.RunLog
+) -> None:
+    """Under lost calls each start waited for one more call that may be lost."""
+    worker = PolledWorker(log)
+    _, link = serve(worker)
+    start = cluster.StartOrder(TASK, 1, RUN_MS, 60_000, 5)
+    link.start(start, 1.0)
+    worker.unreachable = True
+    lost = link.start(start._replace(task=TASK._replace(position=1)), 0.1)
+    assert lost.outcome is cluster.OrderOutcome.UNKNOWN
+    worker.unreachable = False
+    for _ in range(2):
+        link.poll(5, 0, None, 0.0)
+    worker.polls.clear()
+    answer = link.start(start._replace(task=TASK._replace(position=2)), 1.0)
+    assert answer.outcome is cluster.OrderOutcome.DONE
+    assert not worker.polls
+
+
+def test_a_poll_before_a_restart_confirms_no_later_connection(
+    serve: ServeWorker,
+    worker: timed_worker.TimedWorker,
+    log: timed_worker.RunLog,
+) -> None:
+    _, link = serve(worker)
+    link.poll(5, 0, None, 0.0)
+    worker.crash(0.0)
+    link.stop(TASK, 1, 5, 0.4)
+    link.poll(5, 0, None, 0.0)
+    answer = link.start(cluster.StartOrder(TASK, 2, RUN_MS, 60_000, 5), 1.0)
+    assert answer.outcome in UNSENT
+    assert not log.run_events
+
+
 def test_starts_queued_for_a_former_incarnation_are_refused_without_calls(
     serve: ServeWorker, log: timed_worker.RunLog
 ) -> None:
