Make the tests of late orders independent of scheduling

test_a_late_order_does_not_reach_the_next_incarnation failed now and then under load. Traced beside ten busy loops (load average 20 to 25, failed in one run of four): starting the thread of the late order took 92 ms, so that the order, due after 100 ms, was executed 2.3 ms before the test crashed the worker. The stand-in was right: the order reached the incarnation that it was sent to.

Both tests of late orders now hold the worker's lock, under which orders are executed, until the crash or the check for an early effect is over. The second also compares the time of the start with that of the order, as strict as before: they fail if the stand-in forgets the incarnation or the delay.

--- a/tests/test_order_faults.py
+++ b/tests/test_order_faults.py
@@ -6,6 +6,7 @@
 from concurrent import futures
 import json
 import threading
+import time
 from typing import Any
 
 import pytest
@@ -79,11 +80,16 @@
     log: timed_worker.RunLog,
 ) -> None:
     faulty.faults = order_faults.OrderFaults(1.0, 0.1, 0.1)
-    assert call("/api/run-start", START) == 500
-    assert faulty.late_calls == 1
-    assert not log.run_events
+    sent_at = time.monotonic()
+    # Orders are executed under the lock, so this one can't be early.
+    with faulty.service.worker.lock:
+        assert call("/api/run-start", START) == 500
+        assert faulty.late_calls == 1
+        assert not log.run_events
     assert waiting.wait_until(lambda: not faulty.late_calls)
-    assert [run_event.late for run_event in log.run_events] == [True]
+    (run_event,) = log.run_events
+    assert run_event.late
+    assert run_event.at - sent_at >= 0.1
 
 
 def test_a_late_order_does_not_reach_the_next_incarnation(
@@ -92,8 +98,12 @@
     log: timed_worker.RunLog,
 ) -> None:
     faulty.faults = order_faults.OrderFaults(1.0, 0.1, 0.1)
-    call("/api/run-start", START)
-    faulty.service.worker.crash(0.0)
+    # Orders are executed under the lock, so this one waits for the crash even
+    # if its thread runs before.
+    with faulty.service.worker.lock:
+        call("/api/run-start", START)
+        assert faulty.late_calls == 1
+        faulty.service.worker.crash(0.0)
     assert waiting.wait_until(lambda: not faulty.late_calls)
     assert not log.run_events
 
