Let trials that have proved nothing run together

Cause: each trial of a task with two crashes was alone in its pool, as two that crash together would excuse or convict each other. Such a task needs three of them, and no proof from any: it is given up at its fifth crash.

From the third crash on, trials run beside others of that kind, not beside one that may be the first proof, nor while such a verdict is pending. If two of them crash within 1 s, neither is an observation, so a burst that hits both convicts nobody. They still count towards the fifth crash, as any crash after a start. Tasks that are tried alone are judged as before.

test_tasks_that_trials_have_not_proved_are_tried_together fails if trials run alone, and if crashes together are proof; the latter also fails a new test of the contract.

--- a/bench/crash_pool.py
+++ b/bench/crash_pool.py
@@ -230,6 +230,9 @@
             tried=frozenset(
                 task for task in suspects if task.crash_record.needs_trial
             ),
+            is_shared=any(
+                task.crash_record.may_share_trial for task in suspects
+            ),
         )
         self._crashes = [
             other
@@ -286,6 +289,7 @@
             task_crash.weighed._replace(
                 has_outside_cause=circumstances.has_outside_cause,
                 has_common_cause=circumstances.has_common_cause,
+                is_beside_trial=circumstances.is_beside_trial,
                 background_rate=self._rate(task, self._crashes),
                 isolated_rate=self._rate(task, self._isolated_crashes()),
             ),
@@ -382,7 +386,12 @@
             if (
                 worker is None
                 or not self._may_try(task)
-                or (_needs_proof(task) and self._has_open_proof())
+                or (
+                    task.crash_record.needs_proof
+                    and not crash_evidence.may_try_beside(
+                        task.crash_record, self._records_on_proof()
+                    )
+                )
             ):
                 self._waiting.append(task)
                 continue
@@ -419,13 +428,16 @@
             )
         )
 
-    def _has_open_proof(self) -> bool:
-        """Whether a task that a crash may convict is on trial, or judged."""
-        return bool(self._verdict_by_task) or any(
-            _needs_proof(task) and task.is_new(worker.seen_until(self._now))
-            for worker in self._workers
-            for task in worker.tasks
-        )
+    def _records_on_proof(self) -> Iterator[crash_evidence.CrashRecord]:
+        """Returns what was known of tasks that a crash may convict."""
+        yield from (crash.former for crash in self._verdict_by_task.values())
+        for worker in self._workers:
+            for task in worker.tasks:
+                record = task.crash_record
+                if record.needs_proof and task.is_new(
+                    worker.seen_until(self._now)
+                ):
+                    yield record
 
     def _choices(self, task: Task) -> Iterator[Worker]:
         """Returns workers for a task, those with the fewest runs first."""
@@ -446,7 +458,3 @@
                 )
             )
         )
-
-
-def _needs_proof(task: Task) -> bool:
-    return task.crash_record.needs_proof
--- a/tests/contracts/test_crash_evidence.py
+++ b/tests/contracts/test_crash_evidence.py
@@ -363,6 +363,44 @@
     assert crash_evidence.record_crash(record, *ALONE).convicted
 
 
+PROVABLE = record_of(ALONE, ALONE_IN_SPELL)
+UNPROVEN = record_of(ALONE, ALONE_IN_SPELL, BESIDE_OTHERS)
+
+
+@pytest.mark.parametrize(
+    ("record", "others", "may_try"),
+    [
+        (PROVABLE, [], True),
+        (PROVABLE, [PROVABLE], False),
+        (PROVABLE, [UNPROVEN], False),
+        (UNPROVEN, [], True),
+        (UNPROVEN, [UNPROVEN, UNPROVEN], True),
+        (UNPROVEN, [UNPROVEN, PROVABLE], False),
+    ],
+)
+def test_only_trials_that_have_proved_nothing_run_beside_each_other(
+    record: crash_evidence.CrashRecord,
+    others: list[crash_evidence.CrashRecord],
+    may_try: bool,
+) -> None:
+    """Otherwise a bad task would cost more workers beside another one."""
+    assert crash_evidence.may_try_beside(record, others) is may_try
+
+
+@pytest.mark.parametrize("is_settled", [False, True])
+def test_trials_that_crash_together_prove_nothing(is_settled: bool) -> None:
+    """Nor does either excuse a task that is tried alone."""
+    tried = frozenset({TriedTask(UNPROVEN, done=False)})
+    other = crash_evidence.WorkerCrash(
+        10.5, True, is_settled, tried=tried, is_shared=True
+    )
+    beside = crash_evidence.circumstances(1, AT_TEN, [other])
+    assert not beside.has_common_cause
+    record = crash_evidence.record_crash(UNPROVEN, 0.0, beside)
+    assert record.convicted is is_settled
+    assert crash_evidence.record_crash(PROVABLE, 0.0, beside).convicted
+
+
 def test_crashes_beside_each_other_are_not_isolated() -> None:
     """After a burst, a crash in a calm need not be weighed against it."""
     times = (0.0, 5.0, 5.5, 9.0)
--- a/tests/machines/batch/test_crash_review.py
+++ b/tests/machines/batch/test_crash_review.py
@@ -139,6 +139,46 @@
     assert [job.state for job in jobs] == [batch_job.JobState.RUNNING] * 2
 
 
+def suspect(
+    site: test_crash_bursts.BurstSite, job_id: str, crashes: int
+) -> batch_job.Unit:
+    """Adds a task with crashes in one spell, the last of them long ago."""
+    (unit,) = add_job(site, job_id, cpu=ALL_CORES).unit_by_key.values()
+    unit.crash_record = crash_evidence.CrashRecord(
+        crashes, crashes, early=crashes, moments=1
+    )
+    unit.early_crash_at = unit.lost_at = time.monotonic() - CALM_SECONDS
+    site.pool.suspect_by_key[job_id, unit.key] = unit
+    return unit
+
+
+def test_tasks_that_trials_have_not_proved_are_tried_together(
+    site: test_crash_bursts.BurstSite,
+) -> None:
+    """Twelve bad tasks still waited 30 s after the last crash of a burst.
+
+    The bench of crashes with starts that no worker confirmed. Their crashes at
+    the same time are no proof, as they may be of one burst.
+    """
+    cancel_first_job(site)
+    provable = suspect(site, "j2", crash_evidence.MIN_CRASHES)
+    unproven = [
+        suspect(site, job_id, crash_evidence.MAX_UNTRIED_CRASHES)
+        for job_id in ("j3", "j4")
+    ]
+    start_on_workers(site, 6)
+    assert provable.runs
+    assert not any(unit.runs for unit in unproven)
+    site.clock.advance(crash_evidence.ACQUITTAL_SECONDS)
+    site.stepped.poll(provable.runs[0].worker)
+    start_on_workers(site, 0)
+    assert all(unit.runs for unit in unproven)
+    site.list_crashes(*(run.worker for unit in unproven for run in unit.runs))
+    site.reach_verdict()
+    assert not any(unit.job.finished for unit in unproven)
+    assert [unit.crash_record.moments for unit in unproven] == [1, 1]
+
+
 def test_a_crash_that_becomes_known_late_is_of_the_same_burst(
     site: test_crash_bursts.BurstSite,
 ) -> None:
--- a/wisteriasill/contracts/crash_evidence.py
+++ b/wisteriasill/contracts/crash_evidence.py
@@ -129,6 +129,16 @@
         early = self.early_crashes
         return early > 0 and early + self.explained >= MIN_CRASHES
 
+    @property
+    def may_share_trial(self) -> bool:
+        """Whether its trial may run beside others of this kind.
+
+        A trial that was to prove something has not, so the task is likely to
+        reach the number of crashes at which it is given up unproven.
+        """
+        early = self.early_crashes
+        return early > 0 and early + self.explained > MIN_CRASHES
+
     @property
     def crashes_allowed(self) -> int:
         """Unexplained crashes at which the task may be given up unproven.
@@ -164,6 +174,7 @@
         tasks: Tasks that were on the worker.
         suspects: Those of them that had just started.
         tried: Those of the suspects that had been suspected before.
+        is_shared: Whether trials of others may have run beside one of theirs.
     """
 
     at: float
@@ -172,6 +183,7 @@
     tasks: frozenset[Hashable] = frozenset()
     suspects: frozenset[Suspect] = frozenset()
     tried: frozenset[Suspect] = frozenset()
+    is_shared: bool = False
 
     @property
     def has_suspect(self) -> bool:
@@ -197,6 +209,8 @@
             the time and neither a start nor a drain explains it.
         has_common_cause: Whether another worker, also of another pool, crashed
             at about the time and is not accounted for.
+        is_beside_trial: Whether a worker crashed at about the time under a
+            trial that this one may have run beside.
         background_rate: Crashes per second and worker of the pool that the
             task is not among the possible causes of.
         isolated_rate: The same of isolated crashes only.
@@ -208,6 +222,7 @@
     suspects: int
     has_outside_cause: bool = False
     has_common_cause: bool = False
+    is_beside_trial: bool = False
     background_rate: float = 0.0
     isolated_rate: float = 0.0
     is_confirmed: bool = True
@@ -361,6 +376,21 @@
     )
 
 
+def may_try_beside(record: CrashRecord, others: Iterable[CrashRecord]) -> bool:
+    """Whether a trial may run while others may be proof.
+
+    Two that crash together excuse each other, as a burst may have caused both
+    crashes. So only those may that need no proof to be given up.
+
+    Args:
+        record: What crashes told of the task.
+        others: The same of the tasks whose trials may be proof, as of before
+            their crashes.
+    """
+    records = [*others]
+    return not records or all(one.may_share_trial for one in (record, *records))
+
+
 def restart_delay_seconds(record: CrashRecord, rate: float) -> float:
     """Returns how long a long-running task waits after a crash.
 
@@ -418,6 +448,7 @@
         any(not crash.is_explained for crash in beside),
         any(not crash.is_accounted_for for crash in beside)
         or any(map(time.may_share_cause, elsewhere_at)),
+        any(crash.is_shared and not crash.is_settled for crash in beside),
     )
 
 
@@ -449,6 +480,7 @@
             crash.is_confirmed
             and crash.seconds_since_last >= SPELL_SECONDS
             and not crash.has_common_cause
+            and not (record.may_share_trial and crash.is_beside_trial)
         )
     )
     moments = record.observations + is_observation if is_new else 0
--- a/wisteriasill/machines/batch_crashes.py
+++ b/wisteriasill/machines/batch_crashes.py
@@ -67,6 +67,10 @@
             frozenset(
                 unit for unit in suspects if unit.crash_record.needs_trial
             ),
+            any(
+                unit.crash_record.may_share_trial and not unit.step.lasting
+                for unit in suspects
+            ),
         )
 
     def _note_crashes_elsewhere(self, worker_ids: Iterable[str]) -> None:
@@ -109,9 +113,13 @@
             self._crash_by_worker.values(), self._crashed_elsewhere_at
         )
 
-    def has_open_verdict(self) -> bool:
-        """Whether a crash under a finite task waits for its verdict."""
-        return any(not unit.step.lasting for unit in self._verdict_by_unit)
+    def records_before_verdicts(self) -> list[crash_evidence.CrashRecord]:
+        """Returns what was known of finite tasks that are being judged."""
+        return [
+            crash.former
+            for unit, crash in self._verdict_by_unit.items()
+            if not unit.step.lasting
+        ]
 
     def may_try(
         self,
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -133,10 +133,14 @@
         trials = len(trial_workers)
         held = 0
         isolated = self.isolated_crashes()
-        # Two trials that crash together would excuse or convict each other.
-        may_prove = not self.has_open_verdict() and not any(
-            _needs_proof(run.unit) for run in self._trial_runs
-        )
+        on_proof = [
+            *self.records_before_verdicts(),
+            *(
+                run.unit.crash_record
+                for run in self._trial_runs
+                if _needs_proof(run.unit)
+            ),
+        ]
         waiting = [
             unit
             for unit in self.suspect_by_key.values()
@@ -155,11 +159,13 @@
             ]
             if not choices:
                 return
-            if _needs_proof(unit) and not may_prove:
+            if _needs_proof(unit) and not crash_evidence.may_try_beside(
+                unit.crash_record, on_proof
+            ):
                 continue
             used = self._plan_trial(unit, choices, now)
             if _needs_proof(unit) and unit.runs:
-                may_prove = False
+                on_proof.append(unit.crash_record)
             if not used and held < accepting // WORKERS_PER_TRIAL:
                 used = self._hold_worker(unit, choices, now)
                 held += len(used)
