--- a/tests/links/test_submission_relay.py
+++ b/tests/links/test_submission_relay.py
@@ -21,43 +21,6 @@
 JOB = "5c0e7a21d94b36f8"
 SPEC = job_spec.JobSpec("text", (batch_site.step(2),))
 STORED = submission_relay.Outcome.STORED
-# The threads of a connection may be scheduled late.
-PATIENCE_SECONDS = 20.0
-DEADLINE_SECONDS = 3 * PATIENCE_SECONDS
-
-
-class PauseClock:
-    """Stands in for the `time` of a module; only its pauses take time."""
-
-    def __init__(self) -> None:
-        self._started_at = time.monotonic()
-        self.paused_seconds = 0.0
-
-    def time(self) -> float:
-        """Returns the Unix time."""
-        return time.time()
-
-    def monotonic(self) -> float:
-        """Returns the monotonic time."""
-        return self._started_at + self.paused_seconds
-
-    def sleep(self, seconds: float) -> None:
-        """Advances the monotonic time."""
-        self.paused_seconds += seconds
-
-
-@pytest.fixture(autouse=True)
-def pause_clock(monkeypatch: pytest.MonkeyPatch) -> PauseClock:
-    """The clock of submissions, beside connections without time limits."""
-    for name in (
-        "OPEN_TIMEOUT_SECONDS",
-        "ANSWER_TIMEOUT_SECONDS",
-        "CLOSE_TIMEOUT_SECONDS",
-    ):
-        monkeypatch.setattr(submission_relay, name, PATIENCE_SECONDS)
-    clock = PauseClock()
-    monkeypatch.setattr(job_api, "time", clock)
-    return clock
 
 
 @pytest.fixture
@@ -98,12 +61,8 @@
     return f"127.0.0.1:{peer.port}"
 
 
-def submit(api: job_api.JobApi) -> job_api.Outcome:
-    return api.submit(batch_site.QUEUE, JOB, SPEC, deadline())
-
-
-def deadline() -> float:
-    return time.monotonic() + DEADLINE_SECONDS
+def submit(api: job_api.JobApi, seconds: float = 3.0) -> job_api.Outcome:
+    return api.submit(batch_site.QUEUE, JOB, SPEC, time.monotonic() + seconds)
 
 
 def stored_rows(store: row_store.MemoryRowStore) -> int:
@@ -121,7 +80,6 @@
     store: row_store.MemoryRowStore,
     own_store: row_store.MemoryRowStore,
     peer: submission_relay.RelayServer,
-    pause_clock: PauseClock,
 ) -> None:
     """A partial store outage must not fail jobs.
 
@@ -129,9 +87,10 @@
     Mandacaru (trouble-1), while 14 nodes could not reach the store.
     """
     api = api_with(own_store, address_of(peer), unused_address())
+    started_at = time.monotonic()
     assert isinstance(submit(api), result.Success)
     assert isinstance(submit(api), result.Success)
-    assert pause_clock.paused_seconds < 1.0
+    assert time.monotonic() - started_at < 1.0
     assert stored_rows(store) == 1
 
 
@@ -151,21 +110,19 @@
     store: row_store.MemoryRowStore,
     own_store: row_store.MemoryRowStore,
     peer: submission_relay.RelayServer,
-    pause_clock: PauseClock,
 ) -> None:
     store.down = True
     api = api_with(own_store, address_of(peer))
+    started_at = time.monotonic()
     failure = submit(api).failure()
     assert failure.kind is errors.ErrorKind.ACCEPTANCE_UNKNOWN
-    # The peer answered.
-    assert "can't be reached" in failure.detail
-    assert pause_clock.paused_seconds < 2 * job_api.BUSY_SECONDS
+    assert time.monotonic() - started_at < 2 * job_api.BUSY_SECONDS
 
 
 def test_relay_to_unreachable_peer_is_refused() -> None:
     relay = submission_relay.PeerRelay(lambda: [unused_address()])
     submission = submission_relay.Submission("bench", JOB, b"row")
-    outcome = relay.store(submission, deadline())
+    outcome = relay.store(submission, time.monotonic() + 2.0)
     assert outcome is submission_relay.Outcome.REFUSED
 
 
@@ -180,4 +137,4 @@
         assert [*connection] == []
     relay = submission_relay.PeerRelay(lambda: [address_of(peer)])
     submission = submission_relay.Submission("bench", JOB, b"row")
-    assert relay.store(submission, deadline()) is STORED
+    assert relay.store(submission, time.monotonic() + 2.0) is STORED
