--- a/tests/machines/batch/test_order_review.py
+++ b/tests/machines/batch/test_order_review.py
@@ -72,6 +72,13 @@
         self.interrupt()
         super().__delitem__(run)
 
+    def pop(  # type: ignore[override]
+        self, run: batch_job.Run, default: float | None = None
+    ) -> float | None:
+        """Removes a stop."""
+        self.interrupt()
+        return super().pop(run, default)
+
 
 def test_a_stop_ordered_as_an_adopted_run_is_dropped_from_the_stops_is_sent(
     site: batch_site.SteppedPool,
