--- a/tests/adapter/test_reused_worker_ids.py
+++ b/tests/adapter/test_reused_worker_ids.py
@@ -238,10 +238,10 @@
     """Only one that was sent after it proves that the incarnation was alive."""
     worker = PolledWorker(log)
     _, link = serve(worker)
-    link.poll(5, 0, None, 0.0)
+    link.poll(5, 0, None, 0.0, 1.0)
     link.stop(TASK, 1, 5, 0.4)
     for _ in range(polls_after_stop):
-        link.poll(5, 0, None, 0.0)
+        link.poll(5, 0, None, 0.0, 1.0)
     answer = link.start(cluster.StartOrder(TASK, 2, RUN_MS, 60_000, 5), 1.0)
     assert answer.outcome is cluster.OrderOutcome.DONE
     assert len(worker.polls) == 2
@@ -260,7 +260,7 @@
     assert lost.outcome is cluster.OrderOutcome.UNKNOWN
     worker.unreachable = False
     for _ in range(2):
-        link.poll(5, 0, None, 0.0)
+        link.poll(5, 0, None, 0.0, 1.0)
     worker.polls.clear()
     answer = link.start(start._replace(task=TASK._replace(position=2)), 1.0)
     assert answer.outcome is cluster.OrderOutcome.DONE
@@ -273,10 +273,10 @@
     log: timed_worker.RunLog,
 ) -> None:
     _, link = serve(worker)
-    link.poll(5, 0, None, 0.0)
+    link.poll(5, 0, None, 0.0, 1.0)
     worker.crash(0.0)
     link.stop(TASK, 1, 5, 0.4)
-    link.poll(5, 0, None, 0.0)
+    link.poll(5, 0, None, 0.0, 1.0)
     answer = link.start(cluster.StartOrder(TASK, 2, RUN_MS, 60_000, 5), 1.0)
     assert answer.outcome in UNSENT
     assert not log.run_events
