Repeat a lost stop of a run that is not shown at work

Callers would see LOST: the start and the first stop of a lasting run got no answer. Then another task of the step lost its worker. The stop waited for the disruption budget, its start was not repeated, as a stop had been sent, and the worker's leases went on. If the other task needed that room, neither ran again.

Cause: a run counted as possibly serving although a stop may have ended it. Once a stop was sent, it waits for the budget only while reports show the run at work.

test_a_run_with_a_lost_stop_does_not_wait_for_a_task_that_needs_its_room failed before.

--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -444,6 +444,11 @@
                 and not run.unit.job.finished
                 and not run.unit.job.record.cancelled
                 and not self.fenced
+                # Once a stop was sent, only a report shows that it serves.
+                and (
+                    not run.stop_sent
+                    or run.state is batch_job.RunState.RUNNING
+                )
                 and not self._has_disruption_budget(run.unit)
             ):
                 return workers.StopPermit.WAIT
