Repeat no start at a worker that drains

Callers would see DRAIN broken: a start may be sent 1.5 s after it was planned, and its repeats come up to a second later, 2.2 s after the notice that the worker drains (2.0 s are allowed at the small sites). A start whose stop is held could also be repeated at a worker whose drain was requested, and be adopted and stopped there.

Cause: repeats asked whether the run is wanted, not whether its worker still takes tasks.

test_a_start_is_not_repeated_at_a_worker_that_has_drained failed before.

--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -740,6 +740,7 @@
                 return cluster.OrderAnswer(cluster.OrderOutcome.DONE)
             if (
                 run.state is batch_job.RunState.ENDED
+                or self.entry.state is cluster.WorkerState.DRAINING
                 or not self._owner.may_start(run)
             ):
                 break
@@ -840,6 +841,8 @@
         if (
             run.stop_sent
             or run.state is not batch_job.RunState.UNCERTAIN
+            or self.drain_requested
+            or self.entry.state is cluster.WorkerState.DRAINING
             or not self.is_responsive(time.monotonic())
             or not self._owner.may_renew()
             or not self._order_calls.withdraw_repeat()
