Keep a stop that is ordered while a former one is dropped

Callers would see UNASKED: a run was adopted, and its queued stop was about to be dropped. Its job was cancelled at that moment; the new stop found the old entry and added none, the entry was deleted, and the run went on for as long as its worker.

Cause: the check and the deletion are two steps, and the thread that orders a stop is another one. The check is repeated after the deletion.

test_a_stop_ordered_as_an_adopted_run_is_dropped_from_the_stops_is_sent failed before.

--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -674,8 +674,11 @@
         for run, due_at in sorted(
             due_at_by_run.items(), key=lambda item: item[1]
         ):
-            if run.state is batch_job.RunState.ENDED or not run.stopping:
-                del due_at_by_run[run]
+            if not _needs_stop(run):
+                due_at_by_run.pop(run, None)
+                if _needs_stop(run):
+                    # Another thread has ordered its stop in the meantime.
+                    due_at_by_run.setdefault(run, time.monotonic())
             elif due_at <= time.monotonic():
                 return run
         return None
@@ -874,6 +877,10 @@
         )
 
 
+def _needs_stop(run: batch_job.Run) -> bool:
+    return run.stopping and run.state is not batch_job.RunState.ENDED
+
+
 def _is_starting_to_serve(run: batch_job.Run) -> bool:
     return (
         run.unit.step.lasting
