Ignore the answer to a start whose run has passed to the next incarnation

Callers would see TWICE: a worker restarts while a start to it waits for an answer, and the run passes to the next incarnation, which is to refuse it. The answer that the former one had given confirmed the run there; it counted as ended once that incarnation did not report it, and its stop was never sent.

Cause: only the answers to stops were checked for it.

test_an_answer_of_a_former_incarnation_does_not_end_the_stop_at_the_next failed before. The link keeps starts from the next incarnation, so it matters only where a platform executes a late call there.

--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -446,8 +446,7 @@
                 and not self.fenced
                 # Once a stop was sent, only a report shows that it serves.
                 and (
-                    not run.stop_sent
-                    or run.state is batch_job.RunState.RUNNING
+                    not run.stop_sent or run.state is batch_job.RunState.RUNNING
                 )
                 and not self._has_disruption_budget(run.unit)
             ):
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -691,6 +691,8 @@
         if not self._owner.claim_start(run):
             return
         answer = self._call_start(run, order)
+        if run.worker is not self:
+            return  # The next incarnation is told to refuse it.
         self._check_incarnation(answer)
         self._record_answer_clock(answer)
         self._owner.on_start_answer(run, answer)
@@ -855,7 +857,7 @@
         if not self._owner.claim_start(run):
             return
         answer = self._call_start_once(order)
-        if answer.outcome not in _UNANSWERED:
+        if run.worker is self and answer.outcome not in _UNANSWERED:
             self._record_answer_clock(answer)
             self._owner.on_start_answer(run, answer)
 
