Count the calls for a held start without an answer

Callers would see TWICE: an error had left the first start of a run unsent. While its stop waited for the disruption budget, the start was sent without an answer, then refused at a repeat; the refusal ended the run, though the call before it may be carried out late.

Cause: only the calls of an ordinary start were counted as unanswered.

test_a_held_start_without_an_answer_is_not_ended_by_a_later_refusal failed before.

--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -856,6 +856,7 @@
         order = self._start_order(run)
         if not self._owner.claim_start(run):
             return
+        run.has_unanswered_start = True
         answer = self._call_start_once(order)
         if run.worker is self and answer.outcome not in _UNANSWERED:
             self._record_answer_clock(answer)
