Give a worker its repeat back when its node has none left

Starts without an answer were given up although the node had repeats again: while the budget of a node is empty, each try took one from the budget of the worker.

test_an_empty_budget_of_the_node_leaves_that_of_a_worker failed before.

--- a/wisteriasill/contracts/order_policy.py
+++ b/wisteriasill/contracts/order_policy.py
@@ -273,6 +273,11 @@
             self._repeats -= 1
             return True
 
+    def put_back(self) -> None:
+        """Returns a repeat that was not made."""
+        with self._lock:
+            self._add(1.0)
+
     def _add(self, repeats: float) -> None:
         self._repeats = min(self._most, self._repeats + repeats)
 
@@ -370,4 +375,9 @@
 
     def withdraw_repeat(self) -> bool:
         """Takes a repeat from the budgets of the worker and of the node."""
-        return self._budget.withdraw() and self._pool.node.budget.withdraw()
+        if not self._budget.withdraw():
+            return False
+        if self._pool.node.budget.withdraw():
+            return True
+        self._budget.put_back()
+        return False
