Keep the calls for a start at a cut worker within their longest time

Jobs waited behind a worker that was cut off: the calls for one start took 1.28 s, and 1.8 s with a report before each of them, though they may take 1.0 s and a single call took as long before.

Cause: each call had the whole timeout by the policy, whatever time was left. The last one gets what is left now. So that a worker that takes half a second is still known for it within one start, the timeout doubles after each call without an answer.

test_the_calls_for_a_start_at_a_cut_worker_keep_their_longest_time failed before in both cases.

--- a/wisteriasill/contracts/order_policy.py
+++ b/wisteriasill/contracts/order_policy.py
@@ -51,7 +51,7 @@
     min_timeout_seconds: float = 0.15
     max_timeout_seconds: float = 1.0
     max_stop_timeout_seconds: float = 0.4
-    backoff_factor: float = 1.5
+    backoff_factor: float = 2.0
     max_start_calls: int = 5
     max_start_seconds: float = 1.0
     max_poll_calls: int = 4
@@ -366,6 +366,18 @@
         """Records a call that got no answer in time."""
         self._times = self._policy.after_timeout(self._times)
 
+    def start_seconds_left(self, elapsed_seconds: float) -> float:
+        """Returns the longest timeout of the next call for a start.
+
+        Args:
+            elapsed_seconds: Time since the first call for it.
+        """
+        settings = self._pool.node.settings
+        return max(
+            settings.min_timeout_seconds,
+            settings.max_start_seconds - elapsed_seconds,
+        )
+
     def repeat_delay(self, attempts: Attempts) -> float | None:
         """Returns the pause before a repeat; None to give up."""
         delay_seconds = self._policy.repeat_delay(attempts, random.random())
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import enum
 import itertools
+import math
 import threading
 import time
 from typing import NamedTuple, Protocol
@@ -726,7 +727,10 @@
         first_sent_at = time.monotonic()
         for calls in itertools.count(1):
             sent_at = run.ordered_at = time.monotonic()
-            answer = self._call_start_once(order)
+            answer = self._call_start_once(
+                order,
+                self._order_calls.start_seconds_left(sent_at - first_sent_at),
+            )
             if answer.outcome not in _UNANSWERED:
                 break
             is_sent |= answer.outcome is cluster.OrderOutcome.UNKNOWN
@@ -759,21 +763,23 @@
         return answer._replace(outcome=cluster.OrderOutcome.UNKNOWN)
 
     def _call_start_once(
-        self, order: cluster.StartOrder
+        self, order: cluster.StartOrder, longest_seconds: float = math.inf
     ) -> cluster.OrderAnswer:
         return self._call(
             order_policy.Verb.START,
             lambda timeout_seconds: self.link.start(order, timeout_seconds),
+            longest_seconds,
         )
 
     def _call(
         self,
         verb: order_policy.Verb,
         send: Callable[[float], cluster.OrderAnswer],
+        longest_seconds: float = math.inf,
     ) -> cluster.OrderAnswer:
         """Sends an order with a timeout by earlier ones, and measures it."""
         calls = self._order_calls
-        timeout_seconds = calls.timeout_seconds(verb)
+        timeout_seconds = min(calls.timeout_seconds(verb), longest_seconds)
         sent_at = time.monotonic()
         answer = send(timeout_seconds)
         seconds = time.monotonic() - sent_at
