End the count of a step's unavailable tasks at its disruption budget

While a step starts, hardly any of them serves and the first few tell as much, so the count ends there. No behaviour changes.

--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -400,16 +400,17 @@
     def _has_disruption_budget(self, unit: batch_job.Unit) -> bool:
         """Whether a step's disruption budget allows one more stopped task."""
         now = time.monotonic()
-        unavailable = sum(
-            not any(
-                _is_serving(other_run, now) for other_run in other_unit.runs
-            )
+        allowed = max(1, unit.step.may_be_away)
+        unavailable = (
+            other_unit
             for other_unit in unit.job.units_by_step[
                 unit.occurrence, unit.step_number
             ]
             if other_unit is not unit
+            and not any(_is_serving(run, now) for run in other_unit.runs)
         )
-        return unavailable < max(1, unit.step.may_be_away)
+        # Steps may have thousands of tasks, so the count ends at the limit.
+        return len([*itertools.islice(unavailable, allowed)]) < allowed
 
     def current_load(self, now: float) -> host_moves.PoolLoad:
         """Returns the pool's load for the fleet controller."""
