Repeat a poll without an answer before its worker counts as silent

In reborn-late, half of the polls get no answer, too.

A poll without an answer is repeated up to three times, without a wait and without a renewal of the lease, within the same kind of budget as starts. So the tasks of a worker that is cut off start elsewhere no later than before: its last renewal is the one before the cut.

--- a/bench/event_world.py
+++ b/bench/event_world.py
@@ -95,6 +95,7 @@
         acknowledged: int,
         lease_until_ms: int | None,
         wait_seconds: float,
+        timeout_seconds: float,
     ) -> cluster.WorkerReport | cluster.OrderOutcome:
         """Polls the worker.
 
--- a/standins/batch_worker.py
+++ b/standins/batch_worker.py
@@ -145,6 +145,7 @@
         acknowledged: int,
         lease_until_ms: int | None,
         wait_seconds: float,
+        timeout_seconds: float = 1.0,
     ) -> cluster.WorkerReport | cluster.OrderOutcome:
         """Extends the lease and reads running and ended runs."""
         with self._lock:
--- a/tests/adapter/test_platform_contract_http.py
+++ b/tests/adapter/test_platform_contract_http.py
@@ -153,7 +153,7 @@
     assert link.start(order(), 1.0).outcome is cluster.OrderOutcome.DONE
     deadline = time.monotonic() + 5
     while time.monotonic() < deadline:
-        report = link.poll(5, 0, 60_000, 0.5)
+        report = link.poll(5, 0, 60_000, 0.5, 1.3)
         assert isinstance(report, cluster.WorkerReport)
         if report.ends:
             break
@@ -221,14 +221,14 @@
     Soak seeds 45 and 49: a worker was back under its id between two polls, and
     the next poll acknowledged ends that nobody had received.
     """
-    assert isinstance(link.poll(5, 0, 60_000, 0.0), cluster.WorkerReport)
+    assert isinstance(link.poll(5, 0, 60_000, 0.0, 0.8), cluster.WorkerReport)
     worker.crash()
     assert link.start(order(payload="1"), 1.0).outcome is (
         cluster.OrderOutcome.DONE
     )
     time.sleep(0.05)
     for _ in range(3):
-        link.poll(5, 1, 60_000, 0.0)
+        link.poll(5, 1, 60_000, 0.0, 0.8)
     report = worker.poll(5, 0, None, 0.0)
     assert isinstance(report, cluster.WorkerReport)
     assert [end.task for end in report.ends] == [TASK]
@@ -242,7 +242,9 @@
     )
     time.sleep(0.05)
     for _ in range(2):
-        assert isinstance(link.poll(5, 1, 60_000, 0.0), cluster.WorkerReport)
+        assert isinstance(
+            link.poll(5, 1, 60_000, 0.0, 0.8), cluster.WorkerReport
+        )
     report = worker.poll(5, 0, None, 0.0)
     assert isinstance(report, cluster.WorkerReport)
     assert not report.ends
--- a/tests/contracts/test_order_policy.py
+++ b/tests/contracts/test_order_policy.py
@@ -34,6 +34,8 @@
         ("max_start_seconds", float("inf")),
         ("backoff_factor", 0.9),
         ("max_start_calls", 0),
+        ("max_poll_calls", 0),
+        ("poll_slack_seconds", 0.1),
         ("repeat_delay_seconds", -0.1),
         ("repeat_spread", 1.5),
         ("node_repeats", -1.0),
@@ -94,12 +96,14 @@
 @pytest.mark.parametrize(
     ("attempts", "repeats"),
     [
-        (Attempts(1, 0.2), True),
-        (Attempts(SETTINGS.max_start_calls, 0.2), False),
-        (Attempts(1, SETTINGS.max_start_seconds), False),
+        (Attempts(Verb.START, 1, 0.2), True),
+        (Attempts(Verb.START, SETTINGS.max_start_calls, 0.2), False),
+        (Attempts(Verb.START, 1, SETTINGS.max_start_seconds), False),
+        (Attempts(Verb.POLL, 1, 0.2), True),
+        (Attempts(Verb.POLL, SETTINGS.max_poll_calls, 0.2), False),
     ],
 )
-def test_a_start_is_repeated_for_a_limited_time(
+def test_a_call_is_repeated_for_a_limited_time(
     policy: order_policy.MeasuredPolicy, attempts: Attempts, repeats: bool
 ) -> None:
     delays = [policy.repeat_delay(attempts, draw) for draw in (0.0, 1.0)]
--- a/tests/machines/batch/test_closing.py
+++ b/tests/machines/batch/test_closing.py
@@ -64,6 +64,7 @@
         acknowledged: int,
         lease_until_ms: int | None,
         wait_seconds: float,
+        timeout_seconds: float = 1.0,
     ) -> cluster.WorkerReport | cluster.OrderOutcome:
         """Counts a poll."""
         self.polls += 1
--- a/tests/machines/batch/test_pool.py
+++ b/tests/machines/batch/test_pool.py
@@ -317,6 +317,7 @@
         acknowledged: int,
         lease_until_ms: int | None,
         wait_seconds: float,
+        timeout_seconds: float = 1.0,
     ) -> cluster.WorkerReport | cluster.OrderOutcome:
         waits.append(wait_seconds)
         return poll(fencing_epoch, acknowledged, lease_until_ms, wait_seconds)
--- a/tests/machines/batch/test_stops.py
+++ b/tests/machines/batch/test_stops.py
@@ -302,6 +302,7 @@
         acknowledged: int,
         lease_until_ms: int | None,
         wait_seconds: float,
+        timeout_seconds: float,
     ) -> cluster.WorkerReport | cluster.OrderOutcome:
         requested.append(lease_until_ms)
         time.sleep(min(wait_seconds, 0.01))
--- a/tests/machines/batch/test_unanswered_starts.py
+++ b/tests/machines/batch/test_unanswered_starts.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import time
+from typing import Any
 
 import pytest
 
@@ -385,6 +387,60 @@
     assert len(link.running) == 3
 
 
+def test_a_worker_whose_report_was_lost_is_not_silent(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It got no starts until another poll, up to a second later, succeeded."""
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    lost = iter([True, True])
+    poll = link.poll
+
+    def lose_reports(
+        *args: Any,
+    ) -> cluster.WorkerReport | cluster.OrderOutcome:
+        if next(lost, False):
+            return cluster.OrderOutcome.UNKNOWN
+        return poll(*args)
+
+    monkeypatch.setattr(link, "poll", lose_reports)
+    site.poll(worker)
+    assert not worker.silent_since
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    assert site.run_round()
+
+
+def test_the_lease_of_a_worker_that_stops_answering_is_not_extended(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    started: Callable[..., workers.Worker],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its tasks start elsewhere as soon as before the repeats."""
+    worker = started(batch_site.step(1))
+    leases: list[int | None] = []
+
+    def lose_reports(
+        epoch: int,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_seconds: float,
+        timeout_seconds: float,
+    ) -> cluster.OrderOutcome:
+        leases.append(lease_until_ms)
+        return cluster.OrderOutcome.UNKNOWN
+
+    monkeypatch.setattr(link, "poll", lose_reports)
+    site.poll(worker)
+    assert worker.silent_since
+    assert leases[0]
+    assert leases[1:] == [None] * (SETTINGS.max_poll_calls - 1)
+    site.poll(worker)
+    assert len(leases) == SETTINGS.max_poll_calls + 1
+
+
 def test_a_repeat_may_reach_the_next_incarnation_of_a_worker(
     site: batch_site.SteppedPool,
     link: batch_worker.MemoryWorker,
--- a/wisteriasill/contracts/order_policy.py
+++ b/wisteriasill/contracts/order_policy.py
@@ -35,6 +35,10 @@
         backoff_factor: Factor of the timeout after each call without an answer.
         max_start_calls: Most calls for one start.
         max_start_seconds: Longest time for the calls for one start.
+        max_poll_calls: Most calls until a worker that answered the last poll
+            counts as silent.
+        poll_slack_seconds: Shortest time that a long poll waits for an answer
+            beyond the wait that it asked for.
         repeat_delay_seconds: Mean pause before a repeat.
         repeat_spread: Largest share by which a pause differs from the mean.
         worker_repeats: Most repeats that a worker's budget holds.
@@ -50,6 +54,8 @@
     backoff_factor: float = 1.5
     max_start_calls: int = 5
     max_start_seconds: float = 1.0
+    max_poll_calls: int = 4
+    poll_slack_seconds: float = 0.3
     repeat_delay_seconds: float = 0.02
     repeat_spread: float = 0.5
     worker_repeats: float = 10.0
@@ -81,6 +87,8 @@
         ("max_start_seconds", settings.min_timeout_seconds),
         ("backoff_factor", 1.0),
         ("max_start_calls", 1),
+        ("max_poll_calls", 1),
+        ("poll_slack_seconds", settings.min_timeout_seconds),
     ):
         value = getattr(settings, name)
         if value < least:
@@ -92,11 +100,16 @@
 
 
 class Verb(enum.Enum):
-    """What an order asks for."""
+    """What a call to a worker asks for.
+
+    LONG_POLL waits for news, POLL asks for the present state.
+    """
 
     START = "start"
     STOP = "stop"
     PACE = "pace"
+    POLL = "poll"
+    LONG_POLL = "long-poll"
 
 
 class CallTimes(NamedTuple):
@@ -119,19 +132,21 @@
 
 
 class Attempts(NamedTuple):
-    """Calls for one start that got no answer.
+    """Calls for one order that got no answer.
 
     Attributes:
+        verb: What it asks for.
         calls: Number of calls.
         seconds: Time since the first of them.
     """
 
+    verb: Verb
     calls: int
     seconds: float
 
 
 class OrderPolicy(Protocol):
-    """Decides how long to wait for an answer and whether to repeat a start."""
+    """Decides how long to wait for an answer and whether to repeat a call."""
 
     def timeout_seconds(self, verb: Verb, times: CallTimes) -> float:
         """Returns how long to wait for the answer to an order."""
@@ -172,6 +187,8 @@
             max(settings.min_timeout_seconds, times.expected_seconds),
             settings.max_timeout_seconds,
         )
+        if verb is Verb.LONG_POLL:
+            return max(settings.poll_slack_seconds, expected_seconds)
         if verb is Verb.STOP:
             longest_seconds = max(
                 settings.max_stop_timeout_seconds, expected_seconds
@@ -203,8 +220,13 @@
     def repeat_delay(self, attempts: Attempts, draw: float) -> float | None:
         """Returns the pause before a repeat; None to give up."""
         settings = self.settings
+        most_calls = (
+            settings.max_start_calls
+            if attempts.verb is Verb.START
+            else settings.max_poll_calls
+        )
         if (
-            attempts.calls >= settings.max_start_calls
+            attempts.calls >= most_calls
             or attempts.seconds >= settings.max_start_seconds
         ):
             return None
@@ -300,7 +322,9 @@
 
 
 class WorkerOrders:
-    """Response times and budget of one worker, for the thread of its orders.
+    """Response times and budget of one connection to a worker.
+
+    Only the thread of the connection uses it.
 
     Args:
         pool: What the orders of its pool share.
@@ -318,7 +342,10 @@
         )
 
     def timeout_seconds(self, verb: Verb) -> float:
-        """Returns how long to wait for the answer to an order."""
+        """Returns how long to wait for the answer to a call.
+
+        For a long poll, beyond the time for which it asks the worker to wait.
+        """
         times = self._times
         if not times.mean_seconds:
             times = self._pool.times._replace(timeouts=times.timeouts)
@@ -335,7 +362,7 @@
         self._times = self._policy.after_timeout(self._times)
 
     def repeat_delay(self, attempts: Attempts) -> float | None:
-        """Returns the pause before a repeat of a start; None to give up."""
+        """Returns the pause before a repeat; None to give up."""
         delay_seconds = self._policy.repeat_delay(attempts, random.random())
         if delay_seconds is None or not self.withdraw_repeat():
             return None
--- a/wisteriasill/links/cluster.py
+++ b/wisteriasill/links/cluster.py
@@ -371,6 +371,7 @@
         acknowledged: int,
         lease_until_ms: int | None,
         wait_seconds: float,
+        timeout_seconds: float,
     ) -> WorkerReport | OrderOutcome:
         """Extends the lease and reads running and ended runs.
 
@@ -381,6 +382,7 @@
                 incarnation than the one that it has reports of.
             lease_until_ms: New end of the lease; None leaves it unchanged.
             wait_seconds: Longest wait for a run to end.
+            timeout_seconds: Longest wait for the report.
 
         Returns:
             The report, or why there is none.
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -245,6 +245,7 @@
         # When to send the next stop of each run that should be gone.
         self._stop_due_at_by_run: dict[batch_job.Run, float] = {}
         self._order_calls = order_policy.WorkerOrders(owner.orders)
+        self._poll_calls = order_policy.WorkerOrders(owner.orders)
         self._order_ready = threading.Event()
         self._closing = threading.Event()
         self._wake = threading.Event()
@@ -461,12 +462,22 @@
         # start; an old number would acknowledge ends that nobody received.
         # After any sign of one nothing is acknowledged, and the link passes
         # the number on only to the incarnation that it has heard.
-        answer = self.link.poll(
-            self._owner.fencing_epoch,
-            0 if self.silent_since else self.last_stored_end,
-            self._extend_lease() if renews else None,
-            self._poll_wait_seconds() if responds else 0.0,
-        )
+        if responds:
+            wait_seconds = self._poll_wait_seconds()
+            answer = self.link.poll(
+                self._owner.fencing_epoch,
+                self.last_stored_end,
+                self._extend_lease() if renews else None,
+                wait_seconds,
+                wait_seconds
+                + self._poll_calls.timeout_seconds(order_policy.Verb.LONG_POLL),
+            )
+            if answer is cluster.OrderOutcome.UNKNOWN:
+                sent_at, answer = self._repeat_poll()
+        else:
+            answer = self._poll_at_once(
+                0 if self.silent_since else self.last_stored_end
+            )
         if self._closing.is_set():
             return False
         if isinstance(answer, cluster.OrderOutcome):
@@ -478,6 +489,50 @@
             self.last_polled_at = sent_at
         return True
 
+    def _repeat_poll(
+        self,
+    ) -> tuple[float, cluster.WorkerReport | cluster.OrderOutcome]:
+        """Repeats a poll without an answer, as only that may have been lost.
+
+        The worker may be cut off, so its lease is not renewed meanwhile.
+
+        Returns:
+            When the last poll was sent, and its answer.
+        """
+        failed_at = sent_at = time.monotonic()
+        answer: cluster.WorkerReport | cluster.OrderOutcome
+        answer = cluster.OrderOutcome.UNKNOWN
+        for calls in itertools.count(1):
+            delay_seconds = self._poll_calls.repeat_delay(
+                order_policy.Attempts(
+                    order_policy.Verb.POLL, calls, time.monotonic() - failed_at
+                )
+            )
+            if delay_seconds is None or self._closing.wait(delay_seconds):
+                break
+            sent_at = time.monotonic()
+            answer = self._poll_at_once(0)
+            if answer is not cluster.OrderOutcome.UNKNOWN:
+                break
+        return sent_at, answer
+
+    def _poll_at_once(
+        self, acknowledged: int
+    ) -> cluster.WorkerReport | cluster.OrderOutcome:
+        """Polls without a wait or a renewal of the lease."""
+        calls = self._poll_calls
+        timeout_seconds = calls.timeout_seconds(order_policy.Verb.POLL)
+        sent_at = time.monotonic()
+        answer = self.link.poll(
+            self._owner.fencing_epoch, acknowledged, None, 0.0, timeout_seconds
+        )
+        seconds = time.monotonic() - sent_at
+        if answer is not cluster.OrderOutcome.UNKNOWN:
+            calls.record_answer(seconds)
+        elif seconds >= TIMED_OUT_SHARE * timeout_seconds:
+            calls.record_timeout()
+        return answer
+
     def _needs_lease(self) -> bool:
         """Whether it has runs that should go on.
 
@@ -649,7 +704,11 @@
             return answer
         for calls in itertools.count(1):
             delay_seconds = self._order_calls.repeat_delay(
-                order_policy.Attempts(calls, time.monotonic() - first_sent_at)
+                order_policy.Attempts(
+                    order_policy.Verb.START,
+                    calls,
+                    time.monotonic() - first_sent_at,
+                )
             )
             if delay_seconds is None or self._closing.wait(delay_seconds):
                 break
