Send the orders behind an unanswered one side by side

An order without an answer held up all others of its worker, up to a second for each start: with half of them lost, a worker that could run sixteen tasks a second got some six starts, and its room was reserved by runs that had not been sent yet.

When a call to a worker times out, threads of a bounded pool of the shard (32) send the orders behind it, up to four at a time to a worker; they end when no order is due. No order of a run is sent while another one of that run waits for its answer, so a stop does not overtake its start. After three calls in a row without an answer the worker may be cut off, and its orders go one at a time.

--- a/tests/machines/batch/test_unanswered_starts.py
+++ b/tests/machines/batch/test_unanswered_starts.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import threading
 import time
 from typing import Any
 
 import pytest
 
 from standins import batch_worker
+from tests import waiting
 from tests.machines import batch_site
 from wisteriasill import events
 from wisteriasill.contracts import job_spec
@@ -469,3 +471,124 @@
     assert next_link.start(late[-1]).outcome is (
         cluster.OrderOutcome.RUN_TOO_OLD
     )
+
+
+class BlockingStarts:
+    """A worker whose first start gets no answer until it is released.
+
+    Attributes:
+        is_released: Ends the wait of the first start.
+        runs: Runs of the starts that arrived, in their order.
+        most: Most starts that waited or were answered side by side.
+    """
+
+    def __init__(
+        self, link: batch_worker.MemoryWorker, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        self.is_released = threading.Event()
+        self.runs: list[job_spec.TaskKey] = []
+        self.calls = 0
+        self.most = 0
+        self._lock = threading.Lock()
+        self._link = link
+        self._start = link.start
+        monkeypatch.setattr(link, "start", self.start)
+
+    def start(
+        self, order: cluster.StartOrder, timeout_seconds: float
+    ) -> cluster.OrderAnswer:
+        """Starts a run; the first one waits."""
+        with self._lock:
+            self.runs.append(order.task)
+            self.calls += 1
+            self.most = max(self.most, self.calls)
+        try:
+            if order.task == self.runs[0]:
+                self.is_released.wait(timeout_seconds)
+                return NO_ANSWER
+            time.sleep(0.01)
+            return self._start(order, timeout_seconds)
+        finally:
+            with self._lock:
+                self.calls -= 1
+
+
+def test_a_start_without_an_answer_does_not_hold_up_the_others(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each of them waited for a second behind it."""
+    starts = BlockingStarts(link, monkeypatch)
+    worker = site.add_worker("w1", link)
+    worker.open()
+    try:
+        assert waiting.wait_until(lambda: worker.is_reachable)
+        site.pool.on_record(batch_site.job_row("j1", [batch_site.step(9)]))
+        began = time.monotonic()
+        site.run_round()
+        assert waiting.wait_until(lambda: len(link.running) == 8)
+        assert time.monotonic() - began < SETTINGS.max_start_seconds
+        assert starts.most <= SETTINGS.worker_calls
+        starts.is_released.set()
+        stuck = starts.runs[0]
+        assert waiting.wait_until(lambda: (stuck, 1) in link.stops)
+        assert waiting.wait_until(lambda: not worker._lanes)
+    finally:
+        starts.is_released.set()
+        worker.close()
+        site.pool.close()
+
+
+def test_the_stop_of_a_run_waits_for_the_call_of_its_start(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A stop that overtakes its start would leave the run at work."""
+    starts = BlockingStarts(link, monkeypatch)
+    worker = site.add_worker("w1", link)
+    site.poll(worker)
+    step = batch_site.step(1)
+    site.pool.on_record(batch_site.job_row("j1", [step]))
+    site.run_round()
+    sender = threading.Thread(target=worker.send_once, daemon=True)
+    sender.start()
+    assert waiting.wait_until(lambda: starts.calls == 1)
+    site.pool.on_record(batch_site.job_row("j1", [step], True, version=2))
+    assert not worker.send_once()
+    assert worker._seconds_until_stop() is None
+    starts.is_released.set()
+    sender.join()
+    assert worker.send_once()
+    assert link.stops == [(TASK, 1)]
+
+
+def test_a_worker_that_answers_nothing_gets_few_starts_side_by_side(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each of them would wait for the end of the lease if it is cut off."""
+    sent: set[job_spec.TaskKey] = set()
+
+    def wait_in_vain(
+        order: cluster.StartOrder, timeout_seconds: float
+    ) -> cluster.OrderAnswer:
+        sent.add(order.task)
+        time.sleep(timeout_seconds)
+        return NO_ANSWER
+
+    monkeypatch.setattr(link, "start", wait_in_vain)
+    worker = site.add_worker("w1", link)
+    worker.open()
+    try:
+        assert waiting.wait_until(lambda: worker.is_reachable)
+        link.unreachable = True
+        site.pool.on_record(batch_site.job_row("j1", [batch_site.step(9)]))
+        site.run_round()
+        assert waiting.wait_until(lambda: not worker._orders)
+        assert len(sent) <= SETTINGS.max_silent_calls + 1
+    finally:
+        worker.close()
+        site.pool.close()
--- a/wisteriasill/contracts/order_policy.py
+++ b/wisteriasill/contracts/order_policy.py
@@ -46,6 +46,10 @@
         node_repeats: Most repeats that the budget of a node holds.
         node_repeats_per_second: Refill of the node's budget.
         repeats_per_answer: Repeats added to both budgets by each answer.
+        worker_calls: Most orders that are sent to a worker side by side.
+        pool_calls: Most orders of a pool beside the first one to each worker.
+        max_silent_calls: Calls without an answer in a row up to which orders go
+            side by side; a worker that leaves more of them may be cut off.
     """
 
     min_timeout_seconds: float = 0.15
@@ -63,6 +67,9 @@
     node_repeats: float = 200.0
     node_repeats_per_second: float = 50.0
     repeats_per_answer: float = 2.0
+    worker_calls: int = 4
+    pool_calls: int = 32
+    max_silent_calls: int = 2
 
 
 DEFAULT_SETTINGS = OrderSettings()
@@ -88,6 +95,8 @@
         ("backoff_factor", 1.0),
         ("max_start_calls", 1),
         ("max_poll_calls", 1),
+        ("worker_calls", 1),
+        ("pool_calls", 1),
         ("poll_slack_seconds", settings.min_timeout_seconds),
     ):
         value = getattr(settings, name)
@@ -322,9 +331,7 @@
 
 
 class WorkerOrders:
-    """Response times and budget of one connection to a worker.
-
-    Only the thread of the connection uses it.
+    """Response times and budget of the orders to a worker, or of its polls.
 
     Args:
         pool: What the orders of its pool share.
@@ -357,6 +364,18 @@
         self._budget.on_answer()
         self._pool.record_answer(seconds)
 
+    def may_go_side_by_side(self, calls: int) -> bool:
+        """Whether one more order may be sent beside others.
+
+        Args:
+            calls: Orders that are being sent to the worker.
+        """
+        settings = self._pool.node.settings
+        return (
+            calls < settings.worker_calls
+            and self._times.timeouts <= settings.max_silent_calls
+        )
+
     def record_timeout(self) -> None:
         """Records a call that got no answer in time."""
         self._times = self._policy.after_timeout(self._times)
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -9,6 +9,7 @@
 
 import collections
 from collections.abc import Mapping
+from concurrent import futures
 import threading
 import time
 from typing import NamedTuple
@@ -141,6 +142,10 @@
         self.orders = order_policy.PoolOrders(
             orders or order_policy.NodeOrders()
         )
+        # A thread for each of them is made when it is needed first.
+        self.order_lanes = futures.ThreadPoolExecutor(
+            self.orders.node.settings.pool_calls, "worker orders"
+        )
         # Starts that were refused or not sent since the last count, by reason.
         self._refused_starts: collections.Counter[str] = collections.Counter()
         self.lock = threading.RLock()
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -83,6 +83,7 @@
         """
         with self.lock:
             self._closed = True
+            self.order_lanes.shutdown(wait=False, cancel_futures=True)
             for worker in self.worker_by_id.values():
                 worker.close()
 
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -8,12 +8,14 @@
 
 import collections
 from collections.abc import Callable
+from concurrent import futures
 import enum
 import itertools
 import threading
 import time
 from typing import NamedTuple, Protocol
 
+from wisteriasill import events
 from wisteriasill import restarting_task
 from wisteriasill.contracts import crash_evidence
 from wisteriasill.contracts import job_spec
@@ -133,6 +135,10 @@
     def orders(self) -> order_policy.PoolOrders:
         """What the orders to the pool's workers share."""
 
+    @property
+    def order_lanes(self) -> futures.Executor:
+        """Threads for the orders behind those that get no answer."""
+
     def may_renew(self) -> bool:
         """Whether the pool may still extend leases."""
 
@@ -246,6 +252,11 @@
         self._stop_due_at_by_run: dict[batch_job.Run, float] = {}
         self._order_calls = order_policy.WorkerOrders(owner.orders)
         self._poll_calls = order_policy.WorkerOrders(owner.orders)
+        # Guards which orders are being sent, and by how many threads.
+        self._orders_lock = threading.Lock()
+        self._sent_runs: set[batch_job.Run] = set()
+        self._lanes = 0
+        self._is_open = False
         self._order_ready = threading.Event()
         self._closing = threading.Event()
         self._wake = threading.Event()
@@ -280,6 +291,7 @@
 
     def open(self) -> None:
         """Starts the worker's two threads."""
+        self._is_open = True
         for name, run in (
             ("worker poll", self._poll_loop),
             ("worker orders", self._send_orders),
@@ -597,7 +609,14 @@
 
     def _seconds_until_stop(self) -> float | None:
         """Returns the time until a stop is due; None if there is none."""
-        due_at = min([*self._stop_due_at_by_run.values()], default=None)
+        due_at = min(
+            (
+                due_at
+                for run, due_at in [*self._stop_due_at_by_run.items()]
+                if run not in self._sent_runs
+            ),
+            default=None,
+        )
         if due_at is None or self.is_removed:
             return None
         return max(0.0, due_at - time.monotonic())
@@ -613,26 +632,84 @@
         """
         if self.is_removed:
             return False
-        if (run := self._next_stop()) and not self._is_next_start_outdated():
-            self._stop(run)
-            return True
-        if not self._orders:
-            return False
-        order = self._orders.popleft()
-        if order.run.state is batch_job.RunState.ENDED:
-            return True
-        if order.verb == "pace":
+        with self._orders_lock:
+            if (run := self._next_stop()) and (
+                not self._is_next_start_outdated()
+            ):
+                order = WorkerOrder("stop", run)
+            elif self._orders:
+                order = self._orders.popleft()
+            else:
+                return False
+            if order.verb == "pace":
+                run = None
+            else:
+                # Its next order waits until this one has been answered.
+                run = order.run
+                self._sent_runs.add(run)
+        try:
+            self._send(order)
+        finally:
+            if run:
+                self._sent_runs.discard(run)
+                self._order_ready.set()
+        return True
+
+    def _send(self, order: WorkerOrder) -> None:
+        if order.verb == "stop":
+            self._stop(order.run)
+        elif order.run.state is batch_job.RunState.ENDED:
+            pass
+        elif order.verb == "pace":
             self._pace(order.run, order.percent)
-            return True
+        else:
+            try:
+                self._start(order.run)
+            except Exception:
+                # The start may have been sent.
+                self._owner.on_start_answer(
+                    order.run, cluster.OrderAnswer(cluster.OrderOutcome.UNKNOWN)
+                )
+                raise
+
+    def _open_lane(self) -> None:
+        """Sends the orders behind one without an answer beside it."""
+        with self._orders_lock:
+            if (
+                not self._is_open
+                or not self._orders
+                or not self._order_calls.may_go_side_by_side(self._lanes + 1)
+            ):
+                return
+            self._lanes += 1
         try:
-            self._start(order.run)
-        except Exception:
-            # The start may have been sent.
-            self._owner.on_start_answer(
-                order.run, cluster.OrderAnswer(cluster.OrderOutcome.UNKNOWN)
+            self._owner.order_lanes.submit(self._run_lane)
+        except RuntimeError:  # The pool is being closed.
+            self._close_lane()
+
+    def _close_lane(self) -> None:
+        with self._orders_lock:
+            self._lanes -= 1
+
+    def _run_lane(self) -> None:
+        """Sends orders until none is due or the worker may be cut off."""
+        try:
+            while (
+                not self._closing.is_set()
+                and self._order_calls.may_go_side_by_side(self._lanes)
+                and self.send_once()
+            ):
+                pass
+        except Exception as error:
+            events.log(
+                events.Event.TASK_FAILED,
+                "An order to a worker failed unexpectedly",
+                level="ERROR",
+                worker=self.worker_id,
+                error=repr(error),
             )
-            raise
-        return True
+        finally:
+            self._close_lane()
 
     def _is_next_start_outdated(self) -> bool:
         if not self._orders:
@@ -658,7 +735,7 @@
         ):
             if run.state is batch_job.RunState.ENDED or not run.stopping:
                 del due_at_by_run[run]
-            elif due_at <= time.monotonic():
+            elif due_at <= time.monotonic() and run not in self._sent_runs:
                 return run
         return None
 
@@ -753,6 +830,7 @@
             calls.record_answer(seconds)
         elif seconds >= TIMED_OUT_SHARE * timeout_seconds:
             calls.record_timeout()
+            self._open_lane()
         return answer
 
     def _check_incarnation(self, answer: cluster.OrderAnswer) -> None:
@@ -793,7 +871,7 @@
         if run.worker is not self:
             return  # The next incarnation stops it.
         if answer.outcome is cluster.OrderOutcome.FENCED:
-            del self._stop_due_at_by_run[run]
+            self._stop_due_at_by_run.pop(run, None)
         elif answer.outcome is cluster.OrderOutcome.UNREACHABLE:
             # No other stop would arrive either.
             for waiting_run in [*self._stop_due_at_by_run]:
