Repeat a start whose connection was not opened in time

With the shorter timeout of orders, a lost packet of a new connection made the start count as not sent: its run ended, and the worker got no starts until its next report.

A start whose connection was not opened within the timeout is repeated like one without an answer. If none of its calls was sent, the run ends as before, and no late order is expected. A refused connection ends it at once.

--- a/tests/machines/batch/test_unanswered_starts.py
+++ b/tests/machines/batch/test_unanswered_starts.py
@@ -303,6 +303,35 @@
     assert len(worker.run_by_task) == 1
 
 
+@pytest.mark.parametrize("refused", [True, False])
+def test_a_start_whose_connection_was_not_opened_in_time_is_repeated(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    monkeypatch: pytest.MonkeyPatch,
+    refused: bool,
+) -> None:
+    """A lost packet made the worker unreachable until its next report."""
+    start = link.start
+    calls: list[float] = []
+
+    def fail_to_connect(
+        order: cluster.StartOrder, timeout_seconds: float
+    ) -> cluster.OrderAnswer:
+        calls.append(timeout_seconds)
+        if len(calls) > 1:
+            return start(order, timeout_seconds)
+        time.sleep(0 if refused else timeout_seconds)
+        return cluster.OrderAnswer(cluster.OrderOutcome.UNREACHABLE)
+
+    monkeypatch.setattr(link, "start", fail_to_connect)
+    worker = order_start(site, link, batch_site.step(1))
+    assert worker.is_reachable is not refused
+    assert link.running == ({} if refused else {TASK: 1})
+    assert len(calls) == (1 if refused else 2)
+    if not refused:
+        assert not worker.run_by_task[TASK].has_unanswered_start
+
+
 def test_a_slow_worker_is_not_flooded(
     site: batch_site.SteppedPool,
     link: batch_worker.MemoryWorker,
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -52,6 +52,9 @@
 # A call that fails after a smaller share of its timeout did not time out: its
 # connection was lost.
 TIMED_OUT_SHARE = 0.9
+# A connection that could not be opened for longer was not refused: a packet may
+# have been lost.
+REFUSED_SECONDS = 0.05
 # Delay before a stop that a worker did not accept is retried.
 STOP_RETRY_SECONDS = 0.2
 # The same for an accepted one: a run has up to 0.9 s to stop, and the report
@@ -774,17 +777,20 @@
         """
         # Until a call is answered, an error leaves the order uncertain.
         run.has_unanswered_start = True
+        is_sent = False
         first_sent_at = time.monotonic()
-        answer = self._call_start_once(order)
-        if answer.outcome is not cluster.OrderOutcome.UNKNOWN:
-            run.has_unanswered_start = False
-            return answer
         for calls in itertools.count(1):
+            sent_at = run.ordered_at = time.monotonic()
+            answer = self._call_start_once(order)
+            if answer.outcome not in _UNANSWERED:
+                break
+            is_sent |= answer.outcome is cluster.OrderOutcome.UNKNOWN
+            now = time.monotonic()
+            if not is_sent and now - sent_at < REFUSED_SECONDS:
+                break
             delay_seconds = self._order_calls.repeat_delay(
                 order_policy.Attempts(
-                    order_policy.Verb.START,
-                    calls,
-                    time.monotonic() - first_sent_at,
+                    order_policy.Verb.START, calls, now - first_sent_at
                 )
             )
             if delay_seconds is None or self._closing.wait(delay_seconds):
@@ -797,12 +803,11 @@
                 or not self._owner.may_start(run)
             ):
                 break
-            run.ordered_at = time.monotonic()
-            answer = self._call_start_once(order)
-            if answer.outcome in _CONCLUSIVE_REPEATS:
-                return answer
-            if answer.outcome not in _UNANSWERED:
-                break
+        if not is_sent:
+            run.has_unanswered_start = False
+            return answer
+        if answer.outcome in _CONCLUSIVE_REPEATS:
+            return answer
         # A refusal of a repeat says nothing about the first call, which may
         # have started the run.
         return answer._replace(outcome=cluster.OrderOutcome.UNKNOWN)
