Have the next incarnation refuse late orders of runs that have ended

A start that got no answer may be carried out after its run has ended: confirmed by a repeat, done, or stopped. The worker refuses it then, but its next incarnation under the same id knows nothing of the run. Only runs that were still expected there were blocked in it, so a late order could start a task that was done, or that was at work elsewhere (TWICE).

Each worker keeps its last 100 ended runs that had a start without an answer; the next incarnation is told to refuse them before any other order.

--- a/tests/machines/batch/test_unanswered_starts.py
+++ b/tests/machines/batch/test_unanswered_starts.py
@@ -621,3 +621,28 @@
     finally:
         worker.close()
         site.pool.close()
+
+
+def test_the_next_incarnation_refuses_the_late_order_of_a_run_that_has_ended(
+    site: batch_site.SteppedPool,
+    link: batch_worker.MemoryWorker,
+    late_orders: LateOrders,
+) -> None:
+    """The task would start again after it was done."""
+    worker = order_start(site, link, batch_site.step(1))
+    late, late_orders.late = late_orders.late, late_orders.late[:1]
+    late_orders.carry_out()
+    site.poll(worker)
+    site.poll(worker)
+    link.finish(TASK)
+    site.poll(worker)
+    assert not worker.run_by_task
+    site.pool.remove_worker(
+        worker, batch_workers.Removal("restarted", restarted=True)
+    )
+    next_link = batch_worker.MemoryWorker(batch_site.ROOM, started_ms=2)
+    next_worker = site.add_worker("w1", next_link)
+    site.deliver(next_worker)
+    assert next_link.start(late[-1]).outcome is (
+        cluster.OrderOutcome.RUN_TOO_OLD
+    )
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -292,6 +292,8 @@
             del run.worker.run_by_task[run.task]
             run.worker.free(unit.step.need, unit.step.fills)
             run.worker.idle_since = time.monotonic()
+        if run.has_unanswered_start:
+            run.worker.late_runs.append(run)
         if run.checkpoint:
             unit.checkpoint = unit.checkpoint or run.checkpoint
         if not unit.job.finished:
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -178,7 +178,10 @@
         unconfirmed = [
             run
             for run in itertools.chain(
-                lost_runs, (lost.run for lost in lapsed), worker.blocked_runs
+                lost_runs,
+                (lost.run for lost in lapsed),
+                worker.blocked_runs,
+                [run for run in worker.late_runs if run.worker is worker],
             )
             if not worker.has_confirmed(run)
         ]
--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -55,6 +55,8 @@
 # A connection that could not be opened for longer was not refused: a packet may
 # have been lost.
 REFUSED_SECONDS = 0.05
+# Runs whose late orders a worker's next incarnation is told to refuse, at most.
+MAX_LATE_RUNS = 100
 # Delay before a stop that a worker did not accept is retried.
 STOP_RETRY_SECONDS = 0.2
 # The same for an accepted one: a run has up to 0.9 s to stop, and the report
@@ -192,6 +194,8 @@
             by task and number, until it reports them no more.
         blocked_runs: Runs of its former incarnation whose late orders it is
             told to refuse.
+        late_runs: Ended runs that had a start order without an answer, which
+            its next incarnation may carry out.
         free_cpu: Millicores that no run reserves.
         last_received_end: Number of the last run end that was received.
         last_stored_end: Number of the last run end that is stored.
@@ -227,6 +231,9 @@
             tuple[job_spec.TaskKey, int], batch_job.Run
         ] = {}
         self.blocked_runs: list[batch_job.Run] = []
+        self.late_runs: collections.deque[batch_job.Run] = collections.deque(
+            maxlen=MAX_LATE_RUNS
+        )
         self.free_cpu = entry.room.cpu
         self.free_memory_mb = entry.room.memory_mb
         self.free_accelerators = entry.room.accelerators
@@ -737,7 +744,7 @@
             due_at_by_run.items(), key=lambda item: item[1]
         ):
             if run.state is batch_job.RunState.ENDED or not run.stopping:
-                del due_at_by_run[run]
+                due_at_by_run.pop(run, None)
             elif due_at <= time.monotonic() and run not in self._sent_runs:
                 return run
         return None
