--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -7,10 +7,8 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Callable
 from concurrent import futures
 import enum
-import itertools
 import threading
 import time
 from typing import NamedTuple, Protocol
@@ -23,6 +21,7 @@
 from wisteriasill.contracts import worker_choice
 from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
+from wisteriasill.machines import order_calls
 
 # Long enough to survive a pause of the shard's holder and a takeover of the
 # shard (2 s without a heartbeat, 1 s to read the rows), and short enough that
@@ -49,12 +48,6 @@
 SILENT_RETRY_SECONDS = 0.25  # Pause after a poll without a response.
 # A start order that waited longer is planned again: its decision is outdated.
 STALE_ORDER_SECONDS = 1.5
-# A call that fails after a smaller share of its timeout did not time out: its
-# connection was lost.
-TIMED_OUT_SHARE = 0.9
-# A connection that could not be opened for longer was not refused: a packet may
-# have been lost.
-REFUSED_SECONDS = 0.05
 # Runs whose late orders a worker's next incarnation is told to refuse, at most.
 MAX_LATE_RUNS = 100
 # Delay before a stop that a worker did not accept is retried.
@@ -64,16 +57,6 @@
 ACCEPTED_STOP_RETRY_SECONDS = 2.5
 
 
-_UNANSWERED = (
-    cluster.OrderOutcome.UNKNOWN,
-    cluster.OrderOutcome.UNREACHABLE,
-)
-# Answers to a repeated start that hold for the first one too: the run is there,
-# or it was there or stopped, and no start of it is carried out any more.
-_CONCLUSIVE_REPEATS = (
-    cluster.OrderOutcome.DONE,
-    cluster.OrderOutcome.RUN_TOO_OLD,
-)
 # A worker that gives one of these answers to a stop starts the run no more.
 STOP_ACCEPTED = (
     cluster.OrderOutcome.DONE,
@@ -260,8 +243,6 @@
         self._orders: collections.deque[WorkerOrder] = collections.deque()
         # When to send the next stop of each run that should be gone.
         self._stop_due_at_by_run: dict[batch_job.Run, float] = {}
-        self._order_calls = order_policy.WorkerOrders(owner.orders)
-        self._poll_calls = order_policy.WorkerOrders(owner.orders)
         # Guards which orders are being sent, and by how many threads.
         self._orders_lock = threading.Lock()
         self._sent_runs: set[batch_job.Run] = set()
@@ -269,6 +250,10 @@
         self._is_open = False
         self._order_ready = threading.Event()
         self._closing = threading.Event()
+        self._order_calls = order_calls.OrderCalls(
+            owner.orders, self._closing, self._open_lane
+        )
+        self._poll_calls = order_calls.PollCalls(owner.orders, self._closing)
         self._wake = threading.Event()
 
     @property
@@ -495,10 +480,14 @@
                 + self._poll_calls.timeout_seconds(order_policy.Verb.LONG_POLL),
             )
             if answer is cluster.OrderOutcome.UNKNOWN:
-                sent_at, answer = self._repeat_poll()
+                sent_at, answer = self._poll_calls.repeat(
+                    self.link, self._owner.fencing_epoch
+                )
         else:
-            answer = self._poll_at_once(
-                0 if self.silent_since else self.last_stored_end
+            answer = self._poll_calls.poll_at_once(
+                self.link,
+                self._owner.fencing_epoch,
+                0 if self.silent_since else self.last_stored_end,
             )
         if self._closing.is_set():
             return False
@@ -511,50 +500,6 @@
             self.last_polled_at = sent_at
         return True
 
-    def _repeat_poll(
-        self,
-    ) -> tuple[float, cluster.WorkerReport | cluster.OrderOutcome]:
-        """Repeats a poll without an answer, as only that may have been lost.
-
-        The worker may be cut off, so its lease is not renewed meanwhile.
-
-        Returns:
-            When the last poll was sent, and its answer.
-        """
-        failed_at = sent_at = time.monotonic()
-        answer: cluster.WorkerReport | cluster.OrderOutcome
-        answer = cluster.OrderOutcome.UNKNOWN
-        for calls in itertools.count(1):
-            delay_seconds = self._poll_calls.repeat_delay(
-                order_policy.Attempts(
-                    order_policy.Verb.POLL, calls, time.monotonic() - failed_at
-                )
-            )
-            if delay_seconds is None or self._closing.wait(delay_seconds):
-                break
-            sent_at = time.monotonic()
-            answer = self._poll_at_once(0)
-            if answer is not cluster.OrderOutcome.UNKNOWN:
-                break
-        return sent_at, answer
-
-    def _poll_at_once(
-        self, acknowledged: int
-    ) -> cluster.WorkerReport | cluster.OrderOutcome:
-        """Polls without a wait or a renewal of the lease."""
-        calls = self._poll_calls
-        timeout_seconds = calls.timeout_seconds(order_policy.Verb.POLL)
-        sent_at = time.monotonic()
-        answer = self.link.poll(
-            self._owner.fencing_epoch, acknowledged, None, 0.0, timeout_seconds
-        )
-        seconds = time.monotonic() - sent_at
-        if answer is not cluster.OrderOutcome.UNKNOWN:
-            calls.record_answer(seconds)
-        elif seconds >= TIMED_OUT_SHARE * timeout_seconds:
-            calls.record_timeout()
-        return answer
-
     def _needs_lease(self) -> bool:
         """Whether it has runs that should go on.
 
@@ -753,7 +698,9 @@
         if reason := self._withdrawal(run):
             self._owner.on_start_withdrawn(run, reason)
             return
-        answer = self._call_start(run, self._start_order(run))
+        answer = self._order_calls.start(
+            self.link, self._start_order(run), run, self._owner
+        )
         self._check_incarnation(answer)
         self.record_clock(answer.clock_ms, time.monotonic())
         self._owner.on_start_answer(run, answer)
@@ -774,77 +721,6 @@
             ticket,
         )
 
-    def _call_start(
-        self, run: batch_job.Run, order: cluster.StartOrder
-    ) -> cluster.OrderAnswer:
-        """Sends a start, and repeats it while it gets no answer.
-
-        The worker answers a repeated start of the same run as the first, so a
-        run whose answer was lost goes on.
-        """
-        # Until a call is answered, an error leaves the order uncertain.
-        run.has_unanswered_start = True
-        is_sent = False
-        first_sent_at = time.monotonic()
-        for calls in itertools.count(1):
-            sent_at = run.ordered_at = time.monotonic()
-            answer = self._call_start_once(order)
-            if answer.outcome not in _UNANSWERED:
-                break
-            is_sent |= answer.outcome is cluster.OrderOutcome.UNKNOWN
-            now = time.monotonic()
-            if not is_sent and now - sent_at < REFUSED_SECONDS:
-                break
-            delay_seconds = self._order_calls.repeat_delay(
-                order_policy.Attempts(
-                    order_policy.Verb.START, calls, now - first_sent_at
-                )
-            )
-            if delay_seconds is None or self._closing.wait(delay_seconds):
-                break
-            if run.state is batch_job.RunState.RUNNING:
-                # A report has shown it in the meantime.
-                return cluster.OrderAnswer(cluster.OrderOutcome.DONE)
-            if (
-                run.state is batch_job.RunState.ENDED
-                or not self._owner.may_start(run)
-            ):
-                break
-        if not is_sent:
-            run.has_unanswered_start = False
-            return answer
-        if answer.outcome in _CONCLUSIVE_REPEATS:
-            return answer
-        # A refusal of a repeat says nothing about the first call, which may
-        # have started the run.
-        return answer._replace(outcome=cluster.OrderOutcome.UNKNOWN)
-
-    def _call_start_once(
-        self, order: cluster.StartOrder
-    ) -> cluster.OrderAnswer:
-        return self._call(
-            order_policy.Verb.START,
-            lambda timeout_seconds: self.link.start(order, timeout_seconds),
-        )
-
-    def _call(
-        self,
-        verb: order_policy.Verb,
-        send: Callable[[float], cluster.OrderAnswer],
-    ) -> cluster.OrderAnswer:
-        """Sends an order with a timeout by earlier ones, and measures it."""
-        calls = self._order_calls
-        timeout_seconds = calls.timeout_seconds(verb)
-        sent_at = time.monotonic()
-        answer = send(timeout_seconds)
-        seconds = time.monotonic() - sent_at
-        if answer.outcome not in _UNANSWERED:
-            calls.record_answer(seconds)
-        elif seconds >= TIMED_OUT_SHARE * timeout_seconds:
-            calls.record_timeout()
-            self._open_lane()
-        return answer
-
     def _check_incarnation(self, answer: cluster.OrderAnswer) -> None:
         """Treats the worker as unresponsive if it may have restarted.
 
@@ -854,7 +730,7 @@
         """
         known_ms = self._clock.clock_ms
         clock_went_back = 0 < answer.clock_ms < known_ms - CLOCK_SLACK_MS
-        if (clock_went_back or answer.outcome in _UNANSWERED) and (
+        if (clock_went_back or answer.outcome in order_calls.UNANSWERED) and (
             not self.silent_since
         ):
             self.silent_since = time.monotonic()
@@ -871,7 +747,7 @@
             self._repeat_held_start(run)
         if permit is not StopPermit.SEND:
             return
-        answer = self._call(
+        answer = self._order_calls.send(
             order_policy.Verb.STOP,
             lambda timeout_seconds: self.link.stop(
                 run.task,
@@ -895,7 +771,7 @@
                 if answer.outcome in STOP_ACCEPTED
                 else STOP_RETRY_SECONDS,
             )
-        if answer.outcome not in _UNANSWERED:
+        if answer.outcome not in order_calls.UNANSWERED:
             self._owner.on_stop_answer(run, answer)
 
     def _repeat_held_start(self, run: batch_job.Run) -> None:
@@ -912,8 +788,8 @@
             or not self._order_calls.withdraw_repeat()
         ):
             return
-        answer = self._call_start_once(self._start_order(run))
-        if answer.outcome not in _UNANSWERED:
+        answer = self._order_calls.start_once(self.link, self._start_order(run))
+        if answer.outcome not in order_calls.UNANSWERED:
             self.record_clock(answer.clock_ms, time.monotonic())
             self._owner.on_start_answer(run, answer)
 
@@ -923,7 +799,7 @@
     def _pace(self, run: batch_job.Run, percent: int) -> None:
         if run.pace != percent:
             return  # A newer pace order is queued.
-        self._call(
+        self._order_calls.send(
             order_policy.Verb.PACE,
             lambda timeout_seconds: self.link.pace(
                 run.task,
