--- a/review/harness_2/site_2.py
+++ b/review/harness_2/site_2.py
@@ -21,6 +21,7 @@
 import tomllib
 from typing import Any
 
+import advice
 import http_service
 import platform_store
 
@@ -173,7 +174,7 @@
             "heartbeat_ms": 1500,
             "bounds": BOUNDS,
             "orders": "call",
-            "advice": None,
+            "advice": self._site.advice_address,
             "platform": {
                 "address": self.link.address,
                 "form": "table",
@@ -274,6 +275,8 @@
         registry = http_service.serve(self._registry.answer)
         self._registry_address = _address(registry)
         self.cloud_address = _address(http_service.serve(self._answer_cloud))
+        self.advice = advice.Advice(self.record.write)
+        self.advice_address = _address(http_service.serve(self.advice.answer))
         self.machines: dict[str, dict[str, Any]] = {}
         self._machine_by_worker: dict[str, dict[str, Any]] = {}
         self._services: set[str] = set()
@@ -400,6 +403,13 @@
         self._machine_by_worker[worker_id]["state"] = "up"
         self.record.write(f"worker {worker_id} started")
 
+    def set_unhealthy(self, worker_id: str, unhealthy: bool) -> None:
+        """Makes a worker answer all starts with 503, or ends that."""
+        arguments = self._arguments_by_id[worker_id]
+        port = int(arguments[arguments.index("--port") + 1])
+        ask(port, "POST", "/control", {"unhealthy": unhealthy})
+        self.record.write(f"worker {worker_id} unhealthy: {unhealthy}")
+
     def crash_worker(self, worker_id: str) -> None:
         """Kills a worker; the list of machines shows it as down."""
         process = self.worker_by_id[worker_id]
--- a/review/harness_2/worker.py
+++ b/review/harness_2/worker.py
@@ -15,6 +15,7 @@
 import time
 from typing import Any
 
+import advice
 import http_service
 
 STOP_SECONDS = 0.02
@@ -43,6 +44,7 @@
         self._born = int(time.time() * 1000)
         self._started_at = time.monotonic()
         self._fence = 0
+        self._unhealthy = False
         self._lease_until_ms = 0
         self._run_by_task: dict[str, Run] = {}
         self._highest_by_task: dict[str, int] = {}
@@ -105,6 +107,9 @@
     def _answer(
         self, request: http_service.Request
     ) -> http_service.Answer | None:
+        if request.path == "/control":
+            self._unhealthy = request.body["unhealthy"]
+            return 200, {}
         expected = request.headers.get("Wisteriasill-Expect-Instance")
         if expected not in (None, self._arguments.id):
             return 421, {}
@@ -117,6 +122,9 @@
             if request.path == "/api/hold":
                 return self._hold(body)
             if request.path == "/api/run-start":
+                if self._unhealthy:
+                    self._record("503", body["task"], body["run_id"], "")
+                    return 503, {}
                 return self._start(body)
             if request.path == "/api/run-stop":
                 return self._stop(body)
@@ -164,6 +172,10 @@
             return self._conflict("old")
         if body["deadline_ms"] <= self._clock_ms():
             return self._conflict("late")
+        if self._arguments.tickets and not advice.is_valid(
+            body.get("ticket", ""), task, self._arguments.id
+        ):
+            return self._conflict("ticket")
         cpu = self._arguments.task_cpu
         memory_mb = self._arguments.task_memory_mb
         used = len(self._run_by_task)
@@ -217,6 +229,7 @@
         parser.add_argument(f"--{name}", required=True)
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--kind", default="a")
+    parser.add_argument("--tickets", action="store_true")
     parser.add_argument("--cpu", type=int, default=16_000)
     parser.add_argument("--memory-mb", type=int, default=65_536)
     parser.add_argument("--task-cpu", type=int, default=1_000)
