--- a/review/harness_2/platform_store.py
+++ b/review/harness_2/platform_store.py
@@ -108,7 +108,9 @@
             self._row_by_key.get(key, (b"", 0))[1] != version
             for key, version in expected
         ):
-            rows = [self._row(key) for key, _ in expected if key in self._rows]
+            rows = [
+                self._row(key) for key, _ in expected if key in self._row_by_key
+            ]
             return 412, {"rows": rows, "ver": self._version, **_now()}
         self._version += 1
         for row in body.get("puts", []):
@@ -118,10 +120,6 @@
         self._changed.notify_all()
         return 200, {"ver": self._version, **_now()}
 
-    @property
-    def _rows(self) -> dict[RowKey, tuple[bytes, int]]:
-        return self._row_by_key
-
     def _row(self, key: RowKey) -> dict[str, Any]:
         value, version = self._row_by_key[key]
         return _encode(key, value, version)
--- a/review/harness_2/site_2.py
+++ b/review/harness_2/site_2.py
@@ -105,12 +105,12 @@
     """The link of one node to the platform.
 
     Attributes:
-        delay_seconds: Time that each answer takes beyond the store's own.
+        is_busy: Whether the store turns the node away with 503.
     """
 
     def __init__(self, site: Site) -> None:
         self._site = site
-        self.delay_seconds = 0.0
+        self.is_busy = False
         self.server = http_service.serve(self._answer)
 
     @property
@@ -121,8 +121,17 @@
     def _answer(
         self, request: http_service.Request
     ) -> http_service.Answer | None:
+        if self.is_busy:
+            return 503, {}
         answer = self._site.store.answer(request)
-        time.sleep(self.delay_seconds)
+        if request.path == "/api/rows-tx" and answer[0] == 200:
+            self._site.last_writer_by_table.update(
+                (row["table"], self)
+                for row in request.body["puts"]
+                if request.body["expected"]
+            )
+        if self.is_busy and request.path == "/api/rows-feed":
+            return 503, {}  # It was waiting as the store began to refuse.
         return answer
 
 
@@ -281,6 +290,8 @@
         self._machine_by_worker: dict[str, dict[str, Any]] = {}
         self._services: set[str] = set()
         self._cloud_lock = threading.Lock()
+        # Which link wrote last to each table under a condition.
+        self.last_writer_by_table: dict[str, StoreLink] = {}
         self.nodes: list[Node] = []
         self.worker_by_id: dict[str, subprocess.Popen[bytes]] = {}
         self._arguments_by_id: dict[str, list[str]] = {}
@@ -403,13 +414,6 @@
         self._machine_by_worker[worker_id]["state"] = "up"
         self.record.write(f"worker {worker_id} started")
 
-    def set_unhealthy(self, worker_id: str, unhealthy: bool) -> None:
-        """Makes a worker answer all starts with 503, or ends that."""
-        arguments = self._arguments_by_id[worker_id]
-        port = int(arguments[arguments.index("--port") + 1])
-        ask(port, "POST", "/control", {"unhealthy": unhealthy})
-        self.record.write(f"worker {worker_id} unhealthy: {unhealthy}")
-
     def crash_worker(self, worker_id: str) -> None:
         """Kills a worker; the list of machines shows it as down."""
         process = self.worker_by_id[worker_id]
@@ -423,7 +427,6 @@
         version: int,
         routes: dict[str, str],
         services: list[str],
-        idle_routes: int = 0,
         **settings: Any,
     ) -> None:
         """Writes a configuration as the operator does.
@@ -432,7 +435,6 @@
             version: Its version.
             routes: The services of the routes, by prefix.
             services: All services.
-            idle_routes: Number of further routes that nobody uses.
             **settings: Further fields of each route.
         """
         fields = {
@@ -451,21 +453,12 @@
                 "version": version,
                 "routes": [
                     {
-                        "name": f"r-{prefix.strip('/')}",
+                        "name": f"{prefix.strip('/')}-{service}",
                         "prefix": prefix,
                         "service": service,
                         **fields,
                     }
                     for prefix, service in routes.items()
-                ]
-                + [
-                    {
-                        "name": f"idle-{number}",
-                        "prefix": f"/idle-{number}/",
-                        "service": services[number % len(services)],
-                        **fields,
-                    }
-                    for number in range(idle_routes)
                 ],
                 "services": [
                     {"name": name, "admission_control": True}
--- a/review/harness_2/worker.py
+++ b/review/harness_2/worker.py
@@ -44,7 +44,6 @@
         self._born = int(time.time() * 1000)
         self._started_at = time.monotonic()
         self._fence = 0
-        self._unhealthy = False
         self._lease_until_ms = 0
         self._run_by_task: dict[str, Run] = {}
         self._highest_by_task: dict[str, int] = {}
@@ -107,9 +106,6 @@
     def _answer(
         self, request: http_service.Request
     ) -> http_service.Answer | None:
-        if request.path == "/control":
-            self._unhealthy = request.body["unhealthy"]
-            return 200, {}
         expected = request.headers.get("Wisteriasill-Expect-Instance")
         if expected not in (None, self._arguments.id):
             return 421, {}
@@ -122,9 +118,6 @@
             if request.path == "/api/hold":
                 return self._hold(body)
             if request.path == "/api/run-start":
-                if self._unhealthy:
-                    self._record("503", body["task"], body["run_id"], "")
-                    return 503, {}
                 return self._start(body)
             if request.path == "/api/run-stop":
                 return self._stop(body)
