--- a/review/harness_2/site_2.py
+++ b/review/harness_2/site_2.py
@@ -290,6 +290,9 @@
         self._machine_by_worker: dict[str, dict[str, Any]] = {}
         self._services: set[str] = set()
         self._cloud_lock = threading.Lock()
+        # Held while a worker is started, so that none is after the end.
+        self._start_lock = threading.Lock()
+        self._closed = False
         # Which link wrote last to each table under a condition.
         self.last_writer_by_table: dict[str, StoreLink] = {}
         self.nodes: list[Node] = []
@@ -406,11 +409,15 @@
 
     def start_worker(self, worker_id: str) -> None:
         """Starts a worker, again with the id and address that it had."""
-        self.worker_by_id[worker_id] = subprocess.Popen(
-            self._arguments_by_id[worker_id],
-            stdout=subprocess.DEVNULL,
-            stderr=(self.folder / f"{worker_id}.err").open("ab"),
-        )
+        with self._start_lock:
+            if self._closed:
+                return
+            with (self.folder / f"{worker_id}.err").open("ab") as errors:
+                self.worker_by_id[worker_id] = subprocess.Popen(
+                    self._arguments_by_id[worker_id],
+                    stdout=subprocess.DEVNULL,
+                    stderr=errors,
+                )
         self._machine_by_worker[worker_id]["state"] = "up"
         self.record.write(f"worker {worker_id} started")
 
@@ -503,12 +510,14 @@
 
     def close(self) -> None:
         """Ends all processes and copies the workers' record."""
+        with self._start_lock:
+            self._closed = True
         for node in self.nodes:
             if node.process is not None and node.process.poll() is None:
                 node.process.send_signal(signal.SIGCONT)
                 node.process.kill()
                 node.process.wait()
-        for process in self.worker_by_id.values():
+        for process in [*self.worker_by_id.values()]:
             if process.poll() is None:
                 process.kill()
             process.wait()
--- a/review/harness_2/worker.py
+++ b/review/harness_2/worker.py
@@ -11,6 +11,7 @@
 import argparse
 import http.client
 import json
+import os
 import threading
 import time
 from typing import Any
@@ -58,7 +59,9 @@
         server = http_service.serve(self._answer, self._arguments.port)
         self._address = f"{http_service.ADDRESS}:{server.server_address[1]}"
         threading.Thread(target=self._watch_time, daemon=True).start()
-        while True:
+        parent = os.getppid()
+        # It does not outlive the case that started it.
+        while os.getppid() == parent:
             self._send_heartbeat()
             time.sleep(HEARTBEAT_SECONDS)
 
