--- a/review/harness_2/site_2.py
+++ b/review/harness_2/site_2.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import http.client
+import itertools
 import json
 import os
 import pathlib
-import random
 import signal
 import socket
 import subprocess
@@ -58,20 +58,26 @@
 }
 
 
-_given_ports: set[int] = set()
+FIRST_PORT = 15_000
+LAST_PORT = 32_000
+# More than a case needs; cases that run side by side search other ports.
+PORTS_PER_CASE = 100
+
+_next_port = itertools.count(
+    FIRST_PORT + os.getpid() * PORTS_PER_CASE % (LAST_PORT - FIRST_PORT)
+)
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports in a row that are free now.
+    """Returns ports in a row that are free now, each of them once.
 
     They lie below the range from which the system takes ports for outgoing
     connections.
     """
-    for _ in range(200):
-        first = random.randrange(15_000, 32_000)
-        ports = [*range(first, first + count)]
-        if _given_ports.isdisjoint(ports) and all(map(_is_free, ports)):
-            _given_ports.update(ports)
+    ports: list[int] = []
+    for port in itertools.islice(_next_port, 20 * PORTS_PER_CASE):
+        ports = [*ports, port] if _is_free(port) else []
+        if len(ports) == count:
             return ports
     raise OSError("no free ports")
 
@@ -228,8 +234,8 @@
         """Whether its readiness probe answers 200."""
         try:
             return ask(self.ready_port, "GET", "/api/ready")[0] == 200
-        except OSError:
-            return False
+        except (OSError, ValueError):
+            return False  # Not there yet, or another server has the port.
 
 
 def ask(
