Log each call for advice and its outcome

Change: AdviceLink.advise returns the advice or why there is none, and each call is logged as ADVICE_ANSWERED with the workers named and allowed, its outcome and its time.

--- a/wisteriasill/links/cluster.py
+++ b/wisteriasill/links/cluster.py
@@ -471,10 +471,22 @@
     valid_seconds: float
 
 
+class AdviceFault(enum.StrEnum):
+    """Why a call for advice brought none.
+
+    UNANSWERED means that there was no complete response in time, REFUSED that
+    the service takes no more calls now, INVALID that it sent something else.
+    """
+
+    UNANSWERED = "unanswered"
+    REFUSED = "refused"
+    INVALID = "invalid"
+
+
 class AdviceLink(Protocol):
     """The service that decides which workers may run a step."""
 
     def advise(
         self, step: job_spec.StepKey, worker_ids: Sequence[str]
-    ) -> Advice | None:
-        """Returns the workers allowed for a step; None without a response."""
+    ) -> result.Result[Advice, AdviceFault]:
+        """Returns which of some workers may run a step."""
--- a/wisteriasill/machines/batch_watch.py
+++ b/wisteriasill/machines/batch_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 
 from returns import result
 
@@ -235,6 +236,18 @@
             for step, worker_ids in self.pool.steps_without_advice():
                 if self._closing.is_set():
                     return
+                sent_at = time.monotonic()
                 answer = advice.advise(step, worker_ids)
-                if answer is not None:
-                    self.pool.on_advice(step, answer)
+                received = answer.value_or(None)
+                events.log(
+                    events.Event.ADVICE_ANSWERED,
+                    "A call for advice ended",
+                    service=self._service,
+                    step=step,
+                    named=len(worker_ids),
+                    allowed=len(received.ticket_by_worker) if received else 0,
+                    outcome="answered" if received else answer.failure().value,
+                    seconds=round(time.monotonic() - sent_at, 3),
+                )
+                if received:
+                    self.pool.on_advice(step, received)
