Wait for advice as long as its queue declares

Cause: WireAdvice gave up each call after a constant 2.0 s, and each named all workers of the pool, the same ones every time. With 48 workers a call takes 2.36 s by its queue. The service goes on with a call that was given up, so later ones waited for it too.

Evidence: ADVICE_ANSWERED shows each call for 48 workers unanswered after 2.00 s, none refused and none answered. Ruled out by it: refusals, expired tickets, unknown workers.

Change: contracts/step_advice.py decides whom a call names (30 at most, others in the next call), how long it may take (its declared time and a slack that grows without answers) and when it is repeated; PoolAdvice asks only where a planning round found too few tickets. Calls of a node take turns, as the service does.

--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import base64
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 import json
 import threading
 import time
@@ -21,12 +21,14 @@
 from standins import row_store
 from standins import timed_worker
 from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import queue as queues
 from wisteriasill.links import cluster
 
 JsonResponse = tuple[int, dict[str, Any]]
 STORE_THREADS = 48  # Each node watches several tables at a time.
 WORKER_THREADS = 24  # Calls without a response occupy threads.
 HEARTBEAT_SECONDS = 0.5
+MAX_ADVISED_WORKERS = 100
 
 REASONS = {
     cluster.OrderOutcome.FENCED: "fence",
@@ -341,6 +343,50 @@
         }
 
 
+class AdviceService:
+    """HTTP interface of the advice service, for the calls of one node.
+
+    It handles one call at a time, also one that its caller has given up.
+
+    Args:
+        rule: How long a call takes and its tickets are valid.
+        allowed_ids: Workers that may run every step; None for all.
+
+    Attributes:
+        named_by_call: The workers that each call named.
+    """
+
+    def __init__(
+        self,
+        rule: queues.AdviceRule,
+        allowed_ids: Collection[str] | None = None,
+    ) -> None:
+        self._rule = rule
+        self._allowed_ids = allowed_ids
+        self._turn = threading.Lock()
+        self.named_by_call: list[tuple[str, ...]] = []
+
+    def answer(self, request: wrappers.Request) -> JsonResponse:
+        """Handles one call."""
+        named: list[str] = json.loads(request.get_data())["workers"]
+        self.named_by_call.append(tuple(named))
+        if len(named) > MAX_ADVISED_WORKERS:
+            return 400, {}
+        with self._turn:
+            time.sleep(
+                self._rule.decision_seconds
+                + len(named) * self._rule.per_worker_seconds
+            )
+        return 200, {
+            "allowed": [
+                [worker_id, f"ticket-{worker_id}"]
+                for worker_id in named
+                if self._allowed_ids is None or worker_id in self._allowed_ids
+            ],
+            "valid_ms": int(self._rule.valid_seconds * 1000),
+        }
+
+
 def _order_answer(answer: cluster.OrderAnswer) -> JsonResponse:
     if answer.outcome is cluster.OrderOutcome.DONE:
         return 200, {"clock_ms": answer.clock_ms}
--- a/tests/machines/batch/test_pool.py
+++ b/tests/machines/batch/test_pool.py
@@ -274,11 +274,12 @@
     site.poll(site.add_worker("w1", link))
     site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
     assert not site.run_round()
-    ((step, worker_ids),) = site.pool.steps_without_advice()
-    assert worker_ids == ["w1"]
-    site.pool.on_advice(step, cluster.Advice({}, -1.0))
-    assert site.pool.steps_without_advice()
-    site.pool.on_advice(step, cluster.Advice({"w1": "ticket"}, 5.0))
+    call = site.pool.next_advice_call(time.monotonic())
+    assert call is not None
+    assert call.worker_ids == ["w1"]
+    site.pool.on_advice(call, cluster.Advice({}, -1.0))
+    assert site.pool.next_advice_call(time.monotonic())
+    site.pool.on_advice(call, cluster.Advice({"w1": "ticket"}, 5.0))
     (run,) = site.run_round()
     assert site.pool.payload(run) == ("payload", "ticket")
 
--- a/wisteriasill/links/cluster.py
+++ b/wisteriasill/links/cluster.py
@@ -464,11 +464,12 @@
 
     Attributes:
         ticket_by_worker: Permission ticket by worker id.
-        valid_seconds: Time for which the tickets are valid.
+        valid_seconds: Time for which the tickets are valid; None if the answer
+            does not say so, and the queue's own figure holds.
     """
 
     ticket_by_worker: Mapping[str, str]
-    valid_seconds: float
+    valid_seconds: float | None = None
 
 
 class AdviceFault(enum.StrEnum):
@@ -487,6 +488,13 @@
     """The service that decides which workers may run a step."""
 
     def advise(
-        self, step: job_spec.StepKey, worker_ids: Sequence[str]
+        self,
+        step: job_spec.StepKey,
+        worker_ids: Sequence[str],
+        timeout_seconds: float,
     ) -> result.Result[Advice, AdviceFault]:
-        """Returns which of some workers may run a step."""
+        """Returns which of some workers may run a step.
+
+        Calls of one node are made one at a time; `timeout_seconds` counts from
+        the turn of this one.
+        """
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -15,6 +15,7 @@
 
 from wisteriasill.contracts import crash_evidence
 from wisteriasill.contracts import job_spec
+from wisteriasill.contracts import step_advice
 
 if TYPE_CHECKING:
     from wisteriasill.machines import worker as workers
@@ -263,6 +264,7 @@
         part_value_by_key: Values of its stored rows of units; None for a
             deleted row.
         ready: Units that wait for a worker.
+        advice_by_step: Advice on the steps that have needed some and run.
         core_seconds_left: Predicted CPU time of the units not done.
     """
 
@@ -287,6 +289,7 @@
         self.units_per_row = 0
         self.part_value_by_key: dict[str, bytes | None] = {}
         self.ready: dict[UnitKey, Unit] = {}
+        self.advice_by_step: dict[job_spec.StepKey, step_advice.StepAdvice] = {}
         self.opened_occurrences = 0
         self.waiting_logged_at = age_since
         self.steps = record.spec.steps if steps is None else steps
@@ -361,6 +364,7 @@
         if self.units_left_by_step[step_key]:
             return
         self.steps_left -= 1
+        self.advice_by_step.pop(unit.step_key, None)
         for number, step in enumerate(self.record.spec.steps):
             if unit.step_number in step.after and all(
                 not self.units_left_by_step[unit.occurrence, earlier]
--- a/wisteriasill/machines/batch_pool.py
+++ b/wisteriasill/machines/batch_pool.py
@@ -10,21 +10,17 @@
 from wisteriasill import events
 from wisteriasill.contracts import commit_order
 from wisteriasill.contracts import crash_evidence
-from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import overload_policy
 from wisteriasill.contracts import stragglers
 from wisteriasill.contracts import work_order
 from wisteriasill.contracts import worker_choice
-from wisteriasill.links import cluster
+from wisteriasill.machines import batch_advice
 from wisteriasill.machines import batch_job
-from wisteriasill.machines import batch_reports
-from wisteriasill.machines import batch_runs
 from wisteriasill.machines import progress_rows
 from wisteriasill.machines import worker as workers
 from wisteriasill.machines import worker_quarantine
 from wisteriasill.zones import shard_writer
 
-MAX_ADVISED_WORKERS = 100  # The platform's limit for one request.
 STRAGGLER_CHECK_SECONDS = 0.25  # Interval between checks for stragglers.
 WAITING_LOG_SECONDS = 1.0
 # One of so many workers at a time gets suspected tasks only, and no more are
@@ -49,7 +45,7 @@
     first_end_by_job: dict[str, dict[workers.Worker, int]]
 
 
-class BatchPool(batch_reports.PoolReports):
+class BatchPool(batch_advice.PoolAdvice):
     """Plans the runs of a pool; the pool's controller stores and sends them."""
 
     def plan(self, now: float) -> None:
@@ -73,6 +69,9 @@
                 if self._accepts_tasks(worker, now)
             ]
             schedule = self._schedule(waiting, candidates, now)
+            self._order_by_job = {
+                job_id: number for number, job_id in enumerate(schedule.job_ids)
+            }
             self._units_at_work = self._units_of_unknown_runs(now)
             self._plan_trials(candidates, now)
             self._full = worker_choice.FullPool()
@@ -362,20 +361,6 @@
         last = max(waiting.values(), default=0)
         return [name for name, priority in waiting.items() if priority == last]
 
-    def _accepts_tasks(self, worker: workers.Worker, now: float) -> bool:
-        return (
-            worker.is_reachable
-            # It gets no start until it has reported.
-            and not worker.silent_since
-            and worker.listed
-            # Unknown runs hold room that the pool does not count.
-            and not worker.unknown_run_by_key
-            and not worker.drain_requested
-            and worker.entry.state is cluster.WorkerState.READY
-            and now >= worker.no_starts_until
-            and worker_quarantine.accepts_tasks(worker, now)
-        )
-
     def _waiting_work(
         self, job: batch_job.Job, now: float
     ) -> work_order.WaitingWork:
@@ -404,6 +389,7 @@
         candidates: list[workers.Worker],
         now: float,
     ) -> None:
+        self._want_advice(job, now)
         placed = 0
         full_steps: set[tuple[int, int]] = set()
         for unit in [*job.ready.values()]:
@@ -484,7 +470,9 @@
         )
         if not chosen:
             self._full.record(request)
+            self._record_advice_use(unit, is_placed=False)
             return False
+        self._record_advice_use(unit, is_placed=True)
         # Set first, so that no planned run is left without its row.
         self.dirty_job_by_id[unit.job.job_id] = unit.job
         if unit.job.state is batch_job.JobState.QUEUED:
@@ -502,35 +490,6 @@
         unit.job.ready.pop(unit.key, None)
         return True
 
-    def _placement_request(
-        self, unit: batch_job.Unit, now: float
-    ) -> worker_choice.PlacementRequest | None:
-        """Returns the constraints of a unit; None if it lacks advice."""
-        tasks_by_worker: collections.Counter[str] = collections.Counter()
-        tasks_by_rack: collections.Counter[str] = collections.Counter()
-        if unit.step.lasting or unit.step.most_per_worker:
-            for other in unit.job.units_by_step[
-                unit.occurrence, unit.step_number
-            ]:
-                for run in other.runs:
-                    tasks_by_worker[run.worker.worker_id] += 1
-                    tasks_by_rack[run.worker.rack] += 1
-        permitted = None
-        queue = self._queue_by_name.get(unit.job.record.queue)
-        if queue and queue.advice:
-            permits = self.permits_by_step.get(unit.step_key)
-            if permits is None or now >= permits.until:
-                return None
-            permitted = permits.advice.ticket_by_worker.keys()
-        return worker_choice.PlacementRequest(
-            unit.step,
-            tasks_by_worker,
-            tasks_by_rack,
-            unit.avoided,
-            permitted,
-            self.due_worker_ids,
-        )
-
     def _reserve_in_one_rack(
         self,
         unit: batch_job.Unit,
@@ -555,43 +514,6 @@
         )
         return next((chosen for chosen in choices if chosen), [])
 
-    def payload(self, run: batch_job.Run) -> tuple[str, str]:
-        """Returns the payload and the advice ticket of a run."""
-        permits = self.permits_by_step.get(run.unit.step_key)
-        ticket = ""
-        if permits:
-            tickets = permits.advice.ticket_by_worker
-            ticket = tickets.get(run.worker.worker_id, "")
-        return run.unit.job.record.spec.payload, ticket
-
-    def steps_without_advice(
-        self,
-    ) -> list[tuple[job_spec.StepKey, list[str]]]:
-        """Returns waiting steps that need advice, and candidate workers."""
-        now = time.monotonic()
-        with self.lock:
-            worker_ids = [*self.worker_by_id][:MAX_ADVISED_WORKERS]
-            steps = {
-                unit.step_key
-                for job in self.job_by_id.values()
-                for unit in job.ready.values()
-                if (queue := self._queue_by_name.get(job.record.queue))
-                and queue.advice
-                and (
-                    (permits := self.permits_by_step.get(unit.step_key)) is None
-                    or now >= permits.until
-                )
-            }
-        return [(step, worker_ids) for step in sorted(steps)]
-
-    def on_advice(self, step: job_spec.StepKey, advice: cluster.Advice) -> None:
-        """Stores which workers may run a step."""
-        with self.lock:
-            self.permits_by_step[step] = batch_runs.Permits(
-                advice, time.monotonic() + advice.valid_seconds
-            )
-        self._changed.set()
-
     def handle_stragglers(self, now: float) -> None:
         """Copies or moves tasks much slower than others of their step."""
         with self.lock:
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -481,7 +481,9 @@
             worker.is_reachable = False  # Until a poll succeeds.
             worker.wake()
         elif outcome is cluster.OrderOutcome.NO_TICKET:
-            self.permits_by_step.pop(run.unit.step_key, None)
+            advice = run.unit.job.advice_by_step.get(run.unit.step_key)
+            if advice:
+                advice.expire()
         elif outcome is cluster.OrderOutcome.FENCED:
             self._record_fenced(worker)
         self._refused_starts[outcome.value] += 1
--- a/wisteriasill/machines/batch_runs.py
+++ b/wisteriasill/machines/batch_runs.py
@@ -1,8 +1,8 @@
 """State of a pool, and the end of its runs and jobs.
 
 The class of a pool is split by subject. Each of the modules batch_runs,
-batch_records, batch_crashes, batch_workers, batch_reports and batch_pool
-extends the class of the module before it.
+batch_records, batch_crashes, batch_workers, batch_reports, batch_advice and
+batch_pool extends the class of the module before it.
 """
 
 from __future__ import annotations
@@ -17,14 +17,12 @@
 from wisteriasill import events
 from wisteriasill.contracts import arrival_rate
 from wisteriasill.contracts import crash_evidence
-from wisteriasill.contracts import job_spec
 from wisteriasill.contracts import order_policy
 from wisteriasill.contracts import overload_policy
 from wisteriasill.contracts import queue as queues
 from wisteriasill.contracts import run_times
 from wisteriasill.contracts import work_order
 from wisteriasill.contracts import worker_choice
-from wisteriasill.links import cluster
 from wisteriasill.machines import batch_job
 from wisteriasill.machines import worker as workers
 
@@ -45,13 +43,6 @@
     version: int
 
 
-class Permits(NamedTuple):
-    """Workers that may run a step, and when their tickets expire."""
-
-    advice: cluster.Advice
-    until: float
-
-
 class RestoredRun(NamedTuple):
     """A stored run whose worker this holder has not seen yet."""
 
@@ -163,7 +154,6 @@
             str, tuple[EndedRecord, float]
         ] = collections.OrderedDict()
         self._unreadable_ids: set[str] = set()
-        self.permits_by_step: dict[job_spec.StepKey, Permits] = {}
         # Time since boot at which this node certainly held the shard. A
         # response that is read after a pause proves nothing newer.
         self.confirmed_at = clocks.boot_seconds()
@@ -217,6 +207,8 @@
         self._time_factor_by_queue: dict[str, float] = {}
         self._rescue_budget = work_order.RescueBudget()
         self._full = worker_choice.FullPool()
+        # Place of each waiting job in the latest scheduling order.
+        self._order_by_job: dict[str, int] = {}
         self._mean_core_seconds_by_queue: dict[str, float] = {}
 
     @property
--- a/wisteriasill/machines/batch_watch.py
+++ b/wisteriasill/machines/batch_watch.py
@@ -9,7 +9,9 @@
 
 from wisteriasill import events
 from wisteriasill import restarting_task
+from wisteriasill.contracts import step_advice
 from wisteriasill.links import cluster
+from wisteriasill.machines import batch_advice
 from wisteriasill.machines import batch_pool
 from wisteriasill.machines import batch_tables
 from wisteriasill.machines import batch_workers
@@ -20,6 +22,7 @@
 WATCH_SECONDS = 2.0  # Longest wait of one long poll for changes.
 REGISTRY_BATCH_SECONDS = 0.15
 RETRY_SECONDS = 0.25  # Pause after a failed call to the store.
+ADVICE_CHECK_SECONDS = 0.05  # Pause between looks for steps without advice.
 
 
 class PoolWatcher:
@@ -231,23 +234,51 @@
 
     def _request_advice(self) -> None:
         """Requests which workers may run the steps that wait for advice."""
-        advice = self._links.advice
-        while advice and not self._closing.wait(RETRY_SECONDS / 5):
-            for step, worker_ids in self.pool.steps_without_advice():
-                if self._closing.is_set():
-                    return
-                sent_at = time.monotonic()
-                answer = advice.advise(step, worker_ids)
-                received = answer.value_or(None)
-                events.log(
-                    events.Event.ADVICE_ANSWERED,
-                    "A call for advice ended",
-                    service=self._service,
-                    step=step,
-                    named=len(worker_ids),
-                    allowed=len(received.ticket_by_worker) if received else 0,
-                    outcome="answered" if received else answer.failure().value,
-                    seconds=round(time.monotonic() - sent_at, 3),
-                )
-                if received:
-                    self.pool.on_advice(step, received)
+        link = self._links.advice
+        pacing = step_advice.CallPacing()
+        pause_seconds = ADVICE_CHECK_SECONDS
+        while link and not self._closing.wait(pause_seconds):
+            call = self.pool.next_advice_call(time.monotonic())
+            pause_seconds = (
+                self._call_advice(link, pacing, call)
+                if call
+                else ADVICE_CHECK_SECONDS
+            )
+
+    def _call_advice(
+        self,
+        link: cluster.AdviceLink,
+        pacing: step_advice.CallPacing,
+        call: batch_advice.AdviceCall,
+    ) -> float:
+        """Makes a call for advice.
+
+        Returns:
+            Pause before the next one in seconds.
+        """
+        sent_at = time.monotonic()
+        answer = link.advise(
+            call.step,
+            call.worker_ids,
+            pacing.timeout_seconds(call.declared_seconds),
+        )
+        received = answer.value_or(None)
+        events.log(
+            events.Event.ADVICE_ANSWERED,
+            "A call for advice ended",
+            service=self._service,
+            step=call.step,
+            named=len(call.worker_ids),
+            allowed=len(received.ticket_by_worker) if received else 0,
+            outcome="answered" if received else answer.failure().value,
+            declared_seconds=round(call.declared_seconds, 3),
+            seconds=round(time.monotonic() - sent_at, 3),
+        )
+        if received:
+            pacing.record_answer()
+            self.pool.on_advice(call, received)
+            return 0.0
+        self.pool.on_advice_failure(call)
+        return pacing.record_failure(
+            answered=answer.failure() is not cluster.AdviceFault.UNANSWERED
+        )
--- a/wisteriasill/machines/batch_workers.py
+++ b/wisteriasill/machines/batch_workers.py
@@ -139,6 +139,9 @@
                 return
             del self.worker_by_id[worker.worker_id]
             worker.is_removed = True
+            for job in self.job_by_id.values():
+                for advice in job.advice_by_step.values():
+                    advice.forget(worker.worker_id)
             orphans = [
                 run
                 for run in worker.run_by_task.values()
