Log reads of the stored queues and bars that give way

Change: QUEUES_READ names the routes that a read of the stored queues added, with the store's version; JOB_BAR_REPLACED tells that a bar of an older configuration gave way to a job, with the version of the bar.

--- a/wisteriasill/machines/job_api.py
+++ b/wisteriasill/machines/job_api.py
@@ -227,6 +227,15 @@
         if row is not None and barred_by is not None:
             if barred_by >= configuration:
                 return submission_relay.Outcome.UNKNOWN
+            events.log(
+                events.Event.JOB_BAR_REPLACED,
+                "A job is accepted in place of an older bar",
+                job=submission.job_id,
+                service=submission.service,
+                barred_by=barred_by,
+                configuration=configuration,
+                bar_version=row.version,
+            )
             outcome, row = self._insert(submission, row.version, give_up_at)
             if row is not None and job_spec.decode_move(row.value) is not None:
                 return submission_relay.Outcome.UNKNOWN
--- a/wisteriasill/machines/queue_records.py
+++ b/wisteriasill/machines/queue_records.py
@@ -158,8 +158,20 @@
             for key, row in row_by_key.items()
             if (stored := self._decode_row(row))
         }
+        added = stored_by_key.keys() - self._known_by_key.keys()
         self._merge(stored_by_key)
         self.loaded = True
+        events.log(
+            events.Event.QUEUES_READ,
+            "The stored queues were read",
+            version=page.version,
+            configuration=self.version,
+            rows=len(page.rows),
+            added=sorted(
+                f"{queue.host}{queue.prefix} {queue.service}"
+                for queue in (stored_by_key[key].queue for key in added)
+            ),
+        )
         changed = [
             (
                 cluster.RowVersion(
