Accept jobs of a queue once it is stored, and follow stored queues

Cause: a node learnt which services have had an address from the stored queues, and read these once for each version that it applied. Another node accepted the jobs under the second version 0.6 s before it stored that version's queues, as a conflict was retried after 1 s. The first node read in between. So it knew nothing of the service, and replaced the bars of the second version by its third.

Ruled out: a missing bar; a node that read the route and ignored it.

Change: a node accepts jobs of a queue only once a read has shown its row, so of two nodes that send an address to different services at least one sees the other's row. A service that gets an address first in an older version takes no job.

--- a/wisteriasill/machines/batch_tables.py
+++ b/wisteriasill/machines/batch_tables.py
@@ -52,11 +52,19 @@
 
 
 def read_all(
-    store: cluster.RowStore, table: str, partition_key: str
+    store: cluster.RowStore,
+    table: str,
+    partition_key: str,
+    retry_seconds: float | None = None,
 ) -> cluster.RowPage | None:
     """Reads all rows of a partition of a table, page by page.
 
-    A page that the store refuses is retried for `READ_SECONDS`.
+    Args:
+        store: The store.
+        table: The table.
+        partition_key: The partition.
+        retry_seconds: Time for which pages that the store refuses are retried;
+            None for `READ_SECONDS`.
 
     Returns:
         The rows with the version of the first page, so that a watch from that
@@ -65,7 +73,9 @@
     rows: list[cluster.StoredRow] = []
     version: int | None = None
     first = ""
-    give_up_at = time.monotonic() + READ_SECONDS
+    if retry_seconds is None:
+        retry_seconds = READ_SECONDS
+    give_up_at = time.monotonic() + retry_seconds
     while True:
         read = store.read(table, partition_key, first)
         if not isinstance(read, result.Success):
--- a/wisteriasill/machines/job_moves.py
+++ b/wisteriasill/machines/job_moves.py
@@ -33,6 +33,8 @@
     A node inserts a job only after it has barred the job from these services,
     with the version of its configuration. A service with a newer bar takes no
     job, so of two nodes with different configurations only one can insert it.
+    An older bar gives way, but only to a node that knows all queues stored up
+    to the bar, as the job may be at a service that it did not know.
 
     Args:
         store: The platform's store.
@@ -62,25 +64,31 @@
         Args:
             queue: Queue to which the job is submitted.
             job_id: The caller's id for the job.
-            version: Version of the configuration that the insertion uses.
+            version: Version of the configuration that the insertion uses; 0
+                for a queue of none.
             give_up_at: Monotonic time until which to wait for the store.
 
         Returns:
             Another service that has the job already, else that of the queue;
             None if this is not known.
         """
-        while not self._known_queues.loaded:
+        known_queues = self._known_queues
+        while not (
+            known_queues.loaded
+            and (not version or known_queues.is_stored(queue))
+        ):
             if time.monotonic() >= give_up_at:
                 return None
             time.sleep(RETRY_SECONDS)
-        others = self._known_queues.versions_of_others(queue)
+        others = known_queues.versions_of_others(queue)
         for service, other_version in others.items():
-            # A service that gets the address later bars this one itself.
-            has_job = (
-                self._bar(service, job_id, version, give_up_at)
-                if other_version < version
-                else self._has_job(service, job_id)
-            )
+            if other_version < version:
+                has_job = self._bar(service, job_id, version, give_up_at)
+            elif known_queues.is_stored_before(queue, service):
+                # The nodes that accept jobs for it bar this service.
+                has_job = self._has_job(service, job_id)
+            else:
+                has_job = None
             if has_job is None:
                 return None
             if has_job:
--- a/wisteriasill/machines/queue_records.py
+++ b/wisteriasill/machines/queue_records.py
@@ -2,12 +2,17 @@
 
 An accepted job outlives its queue, and a node that starts after the removal has
 to find it. A row holds the newest definition of a queue.
+
+A node accepts jobs of a queue only once a read has shown it the queue's row. So
+of two nodes that send an address to different services, at least one knows the
+other's, also if it never applied the configuration.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
 import threading
+import time
 from typing import Any, NamedTuple
 
 import cbor2
@@ -22,6 +27,8 @@
 
 TABLE = "queues"
 PARTITION = ":queues"
+# All nodes store the queues of a new configuration; all but one have conflicts.
+STORE_ATTEMPTS = 5
 
 
 class KnownQueue(NamedTuple):
@@ -106,20 +113,29 @@
 
     Attributes:
         loaded: Whether the stored queues have been read.
+        read_version: Store version as of which all stored queues are known.
+        changes: Number of reads that showed a queue that was new or differed.
         version: Newest configuration that was added; 0 before the first.
     """
 
     def __init__(self, store: cluster.RowStore, loaded: bool = False) -> None:
         self._store = store
         self._lock = threading.Lock()
+        self._refresh_lock = threading.Lock()
+        self._refresh_began_at = 0.0
         # Both are replaced as a whole, so that readers need no lock.
         self._known_by_key: Mapping[str, KnownQueue] = {}
         self._queues_by_address: Mapping[
             tuple[str, str], tuple[queues.Queue, ...]
         ] = {}
         self._oldest_version_by_key: dict[str, int] = {}
+        self._row_by_key: dict[str, cluster.StoredRow] = {}
+        # Store version as of which a service is known to have an address.
+        self._stored_at_by_route: dict[tuple[str, str, str], int] = {}
         self._unreadable_keys: set[str] = set()
         self.loaded = loaded
+        self.read_version = 0
+        self.changes = 0
         self.version = 0
         # Newest added configuration that sends an address to a service.
         self._version_by_route: dict[tuple[str, str, str], int] = {}
@@ -127,7 +143,7 @@
     def add(self, configuration: queues.SiteConfiguration) -> None:
         """Takes in the queues of a configuration; `store` stores them."""
         for queue in configuration.queue_by_name.values():
-            route = queue.host, queue.prefix, queue.service
+            route = _route(queue)
             self._version_by_route[route] = max(
                 self._version_by_route.get(route, 0), configuration.version
             )
@@ -144,49 +160,93 @@
     def store(self) -> bool:
         """Reads the stored queues and stores those that are new or differ.
 
-        The read also shows queues of configurations that this node missed.
+        Returns:
+            Whether all known queues are stored, and a read has shown them.
+        """
+        for _ in range(STORE_ATTEMPTS):
+            if not self.refresh():
+                return False
+            changed = self._rows_to_write()
+            if not changed:
+                return True
+            size = shard_writer.WRITES_PER_TRANSACTION
+            for first in range(0, len(changed), size):
+                fault = self._write(changed[first : first + size])
+                # After a conflict the next read shows what another node wrote.
+                if fault and fault.kind is not cluster.StoreFaultKind.CONFLICT:
+                    return False
+        return False
+
+    def refresh(self, retry_seconds: float | None = None) -> bool:
+        """Reads all stored queues; threads that wait for a read share it.
+
+        Args:
+            retry_seconds: Time for which refused reads are retried; None for
+                that of other tables.
 
         Returns:
-            Whether all known queues are stored.
+            Whether a read that began after the call succeeded.
         """
-        page = batch_tables.read_all(self._store, TABLE, PARTITION)
-        if page is None:
-            return False
-        row_by_key = {row.key: row for row in page.rows if row.value}
-        stored_by_key = {
-            key: stored
-            for key, row in row_by_key.items()
-            if (stored := self._decode_row(row))
-        }
-        added = stored_by_key.keys() - self._known_by_key.keys()
-        self._merge(stored_by_key)
-        self.loaded = True
-        events.log(
-            events.Event.QUEUES_READ,
-            "The stored queues were read",
-            version=page.version,
-            configuration=self.version,
-            rows=len(page.rows),
-            added=sorted(
-                f"{queue.host}{queue.prefix} {queue.service}"
-                for queue in (stored_by_key[key].queue for key in added)
-            ),
-        )
-        changed = [
-            (
-                cluster.RowVersion(
-                    TABLE, key, row_by_key[key].version if stored else 0
-                ),
-                cluster.RowWrite(TABLE, key, encode(known)),
+        asked_at = time.monotonic()
+        with self._refresh_lock:
+            if self._refresh_began_at > asked_at:
+                return True
+            began_at = time.monotonic()
+            page = batch_tables.read_all(
+                self._store, TABLE, PARTITION, retry_seconds
             )
-            for key, known in self._known_by_key.items()
-            if key not in self._unreadable_keys
-            and known.replaces(stored := stored_by_key.get(key))
-        ]
-        size = shard_writer.WRITES_PER_TRANSACTION
-        return all(
-            self._write(changed[first : first + size])
-            for first in range(0, len(changed), size)
+            if page is None:
+                return False
+            self._refresh_began_at = began_at
+        self._take_in(page)
+        return True
+
+    def follow(self, wait_seconds: float) -> bool:
+        """Takes in what other nodes store, as soon as they do.
+
+        Args:
+            wait_seconds: Longest wait for a change.
+
+        Returns:
+            Whether the store responded.
+        """
+        if not self.read_version:
+            return self.refresh()
+        page = self._store.watch(TABLE, self.read_version, wait_seconds)
+        if not isinstance(page, result.Success):
+            return (
+                page.failure().kind is cluster.StoreFaultKind.HISTORY_LOST
+                and self.refresh()
+            )
+        self._take_in(page.unwrap())
+        return True
+
+    def covers(self, version: int) -> bool:
+        """Whether all queues stored up to a store version are known."""
+        return self.read_version >= version
+
+    def is_stored(self, queue: queues.Queue) -> bool:
+        """Whether a read has shown that the service has the address.
+
+        Of a row that this release can't read only the key is known.
+        """
+        return (
+            _route(queue) in self._stored_at_by_route
+            or _key(queue) in self._unreadable_keys
+        )
+
+    def is_stored_before(self, queue: queues.Queue, service: str) -> bool:
+        """Whether a queue was stored before another service got its address.
+
+        Then each node that accepts jobs for the other service knows the queue.
+        """
+        stored_at = self._stored_at_by_route.get(_route(queue))
+        other_at = self._stored_at_by_route.get(
+            (queue.host, queue.prefix, service)
+        )
+        return stored_at is not None and (
+            # One transaction may have stored both.
+            other_at is None or stored_at <= other_at
         )
 
     def services(self) -> frozenset[str]:
@@ -213,8 +273,7 @@
         Returns:
             The version; 0 if no such configuration was added.
         """
-        route = queue.host, queue.prefix, queue.service
-        return self._version_by_route.get(route, 0)
+        return self._version_by_route.get(_route(queue), 0)
 
     def versions_of_others(self, queue: queues.Queue) -> dict[str, int]:
         """Returns the other services that have had the address of a queue.
@@ -231,6 +290,72 @@
                 )
         return version_by_service
 
+    def _take_in(self, page: cluster.RowPage) -> None:
+        """Adds the queues of rows that were read."""
+        stored_by_key = {
+            row.key: stored
+            for row in page.rows
+            if row.value and (stored := self._decode_row(row))
+        }
+        known_by_key = self._known_by_key
+        added = stored_by_key.keys() - known_by_key.keys()
+        self.changes += any(
+            stored.replaces(known_by_key.get(key))
+            for key, stored in stored_by_key.items()
+        )
+        self._merge(stored_by_key)
+        with self._lock:
+            for row in page.rows:
+                known_row = self._row_by_key.get(row.key)
+                if known_row is None or known_row.version < row.version:
+                    self._row_by_key[row.key] = row
+                if stored := stored_by_key.get(row.key):
+                    route = _route(stored.queue)
+                    self._stored_at_by_route[route] = min(
+                        row.version,
+                        self._stored_at_by_route.get(route, row.version),
+                    )
+            self.read_version = max(self.read_version, page.version)
+            is_first = not self.loaded
+            self.loaded = True
+        if added or is_first:
+            events.log(
+                events.Event.QUEUES_READ,
+                "The stored queues were read",
+                version=page.version,
+                configuration=self.version,
+                rows=len(page.rows),
+                added=sorted(
+                    " ".join(_route(stored_by_key[key].queue)) for key in added
+                ),
+            )
+
+    def _rows_to_write(
+        self,
+    ) -> list[tuple[cluster.RowVersion, cluster.RowWrite]]:
+        """Returns the rows of queues that are not stored as they are known."""
+        with self._lock:
+            stored_by_key = {
+                key: stored
+                for key, row in self._row_by_key.items()
+                if row.value and (stored := self._decode_row(row))
+            }
+            return [
+                (
+                    cluster.RowVersion(
+                        TABLE,
+                        key,
+                        row.version
+                        if (row := self._row_by_key.get(key)) and row.value
+                        else 0,
+                    ),
+                    cluster.RowWrite(TABLE, key, encode(known)),
+                )
+                for key, known in self._known_by_key.items()
+                if key not in self._unreadable_keys
+                and known.replaces(stored_by_key.get(key))
+            ]
+
     def _merge(self, other_by_key: Mapping[str, KnownQueue]) -> None:
         with self._lock:
             for key, other in other_by_key.items():
@@ -276,18 +401,23 @@
 
     def _write(
         self, rows: Iterable[tuple[cluster.RowVersion, cluster.RowWrite]]
-    ) -> bool:
+    ) -> cluster.StoreFault | None:
         required, writes = zip(*rows, strict=True)
-        return isinstance(
-            self._store.transact(
-                PARTITION,
-                required,
-                writes,
-                shard_writer.TRANSACTION_TIMEOUT_SECONDS,
-            ),
-            result.Success,
+        written = self._store.transact(
+            PARTITION,
+            required,
+            writes,
+            shard_writer.TRANSACTION_TIMEOUT_SECONDS,
+        )
+        return (
+            None if isinstance(written, result.Success) else written.failure()
         )
 
 
+def _route(queue: queues.Queue) -> tuple[str, str, str]:
+    """Returns the address of a queue and its service."""
+    return queue.host, queue.prefix, queue.service
+
+
 def _oldest_first(known: Iterable[KnownQueue]) -> list[KnownQueue]:
     return sorted(known, key=lambda each: each.configuration)
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 import threading
 import time
 from typing import NamedTuple
@@ -30,7 +31,12 @@
 
 WATCH_SECONDS = 1.0  # Half of the time in which a change must take effect.
 RETRY_SECONDS = 0.2
+# Longest pause after a failed attempt to store queues. Their jobs wait for it.
 QUEUES_RETRY_SECONDS = 1.0
+# Nodes apply a configuration at the same time. One of them stores its queues,
+# and the others see them before they try.
+QUEUES_SPREAD_SECONDS = 0.1
+QUEUES_WATCH_SECONDS = 2.0  # Longest wait of one long poll for other queues.
 # The controller of a pool of 40 workers uses half a core at its peak. It reads
 # 2 MB at its start, which takes 2 s at 10 Mbit/s.
 FULL_STRENGTH_CORES = 0.9
@@ -162,6 +168,7 @@
         for name, run, closing in (
             ("operators watch", self._watch_operators, self._closed),
             ("queue records", self._store_queues, self._closed),
+            ("queue records watch", self._watch_queues, self._closed),
             ("shard claims", self._claim_shards, self._stopping),
         ):
             restarting_task.start(name, run, closing)
@@ -240,15 +247,32 @@
                 pool.add_former_queues(self._queues.of_service(shard))
 
     def _store_queues(self) -> None:
-        """Stores the queues of each new configuration and reads all others."""
+        """Stores the queues of each new configuration."""
+        pause_seconds = RETRY_SECONDS
         while not self._closed.is_set():
             if not self._queues.store():
-                self._closed.wait(QUEUES_RETRY_SECONDS)
+                self._closed.wait(pause_seconds * random.uniform(0.5, 1.5))
+                pause_seconds = min(2 * pause_seconds, QUEUES_RETRY_SECONDS)
                 continue
-            for shard, pool in self.pools().items():
-                pool.add_former_queues(self._queues.of_service(shard))
+            pause_seconds = RETRY_SECONDS
+            self._add_former_queues()
             self._adopted.wait()
             self._adopted.clear()
+            self._closed.wait(random.uniform(0.0, QUEUES_SPREAD_SECONDS))
+
+    def _watch_queues(self) -> None:
+        """Takes in the queues that other nodes store."""
+        changes = 0
+        while not self._closed.is_set():
+            if not self._queues.follow(QUEUES_WATCH_SECONDS):
+                self._closed.wait(RETRY_SECONDS)
+            elif self._queues.changes != changes:
+                changes = self._queues.changes
+                self._add_former_queues()
+
+    def _add_former_queues(self) -> None:
+        for shard, pool in self.pools().items():
+            pool.add_former_queues(self._queues.of_service(shard))
 
     def _watch_operators(self) -> None:
         operators = self._links.operators
