Acknowledge the last ends of an idle worker at once

Cause: a worker without runs is polled again after 20 s. Its last end is received and stored at once, but acknowledged by that poll only. The worker has closed the idle connection by then, and on a new one nothing is acknowledged before a report, so the end stays there for good and each later holder gets it again.

Ruled out: an end that is not stored, a last_stored_end that does not move.

Change: a worker whose last report listed ends is polled until they are acknowledged, without a wait, and at most four times a second while it goes on listing them.

--- a/wisteriasill/machines/worker.py
+++ b/wisteriasill/machines/worker.py
@@ -246,6 +246,10 @@
         )
         self.quarantined_until = 0.0
         self.trial_run: batch_job.Run | None = None
+        # Whether the last report listed run ends, and some that the poll before
+        # it had acknowledged, as on a connection that was new.
+        self._lists_ends = False
+        self._lists_acknowledged_ends = False
         self._clock = ClockReading(0.0, 0.0)
         # Both threads extend the lease.
         self._lease_lock = threading.Lock()
@@ -473,6 +477,7 @@
             Whether it responded.
         """
         sent_at = time.monotonic()
+        acknowledged = self.last_stored_end
         # The lease of an unresponsive worker must expire, so that its tasks
         # can start elsewhere. It is renewed again after a response.
         responds = bool(self._clock.received_at) and not self.silent_since
@@ -485,7 +490,7 @@
             wait_seconds = self._poll_wait_seconds()
             answer = self.link.poll(
                 self._owner.fencing_epoch,
-                self.last_stored_end,
+                acknowledged,
                 self._extend_lease() if renews else None,
                 wait_seconds,
                 wait_seconds
@@ -495,7 +500,7 @@
                 sent_at, answer = self._repeat_poll()
         else:
             answer = self._poll_at_once(
-                0 if self.silent_since else self.last_stored_end
+                0 if self.silent_since else acknowledged
             )
         if self._closing.is_set():
             return False
@@ -503,6 +508,10 @@
             self._owner.on_poll_failure(self, answer)
             return False
         self.record_clock(answer.clock_ms, time.monotonic())
+        self._lists_ends = bool(answer.ends)
+        self._lists_acknowledged_ends = any(
+            end.number <= acknowledged for end in answer.ends
+        )
         self._owner.on_report(self, sent_at, answer)
         if not self.is_removed:
             self.last_polled_at = sent_at
@@ -565,6 +574,8 @@
 
     def _poll_wait_seconds(self) -> float:
         runs = [*self.run_by_task.values()]
+        if self._lists_ends and not (runs or self.unknown_run_by_key):
+            return 0.0  # Only acknowledges the last ends.
         if any(
             _is_starting_to_serve(run) or self._is_on_trial(run) for run in runs
         ):
@@ -591,15 +602,22 @@
             self._wake.clear()
             if self.last_stored_end < self.last_received_end:
                 self._wake.wait(remaining_seconds)
+        if self._lists_acknowledged_ends:
+            self._closing.wait(SILENT_RETRY_SECONDS)
         if not self._is_poll_due():
             self._wake.clear()
             if not self._is_poll_due():
                 self._wake.wait(IDLE_POLL_SECONDS)
 
     def _is_poll_due(self) -> bool:
-        """Whether it is in use, or gets no starts until a poll succeeds."""
+        """Whether it is in use, or gets no starts until a poll succeeds.
+
+        Also while ends are to be acknowledged: its connection may be closed,
+        and its holder another one, before it is in use again.
+        """
         return bool(
-            self.run_by_task
+            self._lists_ends
+            or self.run_by_task
             or self.unknown_run_by_key
             or self._orders
             or self.silent_since
