Store which runs of a task have failed

A gang with max_attempts 3 is shown as failed after two failed runs (LOST), if its holder changes between the reports of two members of one run.

Cause: the failed run of a gang counts once for all members, by the number of the last run that counted. That number was not stored with the count, so the next holder counted the same run again for the next member.

Change: the numbers of the runs that count as failed are stored behind the fields that the release before reads; it ignores them. For a row of that release all ended runs count as known, as it stored only how many had failed.

--- a/tests/machines/batch/test_down_workers.py
+++ b/tests/machines/batch/test_down_workers.py
@@ -82,7 +82,7 @@
     """Returns progress as the release before stores it."""
     state, opened_occurrences, units = cbor2.loads(progress)
     return cbor2.dumps(
-        [state, opened_occurrences, [unit[:-1] for unit in units]]
+        [state, opened_occurrences, [unit[:-2] for unit in units]]
     )
 
 
--- a/tests/machines/batch/test_hand_over.py
+++ b/tests/machines/batch/test_hand_over.py
@@ -142,6 +142,6 @@
     """It reads four fields of a run, and ignores all behind the crashes."""
     started(batch_site.step(1, lasting=True))
     (value,) = site.progress_by_id.values()
-    _, _, ((*_, runs, crashes, _),) = cbor2.loads(value)
+    _, _, ((*_, runs, crashes, _, _),) = cbor2.loads(value)
     assert runs == [[0, 1, "w1", 1]]
     assert crashes == [0, 0]
--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 import enum
 import itertools
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -158,6 +158,8 @@
 
     Attributes:
         last_run: Number of the last run.
+        failed_runs: Numbers of the runs that count as failed; none of a lasting
+            task, which may fail any number of times.
         crash_record: Crashes of workers under its runs.
         crashed_run: Highest run of which a worker crashed.
         suspected_with: The suspects of each of these crashes, this one
@@ -179,7 +181,7 @@
         "crashed_run",
         "done",
         "early_crash_at",
-        "failed_run",
+        "failed_runs",
         "failures",
         "indexes",
         "job",
@@ -209,7 +211,7 @@
         self.indexes = indexes
         self.last_run = 0
         self.failures = 0
-        self.failed_run = 0
+        self.failed_runs: set[int] = set()
         self.crash_record = crash_evidence.NO_CRASHES
         self.crashed_run = 0
         self.suspected_with: list[list[Unit]] = []
@@ -439,7 +441,11 @@
 
 
 class StoredUnit(NamedTuple):
-    """Stored form of a unit."""
+    """Stored form of a unit.
+
+    Attributes:
+        failed_runs: Numbers of the runs whose failure counts no more.
+    """
 
     key: UnitKey
     last_run: int
@@ -448,6 +454,7 @@
     checkpoint: str
     runs: tuple[StoredRun, ...]
     crash_record: crash_evidence.CrashRecord = crash_evidence.NO_CRASHES
+    failed_runs: tuple[int, ...] = ()
 
 
 class Progress(NamedTuple):
@@ -505,6 +512,7 @@
         # The release before reads these two, and nothing behind them.
         [unit.crash_record.crashes, unit.crash_record.suspicions],
         [run.registered_version for run in runs],
+        sorted(unit.failed_runs),
     ]
 
 
@@ -552,6 +560,9 @@
                     )
                 ),
                 crash_evidence.CrashRecord(*crashes),
+                tuple(versions[1])
+                if len(versions) > 1
+                else _runs_before(last_run, runs),
             )
             for (
                 occurrence,
@@ -570,6 +581,19 @@
     )
 
 
+def _runs_before(
+    last_run: int, runs: Iterable[Sequence[Any]]
+) -> tuple[int, ...]:
+    """Returns the ended runs of a unit that a former release stored.
+
+    It stored how many of them had failed, and not which ones.
+    """
+    at_work = {number for _, number, *_ in runs}
+    return tuple(
+        number for number in range(1, last_run + 1) if number not in at_work
+    )
+
+
 def _with_crashes(unit: list[Any]) -> list[Any]:
     """Completes a unit that a former release stored without crashes."""
     return unit if len(unit) > _UNIT_FIELDS else [*unit, []]
