Check in orders of events that no task starts after its last attempt

Change: the simulated workers note each failed end and when it is acknowledged; an end behind an expired lease counts no more, as RULES.md says. No task may start after its last allowed failure.

--- a/bench/event_kinds.py
+++ b/bench/event_kinds.py
@@ -184,6 +184,22 @@
     )
 
 
+def _fail(world: event_world.World, rng: random.Random) -> None:
+    """Fails most finite runs at work."""
+    for worker in world.worker_by_id.values():
+        for task in worker.running:
+            if not world.accepted[task.job_id].lasting and rng.random() < 0.7:
+                worker.finish(task, cluster.RunEndKind.FAILED)
+
+
+def _lose_connections(
+    world: event_world.World, holder: event_world.Holder, rng: random.Random
+) -> None:
+    for link in holder.links:
+        if rng.random() < 0.5:
+            link.lose_connection()
+
+
 def _crash(world: event_world.World, rng: random.Random) -> None:
     worker = rng.choice([*world.worker_by_id.values()])
     if not worker.is_down:
@@ -268,3 +284,9 @@
     "late call": EventKind(3, _execute_late),
     "advance": EventKind(6, _advance),
 }
+# With the kinds for runs that fail again and again.
+ALL_BY_NAME: Mapping[str, EventKind] = {
+    **EVENT_BY_NAME,
+    "fail": EventKind(12, _fail),
+    "lose connections": EventKind(4, _at_holder(_lose_connections)),
+}
--- a/bench/event_orders.py
+++ b/bench/event_orders.py
@@ -5,8 +5,8 @@
 refused calls, crashes, expired leases, rounds that fail before or after their
 transaction, and cancellations at any point. Then the faults end, and within a
 time that the rules allow no task may run twice, no cancelled task may be at
-work, and each accepted task has run or is at work. A sequence that breaks this
-is shortened and printed.
+work, none may have started after its last allowed failure, and each accepted
+task has run or is at work. A sequence that breaks this is shortened and printed.
 """
 
 from __future__ import annotations
@@ -41,7 +41,7 @@
     """An event of a sequence.
 
     Attributes:
-        name: Key of `event_kinds.EVENT_BY_NAME`.
+        name: Key of `event_kinds.ALL_BY_NAME`.
         seed: Seed of its choices, so that a shorter sequence makes the same.
     """
 
@@ -49,18 +49,28 @@
     seed: int
 
 
-def draw_sequence(seed: int, length: int) -> list[Event]:
+def draw_sequence(
+    seed: int, length: int, with_failures: bool = False
+) -> list[Event]:
     """Draws the events of a sequence.
 
     Each sequence has more of some kinds and less of others, so that chains of
     rare events come up.
+
+    Args:
+        seed: Seed of the sequence.
+        length: Number of its events.
+        with_failures: Whether many runs fail, and connections are closed.
     """
     rng = random.Random(seed)
+    kind_by_name = (
+        event_kinds.ALL_BY_NAME if with_failures else event_kinds.EVENT_BY_NAME
+    )
     names = rng.choices(
-        [*event_kinds.EVENT_BY_NAME],
+        [*kind_by_name],
         [
             kind.weight * rng.choice(WEIGHT_FACTORS)
-            for kind in event_kinds.EVENT_BY_NAME.values()
+            for kind in kind_by_name.values()
         ],
         k=length,
     )
@@ -76,11 +86,11 @@
         event_kinds.run_calmly(world)
         event_kinds.run_calmly(world)
         for event in sequence:
-            event_kinds.EVENT_BY_NAME[event.name].apply(
+            event_kinds.ALL_BY_NAME[event.name].apply(
                 world, random.Random(event.seed)
             )
-            if world.log.violations:
-                return [*world.log.violations]
+            if found := world.violations():
+                return found
         return [*itertools.islice(_settle(world), 3)]
 
 
@@ -98,7 +108,7 @@
             link.is_cut = False
         event_kinds.run_calmly(world)
         _end_finite_runs(world)
-        yield from world.log.violations
+        yield from world.violations()
         if world.clock.now <= settled_at + CANCELLED_GONE_SECONDS:
             continue
         yield from (
--- a/bench/event_workers.py
+++ b/bench/event_workers.py
@@ -9,6 +9,7 @@
 import time
 from unittest import mock
 
+from bench import failure_book
 from standins import batch_worker
 from standins import timed_worker
 from wisteriasill import clock as clocks
@@ -90,7 +91,9 @@
         clock: SimulatedTime,
         log: timed_worker.RunLog,
         clock_rate: float,
+        failures: failure_book.FailureBook,
     ) -> None:
+        self._failures = failures
         self.worker_id = worker_id
         self.is_down = False
         self.failed_by_task: dict[job_spec.TaskKey, int] = {}
@@ -138,6 +141,7 @@
         if self._worker.clock_ms < self._worker.lease_until_ms:
             return
         self._log.forget_done(self.worker_id)
+        self._failures.forget_listed(self.worker_id)
         for task in self._worker.running:
             self.finish(task, cluster.RunEndKind.LAPSED)
 
@@ -153,6 +157,13 @@
             self.failed_by_task[task] = failed + 1
         self._worker.finish(task, kind)
         self._log.ended(task, run, self.worker_id, kind.value)
+        if kind is cluster.RunEndKind.FAILED:
+            self._failures.record_failure(
+                self.worker_id,
+                failure_book.FailedRun(
+                    task, run, self._worker.last_end_number, self._clock.now
+                ),
+            )
 
     def crash(self) -> None:
         """Ends this incarnation and all that it knows."""
@@ -160,6 +171,7 @@
         for task, run in self._worker.running.items():
             self._log.ended(task, run, self.worker_id, "crash")
         self._log.forget_done(self.worker_id)
+        self._failures.forget_listed(self.worker_id)
         self.is_down = True
 
     def start(self, order: cluster.StartOrder) -> cluster.OrderAnswer:
@@ -175,6 +187,7 @@
         was_running = worker.running.get(order.task) == order.run
         answer = worker.start(order._replace(lease_until_ms=lease_until_ms))
         if answer.outcome is cluster.OrderOutcome.DONE and not was_running:
+            self._failures.record_start(order.task, order.run, self._clock.now)
             self._log.started(
                 order.task,
                 order.run,
@@ -216,4 +229,5 @@
                 and end.kind is cluster.RunEndKind.DONE
             ):
                 self._log.acknowledged(end.task, end.run, self.worker_id)
+        self._failures.record_acknowledgement(self.worker_id, acknowledged)
         return self._worker.poll(fencing_epoch, acknowledged, None, 0.0)
--- a/bench/event_world.py
+++ b/bench/event_world.py
@@ -14,6 +14,7 @@
 from returns import result
 
 from bench import event_workers
+from bench import failure_book
 from standins import row_store
 from standins import timed_worker
 from wisteriasill import metrics
@@ -132,6 +133,10 @@
     def close(self) -> None:
         """Does nothing, because there are no connections."""
 
+    def lose_connection(self) -> None:
+        """Closes the idle connection, as a worker does after a while."""
+        self._heard_ms = 0
+
     def _call(
         self, execute: Callable[[], cluster.OrderAnswer]
     ) -> cluster.OrderAnswer:
@@ -223,6 +228,7 @@
 
     Attributes:
         holders: The present holder, last, and former ones that still act.
+        failures: The failed runs, and the starts after them.
         accepted: Specifications of the accepted jobs by id.
         cancelled_ids: Jobs whose cancellation was acknowledged.
         faults: What becomes of the next calls to workers.
@@ -233,11 +239,16 @@
         rng = random.Random(seed)
         self.clock = event_workers.SimulatedTime()
         self.log = timed_worker.RunLog()
+        self.failures = failure_book.FailureBook(MAX_ATTEMPTS)
         self.store = FaultyStore()
         self.api = job_api.JobApi(self.store)
         self.worker_by_id = {
             f"w{number}": event_workers.SimulatedWorker(
-                f"w{number}", self.clock, self.log, rng.uniform(0.98, 1.0)
+                f"w{number}",
+                self.clock,
+                self.log,
+                rng.uniform(0.98, 1.0),
+                self.failures,
             )
             for number in range(WORKERS)
         }
@@ -265,6 +276,15 @@
         """Keeps a call for later; a crash of the worker drops it."""
         self.late_calls.append(LateCall(worker, worker.started_ms, execute))
 
+    def violations(self) -> list[str]:
+        """Returns the rules that were broken until now."""
+        return [
+            *self.log.violations,
+            *self.failures.violations(
+                lambda task: self.accepted[task.job_id].lasting
+            ),
+        ]
+
     def execute_late(self, call: LateCall) -> None:
         """Executes a call that was delayed."""
         self.late_calls.remove(call)
--- a/standins/batch_worker.py
+++ b/standins/batch_worker.py
@@ -57,6 +57,11 @@
         """End of the lease on the worker's clock."""
         return self._lease_until_ms
 
+    @property
+    def last_end_number(self) -> int:
+        """Number of the last run that ended; 0 before the first."""
+        return self._last_end_number
+
     @property
     def running(self) -> dict[job_spec.TaskKey, int]:
         """Numbers of the runs in progress by task."""
