Claim the pools of all stored queues

Cause: a pool was claimed only while a configuration names it or once it has had a holder. Nobody had claimed the pool in that moment, and nobody did afterwards.

Change: nodes also claim the pools of stored queues. A queue is stored before its first job and every node follows the stored queues, so the pool of an accepted job is known to all, also to nodes that skipped the version.

--- a/bench/event_orders.py
+++ b/bench/event_orders.py
@@ -6,7 +6,8 @@
 transaction, and cancellations at any point. Then the faults end, and within a
 time that the rules allow no task may run twice, no cancelled task may be at
 work, none may have started after its last allowed failure, and each accepted
-task has run or is at work. A sequence that breaks this is shortened and printed.
+task has run or is at work. A sequence that breaks this is shortened and
+printed.
 """
 
 from __future__ import annotations
--- a/tests/machines/test_site_node.py
+++ b/tests/machines/test_site_node.py
@@ -17,6 +17,7 @@
 from wisteriasill.machines import batch_controller
 from wisteriasill.machines import fleet_controller
 from wisteriasill.machines import fleet_rows
+from wisteriasill.machines import queue_records
 from wisteriasill.machines import site_links
 from wisteriasill.machines import site_node
 
@@ -141,6 +142,31 @@
     )
 
 
+def test_the_pool_of_a_queue_that_another_node_stored_is_claimed(
+    node: site_node.SiteNode,
+    store: row_store.MemoryRowStore,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against LOST: a node skips the version that had the queue.
+
+    It read the stored queues once for each version that it applied, and no node
+    claims a pool that it doesn't know.
+    """
+    for controller in (
+        batch_controller.BatchController,
+        fleet_controller.FleetController,
+    ):
+        monkeypatch.setattr(controller, "open", lambda controller: True)
+    store.down = False
+    assert waiting.wait_until(lambda: batch_site.SERVICE in node.pools(), 5.0)
+    other = queue_records.QueueRecords(store)
+    queue = batch_site.QUEUE._replace(name="r-2", service="office")
+    other.add(queues.configuration(2, [queue], [], 100_000))
+    assert other.store()
+    assert waiting.wait_until(lambda: "office" in node.pools(), 5.0)
+    assert node.pools()["office"]._queue_by_name["r-2"].service == "office"
+
+
 def test_a_pool_that_is_being_opened_gets_a_new_configuration(
     node: site_node.SiteNode,
     operators: OneConfiguration,
--- a/tests/zones/test_shard_claims.py
+++ b/tests/zones/test_shard_claims.py
@@ -248,6 +248,29 @@
     assert second.holds
 
 
+@pytest.mark.parametrize("accepts_work", [True, False])
+def test_a_shard_that_was_required_for_a_moment_only_is_claimed(
+    store: row_store.MemoryRowStore,
+    pass_time: Callable[[list[Node], float], None],
+    accepts_work: bool,
+) -> None:
+    """Guards against LOST: jobs accepted in that moment never ran.
+
+    A shard that never had a holder was left alone once nothing required it.
+    """
+    node = Node(store, "n1", 1.0)
+    node.claims = shard_claims.ShardClaims(
+        store,
+        "n1",
+        ManualController,
+        shard_claims.NodeEntry(1.0),
+        accepts_work=lambda shard: accepts_work,
+    )
+    node.required = False
+    pass_time([node], 3.2)
+    assert node.holds is accepts_work
+
+
 def test_a_required_shard_is_claimed_while_a_former_one_cannot_be_read(
     store: row_store.MemoryRowStore,
     pass_time: Callable[[list[Node], float], None],
--- a/wisteriasill/machines/site_node.py
+++ b/wisteriasill/machines/site_node.py
@@ -99,6 +99,7 @@
             self._make_controller,
             shard_claims.NodeEntry(strength(settings), settings.relay_address),
             links.limits,
+            lambda shard: shard in self._queues.services(),
         )
         self.api = job_api.JobApi(
             links.store,
--- a/wisteriasill/zones/shard_claims.py
+++ b/wisteriasill/zones/shard_claims.py
@@ -96,6 +96,8 @@
         node: Name of this node.
         make_controller: Builds the controller of a claimed shard.
         own_entry: Entry of this node, published to the other nodes.
+        limits: Limits of the store.
+        accepts_work: Whether a node may ever have stored work for a shard.
 
     Attributes:
         last_read_at: Monotonic time of the last response to a read.
@@ -111,8 +113,10 @@
         ],
         own_entry: NodeEntry,
         limits: cluster.StoreLimits = cluster.DOCUMENTED_LIMITS,
+        accepts_work: Callable[[str], bool] = lambda shard: False,
     ) -> None:
         self._store = store
+        self._accepts_work = accepts_work
         self._limits = limits
         self._node = node
         self._make_controller = make_controller
@@ -143,8 +147,8 @@
 
         Args:
             shards: Shards that the configuration requires.
-            former_shards: Shards that it may have required before; those that
-                ever had a holder may have stored work.
+            former_shards: Shards that it may have required before; claimed if
+                they may have stored work.
         """
         for shard, controller in [*self.controller_by_shard.items()]:
             if controller.lost:
@@ -161,7 +165,7 @@
         for shard in [*self.controller_by_shard]:
             self._release_if_requested(shard)
         self._read_partitions(frozenset(former_shards) - self._read_shards)
-        for shard in (*shards, *filter(self._ever_held, former_shards)):
+        for shard in (*shards, *filter(self._may_have_work, former_shards)):
             if (
                 shard in self._read_shards
                 and shard not in self.controller_by_shard
@@ -169,8 +173,14 @@
             ):
                 self._check_shard(shard)
 
-    def _ever_held(self, shard: str) -> bool:
-        return (shard, shard_writer.OWNER) in self._row_by_key
+    def _may_have_work(self, shard: str) -> bool:
+        """Whether a shard ever had a holder, or may have been without one.
+
+        Work may be stored for a shard before its first holder claims it.
+        """
+        return (shard, shard_writer.OWNER) in self._row_by_key or (
+            self._accepts_work(shard)
+        )
 
     def _refresh(self, shards: frozenset[str]) -> bool:
         """Reads the rows that have changed.
