Count jobs that wait at the former service of a route as pending

Cause: JobApi.pending read the status of the present service only.

Change: it adds up the counts of all queues that have had the address, each by its name, with one cached read a second for each service.

Result: test_jobs_that_wait_at_the_former_service_of_a_route_are_pending fails without the change and passes.

--- a/tests/machines/test_job_api.py
+++ b/tests/machines/test_job_api.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import random
+import threading
 import time
 from typing import Any, NamedTuple
 
+import cbor2
 import pytest
 from returns import result
 
@@ -21,6 +23,7 @@
 from wisteriasill.machines import batch_tables
 from wisteriasill.machines import job_api
 from wisteriasill.machines import queue_records
+from wisteriasill.zones import shard_writer
 
 JOB = "5c0e7a21d94b36f8"
 SPEC = job_spec.JobSpec("text", (batch_site.step(2),))
@@ -471,6 +474,30 @@
     assert not rows
 
 
+def publish_pending(
+    store: row_store.MemoryRowStore, service: str, waiting: dict[str, int]
+) -> None:
+    """Publishes how many jobs wait, as the holder of a pool does."""
+    writer = shard_writer.ShardWriter(store, service, "n1", threading.Event())
+    assert writer.claim(shard_writer.UNOWNED)
+    writer.commit([], cbor2.dumps({"pending": waiting}))
+
+
+def test_jobs_that_wait_at_the_former_service_of_a_route_are_pending(
+    store: row_store.MemoryRowStore, moved_queue: queues.Queue
+) -> None:
+    """Guards against MIXED: all nodes gave 0 once the route had moved."""
+    records = queue_records.QueueRecords(store)
+    renamed = moved_queue._replace(name="renamed")
+    records.add(queues.configuration(1, [batch_site.QUEUE], [], 100_000))
+    records.add(queues.configuration(2, [renamed], [], 100_000))
+    assert records.store()
+    publish_pending(store, batch_site.SERVICE, {batch_site.QUEUE.name: 8})
+    publish_pending(store, "office", {"renamed": 2, "other": 1})
+    api = job_api.JobApi(store, known_queues=records)
+    assert api.pending(renamed).unwrap() == 10
+
+
 class RouteHistory(NamedTuple):
     """A node for each configuration of a route that moves to and fro.
 
--- a/wisteriasill/machines/job_api.py
+++ b/wisteriasill/machines/job_api.py
@@ -515,17 +515,36 @@
     def pending(
         self, queue: queues.Queue
     ) -> result.Result[int, errors.Failure]:
-        """Returns the number of a queue's jobs that have not started yet."""
-        cached = self._pending_by_service.get(queue.service)
+        """Returns the number of a queue's jobs that have not started yet.
+
+        Jobs that were accepted while another service had the address wait in
+        the pool of that service.
+        """
+        address = queue.host, queue.prefix
+        names_by_service: dict[str, set[str]] = {queue.service: {queue.name}}
+        for former in self._known_queues.at(*address):
+            names_by_service.setdefault(former.service, set()).add(former.name)
+        waiting = 0
+        for service, names in names_by_service.items():
+            counts = self._pending_counts(service)
+            if not isinstance(counts, result.Success):
+                return result.Failure(counts.failure())
+            waiting += sum(int(counts.unwrap().get(name, 0)) for name in names)
+        return result.Success(waiting)
+
+    def _pending_counts(
+        self, service: str
+    ) -> result.Result[dict[str, Any], errors.Failure]:
+        """Returns how many jobs wait in a pool, by the name of the queue."""
+        cached = self._pending_by_service.get(service)
         now = time.monotonic()
         if cached is None or now - cached[0] > PENDING_CACHE_SECONDS:
-            read = shard_writer.read_state(self._store, queue.service)
+            read = shard_writer.read_state(self._store, service)
             if not isinstance(read, result.Success):
                 return result.Failure(_unavailable(read.failure()))
-            counts: Any = read.unwrap().status.get("pending", {})
-            cached = now, counts
-            self._pending_by_service[queue.service] = cached
-        return result.Success(int(cached[1].get(queue.name, 0)))
+            cached = now, dict(read.unwrap().status.get("pending", {}))
+            self._pending_by_service[service] = cached
+        return result.Success(cached[1])
 
     def _read_row(
         self, table: str, partition_key: str, key: str
