Store the last failed run of a task only

Only gangs need it, and of a gang one run is at work at a time, so its highest number is enough.

Change: the row holds that number, and longest_unit allows for it. A row of the release before has none, as before.

--- a/wisteriasill/machines/batch_job.py
+++ b/wisteriasill/machines/batch_job.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator
 import enum
 import itertools
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -158,8 +158,7 @@
 
     Attributes:
         last_run: Number of the last run.
-        failed_runs: Numbers of the runs that count as failed; none of a lasting
-            task, which may fail any number of times.
+        failed_run: Number of the last run that counts as failed.
         crash_record: Crashes of workers under its runs.
         crashed_run: Highest run of which a worker crashed.
         suspected_with: The suspects of each of these crashes, this one
@@ -181,7 +180,7 @@
         "crashed_run",
         "done",
         "early_crash_at",
-        "failed_runs",
+        "failed_run",
         "failures",
         "indexes",
         "job",
@@ -211,7 +210,7 @@
         self.indexes = indexes
         self.last_run = 0
         self.failures = 0
-        self.failed_runs: set[int] = set()
+        self.failed_run = 0
         self.crash_record = crash_evidence.NO_CRASHES
         self.crashed_run = 0
         self.suspected_with: list[list[Unit]] = []
@@ -444,7 +443,8 @@
     """Stored form of a unit.
 
     Attributes:
-        failed_runs: Numbers of the runs whose failure counts no more.
+        failed_run: Number of the last run that counts as failed; 0 if there is
+            none, or if the release before stored the unit.
     """
 
     key: UnitKey
@@ -454,7 +454,7 @@
     checkpoint: str
     runs: tuple[StoredRun, ...]
     crash_record: crash_evidence.CrashRecord = crash_evidence.NO_CRASHES
-    failed_runs: tuple[int, ...] = ()
+    failed_run: int = 0
 
 
 class Progress(NamedTuple):
@@ -512,7 +512,7 @@
         # The release before reads these two, and nothing behind them.
         [unit.crash_record.crashes, unit.crash_record.suspicions],
         [run.registered_version for run in runs],
-        sorted(unit.failed_runs),
+        unit.failed_run,
     ]
 
 
@@ -560,9 +560,7 @@
                     )
                 ),
                 crash_evidence.CrashRecord(*crashes),
-                tuple(versions[1])
-                if len(versions) > 1
-                else _runs_before(last_run, runs),
+                versions[1] if len(versions) > 1 else 0,
             )
             for (
                 occurrence,
@@ -581,19 +579,6 @@
     )
 
 
-def _runs_before(
-    last_run: int, runs: Iterable[Sequence[Any]]
-) -> tuple[int, ...]:
-    """Returns the ended runs of a unit that a former release stored.
-
-    It stored how many of them had failed, and not which ones.
-    """
-    at_work = {number for _, number, *_ in runs}
-    return tuple(
-        number for number in range(1, last_run + 1) if number not in at_work
-    )
-
-
 def _with_crashes(unit: list[Any]) -> list[Any]:
     """Completes a unit that a former release stored without crashes."""
     return unit if len(unit) > _UNIT_FIELDS else [*unit, []]
--- a/wisteriasill/machines/batch_records.py
+++ b/wisteriasill/machines/batch_records.py
@@ -269,7 +269,7 @@
             unit = job.unit_by_key[stored.key]
             unit.last_run = stored.last_run
             unit.failures = stored.failures
-            unit.failed_runs = {*stored.failed_runs}
+            unit.failed_run = stored.failed_run
             unit.checkpoint = stored.checkpoint
             unit.crash_record = stored.crash_record
             if stored.crash_record.crashes:
--- a/wisteriasill/machines/batch_reports.py
+++ b/wisteriasill/machines/batch_reports.py
@@ -289,14 +289,12 @@
     def _record_failure(self, unit: batch_job.Unit, run: batch_job.Run) -> None:
         job = unit.job
         unit.avoided.add(run.worker.worker_id)
-        if run.number in unit.failed_runs:
+        if unit.step.gang and unit.failed_run >= run.number:
             return  # Another member of the same run already counted.
+        unit.failed_run = run.number
         unit.failures += 1
-        if unit.step.lasting:
-            return
-        unit.failed_runs.add(run.number)
         max_attempts = self._max_attempts(job)
-        if not max_attempts or job.finished:
+        if unit.step.lasting or not max_attempts or job.finished:
             return
         if unit.failures >= max_attempts:
             self._fail_job(job, f"task {run.task} failed {unit.failures} times")
--- a/wisteriasill/machines/progress_rows.py
+++ b/wisteriasill/machines/progress_rows.py
@@ -22,8 +22,9 @@
 # The state, the opened occurrences and the headers of the lists.
 _ROW_OVERHEAD = 64
 _UNIT_OVERHEAD = 16  # Headers of the lists of a unit.
-# The key, the last run, the failures and whether the unit is done.
-_UNIT_NUMBERS = len(batch_job.UnitKey._fields) + 3
+# The key, the last run, the failures, the last failed run and whether the unit
+# is done.
+_UNIT_NUMBERS = len(batch_job.UnitKey._fields) + 4
 _LONGEST_NUMBER = len(cbor2.dumps(2**64 - 1))
 _TEXT_HEADER = 3
 # Runs of a task of a step with copies, former holders' runs included.
