Pause before a service that allows no worker is asked again

Cause: reading the diff: a call for advice whose answer names no usable worker was repeated at once, with tickets that are valid for no time at all without any pause. A job was also located again by the service found before, not by that of its route.

Change: such an answer has the growing pause of a failed call; a submission keeps the queue of its route.

--- a/tests/adapter/test_advice.py
+++ b/tests/adapter/test_advice.py
@@ -124,6 +124,18 @@
     assert started_tasks(site, 5.0) == 1
 
 
+def test_a_service_that_allows_no_worker_is_asked_again_after_pauses(
+    open_pool: OpenPool,
+) -> None:
+    """Guards against a thread that asks again at once for ever."""
+    rule = queues.AdviceRule(0.0, 0.0, 0.0)
+    service = platform_http.AdviceService(rule, allowed_ids=())
+    site = open_pool(service, rule, 2)
+    site.pool.on_record(batch_site.job_row("j1", [batch_site.step(1)]))
+    assert not started_tasks(site, 1.5)
+    assert 2 <= len(service.named_by_call) <= 8
+
+
 def test_workers_beyond_one_call_are_asked_about_too(
     open_pool: OpenPool,
 ) -> None:
--- a/wisteriasill/machines/batch_advice.py
+++ b/wisteriasill/machines/batch_advice.py
@@ -130,14 +130,18 @@
             else 0.0,
         )
 
-    def on_advice(self, call: AdviceCall, advice: cluster.Advice) -> None:
-        """Records which workers may run a step."""
+    def on_advice(self, call: AdviceCall, advice: cluster.Advice) -> bool:
+        """Records which workers may run a step.
+
+        Returns:
+            Whether there is a valid ticket for the step, or it has ended.
+        """
         now = time.monotonic()
         with self.lock:
             job = self.job_by_id.get(call.step.job_id)
             known = job.advice_by_step.get(call.step) if job else None
             if job is None or known is None:
-                return  # The step has ended in the meantime.
+                return True
             valid_seconds = advice.valid_seconds
             if valid_seconds is None:
                 rule = self._advice_rule(job)
@@ -148,7 +152,9 @@
                 now + valid_seconds,
                 now,
             )
+            has_ticket = not known.is_wanted
         self._changed.set()
+        return has_ticket
 
     def on_advice_failure(self, call: AdviceCall) -> None:
         """Lets the other steps come before one whose call failed."""
--- a/wisteriasill/machines/batch_watch.py
+++ b/wisteriasill/machines/batch_watch.py
@@ -274,11 +274,12 @@
             declared_seconds=round(call.declared_seconds, 3),
             seconds=round(time.monotonic() - sent_at, 3),
         )
-        if received:
+        if received and self.pool.on_advice(call, received):
             pacing.record_answer()
-            self.pool.on_advice(call, received)
             return 0.0
-        self.pool.on_advice_failure(call)
+        if not received:
+            self.pool.on_advice_failure(call)
         return pacing.record_failure(
-            answered=answer.failure() is not cluster.AdviceFault.UNANSWERED
+            answered=bool(received)
+            or answer.failure() is not cluster.AdviceFault.UNANSWERED
         )
--- a/wisteriasill/machines/job_api.py
+++ b/wisteriasill/machines/job_api.py
@@ -145,9 +145,8 @@
         move = self._locate(queue, job_id, give_up_at)
         if move is None:
             return result.Failure(_location_unknown(job_id))
-        queue = queue._replace(service=move.service)
         retry_after_seconds = self._admission.turn_away(
-            queue,
+            queue._replace(service=move.service),
             job_id,
             spec,
             submission_policy.insert_timeout_seconds(self._view_store()),
@@ -162,7 +161,7 @@
                 )
             )
         submission = submission_relay.Submission(
-            queue.service, job_id, cbor2.dumps(job_spec.encode(record))
+            move.service, job_id, cbor2.dumps(job_spec.encode(record))
         )
         outcome: submission_policy.Outcome | None = None
         outcome_unknown = False
